--- /dev/null
+++ b/source/adapters/hashing.ts
@@ -0,0 +1,11 @@
+/**
+ * The hash that places keys, by library.
+ *
+ * @module
+ */
+import murmurhash from "murmurhash";
+
+/** MurmurHash3 of a text: a 32-bit unsigned number. */
+export function hashText(text: string, seed: number): number {
+  return murmurhash.v3(text, seed);
+}
--- /dev/null
+++ b/source/adapters/headers.ts
@@ -0,0 +1,91 @@
+/**
+ * The header fields in which callers, agents and targets state what the
+ * system has to know of a request.
+ *
+ * @module
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  type Failure,
+  isFailureReason,
+  notRun,
+  type Outcome,
+  unknownOutcome,
+} from "../core/request/outcome.ts";
+import type { Headers } from "../ports/upstream.ts";
+
+/** Names of header fields. */
+export const fields = {
+  requestId: "x-request-id",
+  key: "geraniumledge-key",
+  rank: "geraniumledge-rank",
+  deadline: "geraniumledge-deadline-milliseconds",
+  idempotent: "geraniumledge-idempotent",
+  outcome: "geraniumledge-outcome",
+  reason: "geraniumledge-reason",
+  service: "geraniumledge-service",
+  load: "geraniumledge-load",
+  token: "geraniumledge-fencing-token",
+  slice: "geraniumledge-slice",
+  leaseEnd: "geraniumledge-lease-ends-at",
+  clock: "geraniumledge-clock",
+} as const;
+
+/** Fields that concern one connection only (RFC 9110, section 7.6.1). */
+const connectionFields: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+  "host",
+]);
+
+/** Fields that only agents may set. */
+const internalFields: ReadonlySet<string> = new Set([
+  fields.service,
+  fields.load,
+  fields.token,
+  fields.slice,
+  fields.leaseEnd,
+  fields.clock,
+]);
+
+/** Fields of a message that go on to the next hop. */
+export function passableHeaders(
+  headers: IncomingHttpHeaders | Headers,
+): Headers {
+  const named = String(headers["connection"] ?? "").toLowerCase();
+  const dropped = new Set(named.split(",").map((name) => name.trim()));
+  const kept: Record<string, string | readonly string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || connectionFields.has(name)) continue;
+    if (internalFields.has(name) || dropped.has(name)) continue;
+    kept[name] = value;
+  }
+  return kept;
+}
+
+/** One value of a field; the first when there are several. */
+export function single(
+  headers: IncomingHttpHeaders | Headers,
+  name: string,
+): string | null {
+  const value = headers[name];
+  if (value === undefined) return null;
+  return typeof value === "string" ? value : value[0] ?? null;
+}
+
+/** The failure that an answer states; null for an answer of the target. */
+export function failureIn(headers: Headers): Failure | null {
+  const outcome = single(headers, fields.outcome) as Outcome | null;
+  if (outcome === null || outcome === "answered") return null;
+  const reason = single(headers, fields.reason) ?? "";
+  const known = isFailureReason(reason) ? reason : "target-refused";
+  return outcome === "not-run" ? notRun(known) : unknownOutcome(known);
+}
--- /dev/null
+++ b/source/adapters/http_front.ts
@@ -0,0 +1,258 @@
+/**
+ * HTTP listeners: reads requests, hands them to a handler, and writes answers
+ * whole or visibly broken off.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { Result } from "true-myth";
+import type { Configuration } from "../core/document/document.ts";
+import { type Failure, notRun, statusOf } from "../core/request/outcome.ts";
+import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+import { fields } from "./headers.ts";
+import {
+  readBody,
+  readCallerRequest,
+  readForwardedRequest,
+} from "./request_reader.ts";
+import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
+import { answerHeaders } from "./upstream.ts";
+
+/** Takes a request to its end. */
+export type HandleRequest = (
+  request: ProxyRequest,
+  options: { readonly body: Body },
+) => Promise<Result<ProxyAnswer, Failure>>;
+
+/** A listener. */
+export interface Front {
+  readonly server: Server;
+  readonly port: number;
+  /** Takes no new connections, and closes each after its current answer. */
+  drain(): void;
+  close(): void;
+}
+
+/** Whose requests a listener takes. */
+export type FrontKind = "callers" | "agents";
+
+/** A page for operators, by path. */
+export type OperatorPage = () => Promise<{
+  readonly status: number;
+  readonly contentType: string;
+  readonly text: string;
+}>;
+
+/** What a listener needs. */
+export interface FrontOptions {
+  readonly kind: FrontKind;
+  readonly host: string;
+  readonly port: number;
+  readonly configuration: () => Configuration;
+  readonly handle: HandleRequest;
+  readonly pages: ReadonlyMap<string, OperatorPage>;
+  readonly now: () => number;
+  readonly onClock: (time: number) => void;
+  /** Bytes of header fields that a request may have. */
+  readonly longestHeaderBytes: number;
+}
+
+/** Longer than any agent keeps an idle connection to this one. */
+const keepAliveMilliseconds = 65_000;
+/** After the deadline the next hop's own refusal is still awaited this long. */
+const deadlineGraceMilliseconds = 20;
+
+/** Opens a listener; fails when the address can't be used. */
+export function openFront(
+  options: FrontOptions,
+): Promise<Result<Front, string>> {
+  const routes = cachedRoutes();
+  let draining = false;
+  const server = createServer(
+    { maxHeaderSize: options.longestHeaderBytes },
+    (message, response) => {
+      if (draining) response.setHeader("connection", "close");
+      void answer(message, response);
+    },
+  );
+  server.keepAliveTimeout = keepAliveMilliseconds;
+  server.requestTimeout = 0;
+  server.on("clientError", refuseUnreadable);
+
+  async function answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const page = options.pages.get(message.url ?? "");
+    if (page !== undefined) return writePage(response, await page());
+    const cancel = new AbortController();
+    response.on("close", () => cancel.abort());
+    const configuration = options.configuration();
+    const read = options.kind === "callers"
+      ? readCallerRequest
+      : readForwardedRequest;
+    const request = read(message, {
+      configuration,
+      match: routes(configuration),
+      signal: cancel.signal,
+      now: options.now(),
+    });
+    if (options.kind === "agents") observeClock(message, options);
+    if (request.isErr) {
+      const { reason, message: text } = request.error;
+      return writeFailure(response, { failure: notRun(reason), text, id: "" });
+    }
+    await handle(message, { response, cancel, request: request.value });
+  }
+
+  async function handle(
+    message: IncomingMessage,
+    context: {
+      readonly response: ServerResponse;
+      readonly cancel: AbortController;
+      readonly request: ProxyRequest;
+    },
+  ): Promise<void> {
+    const { response, cancel, request } = context;
+    const grace = options.kind === "callers" ? deadlineGraceMilliseconds : 0;
+    const timer = setTimeout(
+      () => cancel.abort(),
+      request.deadlineAt - options.now() + grace,
+    );
+    const body = await readBody(message);
+    const result = body === null
+      ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
+      : await options.handle(request, { body });
+    if (result.isErr) {
+      clearTimeout(timer);
+      const { id } = request;
+      return writeFailure(response, { failure: result.error, id, text: "" });
+    }
+    response.on("close", () => clearTimeout(timer));
+    writeAnswer(response, { answer: result.value, id: request.id });
+  }
+
+  return new Promise((resolve) => {
+    server.once("error", (error) => resolve(Result.err(error.message)));
+    server.listen(options.port, options.host, () => {
+      server.on("error", () => undefined);
+      const { port } = server.address() as AddressInfo;
+      resolve(Result.ok({
+        server,
+        port,
+        drain() {
+          draining = true;
+          server.closeIdleConnections();
+        },
+        close() {
+          server.close();
+          server.closeAllConnections();
+        },
+      }));
+    });
+  });
+}
+
+function cachedRoutes(): (configuration: Configuration) => MatchRoute {
+  let compiled: { configuration: Configuration; match: MatchRoute } | null =
+    null;
+  return (configuration) => {
+    if (compiled?.configuration !== configuration) {
+      const match = compileRoutes(configuration.services);
+      compiled = { configuration, match };
+    }
+    return compiled.match;
+  };
+}
+
+function observeClock(message: IncomingMessage, options: FrontOptions): void {
+  const time = Number(message.headers[fields.clock]);
+  if (Number.isSafeInteger(time)) options.onClock(time);
+}
+
+function writePage(
+  response: ServerResponse,
+  page: Awaited<ReturnType<OperatorPage>>,
+): void {
+  response.writeHead(page.status, { "content-type": page.contentType });
+  response.end(page.text);
+}
+
+function writeFailure(
+  response: ServerResponse,
+  options: {
+    readonly failure: Failure;
+    readonly id: string;
+    readonly text: string;
+  },
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const { failure, id, text } = options;
+  const status = statusOf(failure);
+  const body = JSON.stringify({
+    outcome: failure.outcome,
+    reason: failure.reason,
+    ...(text === "" ? {} : { message: text }),
+  });
+  response.writeHead(status, {
+    "content-type": "application/json",
+    [fields.outcome]: failure.outcome,
+    [fields.reason]: failure.reason,
+    ...(id === "" ? {} : { [fields.requestId]: id }),
+    ...(status === 503 ? { "retry-after": "1" } : {}),
+  });
+  response.end(body + "\n");
+}
+
+/** A body that breaks off breaks the connection: never a clean end. */
+function writeAnswer(
+  response: ServerResponse,
+  options: { readonly answer: ProxyAnswer; readonly id: string },
+): void {
+  const { answer, id } = options;
+  if (response.destroyed) {
+    answer.body.on("error", () => undefined);
+    answer.body.destroy();
+    return;
+  }
+  response.writeHead(answer.status, {
+    ...answerHeaders(answer) as Record<string, string | string[]>,
+    [fields.outcome]: "answered",
+    [fields.requestId]: id,
+    ...(answer.load === null ? {} : { [fields.load]: String(answer.load) }),
+  });
+  answer.body.on("error", () => response.destroy());
+  answer.body.on("aborted", () => response.destroy());
+  response.on("close", () => answer.body.destroy());
+  answer.body.pipe(response);
+}
+
+/** Answers what is no HTTP request, or has fields that are too long. */
+function refuseUnreadable(error: Error, socket: Duplex): void {
+  const code = "code" in error ? String(error.code) : "";
+  if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
+  const tooLong = code === "HPE_HEADER_OVERFLOW";
+  const status = tooLong
+    ? "431 Request Header Fields Too Large"
+    : "400 Bad Request";
+  const text = JSON.stringify({
+    outcome: "not-run",
+    reason: "malformed-request",
+    message: tooLong
+      ? "the header fields are too long; shorten or drop some of them"
+      : "this is no HTTP/1.1 request",
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
+      `content-type: application/json\r\n${fields.outcome}: not-run\r\n` +
+      `${fields.reason}: malformed-request\r\n` +
+      `content-length: ${text.length + 1}\r\n\r\n${text}\n`,
+  );
+}
--- /dev/null
+++ b/source/adapters/request_reader.ts
@@ -0,0 +1,248 @@
+/**
+ * Turns an HTTP request into the form that every hop shares, or says what is
+ * wrong with it and how to mend that.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { Result } from "true-myth";
+import type { Configuration, Service } from "../core/document/document.ts";
+import { type FailureReason } from "../core/request/outcome.ts";
+import type { Body, ProxyRequest } from "../ports/upstream.ts";
+import { fields, passableHeaders, single } from "./headers.ts";
+import type { MatchRoute } from "./route_matcher.ts";
+
+/** A request that is not sent on, with the reason in plain words. */
+export interface RefusedRequest {
+  readonly reason: FailureReason;
+  readonly message: string;
+}
+
+/** A request and its body. */
+export interface ReadRequest {
+  readonly request: ProxyRequest;
+  readonly body: Body;
+}
+
+/** A body up to this size is kept, so that the request can be repeated. */
+export const keptBodyBytes = 65_536;
+
+const longestKeyLength = 1_024;
+const longestIdLength = 128;
+
+/** Methods that RFC 9110 defines as idempotent. */
+const idempotentMethods: ReadonlySet<string> = new Set([
+  "GET",
+  "HEAD",
+  "PUT",
+  "DELETE",
+  "OPTIONS",
+]);
+
+/** What reading a request depends on. */
+export interface ReadOptions {
+  readonly configuration: Configuration;
+  readonly match: MatchRoute;
+  readonly signal: AbortSignal;
+  readonly now: number;
+}
+
+/** Reads a request from a caller. */
+export function readCallerRequest(
+  message: IncomingMessage,
+  options: ReadOptions,
+): Result<ProxyRequest, RefusedRequest> {
+  const path = message.url ?? "/";
+  const route = options.match(path);
+  if (route === null) {
+    return refused(
+      "no-such-service",
+      `no service has a route for the path ${path.slice(0, 200)}`,
+    );
+  }
+  const key = single(message.headers, fields.key) ?? route.key;
+  return readFields(message, { ...options, service: route.service, key });
+}
+
+/** Reads a request that another agent sent on. */
+export function readForwardedRequest(
+  message: IncomingMessage,
+  options: ReadOptions,
+): Result<ProxyRequest, RefusedRequest> {
+  const name = single(message.headers, fields.service);
+  const service = options.configuration.services.find((service) =>
+    service.name === name
+  );
+  if (service === undefined) {
+    return refused("no-such-service", `no service is named ${name}`);
+  }
+  const encoded = single(message.headers, fields.key);
+  const key = encoded === null ? null : decode(encoded);
+  return readFields(message, { ...options, service, key });
+}
+
+function decode(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
+
+function readFields(
+  message: IncomingMessage,
+  options: ReadOptions & {
+    readonly service: Service;
+    readonly key: string | null;
+  },
+): Result<ProxyRequest, RefusedRequest> {
+  const { service, configuration } = options;
+  const id = single(message.headers, fields.requestId) ?? randomUUID();
+  if (!/^[\x21-\x7e]+$/.test(id) || id.length > longestIdLength) {
+    return malformed(
+      `${fields.requestId} must be 1 to ${longestIdLength} visible ASCII characters`,
+    );
+  }
+  const key = readKey(options);
+  if (key.isErr) return Result.err(key.error);
+  const rank = readRank(message, { service, configuration });
+  if (rank.isErr) return Result.err(rank.error);
+  const deadline = readDeadline(message, { ...options, rank: rank.value });
+  if (deadline.isErr) return Result.err(deadline.error);
+  const idempotent = readIdempotent(message);
+  if (idempotent.isErr) return Result.err(idempotent.error);
+  const tooLarge = checkLength(message, service);
+  if (tooLarge !== null) return Result.err(tooLarge);
+  return Result.ok({
+    id,
+    method: message.method ?? "GET",
+    path: message.url ?? "/",
+    headers: passableHeaders(message.headers),
+    service: service.name,
+    key: key.value,
+    rank: rank.value,
+    idempotent: idempotent.value,
+    deadlineAt: options.now + deadline.value,
+    signal: options.signal,
+  });
+}
+
+function readKey(options: {
+  readonly service: Service;
+  readonly key: string | null;
+}): Result<string | null, RefusedRequest> {
+  const { service, key } = options;
+  if (service.keys === null) return Result.ok(null);
+  if (key === null || key === "") {
+    return malformed(
+      `the service ${service.name} is divided by key: state the key in the ` +
+        `path or in the field ${fields.key}`,
+    );
+  }
+  if (key.length > longestKeyLength) {
+    return malformed(`a key has ${longestKeyLength} characters at most`);
+  }
+  return Result.ok(key);
+}
+
+function readRank(
+  message: IncomingMessage,
+  options: {
+    readonly service: Service;
+    readonly configuration: Configuration;
+  },
+): Result<number, RefusedRequest> {
+  const { ranks } = options.configuration;
+  const stated = single(message.headers, fields.rank);
+  if (stated !== null && /^\d{1,2}$/.test(stated)) {
+    return Result.ok(Math.min(Number(stated), ranks.length - 1));
+  }
+  const name = stated ?? options.service.defaultRank;
+  const rank = ranks.findIndex((rank) => rank.name === name);
+  if (rank >= 0) return Result.ok(rank);
+  const known = ranks.map((rank) => rank.name).join(", ");
+  return malformed(`${fields.rank} must be one of: ${known}`);
+}
+
+function readDeadline(
+  message: IncomingMessage,
+  options: {
+    readonly service: Service;
+    readonly configuration: Configuration;
+    readonly rank: number;
+  },
+): Result<number, RefusedRequest> {
+  const longest = options.service.longestDeadlineMilliseconds;
+  const stated = single(message.headers, fields.deadline);
+  if (stated === null) {
+    const rank = options.configuration.ranks[options.rank];
+    const usual = rank?.defaultDeadlineMilliseconds ?? longest;
+    return Result.ok(Math.min(usual, longest));
+  }
+  if (!/^\d{1,9}$/.test(stated) || Number(stated) === 0) {
+    return malformed(
+      `${fields.deadline} must be a whole number of milliseconds above 0`,
+    );
+  }
+  return Result.ok(Math.min(Number(stated), longest));
+}
+
+function readIdempotent(
+  message: IncomingMessage,
+): Result<boolean, RefusedRequest> {
+  const stated = single(message.headers, fields.idempotent);
+  if (stated === null) {
+    return Result.ok(idempotentMethods.has(message.method ?? "GET"));
+  }
+  if (stated === "true" || stated === "false") {
+    return Result.ok(stated === "true");
+  }
+  return malformed(`${fields.idempotent} must be true or false`);
+}
+
+function checkLength(
+  message: IncomingMessage,
+  service: Service,
+): RefusedRequest | null {
+  const length = Number(message.headers["content-length"] ?? 0);
+  if (length <= service.longestBodyBytes) return null;
+  return {
+    reason: "body-too-large",
+    message: `the body has ${length} bytes; the service ${service.name} ` +
+      `takes ${service.longestBodyBytes} at most`,
+  };
+}
+
+function refused<Value>(
+  reason: FailureReason,
+  message: string,
+): Result<Value, RefusedRequest> {
+  return Result.err({ reason, message });
+}
+
+function malformed<Value>(message: string): Result<Value, RefusedRequest> {
+  return refused("malformed-request", message);
+}
+
+/**
+ * Reads a body whole when it is small and its length is known; leaves any
+ * other to be streamed. Null when the sender broke off.
+ */
+export async function readBody(message: IncomingMessage): Promise<Body | null> {
+  const { headers } = message;
+  const chunked = headers["transfer-encoding"] !== undefined;
+  const length = Number(headers["content-length"] ?? 0);
+  if (chunked || length > keptBodyBytes) {
+    return { kind: "stream", stream: message, used: false };
+  }
+  if (length === 0) return { kind: "kept", bytes: new Uint8Array() };
+  const chunks: Uint8Array[] = [];
+  try {
+    for await (const chunk of message) chunks.push(chunk as Uint8Array);
+  } catch {
+    return null;
+  }
+  return { kind: "kept", bytes: Buffer.concat(chunks) };
+}
--- /dev/null
+++ b/source/adapters/schemas.ts
@@ -0,0 +1,277 @@
+/**
+ * The shapes of what comes from outside: peers' messages and the store's
+ * values. What doesn't fit is refused before any decision sees it.
+ *
+ * @module
+ */
+import { z } from "zod";
+import type { Agent } from "../core/agent.ts";
+import type { SharedRecord } from "../core/dissemination/replica.ts";
+import type {
+  Acceptance,
+  AcceptedSection,
+  SectionContent,
+} from "../core/document/document.ts";
+import type { Delegation } from "../core/ownership/delegation.ts";
+import type {
+  Renewal,
+  RenewalAnswer,
+  TakeoverAnswer,
+} from "../core/ownership/renewal.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import type {
+  StoredDocument,
+  StoredSeeds,
+  StoredStatus,
+} from "../ports/store.ts";
+
+const name = z.string().max(200);
+const count = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+const address = z.string().max(64).regex(
+  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+);
+const rate = z.number().min(0);
+
+const token = z.strictObject({ epoch: count, sequence: count });
+const grant = z.strictObject({ slice: count, token });
+const grants = z.array(grant).max(100_000);
+
+const agent: z.ZodType<Agent> = z.strictObject({
+  id: name,
+  host: name,
+  incarnation: count,
+  callerAddress: address,
+  peerAddress: address,
+  place: z.strictObject({ dataCenter: name, region: name }),
+  service: name,
+  group: name.nullable(),
+  slots: z.number().int().min(1).max(1_000_000),
+  checksFencing: z.boolean(),
+  phase: z.enum(["serving", "leaving", "lost"]),
+});
+
+const content: z.ZodType<SectionContent> = z.discriminatedUnion("kind", [
+  z.strictObject({
+    kind: z.literal("ranks"),
+    ranks: z.array(z.strictObject({
+      name,
+      share: z.number().min(0).max(1),
+      defaultDeadlineMilliseconds: rate,
+    })),
+  }),
+  z.strictObject({
+    kind: z.literal("regions"),
+    regions: z.array(z.strictObject({ name, dataCenters: z.array(name) })),
+  }),
+  z.strictObject({
+    kind: z.literal("service"),
+    service: z.strictObject({
+      name,
+      routes: z.array(z.string().max(2_000)),
+      keys: z.strictObject({ groups: count, slicesPerGroup: count }).nullable(),
+      defaultRank: name,
+      longestDeadlineMilliseconds: rate,
+      queueLength: count,
+      longestBodyBytes: rate,
+    }),
+  }),
+]);
+
+const section: z.ZodType<AcceptedSection> = z.strictObject({
+  name,
+  owner: name,
+  revision: count,
+  content,
+});
+
+/** A record that spreads between agents. */
+export const sharedRecord: z.ZodType<SharedRecord> = z.strictObject({
+  key: name,
+  version: count,
+  value: z.discriminatedUnion("kind", [
+    z.strictObject({ kind: z.literal("agent"), agent }),
+    z.strictObject({ kind: z.literal("section"), section }),
+    z.strictObject({
+      kind: z.literal("index"),
+      index: z.strictObject({
+        revision: count,
+        sections: z.record(z.string(), count),
+      }),
+    }),
+  ]),
+});
+
+const records = z.array(sharedRecord).max(50_000);
+const digests = z.array(count).max(4_096);
+
+/** An ownership table. */
+export const table: z.ZodType<OwnershipTable> = z.strictObject({
+  group: name,
+  version: token,
+  holders: z.array(z.strictObject({ id: name, peerAddress: address })),
+  owners: z.array(z.number().int().min(-1)).max(100_000),
+  hashedSlices: count,
+  isolatedKeys: z.array(z.strictObject({
+    key: z.string().max(4_096),
+    slice: count,
+  })),
+});
+
+const renewal: z.ZodType<Renewal> = z.strictObject({
+  group: name,
+  epoch: count,
+  id: name,
+  peerAddress: address,
+  weight: z.number().int().min(1).max(1_000_000),
+  checksFencing: z.boolean(),
+  leaving: z.boolean(),
+  held: grants,
+  released: grants,
+  tableVersion: token,
+  sliceLoads: z.array(
+    z.strictObject({ slice: count, requestsPerSecond: rate }),
+  ).max(100_000),
+  keyLoads: z.array(z.strictObject({
+    key: z.string().max(4_096),
+    slice: z.number().int().min(-1),
+    requestsPerSecond: rate,
+  })).max(1_000),
+});
+
+const renewalAnswer: z.ZodType<RenewalAnswer> = z.strictObject({
+  epoch: count,
+  leaseMilliseconds: rate,
+  grants,
+  release: z.array(count).max(100_000),
+  table: table.nullable(),
+});
+
+const takeoverAnswer: z.ZodType<TakeoverAnswer> = z.strictObject({
+  id: name,
+  held: grants,
+  weight: z.number().int().min(1).max(1_000_000),
+  checksFencing: z.boolean(),
+  leaving: z.boolean(),
+});
+
+const location = z.strictObject({ address, epoch: count });
+const claim = { group: name, epoch: count, grantorAddress: address };
+const group = z.strictObject({ group: name });
+
+const timelineEvent = z.strictObject({
+  agent: name,
+  logicalTime: count,
+  wallTime: z.number(),
+  kind: z.string().max(64),
+  detail: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
+});
+
+/** For each call between agents the shape of its message and answer. */
+export const peerSchemas = {
+  exchange: {
+    message: z.strictObject({ from: name, news: records, root: count }),
+    answer: z.strictObject({
+      id: name,
+      news: records,
+      root: count,
+      fresh: z.boolean(),
+    }),
+  },
+  compare: {
+    message: z.strictObject({ digests }),
+    answer: z.strictObject({
+      digests,
+      versions: z.array(z.strictObject({ key: name, version: count })),
+    }),
+  },
+  transfer: {
+    message: z.strictObject({
+      offered: records,
+      wanted: z.array(name).max(50_000),
+    }),
+    answer: records,
+  },
+  renew: { message: renewal, answer: renewalAnswer.nullable() },
+  locateGrantor: {
+    message: z.strictObject({
+      group: name,
+      unreachable: location.nullable(),
+      mayTakeOver: z.boolean(),
+    }),
+    answer: location.nullable(),
+  },
+  takeEpoch: {
+    message: z.strictObject(claim),
+    answer: takeoverAnswer.nullable(),
+  },
+  sealGrantor: {
+    message: z.strictObject({ ...claim, grantor: name }),
+    answer: z.boolean(),
+  },
+  nudge: { message: group, answer: z.null() },
+  table: { message: group, answer: table.nullable() },
+  census: {
+    message: z.strictObject({
+      addresses: z.array(address).max(50_000).nullable(),
+    }),
+    answer: z.strictObject({
+      applied: z.array(z.strictObject({
+        host: name,
+        revision: count,
+        fresh: z.boolean(),
+      })),
+      missing: z.array(name),
+    }),
+  },
+  events: {
+    message: z.strictObject({ after: count }),
+    answer: z.array(timelineEvent),
+  },
+  roster: {
+    message: z.strictObject({}),
+    answer: z.array(z.strictObject({ host: name, address })),
+  },
+} as const;
+
+/** The store's record of a delegation. */
+export const delegation: z.ZodType<Delegation> = z.strictObject({
+  group: name,
+  grantor: name,
+  grantorAddress: address,
+  epoch: count,
+  durationMilliseconds: rate,
+  roster: z.array(z.strictObject({ id: name, peerAddress: address })),
+  writerMark: name,
+});
+
+/** The store's record of what is accepted. */
+export const acceptance: z.ZodType<Acceptance> = z.strictObject({
+  revision: count,
+  judgedVersion: name,
+  sections: z.array(section),
+  refusals: z.array(z.strictObject({
+    section: z.string(),
+    path: z.string(),
+    line: count,
+    reason: z.string(),
+  })),
+});
+
+/** The store's record of the operators' document. */
+export const storedDocument: z.ZodType<StoredDocument> = z.object({
+  text: z.string(),
+  author: z.string().default("unknown"),
+});
+
+/** The store's record of how far a revision came. */
+export const storedStatus: z.ZodType<StoredStatus> = z.object({
+  revision: count,
+  inForce: count,
+  agents: count,
+  missing: z.array(z.string()),
+});
+
+/** The store's list of agents to start from. */
+export const storedSeeds: z.ZodType<StoredSeeds> = z.object({
+  addresses: z.array(address).max(1_000),
+});
--- /dev/null
+++ b/source/adapters/store_client.ts
@@ -0,0 +1,254 @@
+/**
+ * The platform's object store, met by the resource conventions of the
+ * Kubernetes API: versioned objects, conditional updates and watches in JSON.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { Agent as ConnectionPool, request } from "undici";
+import { z } from "zod";
+import type { Metrics } from "../ports/metrics.ts";
+import {
+  mainObject,
+  type Repository,
+  type Store,
+  type StoreFault,
+  type Versioned,
+} from "../ports/store.ts";
+import {
+  acceptance,
+  delegation,
+  storedDocument,
+  storedSeeds,
+  storedStatus,
+} from "./schemas.ts";
+
+const apiVersion = "geraniumledge.example/v1";
+const namespace = "geraniumledge";
+
+/** A store that is in use. */
+export interface StoreClient extends Store {
+  close(): Promise<void>;
+}
+
+const objectSchema = z.object({
+  metadata: z.object({ name: z.string(), resourceVersion: z.string() }),
+  spec: z.unknown(),
+});
+
+interface Connection {
+  readonly origin: string;
+  readonly pool: ConnectionPool;
+  readonly metrics: Metrics;
+  readonly timeoutMilliseconds: number;
+}
+
+/** Opens a store at an origin such as `http://127.0.0.1:7000`. */
+export function openStore(options: {
+  readonly origin: string;
+  readonly timeoutMilliseconds: number;
+  readonly metrics: Metrics;
+}): StoreClient {
+  const pool = new ConnectionPool({
+    connect: { timeout: options.timeoutMilliseconds },
+    keepAliveTimeout: 4_000,
+  });
+  const connection: Connection = { ...options, pool };
+  const documents = repository(connection, {
+    plural: "documents",
+    kind: "Document",
+    schema: storedDocument,
+  });
+  let seen: string | null = null;
+  return {
+    documents: {
+      ...documents,
+      async read(name) {
+        const result = await documents.read(name);
+        if (result.isOk) seen = result.value?.version ?? "0";
+        return result;
+      },
+    },
+    acceptances: repository(connection, {
+      plural: "acceptances",
+      kind: "Acceptance",
+      schema: acceptance,
+    }),
+    delegations: repository(connection, {
+      plural: "delegations",
+      kind: "Delegation",
+      schema: delegation,
+    }),
+    statuses: repository(connection, {
+      plural: "statuses",
+      kind: "Status",
+      schema: storedStatus,
+    }),
+    seeds: repository(connection, {
+      plural: "seeds",
+      kind: "Seeds",
+      schema: storedSeeds,
+    }),
+    awaitChange: ({ longestMilliseconds }) =>
+      watch(connection, { version: seen ?? "0", longestMilliseconds }),
+    close: () => pool.destroy(),
+  };
+}
+
+function repository<Value>(
+  connection: Connection,
+  options: {
+    readonly plural: string;
+    readonly kind: string;
+    readonly schema: z.ZodType<Value>;
+  },
+): Repository<Value> {
+  const { plural, kind, schema } = options;
+  return {
+    async read(name) {
+      const reply = await call(connection, { method: "GET", plural, name });
+      if (reply.isErr) return Result.err(reply.error);
+      if (reply.value.status === 404) return Result.ok(null);
+      return readObject(reply.value, schema);
+    },
+    async write(name, value, { version }) {
+      const body = JSON.stringify({
+        apiVersion,
+        kind,
+        metadata: {
+          name,
+          ...(version === null ? {} : { resourceVersion: version }),
+        },
+        spec: value,
+      });
+      const create = version === null;
+      const reply = await call(connection, {
+        method: create ? "POST" : "PUT",
+        plural,
+        name: create ? null : name,
+        body,
+      });
+      if (reply.isErr) return Result.err(reply.error);
+      if (reply.value.status === 409 || reply.value.status === 404) {
+        return Result.err({ kind: "conflict" });
+      }
+      const object = readObject(reply.value, schema);
+      return object.map((object) => object.version);
+    },
+  };
+}
+
+interface Reply {
+  readonly status: number;
+  readonly text: string;
+}
+
+async function call(
+  connection: Connection,
+  options: {
+    readonly method: "GET" | "POST" | "PUT";
+    readonly plural: string;
+    readonly name: string | null;
+    readonly body?: string;
+  },
+): Promise<Result<Reply, StoreFault>> {
+  const { method, plural, name, body } = options;
+  connection.metrics.count("store_calls", { method, kind: plural });
+  const url = urlOf(connection, plural) + (name === null ? "" : `/${name}`);
+  try {
+    const response = await request(url, {
+      dispatcher: connection.pool,
+      method,
+      ...(body === undefined ? {} : { body }),
+      headers: { "content-type": "application/json" },
+      signal: AbortSignal.timeout(connection.timeoutMilliseconds),
+    });
+    const text = await response.body.text();
+    return Result.ok({ status: response.statusCode, text });
+  } catch (error) {
+    return Result.err(faultOf(error));
+  }
+}
+
+function urlOf(connection: Connection, plural: string): string {
+  return `${connection.origin}/apis/${apiVersion}/namespaces/${namespace}/${plural}`;
+}
+
+const noConnection: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function faultOf(error: unknown): StoreFault {
+  const detail = error instanceof Error ? error.message : String(error);
+  const code = typeof error === "object" && error !== null && "code" in error
+    ? String(error.code)
+    : "";
+  return noConnection.has(code)
+    ? { kind: "refused", detail: detail || code }
+    : { kind: "uncertain", detail };
+}
+
+function readObject<Value>(
+  reply: Reply,
+  schema: z.ZodType<Value>,
+): Result<Versioned<Value>, StoreFault> {
+  if (reply.status >= 300) {
+    const detail = `status ${reply.status}`;
+    const kind = reply.status >= 500 ? "uncertain" : "refused";
+    return Result.err({ kind, detail });
+  }
+  const object = objectSchema.safeParse(parseJson(reply.text));
+  const value = object.success ? schema.safeParse(object.data.spec) : null;
+  if (!object.success || value === null || !value.success) {
+    return Result.err({ kind: "uncertain", detail: "malformed object" });
+  }
+  const version = object.data.metadata.resourceVersion;
+  return Result.ok({ value: value.data, version });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
+
+/** Ends with the first event of the watch, or when its time is over. */
+async function watch(
+  connection: Connection,
+  options: { readonly version: string; readonly longestMilliseconds: number },
+): Promise<Result<null, StoreFault>> {
+  connection.metrics.count("store_calls", {
+    method: "WATCH",
+    kind: "documents",
+  });
+  const query = new URLSearchParams({
+    watch: "true",
+    resourceVersion: options.version,
+    fieldSelector: `metadata.name=${mainObject}`,
+    timeoutSeconds: String(Math.ceil(options.longestMilliseconds / 1_000)),
+  });
+  const grace = 2_000;
+  try {
+    const response = await request(
+      `${urlOf(connection, "documents")}?${query}`,
+      {
+        dispatcher: connection.pool,
+        signal: AbortSignal.timeout(options.longestMilliseconds + grace),
+      },
+    );
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      const detail = `status ${response.statusCode}`;
+      return Result.err({ kind: "refused", detail });
+    }
+    for await (const _event of response.body) break;
+    return Result.ok(null);
+  } catch (error) {
+    return Result.err(faultOf(error));
+  }
+}
--- /dev/null
+++ b/source/adapters/upstream.ts
@@ -0,0 +1,262 @@
+/**
+ * The next hop of a request, by undici: another agent, or the target.
+ *
+ * @module
+ */
+import type { Readable } from "node:stream";
+import { Result } from "true-myth";
+import { Pool } from "undici";
+import type { Address } from "../core/agent.ts";
+import { formatToken } from "../core/ownership/token.ts";
+import {
+  type Failure,
+  notRun,
+  unknownOutcome,
+} from "../core/request/outcome.ts";
+import type {
+  Body,
+  Forwarder,
+  Headers,
+  ProxyAnswer,
+  ProxyRequest,
+  Target,
+  TargetHealth,
+} from "../ports/upstream.ts";
+import { failureIn, fields, passableHeaders, single } from "./headers.ts";
+
+/** Settings of the connections to one kind of hop. */
+export interface ConnectionSettings {
+  /** Most connections to one address. */
+  readonly connections: number;
+  readonly connectTimeoutMilliseconds: number;
+  /** An idle connection is closed before the other end closes it. */
+  readonly idleMilliseconds: number;
+}
+
+/** Most addresses with open connections; the oldest beyond is closed. */
+const mostPools = 256;
+/** The next hop answers this much before this hop gives up. */
+const hopMarginMilliseconds = 5;
+
+function openPool(address: Address, settings: ConnectionSettings): Pool {
+  return new Pool(`http://${address}`, {
+    connections: settings.connections,
+    pipelining: 1,
+    connect: { timeout: settings.connectTimeoutMilliseconds },
+    keepAliveTimeout: settings.idleMilliseconds,
+    keepAliveMaxTimeout: settings.idleMilliseconds,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+/** Sends requests on to other agents. */
+export function openForwarder(options: {
+  readonly settings: ConnectionSettings;
+  readonly now: () => number;
+  readonly clock: () => number;
+}): Forwarder {
+  const pools = new Map<Address, Pool>();
+  function poolFor(address: Address): Pool {
+    const pool = pools.get(address) ?? openPool(address, options.settings);
+    pools.delete(address);
+    pools.set(address, pool);
+    const [oldest] = pools.entries();
+    if (pools.size > mostPools && oldest !== undefined) {
+      pools.delete(oldest[0]);
+      void oldest[1].close();
+    }
+    return pool;
+  }
+  return {
+    async forward(address, request, { body }) {
+      const remaining = request.deadlineAt - options.now();
+      const headers = {
+        ...request.headers,
+        [fields.requestId]: request.id,
+        [fields.service]: request.service,
+        [fields.rank]: String(request.rank),
+        [fields.deadline]: String(
+          Math.max(1, Math.floor(remaining - hopMarginMilliseconds)),
+        ),
+        [fields.idempotent]: String(request.idempotent),
+        [fields.clock]: String(options.clock()),
+        ...(request.key === null
+          ? {}
+          : { [fields.key]: encodeURIComponent(request.key) }),
+      };
+      const result = await send(poolFor(address), {
+        request,
+        headers,
+        body,
+        now: options.now,
+      });
+      if (result.isErr) return result;
+      return await readAgentAnswer(result.value);
+    },
+    async close() {
+      await Promise.all([...pools.values()].map((pool) => pool.close()));
+    },
+  };
+}
+
+/** An agent says by a header when the answer is not its target's. */
+async function readAgentAnswer(
+  answer: ProxyAnswer,
+): Promise<Result<ProxyAnswer, Failure>> {
+  const failure = failureIn(answer.headers);
+  if (failure !== null) {
+    await drain(answer.body);
+    return Result.err(failure);
+  }
+  const load = Number(single(answer.headers, fields.load) ?? NaN);
+  return Result.ok({ ...answer, load: Number.isFinite(load) ? load : null });
+}
+
+async function drain(body: Readable): Promise<void> {
+  body.on("error", () => undefined);
+  body.resume();
+  await Promise.resolve();
+}
+
+/** Sends requests to the target beside this agent. */
+export function openTarget(options: {
+  readonly address: Address;
+  readonly settings: ConnectionSettings;
+  readonly now: () => number;
+  readonly healthTimeoutMilliseconds: number;
+}): Target {
+  const pool = openPool(options.address, options.settings);
+  return {
+    async send({ request, body, token, slice, leaseEndsAtWall }) {
+      const remaining = Math.floor(request.deadlineAt - options.now());
+      if (remaining <= 0) return Result.err(notRun("deadline-passed"));
+      const headers = {
+        ...request.headers,
+        [fields.requestId]: request.id,
+        [fields.deadline]: String(remaining),
+        ...(token === null ? {} : {
+          [fields.token]: formatToken(token),
+          [fields.slice]: String(slice),
+          [fields.leaseEnd]: String(Math.floor(leaseEndsAtWall ?? 0)),
+        }),
+      };
+      const result = await send(pool, {
+        request,
+        headers,
+        body,
+        now: options.now,
+      });
+      if (result.isErr) return result;
+      return await readTargetAnswer(result.value);
+    },
+    health: () => askHealth(pool, options.healthTimeoutMilliseconds),
+    close: () => pool.close(),
+  };
+}
+
+/** A target proves that it did not run a request with the outcome field. */
+async function readTargetAnswer(
+  answer: ProxyAnswer,
+): Promise<Result<ProxyAnswer, Failure>> {
+  if (failureIn(answer.headers)?.outcome !== "not-run") {
+    return Result.ok(answer);
+  }
+  await drain(answer.body);
+  return Result.err(notRun("target-refused"));
+}
+
+async function askHealth(
+  pool: Pool,
+  timeoutMilliseconds: number,
+): Promise<TargetHealth | null> {
+  try {
+    const response = await pool.request({
+      method: "GET",
+      path: "/health",
+      signal: AbortSignal.timeout(timeoutMilliseconds),
+    });
+    await response.body.dump();
+    const phase = response.statusCode === 200 ? "serving" : "leaving";
+    return { phase };
+  } catch {
+    return null;
+  }
+}
+
+async function send(
+  pool: Pool,
+  options: {
+    readonly request: ProxyRequest;
+    readonly headers: Headers;
+    readonly body: Body;
+    readonly now: () => number;
+  },
+): Promise<Result<ProxyAnswer, Failure>> {
+  const { request, body } = options;
+  if (request.signal.aborted) return Result.err(abortedBefore(options));
+  try {
+    const response = await pool.request({
+      method: request.method as "GET",
+      path: request.path,
+      headers: options.headers as Record<string, string | string[]>,
+      body: bodyToSend(body),
+      signal: request.signal,
+      responseHeaders: null,
+    });
+    return Result.ok({
+      status: response.statusCode,
+      headers: response.headers as Headers,
+      body: response.body,
+      load: null,
+    });
+  } catch (error) {
+    return Result.err(failureOf(error, options));
+  }
+}
+
+/**
+ * A stream is read only once the connection stands, so that a request that
+ * never left can be sent elsewhere.
+ */
+function bodyToSend(body: Body): Uint8Array | Readable | null {
+  if (body.kind === "kept") return body.bytes.length === 0 ? null : body.bytes;
+  const iterator = body.stream.iterator({ destroyOnReturn: false });
+  // The library takes any asynchronous iterable, but its types name streams.
+  return iterator as unknown as Readable;
+}
+
+interface Attempt {
+  readonly request: ProxyRequest;
+  readonly now: () => number;
+}
+
+function abortedBefore(attempt: Attempt): Failure {
+  const late = attempt.now() >= attempt.request.deadlineAt;
+  return notRun(late ? "deadline-passed" : "caller-left");
+}
+
+/** Errors before any byte of the request was sent. */
+const nothingSent: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function failureOf(error: unknown, attempt: Attempt): Failure {
+  const code = typeof error === "object" && error !== null && "code" in error
+    ? String(error.code)
+    : "";
+  if (nothingSent.has(code)) return notRun("target-unreachable");
+  if (attempt.request.signal.aborted) {
+    const late = attempt.now() >= attempt.request.deadlineAt;
+    return unknownOutcome(late ? "deadline-passed" : "caller-left");
+  }
+  return unknownOutcome("connection-lost");
+}
+
+/** Header fields of an answer that go back to the caller. */
+export function answerHeaders(answer: ProxyAnswer): Headers {
+  return passableHeaders(answer.headers);
+}
--- /dev/null
+++ b/source/core/admission/admission.ts
@@ -0,0 +1,409 @@
+/**
+ * Admission at a target's agent: which request runs next, which waits, and
+ * which is refused before it began.
+ *
+ * Invariants:
+ * - no more requests run than the limit;
+ * - every request that arrives is started or refused, exactly once;
+ * - a waiting rank that holds a share gets at least that share of the starts,
+ *   and beyond the shares the most urgent rank goes first.
+ *
+ * @module
+ */
+import type { FailureReason } from "../request/outcome.ts";
+import type { Transition } from "../step.ts";
+
+/** A rank of work; ranks are listed with the most urgent first. */
+export interface RankPolicy {
+  readonly name: string;
+  /** The part of the starts that the rank keeps in any flood, 0 to 1. */
+  readonly share: number;
+}
+
+/** What admission is set to. */
+export interface AdmissionSettings {
+  /** Requests that the target says it runs at one time. */
+  readonly slots: number;
+  readonly ranks: readonly RankPolicy[];
+  /** Most requests that wait, of all ranks together. */
+  readonly queueLength: number;
+}
+
+/** A request that waits for a slot. */
+export interface Waiting {
+  readonly id: number;
+  readonly deadlineAt: number;
+}
+
+/** A request that the target runs. */
+export interface Running {
+  readonly rank: number;
+  readonly startedAt: number;
+}
+
+/** The state of one target's admission. */
+export interface AdmissionState {
+  readonly settings: AdmissionSettings;
+  /** Requests allowed to run at one time; at most the target's slots. */
+  readonly limit: number;
+  readonly running: ReadonlyMap<number, Running>;
+  /** For each rank its waiting requests, the nearest deadline first. */
+  readonly waiting: readonly (readonly Waiting[])[];
+  /** Starts that each rank is owed from its share. */
+  readonly credits: readonly number[];
+  /** Mean time in the target for each rank, in milliseconds. */
+  readonly serviceMilliseconds: readonly number[];
+  readonly closed: boolean;
+}
+
+/** How a run request ended, as far as the limit is concerned. */
+export type FinishKind = "answered" | "refused" | "failed";
+
+/** What happens to admission. */
+export type AdmissionEvent =
+  | {
+    readonly kind: "arrived";
+    readonly id: number;
+    readonly rank: number;
+    readonly deadlineAt: number;
+    readonly now: number;
+  }
+  | {
+    readonly kind: "finished";
+    readonly id: number;
+    readonly finish: FinishKind;
+    readonly now: number;
+  }
+  | { readonly kind: "withdrawn"; readonly id: number; readonly now: number }
+  | { readonly kind: "tick"; readonly now: number }
+  | { readonly kind: "settings"; readonly settings: AdmissionSettings }
+  /** The target leaves: nothing more is started. */
+  | { readonly kind: "close" };
+
+/** What admission asks of its task. */
+export type AdmissionEffect =
+  | { readonly kind: "start"; readonly id: number }
+  | {
+    readonly kind: "refuse";
+    readonly id: number;
+    readonly reason: FailureReason;
+  };
+
+type AdmissionTransition = Transition<AdmissionState, AdmissionEffect>;
+
+/** A target that nobody has seen at work yet starts with this part of it. */
+const coldShare = 0.5;
+const limitDecrease = 0.8;
+const serviceSmoothing = 0.1;
+/** Starts that a rank may be owed, so that an idle one can't hoard them. */
+const mostCredit = 2;
+
+/** Admission for a target that has just been met. */
+export function beginAdmission(settings: AdmissionSettings): AdmissionState {
+  return {
+    settings,
+    limit: Math.max(1, settings.slots * coldShare),
+    running: new Map(),
+    waiting: settings.ranks.map(() => []),
+    credits: settings.ranks.map(() => 0),
+    serviceMilliseconds: settings.ranks.map(() => 0),
+    closed: false,
+  };
+}
+
+/** Applies one event to admission. */
+export function stepAdmission(
+  state: AdmissionState,
+  event: AdmissionEvent,
+): AdmissionTransition {
+  switch (event.kind) {
+    case "arrived":
+      return arrive(state, event);
+    case "finished":
+      return finish(state, event);
+    case "withdrawn":
+      return withdraw(state, event);
+    case "tick":
+      return startWaiting(refuseHopeless(state, event.now), event.now);
+    case "settings":
+      return { state: resize(state, event.settings), effects: [] };
+    case "close":
+      return close(state);
+  }
+}
+
+/** How many requests wait, of all ranks. */
+export function countWaiting(state: AdmissionState): number {
+  return state.waiting.reduce((sum, queue) => sum + queue.length, 0);
+}
+
+function arrive(
+  state: AdmissionState,
+  event: AdmissionEvent & { readonly kind: "arrived" },
+): AdmissionTransition {
+  const refused = reasonToRefuse(state, event);
+  if (refused !== null) return refuse(state, event.id, refused);
+  const rank = Math.min(event.rank, state.waiting.length - 1);
+  const entry = { id: event.id, deadlineAt: event.deadlineAt };
+  const queued = withQueue(
+    state,
+    rank,
+    insert(state.waiting[rank] ?? [], entry),
+  );
+  const evicted = evictOverflow(queued);
+  return startWaiting(evicted, event.now);
+}
+
+function reasonToRefuse(
+  state: AdmissionState,
+  event: AdmissionEvent & { readonly kind: "arrived" },
+): FailureReason | null {
+  if (state.closed) return "target-leaving";
+  if (event.deadlineAt <= event.now) return "deadline-passed";
+  const wait = expectedWait(state, event);
+  const service = state.serviceMilliseconds[event.rank] ?? 0;
+  if (event.now + wait + service > event.deadlineAt) {
+    return "deadline-too-near";
+  }
+  return null;
+}
+
+/**
+ * The time until a slot comes free for a newcomer: the work that goes before
+ * it, slowed by the starts that other ranks' shares take.
+ */
+function expectedWait(
+  state: AdmissionState,
+  event: { readonly rank: number; readonly deadlineAt: number },
+): number {
+  if (countWaiting(state) === 0) return 0;
+  let work = 0;
+  state.waiting.forEach((queue, rank) => {
+    const before = rank < event.rank
+      ? queue.length
+      : rank === event.rank
+      ? queue.filter((entry) => entry.deadlineAt <= event.deadlineAt).length
+      : 0;
+    work += before * (state.serviceMilliseconds[rank] ?? 0);
+  });
+  return work / Math.max(1, Math.floor(state.limit)) /
+    rankPortion(state, event.rank);
+}
+
+/** The part of the starts that is open to a rank while the others wait too. */
+function rankPortion(state: AdmissionState, rank: number): number {
+  let others = 0;
+  state.waiting.forEach((queue, index) => {
+    if (index > rank && queue.length > 0) {
+      others += state.settings.ranks[index]?.share ?? 0;
+    }
+  });
+  return Math.max(0.1, 1 - others);
+}
+
+function insert(
+  queue: readonly Waiting[],
+  entry: Waiting,
+): readonly Waiting[] {
+  const place = queue.findIndex((other) => other.deadlineAt > entry.deadlineAt);
+  return place < 0 ? [...queue, entry] : queue.toSpliced(place, 0, entry);
+}
+
+function withQueue(
+  state: AdmissionState,
+  rank: number,
+  queue: readonly Waiting[],
+): AdmissionState {
+  return { ...state, waiting: state.waiting.with(rank, queue) };
+}
+
+function refuse(
+  state: AdmissionState,
+  id: number,
+  reason: FailureReason,
+): AdmissionTransition {
+  return { state, effects: [{ kind: "refuse", id, reason }] };
+}
+
+/** A full queue turns away its least urgent request beyond its rank's part. */
+function evictOverflow(state: AdmissionState): AdmissionTransition {
+  if (countWaiting(state) <= state.settings.queueLength) {
+    return { state, effects: [] };
+  }
+  const rank = rankToEvict(state);
+  const queue = state.waiting[rank] ?? [];
+  const last = queue[queue.length - 1];
+  if (last === undefined) return { state, effects: [] };
+  const next = withQueue(state, rank, queue.slice(0, -1));
+  return refuse(next, last.id, "queue-full");
+}
+
+function rankToEvict(state: AdmissionState): number {
+  for (let rank = state.waiting.length - 1; rank >= 0; rank -= 1) {
+    const share = state.settings.ranks[rank]?.share ?? 0;
+    const kept = Math.floor(share * state.settings.queueLength);
+    if ((state.waiting[rank] ?? []).length > kept) return rank;
+  }
+  return 0;
+}
+
+function refuseHopeless(
+  state: AdmissionState,
+  now: number,
+): AdmissionTransition {
+  const effects: AdmissionEffect[] = [];
+  const waiting = state.waiting.map((queue, rank) => {
+    const service = state.serviceMilliseconds[rank] ?? 0;
+    const hopeful = queue.filter((entry) => entry.deadlineAt > now + service);
+    if (hopeful.length === queue.length) return queue;
+    for (const entry of queue) {
+      if (entry.deadlineAt > now + service) continue;
+      const reason = entry.deadlineAt <= now
+        ? "deadline-passed"
+        : "deadline-too-near";
+      effects.push({ kind: "refuse", id: entry.id, reason });
+    }
+    return hopeful;
+  });
+  if (effects.length === 0) return { state, effects };
+  return { state: { ...state, waiting }, effects };
+}
+
+function startWaiting(
+  before: AdmissionTransition,
+  now: number,
+): AdmissionTransition {
+  let { state } = before;
+  const effects = [...before.effects];
+  while (state.running.size < Math.floor(state.limit)) {
+    const rank = nextRank(state);
+    if (rank === null) break;
+    const [first, ...rest] = state.waiting[rank] ?? [];
+    if (first === undefined) break;
+    state = withQueue(state, rank, rest);
+    if (first.deadlineAt <= now) {
+      effects.push({ kind: "refuse", id: first.id, reason: "deadline-passed" });
+      continue;
+    }
+    state = start(state, { id: first.id, rank, now });
+    effects.push({ kind: "start", id: first.id });
+  }
+  return { state, effects };
+}
+
+/** The rank that is owed most, or else the most urgent that waits. */
+function nextRank(state: AdmissionState): number | null {
+  let owed: number | null = null;
+  let urgent: number | null = null;
+  state.waiting.forEach((queue, rank) => {
+    if (queue.length === 0) return;
+    urgent ??= rank;
+    const credit = state.credits[rank] ?? 0;
+    if (credit >= 1 && (owed === null || credit > (state.credits[owed] ?? 0))) {
+      owed = rank;
+    }
+  });
+  return owed ?? urgent;
+}
+
+function start(
+  state: AdmissionState,
+  entry: { readonly id: number; readonly rank: number; readonly now: number },
+): AdmissionState {
+  const running = new Map(state.running).set(entry.id, {
+    rank: entry.rank,
+    startedAt: entry.now,
+  });
+  const credits = state.credits.map((credit, rank) => {
+    if (rank === entry.rank) return Math.max(0, credit - 1);
+    if ((state.waiting[rank] ?? []).length === 0) return 0;
+    const share = state.settings.ranks[rank]?.share ?? 0;
+    return Math.min(mostCredit, credit + share / (1 - share));
+  });
+  return { ...state, running, credits };
+}
+
+function finish(
+  state: AdmissionState,
+  event: AdmissionEvent & { readonly kind: "finished" },
+): AdmissionTransition {
+  const ended = state.running.get(event.id);
+  if (ended === undefined) return { state, effects: [] };
+  const running = new Map(state.running);
+  running.delete(event.id);
+  const learnt = learn(
+    { ...state, running },
+    { ended, finish: event.finish, now: event.now },
+  );
+  return startWaiting(refuseHopeless(learnt, event.now), event.now);
+}
+
+function learn(
+  state: AdmissionState,
+  event: {
+    readonly ended: Running;
+    readonly finish: FinishKind;
+    readonly now: number;
+  },
+): AdmissionState {
+  if (event.finish === "refused") {
+    return { ...state, limit: Math.max(1, state.limit * limitDecrease) };
+  }
+  const { rank, startedAt } = event.ended;
+  const took = event.now - startedAt;
+  const mean = state.serviceMilliseconds[rank] ?? 0;
+  const next = mean === 0 ? took : mean + (took - mean) * serviceSmoothing;
+  const grown = event.finish === "answered" ? 1 / state.limit : 0;
+  return {
+    ...state,
+    limit: Math.min(state.settings.slots, state.limit + grown),
+    serviceMilliseconds: state.serviceMilliseconds.with(rank, next),
+  };
+}
+
+function withdraw(
+  state: AdmissionState,
+  event: AdmissionEvent & { readonly kind: "withdrawn" },
+): AdmissionTransition {
+  const waiting = state.waiting.map((queue) =>
+    queue.some((entry) => entry.id === event.id)
+      ? queue.filter((entry) => entry.id !== event.id)
+      : queue
+  );
+  return { state: { ...state, waiting }, effects: [] };
+}
+
+/** Ranks may change with the document; what waits keeps its place by index. */
+function resize(
+  state: AdmissionState,
+  settings: AdmissionSettings,
+): AdmissionState {
+  const count = settings.ranks.length;
+  const waiting: (readonly Waiting[])[] = settings.ranks.map((_, rank) =>
+    state.waiting[rank] ?? []
+  );
+  for (const queue of state.waiting.slice(count)) {
+    const last = waiting[count - 1] ?? [];
+    waiting[count - 1] = queue.reduce(insert, last);
+  }
+  return {
+    ...state,
+    settings,
+    waiting,
+    limit: Math.min(Math.max(1, settings.slots), state.limit),
+    credits: settings.ranks.map((_, rank) => state.credits[rank] ?? 0),
+    serviceMilliseconds: settings.ranks.map((_, rank) =>
+      state.serviceMilliseconds[rank] ?? 0
+    ),
+  };
+}
+
+function close(state: AdmissionState): AdmissionTransition {
+  const effects = state.waiting.flat().map((entry): AdmissionEffect => ({
+    kind: "refuse",
+    id: entry.id,
+    reason: "target-leaving",
+  }));
+  const waiting = state.waiting.map(() => []);
+  return { state: { ...state, waiting, closed: true }, effects };
+}
--- /dev/null
+++ b/source/core/agent.ts
@@ -0,0 +1,49 @@
+/**
+ * Who takes part: one agent beside each target, at a place.
+ *
+ * @module
+ */
+
+/** Where a host stands. */
+export interface Place {
+  readonly dataCenter: string;
+  readonly region: string;
+}
+
+/** The address of a listener, as `ip:port`. */
+export type Address = string;
+
+/**
+ * Names one run of one agent, as `host/incarnation`. A restarted agent has a
+ * new identity, so that nothing promised to the old process reaches the new.
+ */
+export type AgentId = string;
+
+/** Whether a target takes new work. */
+export type TargetPhase = "serving" | "leaving" | "lost";
+
+/** What an agent tells all others about itself and its target. */
+export interface Agent {
+  readonly id: AgentId;
+  readonly host: string;
+  /** Grows with each start and each correction of a false suspicion. */
+  readonly incarnation: number;
+  readonly callerAddress: Address;
+  readonly peerAddress: Address;
+  readonly place: Place;
+  readonly service: string;
+  /** The ownership group of the target; null when its service has no keys. */
+  readonly group: string | null;
+  /** Requests that the target runs at one time. */
+  readonly slots: number;
+  /** Whether the target refuses stale fencing tokens by itself. */
+  readonly checksFencing: boolean;
+  readonly phase: TargetPhase;
+}
+
+/** How far apart two places are; lower is nearer. */
+export function distance(from: Place, to: Place): 0 | 1 | 2 {
+  if (from.dataCenter === to.dataCenter) return 0;
+  if (from.region === to.region) return 1;
+  return 2;
+}
--- /dev/null
+++ b/source/core/document/assembly.ts
@@ -0,0 +1,57 @@
+/**
+ * The configuration that an agent's copy of the records stands for.
+ *
+ * Invariant: a revision is applied only when every section that its index
+ * names has arrived, and never after a higher one.
+ *
+ * @module
+ */
+import {
+  indexKey,
+  type Replica,
+  sectionKey,
+  type SharedRecord,
+} from "../dissemination/replica.ts";
+import {
+  type Acceptance,
+  type AcceptedSection,
+  type Configuration,
+  configurationOf,
+  indexOf,
+} from "./document.ts";
+
+/** The newest complete configuration above `current`; null when none is. */
+export function assembleConfiguration(
+  replica: Replica,
+  current: Configuration,
+): Configuration | null {
+  const index = replica.records.get(indexKey)?.value;
+  if (index?.kind !== "index") return null;
+  if (index.index.revision <= current.revision) return null;
+  const sections: AcceptedSection[] = [];
+  for (const [name, revision] of Object.entries(index.index.sections)) {
+    const value = replica.records.get(sectionKey(name))?.value;
+    if (value?.kind !== "section") return null;
+    if (value.section.revision !== revision) return null;
+    sections.push(value.section);
+  }
+  return configurationOf(index.index.revision, sections);
+}
+
+/** The records that tell all agents of an acceptance. */
+export function recordsOfAcceptance(
+  acceptance: Acceptance,
+): readonly SharedRecord[] {
+  if (acceptance.revision === 0) return [];
+  const sections = acceptance.sections.map((section): SharedRecord => ({
+    key: sectionKey(section.name),
+    version: section.revision,
+    value: { kind: "section", section },
+  }));
+  const index: SharedRecord = {
+    key: indexKey,
+    version: acceptance.revision,
+    value: { kind: "index", index: indexOf(acceptance) },
+  };
+  return [...sections, index];
+}
--- /dev/null
+++ b/source/core/ownership/grantor_state.ts
@@ -0,0 +1,88 @@
+/**
+ * The state of a grantor: its holders, its slices, and its own right to grant.
+ *
+ * @module
+ */
+import type { Address, AgentId } from "../agent.ts";
+import { type Clocks, later } from "../clocks.ts";
+import type { RosterEntry } from "./delegation.ts";
+import type { IsolatedKey } from "./table.ts";
+import type { FencingToken } from "./token.ts";
+
+/** Durations and sizes of one group. */
+export interface GrantorSettings {
+  readonly leaseMilliseconds: number;
+  /** The longest that admitted work may go on after its admission. */
+  readonly longestDeadlineMilliseconds: number;
+  readonly hashedSlices: number;
+  /** Most slices in a planned move at one time. */
+  readonly movesAtOnce: number;
+  /** Most keys with a slice of their own. */
+  readonly isolatedKeys: number;
+  /** How long the delegation lasts after each successful store write. */
+  readonly delegationMilliseconds: number;
+}
+
+/** The grantor's record of a holder. */
+export interface Holder {
+  readonly id: AgentId;
+  readonly peerAddress: Address;
+  readonly weight: number;
+  readonly checksFencing: boolean;
+  readonly leaving: boolean;
+  /** On the grantor's monotonic clock. */
+  readonly leaseEndsAt: number;
+  readonly tableVersion: FencingToken;
+}
+
+/** What the grantor knows of one slice. */
+export type Slice =
+  | { readonly kind: "free" }
+  | {
+    readonly kind: "held";
+    readonly owner: AgentId;
+    readonly token: FencingToken;
+  }
+  | {
+    readonly kind: "moving";
+    readonly owner: AgentId;
+    readonly token: FencingToken;
+    readonly destination: AgentId;
+  }
+  | {
+    /** May still be served under a grant that this grantor can't renew. */
+    readonly kind: "reserved";
+    readonly owner: AgentId | null;
+    readonly token: FencingToken;
+    readonly availableAt: number;
+  };
+
+/** The state of one grantor. */
+export interface GrantorState {
+  readonly group: string;
+  readonly epoch: number;
+  readonly settings: GrantorSettings;
+  readonly delegationEndsAt: Clocks;
+  readonly sequence: number;
+  readonly roster: readonly RosterEntry[];
+  /** Servers that asked to join and wait for the roster to be stored. */
+  readonly applicants: readonly RosterEntry[];
+  readonly holders: ReadonlyMap<AgentId, Holder>;
+  readonly slices: readonly Slice[];
+  readonly isolatedKeys: readonly IsolatedKey[];
+  readonly loads: ReadonlyMap<number, number>;
+  /** The roster that a store write not yet settled carries; null for none. */
+  readonly writing: readonly RosterEntry[] | null;
+}
+
+/** The grantor's clock may run slower than its successor's by this share. */
+const clockDriftShare = 0.01;
+
+/** When a delegation ends that was asked of the store at this instant. */
+export function delegationEnd(
+  askedAt: Clocks,
+  settings: GrantorSettings,
+): Clocks {
+  const length = settings.delegationMilliseconds * (1 - clockDriftShare);
+  return later(askedAt, length);
+}
--- /dev/null
+++ b/source/core/ownership/holder.ts
@@ -0,0 +1,243 @@
+/**
+ * The holder: what a server may serve, judged by itself.
+ *
+ * Invariants:
+ * - a lease counts from when its renewal was asked, ends early by a margin,
+ *   and ends when either the monotonic or the wall clock says so;
+ * - once an epoch is accepted, nothing of an older epoch is accepted again;
+ * - a slice is reported as released only when no admitted request runs on it.
+ *
+ * @module
+ */
+import type { AgentId } from "../agent.ts";
+import {
+  beginningOfTime,
+  type Clocks,
+  later,
+  latest,
+  surelyBefore,
+} from "../clocks.ts";
+import type { Grant, RenewalAnswer } from "./renewal.ts";
+import { emptyTable, newerTable, type OwnershipTable } from "./table.ts";
+import { compareTokens, type FencingToken } from "./token.ts";
+
+/** A slice in a holder's hands. */
+export interface HeldSlice {
+  readonly token: FencingToken;
+  /** No new work is admitted; running work is finished. */
+  readonly releasing: boolean;
+  /** Requests admitted and not finished. */
+  readonly running: number;
+}
+
+/** The state of one holder. */
+export interface HolderState {
+  readonly id: AgentId;
+  readonly group: string;
+  readonly marginMilliseconds: number;
+  readonly epoch: number;
+  readonly leaseEndsAt: Clocks;
+  readonly slices: ReadonlyMap<number, HeldSlice>;
+  /** Released, and not yet known to the grantor. */
+  readonly released: readonly Grant[];
+  readonly table: OwnershipTable;
+}
+
+/** Why a holder may not serve a key just now. */
+export type HoldRefusal = "not-owner" | "moving" | "lease-ended";
+
+/** What a holder says of one slice. */
+export type HoldDecision =
+  | { readonly kind: "owned"; readonly token: FencingToken }
+  | { readonly kind: "refused"; readonly reason: HoldRefusal };
+
+/** What happens to a holder. */
+export type HolderEvent =
+  | {
+    readonly kind: "answered";
+    readonly askedAt: Clocks;
+    readonly answer: RenewalAnswer;
+    /** Releases that the answered renewal had carried. */
+    readonly reported: readonly Grant[];
+  }
+  | { readonly kind: "epochTaken"; readonly epoch: number }
+  | { readonly kind: "admitted"; readonly slice: number }
+  | { readonly kind: "finished"; readonly slice: number }
+  | { readonly kind: "releaseAll" };
+
+/** A holder with nothing in its hands. */
+export function beginHolder(options: {
+  readonly id: AgentId;
+  readonly group: string;
+  readonly marginMilliseconds: number;
+}): HolderState {
+  return {
+    ...options,
+    epoch: 0,
+    leaseEndsAt: beginningOfTime,
+    slices: new Map(),
+    released: [],
+    table: emptyTable(options.group),
+  };
+}
+
+/** Applies one event to a holder. */
+export function stepHolder(
+  state: HolderState,
+  event: HolderEvent,
+): HolderState {
+  switch (event.kind) {
+    case "answered":
+      return answered(state, event);
+    case "epochTaken":
+      return event.epoch > state.epoch
+        ? { ...state, epoch: event.epoch }
+        : state;
+    case "admitted":
+      return countRunning(state, event.slice, 1);
+    case "finished":
+      return settleReleases(countRunning(state, event.slice, -1));
+    case "releaseAll":
+      return settleReleases(markReleasing(state, [...state.slices.keys()]));
+  }
+}
+
+/** Whether the lease still holds by both clocks. */
+export function leaseHolds(state: HolderState, now: Clocks): boolean {
+  return surelyBefore(now, state.leaseEndsAt);
+}
+
+/** Whether this server may admit work on a slice now. */
+export function decideHold(
+  state: HolderState,
+  slice: number,
+  now: Clocks,
+): HoldDecision {
+  const held = state.slices.get(slice);
+  if (held === undefined) return { kind: "refused", reason: "not-owner" };
+  if (held.releasing) return { kind: "refused", reason: "moving" };
+  if (!leaseHolds(state, now)) {
+    return { kind: "refused", reason: "lease-ended" };
+  }
+  return { kind: "owned", token: held.token };
+}
+
+/** The grants that a holder reports: those that its lease still covers. */
+export function heldGrants(state: HolderState, now: Clocks): readonly Grant[] {
+  if (!leaseHolds(state, now)) return [];
+  return [...state.slices].map(([slice, held]) => ({
+    slice,
+    token: held.token,
+  }));
+}
+
+function answered(
+  state: HolderState,
+  event: HolderEvent & { readonly kind: "answered" },
+): HolderState {
+  const { answer } = event;
+  if (answer.epoch < state.epoch) return state;
+  const leaseEndsAt = leaseEnd(state, event);
+  const adopted: HolderState = {
+    ...state,
+    epoch: answer.epoch,
+    leaseEndsAt,
+    slices: adoptGrants(state, answer),
+    released: withoutReported(state.released, event.reported),
+    table: newerTable(state.table, answer.table),
+  };
+  return settleReleases(markReleasing(adopted, answer.release));
+}
+
+/** Answers may arrive crossed: an earlier one never shortens the lease. */
+function leaseEnd(
+  state: HolderState,
+  event: HolderEvent & { readonly kind: "answered" },
+): Clocks {
+  const length = event.answer.leaseMilliseconds - state.marginMilliseconds;
+  if (length <= 0) return state.leaseEndsAt;
+  return latest(state.leaseEndsAt, later(event.askedAt, length));
+}
+
+function adoptGrants(
+  state: HolderState,
+  answer: RenewalAnswer,
+): ReadonlyMap<number, HeldSlice> {
+  const slices = new Map<number, HeldSlice>();
+  for (const grant of answer.grants) {
+    if (alreadyReleased(state, grant)) continue;
+    const former = state.slices.get(grant.slice);
+    slices.set(grant.slice, {
+      token: newerToken(former?.token, grant.token),
+      releasing: false,
+      running: former?.running ?? 0,
+    });
+  }
+  return slices;
+}
+
+/** An answer written before the release arrived must not bring it back. */
+function alreadyReleased(state: HolderState, grant: Grant): boolean {
+  return state.released.some((released) =>
+    released.slice === grant.slice &&
+    compareTokens(released.token, grant.token) >= 0
+  );
+}
+
+function newerToken(
+  former: FencingToken | undefined,
+  offered: FencingToken,
+): FencingToken {
+  if (former === undefined) return offered;
+  return compareTokens(former, offered) > 0 ? former : offered;
+}
+
+function withoutReported(
+  released: readonly Grant[],
+  reported: readonly Grant[],
+): readonly Grant[] {
+  return released.filter((grant) =>
+    !reported.some((other) =>
+      other.slice === grant.slice &&
+      compareTokens(other.token, grant.token) === 0
+    )
+  );
+}
+
+function markReleasing(
+  state: HolderState,
+  releasing: readonly number[],
+): HolderState {
+  if (releasing.length === 0) return state;
+  const slices = new Map(state.slices);
+  for (const slice of releasing) {
+    const held = slices.get(slice);
+    if (held !== undefined) slices.set(slice, { ...held, releasing: true });
+  }
+  return { ...state, slices };
+}
+
+function settleReleases(state: HolderState): HolderState {
+  const done = [...state.slices].filter(([, held]) =>
+    held.releasing && held.running === 0
+  );
+  if (done.length === 0) return state;
+  const slices = new Map(state.slices);
+  for (const [slice] of done) slices.delete(slice);
+  const released = done.map(([slice, held]) => ({ slice, token: held.token }));
+  return { ...state, slices, released: [...state.released, ...released] };
+}
+
+function countRunning(
+  state: HolderState,
+  slice: number,
+  change: 1 | -1,
+): HolderState {
+  const held = state.slices.get(slice);
+  if (held === undefined) return state;
+  const running = held.running + change;
+  return {
+    ...state,
+    slices: new Map(state.slices).set(slice, { ...held, running }),
+  };
+}
--- /dev/null
+++ b/source/core/ownership/holder_test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  beginHolder,
+  decideHold,
+  type HolderState,
+  stepHolder,
+} from "./holder.ts";
+import type { RenewalAnswer } from "./renewal.ts";
+
+const start = { monotonic: 1_000, wall: 500_000 };
+
+function answer(change: Partial<RenewalAnswer> = {}): RenewalAnswer {
+  return {
+    epoch: 1,
+    leaseMilliseconds: 1_000,
+    grants: [{ slice: 3, token: { epoch: 1, sequence: 1 } }],
+    release: [],
+    table: null,
+    ...change,
+  };
+}
+
+function renewed(
+  state: HolderState,
+  change: Partial<RenewalAnswer> = {},
+): HolderState {
+  return stepHolder(state, {
+    kind: "answered",
+    askedAt: start,
+    answer: answer(change),
+    reported: state.released,
+  });
+}
+
+const begun = beginHolder({
+  id: "a/1",
+  group: "timetable.0",
+  marginMilliseconds: 100,
+});
+
+function at(monotonic: number, wall: number) {
+  return { monotonic: start.monotonic + monotonic, wall: start.wall + wall };
+}
+
+describe("a holder", () => {
+  describe("lease", () => {
+    it("counts from when it was asked and ends early by the margin", () => {
+      const state = renewed(begun);
+      assert.equal(decideHold(state, 3, at(899, 899)).kind, "owned");
+      assert.deepEqual(decideHold(state, 3, at(900, 899)), {
+        kind: "refused",
+        reason: "lease-ended",
+      });
+    });
+
+    it("ends by the wall clock when a suspension stopped the other", () => {
+      const state = renewed(begun);
+      assert.equal(decideHold(state, 3, at(10, 5_000)).kind, "refused");
+    });
+  });
+
+  describe("epoch", () => {
+    it("takes nothing of an older epoch once a newer one is accepted", () => {
+      const taken = stepHolder(begun, { kind: "epochTaken", epoch: 2 });
+      assert.equal(renewed(taken, { epoch: 1 }), taken);
+      assert.equal(
+        decideHold(renewed(taken, { epoch: 2 }), 3, start).kind,
+        "owned",
+      );
+    });
+  });
+
+  describe("release", () => {
+    it("waits for running requests and admits no new ones", () => {
+      const running = stepHolder(renewed(begun), {
+        kind: "admitted",
+        slice: 3,
+      });
+      const releasing = renewed(running, { release: [3] });
+      assert.deepEqual(releasing.released, []);
+      assert.deepEqual(decideHold(releasing, 3, start), {
+        kind: "refused",
+        reason: "moving",
+      });
+      const done = stepHolder(releasing, { kind: "finished", slice: 3 });
+      assert.deepEqual(done.released, [
+        { slice: 3, token: { epoch: 1, sequence: 1 } },
+      ]);
+    });
+
+    it("is not undone by an answer written before it arrived", () => {
+      const released = stepHolder(renewed(begun), { kind: "releaseAll" });
+      const crossed = stepHolder(released, {
+        kind: "answered",
+        askedAt: start,
+        answer: answer(),
+        reported: [],
+      });
+      assert.equal(decideHold(crossed, 3, start).kind, "refused");
+    });
+  });
+});
--- /dev/null
+++ b/source/core/ownership/membership.ts
@@ -0,0 +1,47 @@
+/**
+ * Which hosts belong to a group, and which agents may become its grantor.
+ *
+ * @module
+ */
+import type { Address, Agent } from "../agent.ts";
+import { groupName, type KeyHash } from "./table.ts";
+
+const membershipSeed = 0x6d656d62;
+const candidateSeed = 0x63616e64;
+
+/** The group that a host's target belongs to; the same on every start. */
+export function groupOfHost(
+  host: string,
+  options: {
+    readonly service: string;
+    readonly groups: number;
+    readonly hash: KeyHash;
+  },
+): string {
+  const index = options.hash(host, membershipSeed) % options.groups;
+  return groupName(options.service, index);
+}
+
+/**
+ * Agents that may grant in a group, the first choice first. A server's own
+ * agent comes last: its loss would be the loss of server and grantor at once.
+ */
+export function grantorCandidates(
+  group: string,
+  options: { readonly agents: readonly Agent[]; readonly hash: KeyHash },
+): readonly Address[] {
+  const { agents, hash } = options;
+  const ranked = agents
+    .filter((agent) => agent.phase !== "lost")
+    .map((agent) => ({
+      agent,
+      member: agent.group === group ? 1 : 0,
+      leaving: agent.phase === "leaving" ? 1 : 0,
+      order: hash(`${group}/${agent.host}`, candidateSeed),
+    }))
+    .sort((left, right) =>
+      left.member - right.member || left.leaving - right.leaving ||
+      left.order - right.order
+    );
+  return ranked.map((entry) => entry.agent.peerAddress);
+}
--- /dev/null
+++ b/source/core/ownership/placement.ts
@@ -0,0 +1,185 @@
+/**
+ * Where slices go: the least loaded server takes a free slice, and a bounded
+ * number of planned moves evens out what has grown uneven.
+ *
+ * @module
+ */
+import type { AgentId } from "../agent.ts";
+import type { GrantorState, Holder } from "./grantor_state.ts";
+import { compareTokens } from "./token.ts";
+
+/** A planned move of one slice. */
+export interface Move {
+  readonly slice: number;
+  readonly owner: AgentId;
+  readonly destination: AgentId;
+}
+
+/** The load of a slice that nobody has measured, in requests a second. */
+const unmeasuredLoad = 1;
+
+/** A move must take this share off the difference to be worth its pause. */
+const improvementShare = 0.2;
+
+function sliceLoad(state: GrantorState, slice: number): number {
+  return Math.max(unmeasuredLoad, state.loads.get(slice) ?? 0);
+}
+
+function loadsByHolder(state: GrantorState): Map<AgentId, number> {
+  const loads = new Map<AgentId, number>();
+  for (const holder of state.holders.values()) {
+    if (!holder.leaving) loads.set(holder.id, 0);
+  }
+  state.slices.forEach((slice, index) => {
+    const owner = futureOwner(slice);
+    const sum = owner === null ? undefined : loads.get(owner);
+    if (owner === null || sum === undefined) return;
+    const weight = state.holders.get(owner)?.weight ?? 1;
+    loads.set(owner, sum + sliceLoad(state, index) / weight);
+  });
+  return loads;
+}
+
+function futureOwner(slice: GrantorState["slices"][number]): AgentId | null {
+  if (slice.kind === "held") return slice.owner;
+  if (slice.kind === "moving") return slice.destination;
+  return null;
+}
+
+function lowest(loads: ReadonlyMap<AgentId, number>): AgentId | null {
+  let best: AgentId | null = null;
+  for (const [id, load] of loads) {
+    if (best === null || load < (loads.get(best) ?? 0)) best = id;
+  }
+  return best;
+}
+
+function highest(loads: ReadonlyMap<AgentId, number>): AgentId | null {
+  let best: AgentId | null = null;
+  for (const [id, load] of loads) {
+    if (best === null || load > (loads.get(best) ?? 0)) best = id;
+  }
+  return best;
+}
+
+/** The server that a free slice goes to; null while there is none. */
+export function leastLoaded(
+  state: GrantorState,
+  slice: number,
+): AgentId | null {
+  const loads = loadsByHolder(state);
+  for (const [id, load] of loads) {
+    const weight = state.holders.get(id)?.weight ?? 1;
+    loads.set(id, load + sliceLoad(state, slice) / weight);
+  }
+  return lowest(loads);
+}
+
+/** The planned moves to start now; leaving servers are emptied first. */
+export function chooseMoves(state: GrantorState): readonly Move[] {
+  const moving = state.slices.filter((slice) => slice.kind === "moving").length;
+  const evacuations = chooseEvacuations(state);
+  if (evacuations.length > 0) return evacuations;
+  const room = state.settings.movesAtOnce - moving;
+  return chooseRebalancing(state, room);
+}
+
+function chooseEvacuations(state: GrantorState): readonly Move[] {
+  const loads = loadsByHolder(state);
+  const moves: Move[] = [];
+  state.slices.forEach((slice, index) => {
+    if (slice.kind !== "held") return;
+    if (state.holders.get(slice.owner)?.leaving !== true) return;
+    const destination = lowest(loads);
+    if (destination === null) return;
+    moves.push({ slice: index, owner: slice.owner, destination });
+    const weight = state.holders.get(destination)?.weight ?? 1;
+    const load = loads.get(destination) ?? 0;
+    loads.set(destination, load + sliceLoad(state, index) / weight);
+  });
+  return moves;
+}
+
+function chooseRebalancing(
+  state: GrantorState,
+  room: number,
+): readonly Move[] {
+  const loads = loadsByHolder(state);
+  const moved = new Set<number>();
+  const moves: Move[] = [];
+  while (moves.length < room) {
+    const move = bestMove(state, { loads, moved });
+    if (move === null) break;
+    moves.push(move);
+    moved.add(move.slice);
+    shift(state, { loads, move });
+  }
+  return moves;
+}
+
+function shift(
+  state: GrantorState,
+  change: { readonly loads: Map<AgentId, number>; readonly move: Move },
+): void {
+  const { loads, move } = change;
+  const load = sliceLoad(state, move.slice);
+  const from = state.holders.get(move.owner)?.weight ?? 1;
+  const to = state.holders.get(move.destination)?.weight ?? 1;
+  loads.set(move.owner, (loads.get(move.owner) ?? 0) - load / from);
+  loads.set(move.destination, (loads.get(move.destination) ?? 0) + load / to);
+}
+
+function bestMove(
+  state: GrantorState,
+  view: {
+    readonly loads: ReadonlyMap<AgentId, number>;
+    readonly moved: ReadonlySet<number>;
+  },
+): Move | null {
+  const owner = highest(view.loads);
+  const destination = lowest(view.loads);
+  if (owner === null || destination === null || owner === destination) {
+    return null;
+  }
+  const difference = (view.loads.get(owner) ?? 0) -
+    (view.loads.get(destination) ?? 0);
+  const slice = bestSlice(state, { owner, difference, moved: view.moved });
+  return slice === null ? null : { slice, owner, destination };
+}
+
+/**
+ * The slice whose load is nearest to half the difference. One that would only
+ * swap the two servers' places stays, or moves would never end.
+ */
+function bestSlice(
+  state: GrantorState,
+  view: {
+    readonly owner: AgentId;
+    readonly difference: number;
+    readonly moved: ReadonlySet<number>;
+  },
+): number | null {
+  const holder = state.holders.get(view.owner);
+  if (holder === undefined) return null;
+  let best: number | null = null;
+  let bestRest = view.difference * (1 - improvementShare);
+  state.slices.forEach((slice, index) => {
+    if (slice.kind !== "held" || slice.owner !== view.owner) return;
+    if (view.moved.has(index) || !settled(holder, slice.token)) return;
+    const load = sliceLoad(state, index) / holder.weight;
+    const rest = Math.abs(view.difference - 2 * load);
+    if (rest < bestRest) {
+      best = index;
+      bestRest = rest;
+    }
+  });
+  return best;
+}
+
+/** A slice moves only after its owner is known to have seen its grant. */
+function settled(
+  holder: Holder,
+  token: { readonly epoch: number; readonly sequence: number },
+): boolean {
+  return compareTokens(holder.tableVersion, token) >= 0;
+}
--- /dev/null
+++ b/source/core/ownership/renewal.ts
@@ -0,0 +1,66 @@
+/**
+ * What a holder and its grantor tell each other.
+ *
+ * @module
+ */
+import type { Address, AgentId } from "../agent.ts";
+import type { OwnershipTable } from "./table.ts";
+import type { FencingToken } from "./token.ts";
+
+/** A grant as holder and grantor exchange it. */
+export interface Grant {
+  readonly slice: number;
+  readonly token: FencingToken;
+}
+
+/** What a holder measured for one of its slices. */
+export interface SliceLoad {
+  readonly slice: number;
+  readonly requestsPerSecond: number;
+}
+
+/** What a holder measured for one of its busiest keys. */
+export interface KeyLoad {
+  readonly key: string;
+  readonly slice: number;
+  readonly requestsPerSecond: number;
+}
+
+/** A holder's request to renew its lease. */
+export interface Renewal {
+  readonly group: string;
+  readonly epoch: number;
+  readonly id: AgentId;
+  readonly peerAddress: Address;
+  readonly weight: number;
+  readonly checksFencing: boolean;
+  readonly leaving: boolean;
+  /** Grants under an unexpired lease, those being released included. */
+  readonly held: readonly Grant[];
+  /** Grants that the holder has given up since its last answered renewal. */
+  readonly released: readonly Grant[];
+  readonly tableVersion: FencingToken;
+  readonly sliceLoads: readonly SliceLoad[];
+  readonly keyLoads: readonly KeyLoad[];
+}
+
+/** The grantor's answer to a renewal. */
+export interface RenewalAnswer {
+  readonly epoch: number;
+  readonly leaseMilliseconds: number;
+  /** All that the holder may hold from now on. */
+  readonly grants: readonly Grant[];
+  /** Slices to finish and release. */
+  readonly release: readonly number[];
+  /** Present when the holder's table is older. */
+  readonly table: OwnershipTable | null;
+}
+
+/** What one server said when a new grantor took its group over. */
+export interface TakeoverAnswer {
+  readonly id: AgentId;
+  readonly held: readonly Grant[];
+  readonly weight: number;
+  readonly checksFencing: boolean;
+  readonly leaving: boolean;
+}
--- /dev/null
+++ b/source/core/ownership/takeover.ts
@@ -0,0 +1,117 @@
+/**
+ * How a new grantor begins: from the store's roster and from what each server
+ * reported, without touching what it could not hear of.
+ *
+ * @module
+ */
+import type { AgentId } from "../agent.ts";
+import type { Clocks } from "../clocks.ts";
+import type { RosterEntry } from "./delegation.ts";
+import {
+  delegationEnd,
+  type GrantorSettings,
+  type GrantorState,
+  type Holder,
+  type Slice,
+} from "./grantor_state.ts";
+import type { TakeoverAnswer } from "./renewal.ts";
+import type { IsolatedKey } from "./table.ts";
+import { compareTokens, type FencingToken, noToken } from "./token.ts";
+
+/** All that a new grantor knows once it has asked everybody. */
+export interface Takeover {
+  readonly group: string;
+  readonly epoch: number;
+  readonly settings: GrantorSettings;
+  readonly roster: readonly RosterEntry[];
+  readonly answers: readonly TakeoverAnswer[];
+  /** Whether the former grantor said that it has stopped, or there was none. */
+  readonly formerStopped: boolean;
+  readonly formerDurationMilliseconds: number;
+  /** When the epoch was asked of the store. */
+  readonly askedAt: Clocks;
+  readonly isolatedKeys: readonly IsolatedKey[];
+  readonly now: Clocks;
+}
+
+/** The first state of a grantor, from what the servers reported. */
+export function beginGrantor(takeover: Takeover): GrantorState {
+  const holders = new Map(
+    takeover.answers.map((
+      answer,
+    ) => [answer.id, reportedHolder(answer, takeover)]),
+  );
+  const sliceCount = countSlices(takeover);
+  const slices = Array.from(
+    { length: sliceCount },
+    (_, slice) => reportedSlice(slice, takeover),
+  );
+  const state: GrantorState = {
+    group: takeover.group,
+    epoch: takeover.epoch,
+    settings: takeover.settings,
+    delegationEndsAt: delegationEnd(takeover.askedAt, takeover.settings),
+    sequence: 0,
+    roster: takeover.roster,
+    applicants: [],
+    holders,
+    slices,
+    isolatedKeys: takeover.isolatedKeys,
+    loads: new Map(),
+    writing: null,
+  };
+  return state;
+}
+
+function countSlices(takeover: Takeover): number {
+  const isolated = takeover.isolatedKeys.map((entry) => entry.slice + 1);
+  return Math.max(takeover.settings.hashedSlices, ...isolated);
+}
+
+function reportedHolder(answer: TakeoverAnswer, takeover: Takeover): Holder {
+  const entry = takeover.roster.find((entry) => entry.id === answer.id);
+  return {
+    id: answer.id,
+    peerAddress: entry?.peerAddress ?? "",
+    weight: answer.weight,
+    checksFencing: answer.checksFencing,
+    leaving: answer.leaving,
+    leaseEndsAt: takeover.now.monotonic +
+      takeover.settings.leaseMilliseconds,
+    tableVersion: noToken,
+  };
+}
+
+function reportedSlice(slice: number, takeover: Takeover): Slice {
+  let newest: { owner: AgentId; token: FencingToken } | null = null;
+  for (const answer of takeover.answers) {
+    const grant = answer.held.find((grant) => grant.slice === slice);
+    if (grant === undefined) continue;
+    if (newest !== null && compareTokens(grant.token, newest.token) < 0) {
+      continue;
+    }
+    newest = { owner: answer.id, token: grant.token };
+  }
+  if (newest !== null) return { kind: "held", ...newest };
+  if (everybodyAnswered(takeover)) return { kind: "free" };
+  return {
+    kind: "reserved",
+    owner: null,
+    token: noToken,
+    availableAt: unheardGrantsEndAt(takeover),
+  };
+}
+
+function everybodyAnswered(takeover: Takeover): boolean {
+  const answered = new Set(takeover.answers.map((answer) => answer.id));
+  return takeover.roster.every((entry) => answered.has(entry.id));
+}
+
+function unheardGrantsEndAt(takeover: Takeover): number {
+  const { settings } = takeover;
+  const former = takeover.formerStopped
+    ? 0
+    : takeover.formerDurationMilliseconds;
+  return takeover.now.monotonic + former + settings.leaseMilliseconds +
+    settings.longestDeadlineMilliseconds;
+}
--- /dev/null
+++ b/source/core/retry/retry.ts
@@ -0,0 +1,125 @@
+/**
+ * Retries: only when they can't run a request twice, within a budget shared by
+ * all requests of the agent, with random delays, never past the deadline.
+ *
+ * @module
+ */
+import type { Failure, FailureReason } from "../request/outcome.ts";
+
+/** Settings of the retry budget. */
+export interface RetrySettings {
+  /** Retries earned by each first attempt. */
+  readonly earnedByRequest: number;
+  /** Most retries that can be saved up. */
+  readonly mostSaved: number;
+  readonly firstDelayMilliseconds: number;
+  readonly longestDelayMilliseconds: number;
+}
+
+/** Retries that may still be sent. */
+export interface RetryBudget {
+  readonly saved: number;
+}
+
+/** One failed attempt, with what the decision depends on. */
+export interface FailedAttempt {
+  readonly failure: Failure;
+  /** Counts from 1. */
+  readonly attempt: number;
+  readonly idempotent: boolean;
+  /** Whether the whole body can be sent once more. */
+  readonly bodyRepeatable: boolean;
+  readonly now: number;
+  readonly deadlineAt: number;
+}
+
+/** What follows a failed attempt. */
+export type RetryDecision =
+  | {
+    readonly kind: "retry";
+    readonly delayMilliseconds: number;
+    readonly budget: RetryBudget;
+  }
+  | { readonly kind: "giveUp"; readonly budget: RetryBudget };
+
+/** The budget that an agent starts with. */
+export function beginBudget(settings: RetrySettings): RetryBudget {
+  return { saved: settings.mostSaved };
+}
+
+/** Counts a first attempt towards the budget. */
+export function earnRetry(
+  budget: RetryBudget,
+  settings: RetrySettings,
+): RetryBudget {
+  const saved = Math.min(
+    settings.mostSaved,
+    budget.saved + settings.earnedByRequest,
+  );
+  return { saved };
+}
+
+/** Reasons that repeating the request can't change. */
+const final: ReadonlySet<FailureReason> = new Set([
+  "malformed-request",
+  "no-such-service",
+  "body-too-large",
+  "deadline-passed",
+  "deadline-too-near",
+  "configuration-stale",
+  "caller-left",
+]);
+
+/** A hand-over in progress: waiting for its end costs no target anything. */
+const waiting: ReadonlySet<FailureReason> = new Set([
+  "moving",
+  "not-owner",
+  "lease-ended",
+  "no-owner-known",
+]);
+
+/**
+ * Whether to send a request again, and after which delay.
+ *
+ * `random` returns a number from 0 up to but not including 1.
+ */
+export function decideRetry(
+  failed: FailedAttempt,
+  options: {
+    readonly settings: RetrySettings;
+    readonly budget: RetryBudget;
+    readonly random: () => number;
+  },
+): RetryDecision {
+  const { budget } = options;
+  const { reason, outcome } = failed.failure;
+  const giveUp: RetryDecision = { kind: "giveUp", budget };
+  if (final.has(reason) || !failed.bodyRepeatable) return giveUp;
+  if (outcome === "unknown" && !failed.idempotent) return giveUp;
+  const delay = delayBefore(failed.attempt, options);
+  if (failed.now + delay >= failed.deadlineAt) return giveUp;
+  if (waiting.has(reason)) {
+    return { kind: "retry", delayMilliseconds: delay, budget };
+  }
+  if (budget.saved < 1) return giveUp;
+  return {
+    kind: "retry",
+    delayMilliseconds: delay,
+    budget: { saved: budget.saved - 1 },
+  };
+}
+
+function delayBefore(
+  attempt: number,
+  options: {
+    readonly settings: RetrySettings;
+    readonly random: () => number;
+  },
+): number {
+  const { firstDelayMilliseconds, longestDelayMilliseconds } = options.settings;
+  const ceiling = Math.min(
+    longestDelayMilliseconds,
+    firstDelayMilliseconds * 2 ** (attempt - 1),
+  );
+  return ceiling * (0.5 + options.random() / 2);
+}
--- /dev/null
+++ b/source/core/routing/routing.ts
@@ -0,0 +1,207 @@
+/**
+ * Routing of work without keys: the nearest targets first, farther ones when
+ * the near ones are full, and none that keeps failing.
+ *
+ * Invariants:
+ * - a target that is leaving or lost gets no new work;
+ * - at most half of the targets of one distance are ejected at one time.
+ *
+ * @module
+ */
+import { type Agent, type AgentId, distance, type Place } from "../agent.ts";
+
+/** What an entry knows of one target, from its own requests and replies. */
+export interface TargetView {
+  /** Requests that this entry has sent and that are not finished. */
+  readonly inFlight: number;
+  /** Requests running and waiting at the target, by its last reply. */
+  readonly reportedLoad: number;
+  readonly reportedAt: number;
+  readonly consecutiveFailures: number;
+  readonly ejections: number;
+  readonly ejectedUntil: number;
+  readonly firstSeenAt: number;
+}
+
+/** What an entry knows of all targets. */
+export interface RoutingState {
+  readonly views: ReadonlyMap<AgentId, TargetView>;
+}
+
+/** What an entry learns of a target. */
+export type RoutingEvent =
+  | { readonly kind: "sent"; readonly id: AgentId; readonly now: number }
+  | {
+    readonly kind: "replied";
+    readonly id: AgentId;
+    readonly load: number | null;
+    readonly now: number;
+  }
+  | { readonly kind: "failed"; readonly id: AgentId; readonly now: number }
+  | { readonly kind: "abandoned"; readonly id: AgentId; readonly now: number };
+
+/** What a choice depends on. */
+export interface RouteQuery {
+  readonly from: Place;
+  readonly targets: readonly Agent[];
+  /** Targets that this request has tried in vain. */
+  readonly tried: ReadonlySet<AgentId>;
+  readonly now: number;
+  /** Returns a number from 0 up to but not including 1. */
+  readonly random: () => number;
+}
+
+const failuresBeforeEjection = 3;
+const firstEjectionMilliseconds = 1_000;
+const longestEjectionMilliseconds = 30_000;
+const ejectableShare = 0.5;
+/** Load over slots above which a farther target is looked at. */
+const fullAt = 1.5;
+/** What one step of distance costs, in load over slots. */
+const distancePenalty = 0.5;
+/** A newly seen target is given its full part after this time. */
+const warmUpMilliseconds = 5_000;
+/** An older report counts for nothing. */
+const reportLifetimeMilliseconds = 1_000;
+
+const unseen: Omit<TargetView, "firstSeenAt"> = {
+  inFlight: 0,
+  reportedLoad: 0,
+  reportedAt: 0,
+  consecutiveFailures: 0,
+  ejections: 0,
+  ejectedUntil: 0,
+};
+
+/** Knows nothing yet. */
+export function beginRouting(): RoutingState {
+  return { views: new Map() };
+}
+
+/** Applies what was learnt of one target. */
+export function stepRouting(
+  state: RoutingState,
+  event: RoutingEvent,
+): RoutingState {
+  const view = state.views.get(event.id) ??
+    { ...unseen, firstSeenAt: event.now };
+  const views = new Map(state.views).set(event.id, learn(view, event));
+  return { views };
+}
+
+/** Forgets targets that are gone. */
+export function forgetTargets(
+  state: RoutingState,
+  present: ReadonlySet<AgentId>,
+): RoutingState {
+  const views = [...state.views].filter(([id]) => present.has(id));
+  return views.length === state.views.size ? state : { views: new Map(views) };
+}
+
+function learn(view: TargetView, event: RoutingEvent): TargetView {
+  switch (event.kind) {
+    case "sent":
+      return { ...view, inFlight: view.inFlight + 1 };
+    case "abandoned":
+      return { ...view, inFlight: Math.max(0, view.inFlight - 1) };
+    case "replied":
+      return {
+        ...view,
+        inFlight: Math.max(0, view.inFlight - 1),
+        reportedLoad: event.load ?? view.reportedLoad,
+        reportedAt: event.load === null ? view.reportedAt : event.now,
+        consecutiveFailures: 0,
+        ejections: 0,
+      };
+    case "failed":
+      return afterFailure(view, event.now);
+  }
+}
+
+function afterFailure(view: TargetView, now: number): TargetView {
+  const consecutiveFailures = view.consecutiveFailures + 1;
+  const inFlight = Math.max(0, view.inFlight - 1);
+  if (consecutiveFailures < failuresBeforeEjection) {
+    return { ...view, inFlight, consecutiveFailures };
+  }
+  const length = Math.min(
+    longestEjectionMilliseconds,
+    firstEjectionMilliseconds * 2 ** view.ejections,
+  );
+  return {
+    ...view,
+    inFlight,
+    consecutiveFailures: 0,
+    ejections: view.ejections + 1,
+    ejectedUntil: now + length,
+  };
+}
+
+/** The target for a request; null when none may take it. */
+export function chooseTarget(
+  state: RoutingState,
+  query: RouteQuery,
+): Agent | null {
+  let best: { agent: Agent; score: number } | null = null;
+  for (const step of [0, 1, 2] as const) {
+    const tier = eligible(state, { query, step });
+    const candidate = betterOfTwo(state, { query, tier });
+    if (candidate === null) continue;
+    const score = candidate.score + step * distancePenalty;
+    if (best === null || score < best.score) {
+      best = { agent: candidate.agent, score };
+    }
+    if (best.score < fullAt) break;
+  }
+  return best?.agent ?? null;
+}
+
+function eligible(
+  state: RoutingState,
+  options: { readonly query: RouteQuery; readonly step: 0 | 1 | 2 },
+): readonly Agent[] {
+  const { query, step } = options;
+  const tier = query.targets.filter((agent) =>
+    agent.phase === "serving" && distance(query.from, agent.place) === step
+  );
+  const sound = tier.filter((agent) => !isEjected(state, agent.id, query.now));
+  const enough = sound.length >= tier.length * (1 - ejectableShare);
+  const open = enough ? sound : tier;
+  return open.filter((agent) => !query.tried.has(agent.id));
+}
+
+function isEjected(state: RoutingState, id: AgentId, now: number): boolean {
+  return (state.views.get(id)?.ejectedUntil ?? 0) > now;
+}
+
+function betterOfTwo(
+  state: RoutingState,
+  options: { readonly query: RouteQuery; readonly tier: readonly Agent[] },
+): { readonly agent: Agent; readonly score: number } | null {
+  const { query, tier } = options;
+  if (tier.length === 0) return null;
+  const first = Math.floor(query.random() * tier.length);
+  const step = 1 + Math.floor(query.random() * (tier.length - 1));
+  const second = (first + step) % tier.length;
+  const scored = [tier[first], tier[second]].flatMap((agent) =>
+    agent === undefined
+      ? []
+      : [{ agent, score: score(state, agent, query.now) }]
+  );
+  return scored.reduce((left, right) =>
+    right.score < left.score ? right : left
+  );
+}
+
+/** Requests at the target over what it carries, as far as this entry knows. */
+function score(state: RoutingState, agent: Agent, now: number): number {
+  const view = state.views.get(agent.id);
+  if (view === undefined) return 0;
+  const fresh = now - view.reportedAt < reportLifetimeMilliseconds;
+  const load = Math.max(view.inFlight, fresh ? view.reportedLoad : 0);
+  const warmth = Math.min(
+    1,
+    0.2 + (now - view.firstSeenAt) / warmUpMilliseconds,
+  );
+  return (load + view.inFlight / 2) / (agent.slots * warmth);
+}
--- /dev/null
+++ b/source/ports/events.ts
@@ -0,0 +1,62 @@
+/**
+ * What an agent tells of itself: events for the time line and the log.
+ *
+ * @module
+ */
+
+/** The kinds of event that a time line can hold. */
+export type EventKind =
+  | "agent-started"
+  | "agent-stopping"
+  | "agent-stopped"
+  | "agent-lost"
+  | "agent-refuted-loss"
+  | "target-phase"
+  | "epoch-claimed"
+  | "epoch-accepted"
+  | "grantor-begun"
+  | "grantor-stopped"
+  | "grantor-located"
+  | "holder-lapsed"
+  | "lease-ended"
+  | "lease-restored"
+  | "slice-granted"
+  | "move-started"
+  | "slices-released"
+  | "key-isolated"
+  | "checkpoint-written"
+  | "revision-accepted"
+  | "section-refused"
+  | "revision-applied"
+  | "configuration-stale"
+  | "configuration-fresh"
+  | "store-unavailable"
+  | "store-available"
+  | "request-entered"
+  | "request-routed"
+  | "request-admitted"
+  | "request-refused"
+  | "request-retried"
+  | "request-failed"
+  | "request-answered"
+  | "connection-silent"
+  | "program-fault";
+
+/** What an event tells besides its kind. */
+export type EventDetail = Readonly<Record<string, string | number | boolean>>;
+
+/** One event as the time line keeps it. */
+export interface TimelineEvent {
+  readonly agent: string;
+  /** Grows along every message, so that an effect never sorts before it. */
+  readonly logicalTime: number;
+  /** Milliseconds since 1970 on the agent's wall clock. */
+  readonly wallTime: number;
+  readonly kind: EventKind;
+  readonly detail: EventDetail;
+}
+
+/** Where tasks report events. */
+export interface Events {
+  record(kind: EventKind, detail?: EventDetail): void;
+}
--- /dev/null
+++ b/source/ports/peers.ts
@@ -0,0 +1,149 @@
+/**
+ * What agents ask of each other.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+import type { Address, AgentId } from "../core/agent.ts";
+import type {
+  RecordVersion,
+  SharedRecord,
+} from "../core/dissemination/replica.ts";
+import type {
+  Renewal,
+  RenewalAnswer,
+  TakeoverAnswer,
+} from "../core/ownership/renewal.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import type { TimelineEvent } from "./events.ts";
+
+/** Why a call to a peer brought no answer. */
+export interface PeerFault {
+  readonly kind: "unreachable" | "timeout" | "rejected";
+  readonly detail: string;
+}
+
+/** News of one agent for another. */
+export interface Exchange {
+  readonly from: AgentId;
+  readonly news: readonly SharedRecord[];
+  readonly root: number;
+}
+
+/** The other agent's news, and its digest after taking the caller's in. */
+export interface ExchangeReply {
+  readonly id: AgentId;
+  readonly news: readonly SharedRecord[];
+  readonly root: number;
+  /** Whether the agent that answers may trust its own configuration. */
+  readonly fresh: boolean;
+}
+
+/** Asked when digests differ though the news was told. */
+export interface Comparison {
+  readonly digests: readonly number[];
+}
+
+/** The versions in the buckets that differ. */
+export interface ComparisonReply {
+  readonly digests: readonly number[];
+  readonly versions: readonly RecordVersion[];
+}
+
+/** Records handed over after a comparison, and those asked for. */
+export interface Transfer {
+  readonly offered: readonly SharedRecord[];
+  readonly wanted: readonly string[];
+}
+
+/** Who grants in a group. */
+export interface GrantorLocation {
+  readonly address: Address;
+  readonly epoch: number;
+}
+
+/** A holder's question for its group's grantor. */
+export interface LocateQuestion {
+  readonly group: string;
+  /** The grantor that the asker could not reach; null when it knows none. */
+  readonly unreachable: GrantorLocation | null;
+  /** Whether the agent asked is to become the grantor if there is none. */
+  readonly mayTakeOver: boolean;
+}
+
+/** A new grantor's claim on a server. */
+export interface EpochClaim {
+  readonly group: string;
+  readonly epoch: number;
+  readonly grantorAddress: Address;
+}
+
+/** What an agent says of the configuration that it applies. */
+export interface AppliedRevision {
+  readonly host: string;
+  readonly revision: number;
+  readonly fresh: boolean;
+}
+
+/** What an agent answers about many agents. */
+export interface CensusReply {
+  readonly applied: readonly AppliedRevision[];
+  /** Hosts that did not answer. */
+  readonly missing: readonly string[];
+}
+
+/** What one agent can ask of another; also what each agent serves. */
+export interface PeerMethods {
+  exchange(message: Exchange): Promise<ExchangeReply>;
+  compare(message: Comparison): Promise<ComparisonReply>;
+  transfer(message: Transfer): Promise<readonly SharedRecord[]>;
+  /** Null when the agent asked doesn't grant in the group. */
+  renew(renewal: Renewal): Promise<RenewalAnswer | null>;
+  locateGrantor(question: LocateQuestion): Promise<GrantorLocation | null>;
+  /** Null when the server refuses the epoch as too old. */
+  takeEpoch(claim: EpochClaim): Promise<TakeoverAnswer | null>;
+  /** Whether the grantor named has stopped granting in the group for good. */
+  sealGrantor(claim: EpochClaim & { readonly grantor: AgentId }): Promise<
+    boolean
+  >;
+  /** Asks a holder to renew at once. */
+  nudge(question: { readonly group: string }): Promise<null>;
+  table(question: { readonly group: string }): Promise<OwnershipTable | null>;
+  /** Asks for the applied revisions of these addresses, or of all. */
+  census(question: {
+    readonly addresses: readonly Address[] | null;
+  }): Promise<CensusReply>;
+  events(question: {
+    readonly after: number;
+  }): Promise<readonly TimelineEvent[]>;
+  /** Addresses of all agents that this one knows. */
+  roster(question: Readonly<Record<never, never>>): Promise<
+    readonly { readonly host: string; readonly address: Address }[]
+  >;
+}
+
+/** The name of a call. */
+export type PeerMethod = keyof PeerMethods;
+
+/** The message of a call. */
+export type PeerMessage<Method extends PeerMethod> = Parameters<
+  PeerMethods[Method]
+>[0];
+
+/** The answer of a call. */
+export type PeerAnswer<Method extends PeerMethod> = Awaited<
+  ReturnType<PeerMethods[Method]>
+>;
+
+/** Calls to other agents. A call ends with its timeout at the latest. */
+export interface Peers {
+  call<Method extends PeerMethod>(
+    address: Address,
+    method: Method,
+    options: {
+      readonly message: PeerMessage<Method>;
+      readonly timeoutMilliseconds: number;
+    },
+  ): Promise<Result<PeerAnswer<Method>, PeerFault>>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/source/ports/upstream.ts
@@ -0,0 +1,86 @@
+/**
+ * Requests as they pass through an agent, and where they are sent on to.
+ *
+ * @module
+ */
+import type { Readable } from "node:stream";
+import type { Result } from "true-myth";
+import type { Address } from "../core/agent.ts";
+import type { FencingToken } from "../core/ownership/token.ts";
+import type { Failure } from "../core/request/outcome.ts";
+
+/** Header fields by lower-case name. */
+export type Headers = Readonly<Record<string, string | readonly string[]>>;
+
+/**
+ * A request's body. A small one is kept, so that it can be sent again; a large
+ * one passes through once.
+ */
+export type Body =
+  | { readonly kind: "kept"; readonly bytes: Uint8Array }
+  | {
+    readonly kind: "stream";
+    readonly stream: Readable;
+    /** Whether part of it has been read already. */
+    readonly used: boolean;
+  };
+
+/** A request in the form that every hop shares. */
+export interface ProxyRequest {
+  /** Names the request on every hop and in every event. */
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Headers;
+  readonly service: string;
+  readonly key: string | null;
+  readonly rank: number;
+  readonly idempotent: boolean;
+  /** On this process's monotonic clock, in milliseconds. */
+  readonly deadlineAt: number;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+/** An answer whose body is still to come. */
+export interface ProxyAnswer {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Readable;
+  /** Requests running and waiting at the target, when its agent said. */
+  readonly load: number | null;
+}
+
+/** A request on its way to a target. */
+export interface TargetRequest {
+  readonly request: ProxyRequest;
+  readonly body: Body;
+  /** Present for a request with a key. */
+  readonly token: FencingToken | null;
+  readonly slice: number | null;
+  /** The end of the lease on the wall clock; null without a key. */
+  readonly leaseEndsAtWall: number | null;
+}
+
+/** The target beside the agent. */
+export interface Target {
+  send(request: TargetRequest): Promise<Result<ProxyAnswer, Failure>>;
+  /** What the target says of itself; null when it doesn't answer. */
+  health(): Promise<TargetHealth | null>;
+  close(): Promise<void>;
+}
+
+/** A target's report of itself, which may lag or mislead. */
+export interface TargetHealth {
+  readonly phase: "serving" | "leaving";
+}
+
+/** Other agents, as the next hop of a request. */
+export interface Forwarder {
+  forward(
+    address: Address,
+    request: ProxyRequest,
+    options: { readonly body: Body },
+  ): Promise<Result<ProxyAnswer, Failure>>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/source/programs/main.ts
@@ -0,0 +1,159 @@
+/**
+ * The command line: one program, its parts as sub-commands.
+ *
+ * @module
+ */
+import process from "node:process";
+import { cac } from "cac";
+import { startAgent } from "./agent.ts";
+import {
+  applyDocument,
+  checkDocument,
+  diffDocument,
+  showDocument,
+  statusOfDocument,
+} from "./document_command.ts";
+import { ExitCode } from "./exit_code.ts";
+import { agentSettings, readSettings } from "./settings.ts";
+import { showTimeline } from "./timeline_command.ts";
+import { version } from "./version.ts";
+
+const program = cac("geraniumledge");
+
+function writeLine(line: string): void {
+  process.stdout.write(line + "\n");
+}
+
+function writeError(line: string): void {
+  process.stderr.write(line + "\n");
+}
+
+async function runAgent(flags: Record<string, unknown>): Promise<void> {
+  const settings = readSettings(flags, process.env);
+  if (settings.isErr) {
+    writeError("geraniumledge agent: these settings must be mended:");
+    for (const fault of settings.error) writeError(`  ${fault}`);
+    process.exitCode = ExitCode.usage;
+    return;
+  }
+  const agent = await startAgent(settings.value, { writeLog: writeLine });
+  if (agent.isErr) {
+    writeError(`geraniumledge agent: ${agent.error}`);
+    process.exitCode = ExitCode.unavailable;
+    return;
+  }
+  const running = agent.value;
+  let stopping = false;
+  const stop = () => {
+    if (stopping) return;
+    stopping = true;
+    void running.stop().then(() => process.exit(ExitCode.success));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
+
+const agentCommand = program
+  .command("agent", "run beside a target: route, grant and serve")
+  .example("  geraniumledge agent --host desk-1 --data-center kolkata-1 ...");
+for (const setting of agentSettings) {
+  const usual = setting.usual === null || setting.usual === ""
+    ? ""
+    : ` (usually ${setting.usual})`;
+  agentCommand.option(
+    `--${setting.flag} <${setting.placeholder}>`,
+    `${setting.text}${usual} [${setting.variable}]`,
+  );
+}
+agentCommand.action(runAgent);
+
+const storeText = "the platform's object store, as http://ip:port";
+const output = { writeLine, writeError };
+
+program
+  .command(
+    "document <action> [file]",
+    "check, diff, apply or show the operators' document, or its status",
+  )
+  .option("--store <origin>", `${storeText} [GERANIUMLEDGE_STORE]`)
+  .option("--agent <ip:port>", "peer address of any agent, for status")
+  .option("--section <name>", "apply only this section of the file")
+  .option("--author <name>", "who edits, for the other side of a conflict")
+  .option("--base <file>", "what the edit started from, to find conflicts")
+  .example("  geraniumledge document check document.yaml")
+  .example("  geraniumledge document apply document.yaml --section ranks")
+  .example("  geraniumledge document status --agent 10.0.0.7:8081")
+  .action(async (action: string, file: string | undefined, flags) => {
+    const actions: Readonly<Record<string, typeof checkDocument>> = {
+      check: checkDocument,
+      diff: diffDocument,
+      apply: applyDocument,
+      show: showDocument,
+      status: statusOfDocument,
+    };
+    const run = Object.hasOwn(actions, action) ? actions[action] : undefined;
+    if (run === undefined) {
+      const known = Object.keys(actions).join(", ");
+      writeError(`document: unknown action "${action}"; use one of: ${known}`);
+      process.exitCode = ExitCode.usage;
+      return;
+    }
+    process.exitCode = await run({
+      file: file ?? null,
+      flags,
+      environment: process.env,
+      output,
+    });
+  });
+
+program
+  .command("timeline", "gather the events of all agents in causal order")
+  .option("--agent <ip:port>", "peer address of any agent")
+  .option("--request <id>", "only events of this request")
+  .option("--format <text|html>", "text (usual) or a page with a picture")
+  .example("  geraniumledge timeline --agent 10.0.0.7:8081 --format html")
+  .action(async (flags) => {
+    process.exitCode = await showTimeline({ flags, output });
+  });
+
+program.help((sections) => [
+  ...sections,
+  {
+    title: "Exit codes",
+    body: [
+      "  0  done",
+      "  1  the document has faults, or a section is not in force everywhere",
+      "  2  wrong flags or settings",
+      "  3  a store, agent or address can't be reached or used",
+      "  4  a conflict with another operator's edit",
+    ].join("\n"),
+  },
+]);
+program.version(version);
+
+async function main(): Promise<void> {
+  try {
+    program.parse(process.argv, { run: false });
+    if (program.matchedCommand === undefined) {
+      refuseUnknownCommand();
+      return;
+    }
+    await program.runMatchedCommand();
+  } catch (error) {
+    const text = error instanceof Error ? error.message : String(error);
+    writeError(`geraniumledge: ${text}; see geraniumledge --help`);
+    process.exitCode = ExitCode.usage;
+  }
+}
+
+function refuseUnknownCommand(): void {
+  if (program.options["help"] || program.options["version"]) return;
+  const [name] = program.args;
+  const text = name === undefined
+    ? "name a command"
+    : `unknown command "${name}"`;
+  writeError(`geraniumledge: ${text}; see geraniumledge --help`);
+  process.exitCode = ExitCode.usage;
+}
+
+void main();
--- /dev/null
+++ b/source/programs/operator_pages.ts
@@ -0,0 +1,47 @@
+/**
+ * Pages for operators on the peer listener: health, readiness and metrics.
+ *
+ * @module
+ */
+import type { OperatorPage } from "../adapters/http_front.ts";
+import type { MetricsRegistry } from "../adapters/metrics.ts";
+
+/** What the pages show. */
+export interface AgentDescription {
+  readonly [name: string]: string | number | boolean;
+}
+
+/** The pages by path. */
+export function operatorPages(options: {
+  readonly metrics: MetricsRegistry;
+  readonly ready: () => boolean;
+  readonly describe: () => AgentDescription;
+}): ReadonlyMap<string, OperatorPage> {
+  const text = "text/plain; charset=utf-8";
+  return new Map<string, OperatorPage>([
+    [
+      "/-/health",
+      () =>
+        Promise.resolve({ status: 200, contentType: text, text: "healthy\n" }),
+    ],
+    ["/-/ready", () => {
+      const ready = options.ready();
+      return Promise.resolve({
+        status: ready ? 200 : 503,
+        contentType: text,
+        text: ready ? "ready\n" : "not ready\n",
+      });
+    }],
+    ["/-/metrics", async () => ({
+      status: 200,
+      contentType: "text/plain; version=0.0.4; charset=utf-8",
+      text: await options.metrics.expose(),
+    })],
+    ["/-/state", () =>
+      Promise.resolve({
+        status: 200,
+        contentType: "application/json",
+        text: JSON.stringify(options.describe(), null, 2) + "\n",
+      })],
+  ]);
+}
--- /dev/null
+++ b/source/programs/peer_methods.ts
@@ -0,0 +1,78 @@
+/**
+ * What an agent serves to other agents, by the task that answers.
+ *
+ * @module
+ */
+import type { Address } from "../core/agent.ts";
+import { newerTable } from "../core/ownership/table.ts";
+import type { TimelineEvent } from "../ports/events.ts";
+import type {
+  CensusReply,
+  GrantorLocation,
+  LocateQuestion,
+  PeerMethods,
+} from "../ports/peers.ts";
+import type { GrantorsTask } from "../tasks/grantors_task.ts";
+import type { HolderTask } from "../tasks/holder_task.ts";
+import type { SpreadTask } from "../tasks/spread_task.ts";
+
+/** Joins the tasks to the calls. */
+export function peerMethods(options: {
+  readonly spread: SpreadTask;
+  readonly grantors: GrantorsTask;
+  readonly holder: () => HolderTask | null;
+  readonly census: (
+    addresses: readonly Address[] | null,
+  ) => Promise<CensusReply>;
+  readonly eventsAfter: (logicalTime: number) => readonly TimelineEvent[];
+}): PeerMethods {
+  const { spread, grantors } = options;
+
+  function holderOf(group: string): HolderTask | null {
+    return spread.self().group === group ? options.holder() : null;
+  }
+
+  async function locateGrantor(
+    question: LocateQuestion,
+  ): Promise<GrantorLocation | null> {
+    const own = await grantors.locate(question);
+    if (own !== null || question.mayTakeOver) return own;
+    const known = holderOf(question.group)?.grantor() ?? null;
+    const { unreachable } = question;
+    const useless = known === null || unreachable === null
+      ? false
+      : known.epoch <= unreachable.epoch;
+    return useless ? null : known;
+  }
+
+  return {
+    exchange: (message) => Promise.resolve(spread.exchange(message)),
+    compare: (message) => Promise.resolve(spread.compare(message)),
+    transfer: (message) => Promise.resolve(spread.transfer(message)),
+    renew: (renewal) => Promise.resolve(grantors.renew(renewal)),
+    locateGrantor,
+    takeEpoch: (claim) =>
+      holderOf(claim.group)?.takeEpoch(claim) ?? Promise.resolve(null),
+    sealGrantor: (claim) => grantors.seal(claim),
+    nudge({ group }) {
+      holderOf(group)?.nudge();
+      return Promise.resolve(null);
+    },
+    table({ group }) {
+      const held = holderOf(group)?.table() ?? null;
+      const granted = grantors.table(group);
+      return Promise.resolve(
+        granted === null ? held : newerTable(granted, held),
+      );
+    },
+    census: ({ addresses }) => options.census(addresses),
+    events: ({ after }) => Promise.resolve(options.eventsAfter(after)),
+    roster: () =>
+      Promise.resolve(
+        spread.agents().map((agent) => ({
+          host: agent.host,
+          address: agent.peerAddress,
+        })),
+      ),
+  };
+}
--- /dev/null
+++ b/source/programs/stop.ts
@@ -0,0 +1,67 @@
+/**
+ * The planned stop of an agent: it hands over what it holds and grants,
+ * finishes what runs, and only then ends.
+ *
+ * @module
+ */
+import type { Front } from "../adapters/http_front.ts";
+import type { EntryTask } from "../tasks/entry_task.ts";
+import type { GrantorsTask } from "../tasks/grantors_task.ts";
+import type { HolderTask } from "../tasks/holder_task.ts";
+import type { ServeTask } from "../tasks/serve_task.ts";
+import type { SpreadTask } from "../tasks/spread_task.ts";
+import { monotonicNow, pause } from "../tasks/time.ts";
+
+/** What a planned stop goes through. */
+export interface StoppingParts {
+  readonly spread: SpreadTask;
+  readonly grantors: GrantorsTask;
+  readonly holder: HolderTask | null;
+  readonly serve: ServeTask;
+  readonly entry: EntryTask;
+  readonly callers: Front;
+}
+
+/** Slices that no other server takes are given up after this time. */
+const evacuationMilliseconds = 1_500;
+/** No request for this long means that nobody sends here any more. */
+const quietMilliseconds = 700;
+const pollMilliseconds = 20;
+
+/** Resolves when nothing runs here any more, or the time is over. */
+export async function drain(
+  parts: StoppingParts,
+  options: { readonly timeoutMilliseconds: number },
+): Promise<void> {
+  const end = monotonicNow() + options.timeoutMilliseconds;
+  parts.spread.setPhase("leaving");
+  parts.holder?.setLeaving(true);
+  await parts.spread.hurry();
+  parts.callers.drain();
+  await Promise.all([
+    parts.grantors.handOver(),
+    giveUpSlices(parts, end),
+  ]);
+  await untilQuiet(parts, end);
+}
+
+async function giveUpSlices(parts: StoppingParts, end: number): Promise<void> {
+  const { holder } = parts;
+  if (holder === null) return;
+  const patience = Math.min(end, monotonicNow() + evacuationMilliseconds);
+  while (holder.heldSlices() > 0 && monotonicNow() < patience) {
+    await pause(pollMilliseconds);
+  }
+  const timeoutMilliseconds = Math.max(0, end - monotonicNow());
+  await holder.releaseAll({ timeoutMilliseconds });
+}
+
+async function untilQuiet(parts: StoppingParts, end: number): Promise<void> {
+  let quietSince = monotonicNow();
+  while (monotonicNow() < end) {
+    const running = parts.serve.running() + parts.entry.running();
+    if (running > 0) quietSince = monotonicNow();
+    if (monotonicNow() - quietSince >= quietMilliseconds) return;
+    await pause(pollMilliseconds);
+  }
+}
--- /dev/null
+++ b/source/tasks/admission_task.ts
@@ -0,0 +1,109 @@
+/**
+ * The task that owns the target's slots and queue.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import {
+  type AdmissionEffect,
+  type AdmissionEvent,
+  type AdmissionSettings,
+  beginAdmission,
+  countWaiting,
+  type FinishKind,
+  stepAdmission,
+} from "../core/admission/admission.ts";
+import { type Failure, notRun } from "../core/request/outcome.ts";
+import { openMailbox } from "./mailbox.ts";
+import { monotonicNow, startTicker } from "./time.ts";
+
+/** The right to use one of the target's slots. */
+export interface Slot {
+  /** To be called once, when the target is done with the request. */
+  finish(kind: FinishKind): void;
+}
+
+/** A running admission. */
+export interface AdmissionTask {
+  /** Waits for a slot; fails with proof that nothing began. */
+  enter(entry: {
+    readonly rank: number;
+    readonly deadlineAt: number;
+    readonly signal: AbortSignal;
+  }): Promise<Result<Slot, Failure>>;
+  /** Requests running and waiting. */
+  load(): number;
+  configure(settings: AdmissionSettings): void;
+  /** Refuses what waits and all that comes. */
+  close(): void;
+  stop(): void;
+}
+
+type Settle = (result: Result<Slot, Failure>) => void;
+
+/** Starts with these settings. */
+export function startAdmission(options: {
+  readonly settings: AdmissionSettings;
+  readonly tickMilliseconds: number;
+}): AdmissionTask {
+  let state = beginAdmission(options.settings);
+  let nextId = 1;
+  const settles = new Map<number, Settle>();
+
+  const mailbox = openMailbox<AdmissionEvent>((event) => {
+    const next = stepAdmission(state, event);
+    state = next.state;
+    for (const effect of next.effects) perform(effect);
+  });
+
+  function perform(effect: AdmissionEffect): void {
+    const settle = settles.get(effect.id);
+    settles.delete(effect.id);
+    if (effect.kind === "refuse") {
+      settle?.(Result.err(notRun(effect.reason)));
+    } else {
+      settle?.(Result.ok(slotOf(effect.id)));
+    }
+  }
+
+  function slotOf(id: number): Slot {
+    return {
+      finish: (finish) =>
+        mailbox.send({ kind: "finished", id, finish, now: monotonicNow() }),
+    };
+  }
+
+  const ticker = startTicker(
+    () => mailbox.send({ kind: "tick", now: monotonicNow() }),
+    { intervalMilliseconds: options.tickMilliseconds },
+  );
+
+  return {
+    enter({ rank, deadlineAt, signal }) {
+      const id = nextId;
+      nextId += 1;
+      return new Promise((resolve) => {
+        const withdraw = () => {
+          if (!settles.delete(id)) return;
+          mailbox.send({ kind: "withdrawn", id, now: monotonicNow() });
+          resolve(Result.err(notRun("caller-left")));
+        };
+        settles.set(id, (result) => {
+          signal.removeEventListener("abort", withdraw);
+          resolve(result);
+        });
+        if (signal.aborted) return withdraw();
+        signal.addEventListener("abort", withdraw, { once: true });
+        const now = monotonicNow();
+        mailbox.send({ kind: "arrived", id, rank, deadlineAt, now });
+      });
+    },
+    load: () => state.running.size + countWaiting(state),
+    configure: (settings) => mailbox.send({ kind: "settings", settings }),
+    close: () => mailbox.send({ kind: "close" }),
+    stop() {
+      ticker.stop();
+      mailbox.close();
+    },
+  };
+}
--- /dev/null
+++ b/source/tasks/document_task.ts
@@ -0,0 +1,206 @@
+/**
+ * The task that brings the operators' document into force: a few agents of
+ * each data centre watch the store, judge what changed, and spread it.
+ *
+ * @module
+ */
+import type { Agent } from "../core/agent.ts";
+import { recordsOfAcceptance } from "../core/document/assembly.ts";
+import {
+  type Acceptance,
+  judge,
+  nothingAccepted,
+  type ReadDocument,
+} from "../core/document/document.ts";
+import type { SharedRecord } from "../core/dissemination/replica.ts";
+import type { KeyHash } from "../core/ownership/table.ts";
+import type { Events } from "../ports/events.ts";
+import type { CensusReply } from "../ports/peers.ts";
+import { mainObject, type Store } from "../ports/store.ts";
+import { pause } from "./time.ts";
+
+/** Durations of watching. */
+export interface DocumentTimes {
+  readonly watchMilliseconds: number;
+  readonly storeRetryMilliseconds: number;
+  /** How long the census after an acceptance goes on at most. */
+  readonly censusMilliseconds: number;
+}
+
+/** A running watch. */
+export interface DocumentTask {
+  stop(): Promise<void>;
+}
+
+/** How many agents of a data centre watch the store. */
+const watchersPerDataCenter = 2;
+const censusIntervalMilliseconds = 500;
+
+/** Whether this agent is among those of its data centre that watch. */
+export function isWatcher(
+  self: Agent,
+  agents: readonly Agent[],
+  hash: KeyHash,
+): boolean {
+  const near = agents.filter((agent) =>
+    agent.place.dataCenter === self.place.dataCenter && agent.phase !== "lost"
+  );
+  const seed = 0;
+  const own = hash(self.host, seed);
+  const before = near.filter((agent) => hash(agent.host, seed) < own);
+  return before.length < watchersPerDataCenter;
+}
+
+/** Starts watching whenever this agent is one of the watchers. */
+export function startDocument(options: {
+  readonly store: Store;
+  readonly times: DocumentTimes;
+  readonly events: Events;
+  readonly read: (text: string) => ReadDocument;
+  readonly watches: () => boolean;
+  readonly publish: (records: readonly SharedRecord[]) => void;
+  /** Called after the store confirmed what is accepted. */
+  readonly onConfirmed: () => void;
+  readonly census: () => Promise<CensusReply>;
+  /** Addresses that newcomers should start from. */
+  readonly seeds: () => readonly string[];
+}): DocumentTask {
+  const { store, times, events } = options;
+  const stopped = new AbortController();
+  let available = true;
+
+  function note(reachable: boolean): void {
+    if (reachable === available) return;
+    available = reachable;
+    events.record(reachable ? "store-available" : "store-unavailable");
+  }
+
+  /** One look at the store; false when it could not be read or written. */
+  async function look(): Promise<boolean> {
+    const [document, acceptance] = await Promise.all([
+      store.documents.read(mainObject),
+      store.acceptances.read(mainObject),
+    ]);
+    if (document.isErr || acceptance.isErr) return false;
+    const current = acceptance.value?.value ?? nothingAccepted;
+    const pending = document.value !== null &&
+      document.value.version !== current.judgedVersion;
+    if (!pending || document.value === null) {
+      spread(current);
+      return true;
+    }
+    const next = judge(
+      current,
+      options.read(document.value.value.text),
+      document.value.version,
+    );
+    const written = await store.acceptances.write(mainObject, next, {
+      version: acceptance.value?.version ?? null,
+    });
+    if (written.isErr) {
+      if (written.error.kind === "conflict") return await look();
+      return false;
+    }
+    report(current, next);
+    spread(next);
+    void follow(next.revision);
+    return true;
+  }
+
+  function report(current: Acceptance, next: Acceptance): void {
+    if (next.revision !== current.revision) {
+      events.record("revision-accepted", { revision: next.revision });
+    }
+    for (const fault of next.refusals) {
+      events.record("section-refused", {
+        section: fault.section,
+        line: fault.line,
+        reason: fault.reason,
+      });
+    }
+  }
+
+  function spread(acceptance: Acceptance): void {
+    options.publish(recordsOfAcceptance(acceptance));
+    options.onConfirmed();
+  }
+
+  /** Tells the store, for operators' own tools, how far a revision came. */
+  async function follow(revision: number): Promise<void> {
+    const end = performance.now() + times.censusMilliseconds;
+    let result = await options.census();
+    while (!complete(result, revision) && performance.now() < end) {
+      if (stopped.signal.aborted) return;
+      await pause(censusIntervalMilliseconds, stopped.signal);
+      result = await options.census();
+    }
+    const former = await store.statuses.read(mainObject);
+    if (former.isErr) return;
+    if ((former.value?.value.revision ?? 0) > revision) return;
+    await store.statuses.write(mainObject, statusOf(result, revision), {
+      version: former.value?.version ?? null,
+    });
+  }
+
+  /** Keeps the list that newcomers start from; a failure waits for the next. */
+  async function maintainSeeds(): Promise<void> {
+    const addresses = options.seeds();
+    const stored = await store.seeds.read(mainObject);
+    if (stored.isErr) return;
+    const known = stored.value?.value.addresses ?? [];
+    if (known.join() === addresses.join()) return;
+    await store.seeds.write(mainObject, { addresses }, {
+      version: stored.value?.version ?? null,
+    });
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      if (!options.watches()) {
+        await pause(times.storeRetryMilliseconds, stopped.signal);
+        continue;
+      }
+      const seen = await look();
+      if (seen) await maintainSeeds();
+      const changed = seen
+        ? await store.awaitChange({
+          longestMilliseconds: times.watchMilliseconds,
+        })
+        : null;
+      const reachable = changed !== null && changed.isOk;
+      note(reachable);
+      if (!reachable) {
+        await pause(times.storeRetryMilliseconds, stopped.signal);
+      }
+    }
+  }
+  const running = run();
+
+  return {
+    async stop() {
+      stopped.abort();
+      await Promise.race([running, pause(100)]);
+    },
+  };
+}
+
+function complete(result: CensusReply, revision: number): boolean {
+  return result.missing.length === 0 &&
+    result.applied.every((applied) => applied.revision >= revision);
+}
+
+function statusOf(result: CensusReply, revision: number) {
+  const behind = result.applied.filter((applied) =>
+    applied.revision < revision
+  );
+  const missing = [
+    ...result.missing,
+    ...behind.map((applied) => applied.host),
+  ];
+  return {
+    revision,
+    inForce: result.applied.length - behind.length,
+    agents: result.applied.length + result.missing.length,
+    missing,
+  };
+}
--- /dev/null
+++ b/source/tasks/entry_task.ts
@@ -0,0 +1,319 @@
+/**
+ * The task that brings a caller's request to the target that shall run it:
+ * the owner of its key, or a suitable target near by.
+ *
+ * @module
+ */
+import { finished } from "node:stream";
+import { Result } from "true-myth";
+import { type Agent, type AgentId, distance } from "../core/agent.ts";
+import type { Configuration } from "../core/document/document.ts";
+import {
+  emptyTable,
+  groupOfKey,
+  type KeyHash,
+  newerTable,
+  ownerOfSlice,
+  type OwnershipTable,
+  sliceOfKey,
+} from "../core/ownership/table.ts";
+import { type Failure, notRun } from "../core/request/outcome.ts";
+import {
+  beginBudget,
+  decideRetry,
+  earnRetry,
+  type RetrySettings,
+} from "../core/retry/retry.ts";
+import {
+  beginRouting,
+  chooseTarget,
+  forgetTargets,
+  type RoutingEvent,
+  stepRouting,
+} from "../core/routing/routing.ts";
+import type { Events } from "../ports/events.ts";
+import type { Metrics } from "../ports/metrics.ts";
+import type { Peers } from "../ports/peers.ts";
+import type {
+  Body,
+  Forwarder,
+  ProxyAnswer,
+  ProxyRequest,
+} from "../ports/upstream.ts";
+import { openMailbox } from "./mailbox.ts";
+import type { ServeTask } from "./serve_task.ts";
+import { monotonicNow, pause } from "./time.ts";
+
+/** A running entry. */
+export interface EntryTask {
+  handle(
+    request: ProxyRequest,
+    options: { readonly body: Body },
+  ): Promise<Result<ProxyAnswer, Failure>>;
+  /** Requests entered here that are not finished. */
+  running(): number;
+}
+
+/** Where one attempt goes. */
+interface Destination {
+  readonly id: AgentId;
+  readonly address: string;
+  readonly region: string | null;
+}
+
+const tableTimeoutMilliseconds = 250;
+/** Most failed targets that a request without a key avoids. */
+const shortestTableAgeMilliseconds = 20;
+
+/** Starts with empty tables. */
+export function startEntry(options: {
+  readonly agent: Agent;
+  readonly agents: () => readonly Agent[];
+  readonly configuration: () => Configuration;
+  readonly localTable: (group: string) => OwnershipTable | null;
+  readonly serve: ServeTask;
+  readonly forwarder: Forwarder;
+  readonly peers: Peers;
+  readonly events: Events;
+  readonly metrics: Metrics;
+  readonly hash: KeyHash;
+  readonly random: () => number;
+  readonly retries: RetrySettings;
+}): EntryTask {
+  const { agent, events, metrics, hash, random } = options;
+  let routing = beginRouting();
+  let budget = beginBudget(options.retries);
+  let tables: ReadonlyMap<string, OwnershipTable> = new Map();
+  const fetches = new Map<string, Promise<void>>();
+  const fetchedAt = new Map<string, number>();
+  let running = 0;
+  let known: readonly Agent[] = [];
+
+  const mailbox = openMailbox<RoutingEvent>((event) => {
+    routing = stepRouting(routing, event);
+  });
+
+  function targetsOf(service: string): readonly Agent[] {
+    const agents = options.agents();
+    if (agents !== known) {
+      known = agents;
+      const present = new Set(agents.map((agent) => agent.id));
+      routing = forgetTargets(routing, present);
+    }
+    return agents.filter((agent) => agent.service === service);
+  }
+
+  async function handle(
+    request: ProxyRequest,
+    { body }: { readonly body: Body },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    running += 1;
+    budget = earnRetry(budget, options.retries);
+    const result = await attemptUntilDone(request, body);
+    if (result.isErr) running -= 1;
+    else finished(result.value.body, () => running -= 1);
+    return result;
+  }
+
+  async function attemptUntilDone(
+    request: ProxyRequest,
+    body: Body,
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    const tried = new Set<AgentId>();
+    let left = body;
+    for (let attempt = 1;; attempt += 1) {
+      const result = await attemptOnce(request, { body: left, tried });
+      if (result.isOk) return result;
+      left = afterAttempt(left);
+      const decision = decideRetry({
+        failure: result.error,
+        attempt,
+        idempotent: request.idempotent,
+        bodyRepeatable: left.kind === "kept" || !left.used,
+        now: monotonicNow(),
+        deadlineAt: request.deadlineAt,
+      }, { settings: options.retries, budget, random });
+      budget = decision.budget;
+      if (decision.kind === "giveUp" || request.signal.aborted) return result;
+      metrics.count("requests_retried", { reason: result.error.reason });
+      events.record("request-retried", {
+        request: request.id,
+        attempt,
+        reason: result.error.reason,
+      });
+      await pause(decision.delayMilliseconds, request.signal);
+    }
+  }
+
+  async function attemptOnce(
+    request: ProxyRequest,
+    options: { readonly body: Body; readonly tried: Set<AgentId> },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    return request.key === null
+      ? await attemptUnkeyed(request, options)
+      : await attemptKeyed(request, { body: options.body, key: request.key });
+  }
+
+  async function attemptKeyed(
+    request: ProxyRequest,
+    { body, key }: { readonly body: Body; readonly key: string },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    const group = groupOf(request, key);
+    if (group === null) return Result.err(notRun("no-such-service"));
+    let owner = ownerOf(group, key);
+    if (owner === null) {
+      await refreshTable(group);
+      owner = ownerOf(group, key);
+    }
+    if (owner === null) return Result.err(notRun("no-owner-known"));
+    const result = await sendTo(owner, request, body);
+    if (result.isErr) await refreshTable(group);
+    return result;
+  }
+
+  function groupOf(request: ProxyRequest, key: string): string | null {
+    const service = options.configuration().services.find((service) =>
+      service.name === request.service
+    );
+    const groups = service?.keys?.groups;
+    if (groups === undefined) return null;
+    return groupOfKey(key, { service: request.service, groups, hash });
+  }
+
+  function ownerOf(group: string, key: string): Destination | null {
+    const table = tableOf(group);
+    const owner = ownerOfSlice(table, sliceOfKey(table, key, hash));
+    if (owner === null) return null;
+    const known = options.agents().find((agent) => agent.id === owner.id);
+    return {
+      id: owner.id,
+      address: owner.peerAddress,
+      region: known?.place.region ?? null,
+    };
+  }
+
+  function tableOf(group: string): OwnershipTable {
+    const cached = tables.get(group) ?? emptyTable(group);
+    return newerTable(cached, options.localTable(group));
+  }
+
+  /** One fetch at a time for a group; all that wait share its result. */
+  function refreshTable(group: string): Promise<void> {
+    const current = fetches.get(group);
+    if (current !== undefined) return current;
+    const age = monotonicNow() - (fetchedAt.get(group) ?? -Infinity);
+    if (age < shortestTableAgeMilliseconds) return Promise.resolve();
+    const started = fetchTable(group).finally(() => {
+      fetches.delete(group);
+      fetchedAt.set(group, monotonicNow());
+    });
+    fetches.set(group, started);
+    return started;
+  }
+
+  async function fetchTable(group: string): Promise<void> {
+    const members = options.agents().filter((agent) =>
+      agent.group === group && agent.phase !== "lost"
+    );
+    const near = [...members].sort((left, right) =>
+      distance(agent.place, left.place) - distance(agent.place, right.place)
+    );
+    const first = near[0];
+    const other = near[1 + Math.floor(random() * (near.length - 1))];
+    const asked = [first, other].flatMap((agent) => agent ?? []);
+    await Promise.all(asked.map(async (member) => {
+      const result = await options.peers.call(member.peerAddress, "table", {
+        message: { group },
+        timeoutMilliseconds: tableTimeoutMilliseconds,
+      });
+      if (result.isErr) return;
+      const table = newerTable(tableOf(group), result.value);
+      tables = new Map(tables).set(group, table);
+    }));
+  }
+
+  async function attemptUnkeyed(
+    request: ProxyRequest,
+    { body, tried }: { readonly body: Body; readonly tried: Set<AgentId> },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    const query = {
+      from: agent.place,
+      targets: targetsOf(request.service),
+      now: monotonicNow(),
+      random,
+    };
+    const target = chooseTarget(routing, { ...query, tried }) ??
+      chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
+    if (target === null) return Result.err(notRun("no-target-known"));
+    tried.add(target.id);
+    mailbox.send({ kind: "sent", id: target.id, now: monotonicNow() });
+    const result = await sendTo(
+      {
+        id: target.id,
+        address: target.peerAddress,
+        region: target.place.region,
+      },
+      request,
+      body,
+    );
+    learnFrom(target.id, result);
+    return result;
+  }
+
+  function learnFrom(
+    id: AgentId,
+    result: Result<ProxyAnswer, Failure>,
+  ): void {
+    const now = monotonicNow();
+    if (result.isOk) {
+      const { load, body } = result.value;
+      finished(body, { writable: false }, () => {
+        mailbox.send({ kind: "replied", id, load, now: monotonicNow() });
+      });
+      return;
+    }
+    const { reason } = result.error;
+    if (reason === "caller-left" || reason === "deadline-passed") {
+      return mailbox.send({ kind: "abandoned", id, now });
+    }
+    mailbox.send({ kind: "failed", id, now });
+  }
+
+  async function sendTo(
+    destination: Destination,
+    request: ProxyRequest,
+    body: Body,
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    events.record("request-routed", {
+      request: request.id,
+      to: destination.id,
+    });
+    if (destination.id === agent.id) {
+      return await options.serve.serve(request, { body });
+    }
+    const { region } = destination;
+    if (region !== null && region !== agent.place.region) {
+      countRegionBytes(request, body);
+    }
+    return await options.forwarder.forward(destination.address, request, {
+      body,
+    });
+  }
+
+  function countRegionBytes(request: ProxyRequest, body: Body): void {
+    const bytes = body.kind === "kept"
+      ? body.bytes.length
+      : Number(request.headers["content-length"] ?? 0);
+    const rank = String(request.rank);
+    metrics.count("region_link_bytes", { rank }, bytes);
+  }
+
+  return { handle, running: () => running };
+}
+
+function afterAttempt(body: Body): Body {
+  if (body.kind === "kept") return body;
+  const used = body.used || body.stream.readableDidRead ||
+    body.stream.destroyed;
+  return { ...body, used };
+}
--- /dev/null
+++ b/source/tasks/grantor_task.ts
@@ -0,0 +1,353 @@
+/**
+ * The task that grants the slices of one group, from the claim of its epoch
+ * in the store until it stops or is replaced.
+ *
+ * @module
+ */
+import type { Address, Agent, AgentId } from "../core/agent.ts";
+import type { Clocks } from "../core/clocks.ts";
+import {
+  type Delegation,
+  type RosterEntry,
+  successorDelegation,
+} from "../core/ownership/delegation.ts";
+import {
+  delegationEnded,
+  type GrantorEffect,
+  type GrantorEvent,
+  stepGrantor,
+  tableOf,
+} from "../core/ownership/grantor.ts";
+import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import type {
+  Renewal,
+  RenewalAnswer,
+  TakeoverAnswer,
+} from "../core/ownership/renewal.ts";
+import { beginGrantor } from "../core/ownership/takeover.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import { formatToken } from "../core/ownership/token.ts";
+import type { Events } from "../ports/events.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Repository, Versioned } from "../ports/store.ts";
+import { openMailbox } from "./mailbox.ts";
+import { pause, readClocks, startTicker } from "./time.ts";
+
+/** Durations of granting. */
+export interface GrantorTimes {
+  readonly tickMilliseconds: number;
+  readonly callTimeoutMilliseconds: number;
+  readonly storeRetryMilliseconds: number;
+}
+
+/** A running grantor. */
+export interface GrantorTask {
+  readonly group: string;
+  readonly epoch: number;
+  /** Null once the grantor has stopped. */
+  renew(renewal: Renewal): RenewalAnswer | null;
+  table(): OwnershipTable;
+  stopped(): boolean;
+  /** Grants nothing more, for good. */
+  stop(): Promise<void>;
+}
+
+/** What a grantor needs from outside. */
+export interface GrantorOptions {
+  readonly agent: Agent;
+  readonly group: string;
+  readonly settings: GrantorSettings;
+  readonly times: GrantorTimes;
+  readonly delegations: Repository<Delegation>;
+  readonly peers: Peers;
+  readonly events: Events;
+  /** A mark that no other write has. */
+  readonly newMark: () => string;
+}
+
+interface Claim {
+  readonly stored: Versioned<Delegation>;
+  readonly askedAt: Clocks;
+  readonly former: Delegation | null;
+}
+
+/**
+ * Claims the next epoch of a group and asks its servers what they hold. Null
+ * when the store can't be written, or another grantor came first.
+ */
+export async function startGrantor(
+  options: GrantorOptions,
+): Promise<GrantorTask | null> {
+  const claim = await claimEpoch(options);
+  if (claim === null) return null;
+  options.events.record("epoch-claimed", {
+    group: options.group,
+    epoch: claim.stored.value.epoch,
+    former: claim.former?.grantor ?? "none",
+  });
+  const [formerStopped, answers] = await Promise.all([
+    sealFormer(options, claim),
+    askRoster(options, claim),
+  ]);
+  const state = beginGrantor({
+    group: options.group,
+    epoch: claim.stored.value.epoch,
+    settings: options.settings,
+    roster: claim.stored.value.roster,
+    answers,
+    formerStopped,
+    formerDurationMilliseconds: claim.former?.durationMilliseconds ?? 0,
+    askedAt: claim.askedAt,
+    isolatedKeys: [],
+    now: readClocks(),
+  });
+  options.events.record("grantor-begun", {
+    group: options.group,
+    epoch: state.epoch,
+    answered: answers.length,
+    asked: state.roster.length,
+    formerStopped,
+    unheard: state.slices.filter((slice) => slice.kind === "reserved").length,
+  });
+  return runGrantor(options, { state, stored: claim.stored });
+}
+
+async function claimEpoch(options: GrantorOptions): Promise<Claim | null> {
+  const { delegations, group, agent, settings } = options;
+  const read = await delegations.read(group);
+  if (read.isErr) return null;
+  const former = read.value;
+  const value = successorDelegation(former?.value ?? null, {
+    group,
+    grantor: agent.id,
+    grantorAddress: agent.peerAddress,
+    durationMilliseconds: settings.delegationMilliseconds,
+    writerMark: options.newMark(),
+  });
+  const askedAt = readClocks();
+  const version = former?.version ?? null;
+  const written = await delegations.write(group, value, { version });
+  const stored = written.isOk
+    ? { value, version: written.value }
+    : await findOwnWrite(options, value.writerMark);
+  if (stored === null) return null;
+  return { stored, askedAt, former: former?.value ?? null };
+}
+
+/** Settles a write whose reply was lost: the mark says whether it took place. */
+async function findOwnWrite(
+  options: GrantorOptions,
+  mark: string,
+): Promise<Versioned<Delegation> | null> {
+  const read = await options.delegations.read(options.group);
+  if (read.isErr || read.value === null) return null;
+  return read.value.value.writerMark === mark ? read.value : null;
+}
+
+async function sealFormer(
+  options: GrantorOptions,
+  claim: Claim,
+): Promise<boolean> {
+  const { former } = claim;
+  if (former === null || former.grantor === options.agent.id) return true;
+  const result = await options.peers.call(
+    former.grantorAddress,
+    "sealGrantor",
+    {
+      message: {
+        group: options.group,
+        epoch: claim.stored.value.epoch,
+        grantorAddress: options.agent.peerAddress,
+        grantor: former.grantor,
+      },
+      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+    },
+  );
+  return result.isOk && result.value;
+}
+
+async function askRoster(
+  options: GrantorOptions,
+  claim: Claim,
+): Promise<readonly TakeoverAnswer[]> {
+  const { epoch, roster } = claim.stored.value;
+  const answers = await Promise.all(roster.map(async (entry) => {
+    const result = await options.peers.call(entry.peerAddress, "takeEpoch", {
+      message: {
+        group: options.group,
+        epoch,
+        grantorAddress: options.agent.peerAddress,
+      },
+      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+    });
+    if (result.isErr || result.value === null) return [];
+    return result.value.id === entry.id ? [result.value] : [];
+  }));
+  return answers.flat();
+}
+
+function runGrantor(
+  options: GrantorOptions,
+  begun: {
+    readonly state: ReturnType<typeof beginGrantor>;
+    readonly stored: Versioned<Delegation>;
+  },
+): GrantorTask {
+  const { events, group } = options;
+  let { state, stored } = begun;
+  let stopped = false;
+  let writing: Promise<void> = Promise.resolve();
+
+  const mailbox = openMailbox<
+    { readonly event: GrantorEvent; readonly answer: Answer }
+  >(({ event, answer }) => {
+    const next = stepGrantor(state, event);
+    state = next.state;
+    for (const effect of next.effects) perform(effect, answer);
+  });
+
+  function perform(effect: GrantorEffect, answer: Answer): void {
+    switch (effect.kind) {
+      case "answer":
+        return answer(effect.answer);
+      case "refuse":
+        return answer(null);
+      case "writeCheckpoint":
+        writing = write(effect.roster);
+        return;
+      case "nudge":
+        return nudge(effect.peerAddresses);
+      default:
+        return report(effect);
+    }
+  }
+
+  function report(
+    effect: Exclude<
+      GrantorEffect,
+      { readonly kind: "answer" | "refuse" | "writeCheckpoint" | "nudge" }
+    >,
+  ): void {
+    const common = { group, epoch: state.epoch };
+    switch (effect.kind) {
+      case "lapsed":
+        return events.record("holder-lapsed", {
+          ...common,
+          holder: effect.id,
+          slices: effect.slices,
+        });
+      case "granted":
+        return events.record("slice-granted", {
+          ...common,
+          slice: effect.slice,
+          holder: effect.owner,
+          token: formatToken(effect.token),
+        });
+      case "moveStarted":
+        return events.record("move-started", {
+          ...common,
+          slice: effect.slice,
+          from: effect.owner,
+          to: effect.destination,
+        });
+      case "isolated":
+        return events.record("key-isolated", {
+          ...common,
+          key: effect.key,
+          slice: effect.slice,
+        });
+    }
+  }
+
+  function nudge(addresses: readonly Address[]): void {
+    for (const address of addresses) {
+      void options.peers.call(address, "nudge", {
+        message: { group },
+        timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+      });
+    }
+  }
+
+  function send(event: GrantorEvent): RenewalAnswer | null {
+    let result: RenewalAnswer | null = null;
+    mailbox.send({
+      event,
+      answer: (value) => {
+        result = value;
+      },
+    });
+    return result;
+  }
+
+  /** Repeats one and the same write until it is known how it ended. */
+  async function write(roster: readonly RosterEntry[]): Promise<void> {
+    const value: Delegation = {
+      ...stored.value,
+      roster,
+      writerMark: options.newMark(),
+    };
+    const firstAskedAt = readClocks();
+    while (!stopped && !delegationEnded(state, readClocks())) {
+      const askedAt = readClocks();
+      const result = await options.delegations.write(group, value, {
+        version: stored.version,
+      });
+      if (result.isOk) {
+        stored = { value, version: result.value };
+        return confirmed(askedAt);
+      }
+      const found = await options.delegations.read(group);
+      if (found.isOk && found.value !== null) {
+        if (found.value.value.writerMark === value.writerMark) {
+          stored = found.value;
+          return confirmed(firstAskedAt);
+        }
+        if (found.value.value.epoch > state.epoch) return halt("replaced");
+        stored = found.value;
+      }
+      await pause(options.times.storeRetryMilliseconds);
+    }
+  }
+
+  function confirmed(askedAt: Clocks): void {
+    events.record("checkpoint-written", {
+      group,
+      epoch: state.epoch,
+      roster: stored.value.roster.length,
+    });
+    send({ kind: "confirmed", askedAt });
+  }
+
+  function halt(reason: string): void {
+    if (stopped) return;
+    stopped = true;
+    ticker.stop();
+    mailbox.close();
+    events.record("grantor-stopped", { group, epoch: state.epoch, reason });
+  }
+
+  const ticker = startTicker(() => {
+    if (delegationEnded(state, readClocks())) return halt("delegation ended");
+    send({ kind: "tick", now: readClocks() });
+  }, { intervalMilliseconds: options.times.tickMilliseconds });
+
+  return {
+    group,
+    epoch: state.epoch,
+    renew: (renewal) =>
+      stopped ? null : send({ kind: "renewal", renewal, now: readClocks() }),
+    table: () => tableOf(state),
+    stopped: () => stopped,
+    async stop() {
+      halt("stopped");
+      await writing;
+    },
+  };
+}
+
+type Answer = (value: RenewalAnswer | null) => void;
+
+/** Names a grantor's host for events. */
+export function hostOf(id: AgentId): string {
+  return id.split("/")[0] ?? id;
+}
--- /dev/null
+++ b/source/tasks/grantors_task.ts
@@ -0,0 +1,154 @@
+/**
+ * All grantors of one agent: finds a group's grantor for a holder that has
+ * lost it, and becomes that grantor when there is none.
+ *
+ * @module
+ */
+import type { Agent } from "../core/agent.ts";
+import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import type {
+  EpochClaim,
+  GrantorLocation,
+  LocateQuestion,
+} from "../ports/peers.ts";
+import type { AgentId } from "../core/agent.ts";
+import {
+  type GrantorOptions,
+  type GrantorTask,
+  startGrantor,
+} from "./grantor_task.ts";
+
+/** The grantors that run in one agent. */
+export interface GrantorsTask {
+  renew(renewal: Renewal): RenewalAnswer | null;
+  locate(question: LocateQuestion): Promise<GrantorLocation | null>;
+  seal(claim: EpochClaim & { readonly grantor: AgentId }): Promise<boolean>;
+  table(group: string): OwnershipTable | null;
+  groups(): readonly string[];
+  /** Stops granting in all groups and lets another agent take each over. */
+  handOver(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Starts without any group. */
+export function startGrantors(
+  options: Omit<GrantorOptions, "group" | "settings"> & {
+    readonly agent: Agent;
+    /** Null while the group's service is in no configuration. */
+    readonly settingsOf: (group: string) => GrantorSettings | null;
+    /** Agents that could grant in a group, the best first. */
+    readonly successors: (group: string) => readonly string[];
+  },
+): GrantorsTask {
+  const { agent, delegations, peers, times } = options;
+  const grantors = new Map<string, GrantorTask>();
+  /** The highest epoch that this process gave up, by group. */
+  const sealed = new Map<string, number>();
+  const searches = new Map<string, Promise<GrantorLocation | null>>();
+  let closing = false;
+
+  function running(group: string): GrantorTask | null {
+    const grantor = grantors.get(group);
+    return grantor === undefined || grantor.stopped() ? null : grantor;
+  }
+
+  function here(group: string): GrantorLocation | null {
+    const grantor = running(group);
+    if (grantor === null) return null;
+    return { address: agent.peerAddress, epoch: grantor.epoch };
+  }
+
+  /** One search at a time for a group; all who ask share its answer. */
+  function search(question: LocateQuestion): Promise<GrantorLocation | null> {
+    const { group } = question;
+    const current = searches.get(group) ??
+      findOrTakeOver(question).finally(() => searches.delete(group));
+    searches.set(group, current);
+    return current;
+  }
+
+  async function findOrTakeOver(
+    question: LocateQuestion,
+  ): Promise<GrantorLocation | null> {
+    const read = await delegations.read(question.group);
+    if (read.isErr) return null;
+    const stored = read.value?.value ?? null;
+    if (stored !== null && stored.grantor !== agent.id) {
+      const location = { address: stored.grantorAddress, epoch: stored.epoch };
+      if (await grantsStill(question.group, location)) return location;
+    }
+    return await takeOver(question.group);
+  }
+
+  async function grantsStill(
+    group: string,
+    location: GrantorLocation,
+  ): Promise<boolean> {
+    const result = await peers.call(location.address, "locateGrantor", {
+      message: { group, unreachable: null, mayTakeOver: false },
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    return result.isOk && result.value !== null &&
+      result.value.epoch === location.epoch &&
+      result.value.address === location.address;
+  }
+
+  async function takeOver(group: string): Promise<GrantorLocation | null> {
+    const settings = options.settingsOf(group);
+    if (settings === null || closing) return null;
+    const grantor = await startGrantor({ ...options, group, settings });
+    if (grantor === null) return null;
+    if (closing || (sealed.get(group) ?? 0) > grantor.epoch) {
+      await grantor.stop();
+      return null;
+    }
+    await grantors.get(group)?.stop();
+    grantors.set(group, grantor);
+    return here(group);
+  }
+
+  async function giveUp(group: string, epoch: number): Promise<void> {
+    sealed.set(group, Math.max(sealed.get(group) ?? 0, epoch));
+    const grantor = grantors.get(group);
+    if (grantor === undefined || grantor.epoch >= epoch) return;
+    await grantor.stop();
+    grantors.delete(group);
+  }
+
+  return {
+    renew: (renewal) => running(renewal.group)?.renew(renewal) ?? null,
+    async locate(question) {
+      const own = here(question.group);
+      if (own !== null || !question.mayTakeOver || closing) return own;
+      return await search(question);
+    },
+    async seal(claim) {
+      if (claim.grantor !== agent.id) return false;
+      await giveUp(claim.group, claim.epoch);
+      return true;
+    },
+    table: (group) => running(group)?.table() ?? null,
+    groups: () => [...grantors.keys()].filter((group) => running(group)),
+    async handOver() {
+      closing = true;
+      const groups = [...grantors.keys()];
+      await Promise.all(groups.map(async (group) => {
+        const unreachable = here(group);
+        await grantors.get(group)?.stop();
+        for (const address of options.successors(group).slice(0, 3)) {
+          const result = await peers.call(address, "locateGrantor", {
+            message: { group, unreachable, mayTakeOver: true },
+            timeoutMilliseconds: times.callTimeoutMilliseconds * 3,
+          });
+          if (result.isOk && result.value !== null) break;
+        }
+      }));
+    },
+    async stop() {
+      closing = true;
+      await Promise.all([...grantors.values()].map((task) => task.stop()));
+    },
+  };
+}
--- /dev/null
+++ b/source/tasks/holder_task.ts
@@ -0,0 +1,383 @@
+/**
+ * The task that holds slices for the target beside this agent: it renews the
+ * lease, answers new grantors, and says what may be served.
+ *
+ * @module
+ */
+import type { Address, Agent } from "../core/agent.ts";
+import type { Clocks } from "../core/clocks.ts";
+import type {
+  Grant,
+  KeyLoad,
+  Renewal,
+  RenewalAnswer,
+  SliceLoad,
+  TakeoverAnswer,
+} from "../core/ownership/renewal.ts";
+import {
+  beginHolder,
+  decideHold,
+  heldGrants,
+  type HolderState,
+  type HoldRefusal,
+  leaseHolds,
+  stepHolder,
+} from "../core/ownership/holder.ts";
+import {
+  type KeyHash,
+  type OwnershipTable,
+  sliceOfKey,
+} from "../core/ownership/table.ts";
+import type { FencingToken } from "../core/ownership/token.ts";
+import { beginSketch, busiestKeys, countKeys } from "../core/load/sketch.ts";
+import type { Events } from "../ports/events.ts";
+import type { EpochClaim, GrantorLocation, Peers } from "../ports/peers.ts";
+import { ask, openMailbox } from "./mailbox.ts";
+import { pause, readClocks } from "./time.ts";
+
+/** Durations of holding. */
+export interface HolderTimes {
+  readonly renewalMilliseconds: number;
+  readonly retryMilliseconds: number;
+  readonly callTimeoutMilliseconds: number;
+  /** A lease ends this much early, for clocks that run apart. */
+  readonly marginMilliseconds: number;
+}
+
+/** The right to run one request on a key. */
+export interface Permit {
+  readonly slice: number;
+  readonly token: FencingToken;
+  readonly leaseEndsAtWall: number;
+  /** Whether the lease covers the slice still. */
+  stillHolds(): boolean;
+  /** To be called once, when nothing of the request runs any more. */
+  finish(): void;
+}
+
+/** A running holder. */
+export interface HolderTask {
+  /** Admits one request on a key, or says why not. */
+  admit(key: string): Permit | HoldRefusal;
+  takeEpoch(claim: EpochClaim): Promise<TakeoverAnswer | null>;
+  nudge(): void;
+  table(): OwnershipTable;
+  grantor(): GrantorLocation | null;
+  /** Tells the grantor whether the target leaves. */
+  setLeaving(value: boolean): void;
+  /** Gives up all slices; resolves when the grantor knows it, or in vain. */
+  releaseAll(
+    options: { readonly timeoutMilliseconds: number },
+  ): Promise<boolean>;
+  heldSlices(): number;
+  stop(): Promise<void>;
+}
+
+type Message =
+  | {
+    readonly kind: "answered";
+    readonly askedAt: Clocks;
+    readonly answer: RenewalAnswer;
+    readonly reported: readonly Grant[];
+  }
+  | {
+    readonly kind: "takeEpoch";
+    readonly claim: EpochClaim;
+    readonly answer: (value: TakeoverAnswer | null) => void;
+  }
+  | { readonly kind: "finished"; readonly slice: number }
+  | { readonly kind: "releaseAll" };
+
+const sketchCapacity = 64;
+const reportedKeys = 8;
+
+/** Starts holding for one agent in its group. */
+export function startHolder(options: {
+  readonly agent: Agent & { readonly group: string };
+  readonly times: HolderTimes;
+  readonly peers: Peers;
+  readonly events: Events;
+  readonly hash: KeyHash;
+  /** Agents to ask for the grantor, in order. */
+  readonly candidates: () => {
+    readonly members: readonly Address[];
+    readonly grantors: readonly Address[];
+  };
+}): HolderTask {
+  const { agent, times, peers, events, hash } = options;
+  const stopped = new AbortController();
+  let state = beginHolder({
+    id: agent.id,
+    group: agent.group,
+    marginMilliseconds: times.marginMilliseconds,
+  });
+  let grantor: GrantorLocation | null = null;
+  let failures = 0;
+  let leaving = false;
+  let wake = new AbortController();
+  let load = beginLoad();
+  let hadLease = false;
+
+  function change(next: HolderState): void {
+    const released = next.released.length > state.released.length;
+    state = next;
+    if (released) nudge();
+  }
+
+  const mailbox = openMailbox<Message>((message) => {
+    switch (message.kind) {
+      case "answered":
+        change(stepHolder(state, message));
+        break;
+      case "takeEpoch":
+        message.answer(acceptEpoch(message.claim));
+        break;
+      case "finished":
+      case "releaseAll":
+        change(stepHolder(state, message));
+        break;
+    }
+  });
+
+  function acceptEpoch(claim: EpochClaim): TakeoverAnswer | null {
+    if (claim.epoch < state.epoch) return null;
+    change(
+      stepHolder(state, { kind: "epochTaken", epoch: claim.epoch }),
+    );
+    grantor = { address: claim.grantorAddress, epoch: claim.epoch };
+    events.record("epoch-accepted", {
+      group: state.group,
+      epoch: claim.epoch,
+      grantor: claim.grantorAddress,
+    });
+    return {
+      id: agent.id,
+      held: heldGrants(state, readClocks()),
+      weight: agent.slots,
+      checksFencing: agent.checksFencing,
+      leaving,
+    };
+  }
+
+  function nudge(): void {
+    wake.abort();
+  }
+
+  function compose(now: Clocks): Renewal {
+    const measured = measure(load, state, hash);
+    return {
+      group: state.group,
+      epoch: state.epoch,
+      id: agent.id,
+      peerAddress: agent.peerAddress,
+      weight: agent.slots,
+      checksFencing: agent.checksFencing,
+      leaving,
+      held: heldGrants(state, now),
+      released: state.released,
+      tableVersion: state.table.version,
+      ...measured,
+    };
+  }
+
+  async function renewOnce(location: GrantorLocation): Promise<boolean> {
+    const askedAt = readClocks();
+    const renewal = compose(askedAt);
+    const result = await peers.call(location.address, "renew", {
+      message: renewal,
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    if (result.isErr || result.value === null) return false;
+    if (result.value.epoch < state.epoch) return false;
+    mailbox.send({
+      kind: "answered",
+      askedAt,
+      answer: result.value,
+      reported: renewal.released,
+    });
+    load = beginLoad();
+    return true;
+  }
+
+  async function locate(
+    unreachable: GrantorLocation | null,
+  ): Promise<GrantorLocation | null> {
+    const { members, grantors } = options.candidates();
+    const known = await askInOrder(members.slice(0, 2), {
+      unreachable,
+      mayTakeOver: false,
+    });
+    if (known !== null) return known;
+    return await askInOrder(grantors.slice(0, 3), {
+      unreachable,
+      mayTakeOver: true,
+    });
+  }
+
+  async function askInOrder(
+    addresses: readonly Address[],
+    question: {
+      readonly unreachable: GrantorLocation | null;
+      readonly mayTakeOver: boolean;
+    },
+  ): Promise<GrantorLocation | null> {
+    for (const address of addresses) {
+      const result = await peers.call(address, "locateGrantor", {
+        message: { group: state.group, ...question },
+        timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
+      });
+      if (result.isOk && result.value !== null) return result.value;
+    }
+    return null;
+  }
+
+  /** One round; brings the time until the next. */
+  async function round(): Promise<number> {
+    grantor ??= await located(null);
+    if (grantor === null) return times.retryMilliseconds;
+    const asked = grantor;
+    if (await renewOnce(asked)) {
+      failures = 0;
+      noteLease();
+      return times.renewalMilliseconds;
+    }
+    failures += 1;
+    noteLease();
+    if (failures >= 2 && grantor === asked) {
+      grantor = await located(asked);
+    }
+    return times.retryMilliseconds;
+  }
+
+  async function located(
+    unreachable: GrantorLocation | null,
+  ): Promise<GrantorLocation | null> {
+    const found = await locate(unreachable);
+    if (found === null) return grantor === unreachable ? null : grantor;
+    events.record("grantor-located", {
+      group: state.group,
+      epoch: found.epoch,
+      grantor: found.address,
+    });
+    return found;
+  }
+
+  function noteLease(): void {
+    const holds = leaseHolds(state, readClocks());
+    if (holds === hadLease) return;
+    hadLease = holds;
+    events.record(holds ? "lease-restored" : "lease-ended", {
+      group: state.group,
+      epoch: state.epoch,
+      slices: state.slices.size,
+    });
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      wake = new AbortController();
+      const rest = await round();
+      await pause(rest, wake.signal);
+    }
+  }
+  const running = run();
+
+  return {
+    admit(key) {
+      const slice = sliceOfKey(state.table, key, hash);
+      const decision = decideHold(state, slice, readClocks());
+      if (decision.kind === "refused") return decision.reason;
+      state = stepHolder(state, { kind: "admitted", slice });
+      load = countLoad(load, key, slice);
+      let finished = false;
+      return {
+        slice,
+        token: decision.token,
+        leaseEndsAtWall: state.leaseEndsAt.wall,
+        stillHolds: () =>
+          state.slices.has(slice) && leaseHolds(state, readClocks()),
+        finish() {
+          if (finished) return;
+          finished = true;
+          mailbox.send({ kind: "finished", slice });
+        },
+      };
+    },
+    takeEpoch: (claim) =>
+      ask<Message, TakeoverAnswer | null>(
+        mailbox,
+        (answer) => ({ kind: "takeEpoch", claim, answer }),
+      ),
+    nudge,
+    table: () => state.table,
+    grantor: () => leaseHolds(state, readClocks()) ? grantor : null,
+    setLeaving(value) {
+      if (leaving === value) return;
+      leaving = value;
+      nudge();
+    },
+    async releaseAll({ timeoutMilliseconds }) {
+      const end = performance.now() + timeoutMilliseconds;
+      mailbox.send({ kind: "releaseAll" });
+      while (state.slices.size + state.released.length > 0) {
+        if (performance.now() >= end) return false;
+        await pause(20);
+      }
+      return true;
+    },
+    heldSlices: () => state.slices.size,
+    async stop() {
+      stopped.abort();
+      wake.abort();
+      mailbox.close();
+      await running;
+    },
+  };
+}
+
+/** What was asked for since the last answered renewal. */
+interface HeldLoad {
+  readonly since: number;
+  readonly keys: readonly string[];
+  readonly slices: ReadonlyMap<number, number>;
+}
+
+/** Keys kept for the sketch between two renewals; the rest is a sample. */
+const mostSampledKeys = 512;
+
+function beginLoad(): HeldLoad {
+  return { since: performance.now(), keys: [], slices: new Map() };
+}
+
+function countLoad(load: HeldLoad, key: string, slice: number): HeldLoad {
+  const slices = new Map(load.slices);
+  slices.set(slice, (slices.get(slice) ?? 0) + 1);
+  const keys = load.keys.length < mostSampledKeys
+    ? [...load.keys, key]
+    : load.keys;
+  return { ...load, keys, slices };
+}
+
+function measure(
+  load: HeldLoad,
+  state: HolderState,
+  hash: KeyHash,
+): {
+  readonly sliceLoads: readonly SliceLoad[];
+  readonly keyLoads: readonly KeyLoad[];
+} {
+  const seconds = Math.max(0.1, (performance.now() - load.since) / 1_000);
+  const total = [...load.slices.values()].reduce((sum, n) => sum + n, 0);
+  const scale = load.keys.length === 0 ? 0 : total / load.keys.length;
+  const sketch = countKeys(beginSketch(sketchCapacity), load.keys);
+  const sliceLoads = [...state.slices.keys()].map((slice) => ({
+    slice,
+    requestsPerSecond: Math.round((load.slices.get(slice) ?? 0) / seconds),
+  }));
+  const keyLoads = busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
+    key,
+    slice: sliceOfKey(state.table, key, hash),
+    requestsPerSecond: Math.round(count * scale / seconds),
+  }));
+  return { sliceLoads, keyLoads };
+}
--- /dev/null
+++ b/source/tasks/serve_task.ts
@@ -0,0 +1,157 @@
+/**
+ * The task that serves requests with the target beside this agent: it checks
+ * the right to the key, waits for a slot, and sends the request on.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { finished } from "node:stream";
+import type { FinishKind } from "../core/admission/admission.ts";
+import { type Failure, notRun } from "../core/request/outcome.ts";
+import type { Events } from "../ports/events.ts";
+import type { Metrics } from "../ports/metrics.ts";
+import type {
+  Body,
+  ProxyAnswer,
+  ProxyRequest,
+  Target,
+} from "../ports/upstream.ts";
+import type { AdmissionTask, Slot } from "./admission_task.ts";
+import type { HolderTask, Permit } from "./holder_task.ts";
+import { monotonicNow } from "./time.ts";
+
+/** Serves requests at this agent's target. */
+export interface ServeTask {
+  serve(
+    request: ProxyRequest,
+    options: { readonly body: Body },
+  ): Promise<Result<ProxyAnswer, Failure>>;
+  /** Requests that have a permit or a slot. */
+  running(): number;
+}
+
+/** Starts serving. */
+export function startServing(options: {
+  readonly service: string;
+  /** Null for a service without keys, and until the configuration is known. */
+  readonly holder: () => HolderTask | null;
+  readonly admission: AdmissionTask;
+  /** Whether the target takes new work of this sort. */
+  readonly accepts: (work: { readonly keyed: boolean }) => boolean;
+  readonly target: Target;
+  readonly events: Events;
+  readonly metrics: Metrics;
+}): ServeTask {
+  const { admission, target, events, metrics } = options;
+  let running = 0;
+
+  async function serve(
+    request: ProxyRequest,
+    { body }: { readonly body: Body },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    const permit = permitFor(request);
+    if (permit.isErr) return Result.err(permit.error);
+    running += 1;
+    const release = () => {
+      running -= 1;
+      permit.value?.finish();
+    };
+    const arrivedAt = monotonicNow();
+    const slot = await admission.enter(request);
+    const waited = monotonicNow() - arrivedAt;
+    metrics.time("queue_duration", waited, rankLabel(request));
+    if (slot.isErr) {
+      release();
+      return refuse(request, slot.error);
+    }
+    if (permit.value !== null && !permit.value.stillHolds()) {
+      slot.value.finish("failed");
+      release();
+      return refuse(request, notRun("lease-ended"));
+    }
+    return await send(request, {
+      body,
+      permit: permit.value,
+      slot: slot.value,
+      release,
+    });
+  }
+
+  function permitFor(request: ProxyRequest): Result<Permit | null, Failure> {
+    if (request.service !== options.service) {
+      return Result.err(notRun("not-owner"));
+    }
+    if (!options.accepts({ keyed: request.key !== null })) {
+      return Result.err(notRun("target-leaving"));
+    }
+    if (request.key === null) return Result.ok(null);
+    const holder = options.holder();
+    if (holder === null) return Result.err(notRun("lease-ended"));
+    const permit = holder.admit(request.key);
+    return typeof permit === "string"
+      ? Result.err(notRun(permit))
+      : Result.ok(permit);
+  }
+
+  async function send(
+    request: ProxyRequest,
+    held: {
+      readonly body: Body;
+      readonly permit: Permit | null;
+      readonly slot: Slot;
+      readonly release: () => void;
+    },
+  ): Promise<Result<ProxyAnswer, Failure>> {
+    const { permit, slot, release } = held;
+    events.record("request-admitted", {
+      request: request.id,
+      rank: request.rank,
+      ...(permit === null ? {} : { slice: permit.slice }),
+    });
+    metrics.count("target_requests_started", rankLabel(request));
+    const startedAt = monotonicNow();
+    const result = await target.send({
+      request,
+      body: held.body,
+      token: permit?.token ?? null,
+      slice: permit?.slice ?? null,
+      leaseEndsAtWall: permit?.leaseEndsAtWall ?? null,
+    });
+    const done = (kind: FinishKind) => {
+      metrics.time("target_duration", monotonicNow() - startedAt);
+      slot.finish(kind);
+      release();
+    };
+    if (result.isErr) {
+      done(result.error.outcome === "not-run" ? "refused" : "failed");
+      return result;
+    }
+    const answer = result.value;
+    finished(answer.body, { writable: false }, (error) => {
+      done(error ? "failed" : "answered");
+    });
+    return Result.ok({ ...answer, load: admission.load() });
+  }
+
+  function refuse(
+    request: ProxyRequest,
+    failure: Failure,
+  ): Result<ProxyAnswer, Failure> {
+    metrics.count("target_requests_refused", {
+      ...rankLabel(request),
+      reason: failure.reason,
+    });
+    events.record("request-refused", {
+      request: request.id,
+      rank: request.rank,
+      reason: failure.reason,
+    });
+    return Result.err(failure);
+  }
+
+  return { serve, running: () => running };
+}
+
+function rankLabel(request: ProxyRequest): { readonly rank: string } {
+  return { rank: String(request.rank) };
+}
--- /dev/null
+++ b/source/tasks/spread_task.ts
@@ -0,0 +1,316 @@
+/**
+ * The task that spreads what all agents are to know: it exchanges records
+ * with one other agent at a time, and so notices which agents are lost.
+ *
+ * @module
+ */
+import {
+  type Address,
+  type Agent,
+  type AgentId,
+  distance,
+  type TargetPhase,
+} from "../core/agent.ts";
+import {
+  agentKey,
+  agentRecord,
+  agentsOf,
+  beginReplica,
+  compareVersions,
+  correction,
+  differingVersions,
+  dropRecords,
+  lossRecord,
+  mergeRecords,
+  recordsOf,
+  type Replica,
+  rootDigest,
+  type SharedRecord,
+  takeNews,
+} from "../core/dissemination/replica.ts";
+import type { KeyHash } from "../core/ownership/table.ts";
+import type { Events } from "../ports/events.ts";
+import type {
+  Comparison,
+  ComparisonReply,
+  Exchange,
+  ExchangeReply,
+  Peers,
+  Transfer,
+} from "../ports/peers.ts";
+import { openMailbox } from "./mailbox.ts";
+import { monotonicNow, pause } from "./time.ts";
+
+/** Durations of spreading. */
+export interface SpreadTimes {
+  readonly exchangeMilliseconds: number;
+  readonly callTimeoutMilliseconds: number;
+}
+
+/** A running spread. */
+export interface SpreadTask {
+  replica(): Replica;
+  /** All agents known, this one and lost ones included. */
+  agents(): readonly Agent[];
+  /** This agent as it last described itself. */
+  self(): Agent;
+  publish(records: readonly SharedRecord[]): void;
+  setPhase(phase: TargetPhase): void;
+  /** Tells that this agent's target belongs to an ownership group. */
+  join(group: string): void;
+  exchange(message: Exchange): ExchangeReply;
+  compare(message: Comparison): ComparisonReply;
+  transfer(message: Transfer): readonly SharedRecord[];
+  /** Tells others at once; resolves after a few exchanges. */
+  hurry(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+const failuresBeforeLoss = 2;
+/** A lost host that does not come back is forgotten after this time. */
+const forgetLostMilliseconds = 600_000;
+/** One exchange in this many goes to an agent held for lost, or to a seed. */
+const outsiderEvery = 8;
+/** One exchange in this many goes to another data centre. */
+const farEvery = 4;
+
+type Message =
+  | { readonly kind: "merge"; readonly records: readonly SharedRecord[] }
+  | { readonly kind: "told"; readonly replica: Replica }
+  | { readonly kind: "describe"; readonly self: Agent };
+
+/** Starts with the record of this agent alone. */
+export function startSpread(options: {
+  readonly agent: Agent;
+  readonly seeds: () => Promise<readonly Address[]>;
+  readonly times: SpreadTimes;
+  readonly peers: Peers;
+  readonly events: Events;
+  readonly hash: KeyHash;
+  readonly random: () => number;
+  readonly onChange: (replica: Replica) => void;
+  readonly fresh: () => boolean;
+  /** Called when an agent that is itself fresh has answered an exchange. */
+  readonly onConfirmed: () => void;
+}): SpreadTask {
+  const { peers, events, hash, random, times } = options;
+  let self = options.agent;
+  let replica = beginReplica();
+  let agents: readonly Agent[] = [];
+  let rounds = 0;
+  let failures: ReadonlyMap<AgentId, number> = new Map();
+  let wake = new AbortController();
+  let stopped = false;
+  let lostSince: ReadonlyMap<AgentId, number> = new Map();
+
+  const mailbox = openMailbox<Message>((message) => {
+    if (message.kind === "told") {
+      replica = message.replica;
+      return;
+    }
+    if (message.kind === "describe") self = message.self;
+    const records = message.kind === "merge"
+      ? message.records
+      : [agentRecord(replica, self)];
+    take(records);
+  });
+
+  function take(records: readonly SharedRecord[]): void {
+    const before = replica;
+    const wanted = records.filter((record) => !isOldLoss(record));
+    replica = mergeRecords(replica, wanted, hash);
+    const corrected = correction(replica, self);
+    if (corrected !== null) {
+      replica = mergeRecords(replica, [corrected], hash);
+      events.record("agent-refuted-loss", { phase: self.phase });
+    }
+    if (replica === before) return;
+    agents = agentsOf(replica);
+    options.onChange(replica);
+  }
+
+  /** A loss of an agent that this one has never known, or has forgotten. */
+  function isOldLoss(record: SharedRecord): boolean {
+    return record.value.kind === "agent" &&
+      record.value.agent.phase === "lost" &&
+      !replica.records.has(record.key);
+  }
+
+  /** Drops agents that have been lost for long. */
+  function forgetLost(): void {
+    const now = monotonicNow();
+    const lost = agents.filter((agent) => agent.phase === "lost");
+    lostSince = new Map(
+      lost.map((agent) => [agent.id, lostSince.get(agent.id) ?? now]),
+    );
+    const old = lost.filter((agent) =>
+      now - (lostSince.get(agent.id) ?? now) > forgetLostMilliseconds
+    );
+    if (old.length === 0) return;
+    const keys = old.map((agent) => agentKey(agent.host));
+    replica = dropRecords(replica, keys, hash);
+    agents = agentsOf(replica);
+    options.onChange(replica);
+  }
+
+  function tellNews(): readonly SharedRecord[] {
+    const told = takeNews(replica);
+    mailbox.send({ kind: "told", replica: told.replica });
+    return told.records;
+  }
+
+  async function exchangeWith(address: Address): Promise<AgentId | null> {
+    const result = await peers.call(address, "exchange", {
+      message: {
+        from: self.id,
+        news: tellNews(),
+        root: rootDigest(replica, hash),
+      },
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    if (result.isErr) return null;
+    const reply = result.value;
+    mailbox.send({ kind: "merge", records: reply.news });
+    if (reply.root !== rootDigest(replica, hash)) await reconcile(address);
+    if (reply.fresh) options.onConfirmed();
+    return reply.id;
+  }
+
+  async function reconcile(address: Address): Promise<void> {
+    const compared = await peers.call(address, "compare", {
+      message: { digests: replica.digests },
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    if (compared.isErr) return;
+    const difference = compareVersions(replica, compared.value, hash);
+    if (difference.offered.length + difference.wanted.length === 0) return;
+    const received = await peers.call(address, "transfer", {
+      message: difference,
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    if (received.isErr) return;
+    mailbox.send({ kind: "merge", records: received.value });
+  }
+
+  async function round(): Promise<void> {
+    rounds += 1;
+    const partner = choosePartner();
+    if (partner === null) {
+      const seeds = await options.seeds();
+      const others = seeds.filter((seed) => seed !== self.peerAddress);
+      const seed = others[Math.floor(random() * others.length)];
+      if (seed !== undefined) await exchangeWith(seed);
+      return;
+    }
+    const answered = await exchangeWith(partner.peerAddress);
+    noteAnswer(partner, answered);
+  }
+
+  function choosePartner(): Agent | null {
+    const others = agents.filter((agent) => agent.host !== self.host);
+    const living = others.filter((agent) => agent.phase !== "lost");
+    if (rounds % outsiderEvery === 0 && living.length < others.length) {
+      return pick(others.filter((agent) => agent.phase === "lost"));
+    }
+    if (living.length === 0) return null;
+    const near = living.filter((agent) =>
+      distance(agent.place, self.place) === 0
+    );
+    const goFar = rounds % farEvery === 0 || near.length === 0;
+    return pick(goFar ? living : near);
+  }
+
+  function pick(agents: readonly Agent[]): Agent | null {
+    return agents[Math.floor(random() * agents.length)] ?? null;
+  }
+
+  function noteAnswer(partner: Agent, answered: AgentId | null): void {
+    const next = new Map(failures);
+    if (answered !== null) {
+      next.delete(partner.id);
+      failures = next;
+      return;
+    }
+    const count = (failures.get(partner.id) ?? 0) + 1;
+    next.set(partner.id, count);
+    failures = next;
+    if (count < failuresBeforeLoss) return;
+    const loss = lossRecord(replica, partner.id);
+    if (loss === null) return;
+    events.record("agent-lost", { lost: partner.id, failures: count });
+    mailbox.send({ kind: "merge", records: [loss] });
+  }
+
+  /** A partner that failed once is tried again before any other. */
+  async function retryFailed(): Promise<void> {
+    const failed = agents.find((agent) =>
+      failures.has(agent.id) && agent.phase !== "lost"
+    );
+    if (failed === undefined) return;
+    noteAnswer(failed, await exchangeWith(failed.peerAddress));
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped) {
+      wake = new AbortController();
+      const startedAt = monotonicNow();
+      forgetLost();
+      await retryFailed();
+      await round();
+      const took = monotonicNow() - startedAt;
+      const rest = Math.max(0, times.exchangeMilliseconds - took);
+      await pause(rest * (0.75 + random() / 2), wake.signal);
+    }
+  }
+
+  mailbox.send({ kind: "describe", self });
+  const running = run();
+
+  return {
+    replica: () => replica,
+    agents: () => agents,
+    self: () => self,
+    publish(records) {
+      mailbox.send({ kind: "merge", records });
+      wake.abort();
+    },
+    setPhase(phase) {
+      if (self.phase === phase) return;
+      mailbox.send({ kind: "describe", self: { ...self, phase } });
+      wake.abort();
+    },
+    join(group) {
+      mailbox.send({ kind: "describe", self: { ...self, group } });
+      wake.abort();
+    },
+    exchange(message) {
+      mailbox.send({ kind: "merge", records: message.news });
+      const news = tellNews();
+      const root = rootDigest(replica, hash);
+      return { id: self.id, news, root, fresh: options.fresh() };
+    },
+    compare: ({ digests }) => ({
+      digests: replica.digests,
+      versions: differingVersions(replica, digests, hash),
+    }),
+    transfer({ offered, wanted }) {
+      mailbox.send({ kind: "merge", records: offered });
+      return recordsOf(replica, wanted);
+    },
+    async hurry() {
+      const others = agents.filter((agent) =>
+        agent.host !== self.host && agent.phase !== "lost"
+      );
+      const first = others.slice(0, 4);
+      await Promise.all(
+        first.map((agent) => exchangeWith(agent.peerAddress)),
+      );
+    },
+    async stop() {
+      stopped = true;
+      wake.abort();
+      await running;
+      mailbox.close();
+    },
+  };
+}
--- /dev/null
+++ b/source/tasks/time.ts
@@ -0,0 +1,47 @@
+/**
+ * The runtime's clocks and timers, as tasks use them.
+ *
+ * @module
+ */
+import type { Clocks } from "../core/clocks.ts";
+
+/** Both clocks of this host. */
+export function readClocks(): Clocks {
+  return { monotonic: performance.now(), wall: Date.now() };
+}
+
+/** The monotonic clock in milliseconds. */
+export function monotonicNow(): number {
+  return performance.now();
+}
+
+/** Resolves after this time, or at once when the signal is aborted. */
+export function pause(
+  milliseconds: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) return resolve();
+    const done = () => {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", done);
+      resolve();
+    };
+    const timer = setTimeout(done, milliseconds);
+    signal?.addEventListener("abort", done, { once: true });
+  });
+}
+
+/** A timer that can be stopped. */
+export interface Ticker {
+  stop(): void;
+}
+
+/** Calls `tick` again and again, this long after the previous call. */
+export function startTicker(
+  tick: () => void,
+  options: { readonly intervalMilliseconds: number },
+): Ticker {
+  const timer = setInterval(tick, options.intervalMilliseconds);
+  return { stop: () => clearInterval(timer) };
+}
--- /dev/null
+++ b/standins/processes.ts
@@ -0,0 +1,284 @@
+/**
+ * Starts the product and its stand-ins as separate processes on the loopback
+ * address, for the demonstration, sessions and benches.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { createServer } from "node:net";
+import type { Run, TargetBehaviour } from "./target.ts";
+
+/** One target and its agent. */
+export interface MeshTarget {
+  readonly service: string;
+  readonly dataCenter: string;
+  readonly region: string;
+  readonly slots?: number;
+  readonly behaviour?: Partial<TargetBehaviour>;
+}
+
+/** One agent of a mesh, with its processes. */
+export interface MeshAgent {
+  readonly host: string;
+  readonly service: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly targetAddress: string;
+  readonly agentProcess: ChildProcess;
+  readonly targetProcess: ChildProcess;
+  /** Starts the agent anew after its process has ended. */
+  restart(): Promise<MeshAgent>;
+}
+
+/** What a command printed, and its exit code. */
+export interface CommandResult {
+  readonly output: string;
+  readonly code: number;
+}
+
+/** A running mesh. */
+export interface Mesh {
+  readonly storeOrigin: string;
+  readonly agents: readonly MeshAgent[];
+  /** Log lines of all agents so far. */
+  log(): readonly string[];
+  command(words: readonly string[]): Promise<CommandResult>;
+  setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
+  storeCalls(): Promise<Readonly<Record<string, number>>>;
+  behave(agent: MeshAgent, change: Partial<TargetBehaviour>): Promise<void>;
+  runs(): Promise<readonly Run[]>;
+  stop(): Promise<void>;
+}
+
+/** What a mesh is made of. */
+export interface MeshOptions {
+  readonly document: string;
+  readonly targets: readonly MeshTarget[];
+  /** Further flags of each agent. */
+  readonly flags?: readonly string[];
+  /** The program to run as agent; the sources when not stated. */
+  readonly program?: readonly string[];
+}
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+const sources = [process.execPath, "--import", "tsx"];
+const agentProgram = [...sources, "source/programs/main.ts"];
+const readyMilliseconds = 30_000;
+const pollMilliseconds = 50;
+
+/** Starts everything and waits until the document is in force. */
+export async function launchMesh(options: MeshOptions): Promise<Mesh> {
+  const program = options.program ?? agentProgram;
+  const children = new Set<ChildProcess>();
+  const lines: string[] = [];
+
+  function launch(words: readonly string[]): ChildProcess {
+    const [file = "", ...rest] = words;
+    const child = spawn(file, rest, {
+      cwd: root,
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    children.add(child);
+    child.on("exit", () => children.delete(child));
+    for (const stream of [child.stdout, child.stderr]) {
+      stream?.on("data", (data) => {
+        for (const line of String(data).split("\n")) {
+          if (line !== "") lines.push(line);
+        }
+      });
+    }
+    return child;
+  }
+
+  const storePort = await freePort();
+  const storeOrigin = `http://127.0.0.1:${storePort}`;
+  launch([...sources, "standins/run.ts", "store", String(storePort)]);
+  await until(() => answers(`${storeOrigin}/-/calls`));
+
+  async function command(words: readonly string[]): Promise<CommandResult> {
+    const [file = "", ...rest] = [...program, ...words];
+    const child = spawn(file, rest, { cwd: root });
+    let output = "";
+    child.stdout.on("data", (data) => output += String(data));
+    child.stderr.on("data", (data) => output += String(data));
+    const code = await new Promise<number>((resolve) => {
+      child.on("close", (code) => resolve(code ?? 1));
+    });
+    return { output, code };
+  }
+
+  const applied = await command([
+    "document",
+    "apply",
+    options.document,
+    "--store",
+    storeOrigin,
+    "--author",
+    "mesh",
+  ]);
+  if (applied.code !== 0) throw new Error(applied.output);
+
+  async function launchAgent(
+    target: MeshTarget,
+    index: number,
+  ): Promise<MeshAgent> {
+    const host = `${target.service}-${index + 1}`;
+    const [callerPort, peerPort, targetPort] = await Promise.all([
+      freePort(),
+      freePort(),
+      freePort(),
+    ]);
+    const slots = target.slots ?? 8;
+    const behaviour = { slots, ...target.behaviour };
+    const targetProcess = launch([
+      ...sources,
+      "standins/run.ts",
+      "target",
+      host,
+      String(targetPort),
+      JSON.stringify(behaviour),
+    ]);
+    const callerAddress = `127.0.0.1:${callerPort}`;
+    const peerAddress = `127.0.0.1:${peerPort}`;
+    const targetAddress = `127.0.0.1:${targetPort}`;
+    const words = [
+      ...program,
+      "agent",
+      ...["--host", host],
+      ...["--data-center", target.dataCenter],
+      ...["--region", target.region],
+      ...["--service", target.service],
+      ...["--listen", callerAddress],
+      ...["--peer-listen", peerAddress],
+      ...["--target", targetAddress],
+      ...["--slots", String(slots)],
+      ...["--checks-fencing", String(behaviour.checksFencing ?? false)],
+      ...["--store", storeOrigin],
+      ...(options.flags ?? []),
+    ];
+    await until(() => answers(`http://${targetAddress}/health`));
+    const start = async (): Promise<MeshAgent> => {
+      const agentProcess = launch(words);
+      await until(() => answers(`http://${peerAddress}/-/ready`));
+      return {
+        host,
+        service: target.service,
+        callerAddress,
+        peerAddress,
+        targetAddress,
+        agentProcess,
+        targetProcess,
+        restart: start,
+      };
+    };
+    return await start();
+  }
+
+  const agents = await Promise.all(options.targets.map(launchAgent));
+  await until(() => allKeysOwned(agents));
+  return {
+    storeOrigin,
+    agents,
+    log: () => lines,
+    command,
+    async setStoreFaults(faults) {
+      await put(`${storeOrigin}/-/faults`, faults);
+    },
+    async storeCalls() {
+      const answer = await fetch(`${storeOrigin}/-/calls`);
+      return await answer.json() as Record<string, number>;
+    },
+    async behave(agent, change) {
+      await put(`http://${agent.targetAddress}/-/behaviour`, change);
+    },
+    async runs() {
+      const lists = await Promise.all(agents.map(async (agent) => {
+        const answer = await fetch(`http://${agent.targetAddress}/-/runs`);
+        return await answer.json() as Run[];
+      }));
+      return lists.flat();
+    },
+    async stop() {
+      const ended = [...children].map((child) =>
+        new Promise<void>((resolve) => child.on("exit", () => resolve()))
+      );
+      for (const child of children) {
+        child.kill("SIGCONT");
+        child.kill("SIGKILL");
+      }
+      await Promise.all(ended);
+    },
+  };
+}
+
+/** Whether every keyed group's slices have owners, by its agents' state. */
+async function allKeysOwned(agents: readonly MeshAgent[]): Promise<boolean> {
+  const states = await Promise.all(agents.map(stateOf));
+  const groups = new Map<string, number>();
+  for (const state of states) {
+    if (state.group === "") continue;
+    const sum = groups.get(state.group) ?? 0;
+    groups.set(state.group, sum + state.slices);
+  }
+  return [...groups.values()].every((slices) => slices >= 128);
+}
+
+/** What an agent says of itself. */
+export interface AgentState {
+  readonly agent: string;
+  readonly revision: number;
+  readonly fresh: boolean;
+  readonly phase: string;
+  readonly group: string;
+  readonly slices: number;
+  readonly grants: string;
+}
+
+/** Asks an agent for its state. */
+export async function stateOf(agent: MeshAgent): Promise<AgentState> {
+  const answer = await fetch(`http://${agent.peerAddress}/-/state`);
+  return await answer.json() as AgentState;
+}
+
+async function put(url: string, body: unknown): Promise<void> {
+  const answer = await fetch(url, {
+    method: "PUT",
+    body: JSON.stringify(body),
+  });
+  await answer.text();
+}
+
+async function answers(url: string): Promise<boolean> {
+  try {
+    const answer = await fetch(url, { signal: AbortSignal.timeout(1_000) });
+    await answer.text();
+    return answer.ok;
+  } catch {
+    return false;
+  }
+}
+
+/** Waits until a condition holds; fails after half a minute. */
+export async function until(
+  condition: () => Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + readyMilliseconds;
+  while (!(await condition())) {
+    if (performance.now() > end) throw new Error("the mesh did not get ready");
+    await new Promise((resolve) => setTimeout(resolve, pollMilliseconds));
+  }
+}
+
+function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" ? address?.port ?? 0 : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
