Coordination as one embeddable part, proved with fakes at its ports

The wiring of membership, document and ownership moves out of the program into a coordinator that knows its surroundings by ports. Tests run six of them on a paused clock with cuts, losses, store outages and lost store replies.

Causes found by these tests, each failing first: - grantor lost: keys without owner for 300 ms. A holder asked the lost grantor itself to find a grantor, and the successor waited for its seal. Now the unreachable one is left out and not asked again: gap 0 ms. - region cut with the store outside: 40 of 128 slices stayed unserved after healing (and would have until the old delegation ended, 10 minutes), though every server had been heard. Now a grantor gives a lost server's slices on only after a write that drops that server from the roster, so a server still in the roster keeps what it has not released, lease ended or not, and the last silent server to be heard frees the rest. Ruled out: shorter delegations, since they would end service in a long outage of the store.

--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import { Result } from "true-myth";
 import type { Configuration } from "../core/document/document.ts";
@@ -35,7 +35,7 @@
 export interface Front {
   readonly server: Server;
   readonly port: number;
-  /** Takes no new connections, and closes each after its current answer. */
+  /** Takes no new connections, and closes each after its next answer. */
   drain(): void;
   close(): void;
 }
@@ -149,7 +149,9 @@
         port,
         drain() {
           draining = true;
-          server.closeIdleConnections();
+          // The HTTP server's own close would break idle connections, on
+          // which a caller may be sending its next request.
+          NetServer.prototype.close.call(server);
         },
         close() {
           server.close();
--- a/source/core/document/document.ts
+++ b/source/core/document/document.ts
@@ -385,3 +385,12 @@
 
 /** The configuration before any document was accepted. */
 export const emptyConfiguration: Configuration = configurationOf(0, []);
+
+/** The service of this name; null when the configuration has none. */
+export function serviceNamed(
+  configuration: Configuration,
+  name: string,
+): Service | null {
+  return configuration.services.find((service) => service.name === name) ??
+    null;
+}
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -12,8 +12,10 @@
 }
 
 /**
- * Invariant: a grantor grants only to servers in the stored roster. A
- * successor that has heard from all of them therefore knows every grant.
+ * Invariants: a grantor grants only to servers in the stored roster, and gives
+ * a lost server's slices on only after a write that drops it from there. So a
+ * successor that has heard from the whole roster knows every grant, and what
+ * one of them has not released is still its own.
  */
 export interface Delegation {
   readonly group: string;
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -182,19 +182,32 @@
  */
 function restoreReported(state: GrantorState, renewal: Renewal): GrantorState {
   const reported = new Set(renewal.held.map((grant) => grant.slice));
+  const firstHeard = state.unheard.has(renewal.id);
   let sequence = state.sequence;
-  let changed = false;
   const slices = state.slices.map((slice, index): Slice => {
     if (slice.kind !== "reserved") return slice;
     const mine = slice.owner === renewal.id;
-    const unheard = slice.owner === null && reported.has(index);
-    if (!mine && !unheard) return slice;
-    changed = true;
+    const found = firstHeard && slice.owner === null && reported.has(index);
+    if (!mine && !found) return slice;
     sequence += 1;
     const token = { epoch: state.epoch, sequence };
     return { kind: "held", owner: renewal.id, token };
   });
-  return changed ? { ...state, slices, sequence } : state;
+  const restored = sequence === state.sequence
+    ? state
+    : { ...state, slices, sequence };
+  return firstHeard ? noteHeard(restored, renewal.id) : restored;
+}
+
+/** Once all are heard, what nobody reported is nobody's. */
+function noteHeard(state: GrantorState, id: AgentId): GrantorState {
+  const unheard = new Set(state.unheard);
+  unheard.delete(id);
+  if (unheard.size > 0) return { ...state, unheard };
+  const slices = state.slices.map((slice): Slice =>
+    slice.kind === "reserved" && slice.owner === null ? { kind: "free" } : slice
+  );
+  return { ...state, unheard, slices };
 }
 
 function acceptReleases(state: GrantorState, renewal: Renewal): GrantorState {
@@ -403,7 +416,7 @@
   if (state.writing !== null || !needsCheckpoint(state, now)) {
     return { state, effects: [] };
   }
-  const roster = nextRoster(state);
+  const roster = nextRoster(state, now.monotonic);
   return {
     state: { ...state, writing: roster },
     effects: [{ kind: "writeCheckpoint", roster }],
@@ -425,28 +438,44 @@
 }
 
 /** Applicants join; a server stays while a slice may still be with it. */
-function nextRoster(state: GrantorState): readonly RosterEntry[] {
+function nextRoster(
+  state: GrantorState,
+  now: number,
+): readonly RosterEntry[] {
   const needed = new Set<AgentId>(state.holders.keys());
-  let unheard = false;
   for (const slice of state.slices) {
-    if (slice.kind !== "reserved") continue;
-    if (slice.owner === null) unheard = true;
-    else needed.add(slice.owner);
+    if (slice.kind !== "reserved" || slice.availableAt <= now) continue;
+    if (slice.owner !== null) needed.add(slice.owner);
+    else for (const id of state.unheard) needed.add(id);
   }
-  const kept = state.roster.filter((entry) => unheard || needed.has(entry.id));
+  const kept = state.roster.filter((entry) => needed.has(entry.id));
   return [...kept, ...state.applicants];
 }
 
+/** Whether a write that drops these servers makes the slice free. */
+function freedBy(
+  slice: Slice,
+  write: {
+    readonly askedAt: number;
+    readonly roster: readonly RosterEntry[];
+  },
+): boolean {
+  if (slice.kind !== "reserved" || slice.availableAt > write.askedAt) {
+    return false;
+  }
+  return slice.owner === null || !inRoster(write.roster, slice.owner);
+}
+
 function confirm(
   state: GrantorState,
   askedAt: Clocks,
 ): Transition<GrantorState, GrantorEffect> {
   const roster = state.writing ?? state.roster;
-  const slices = state.slices.map((slice): Slice => {
-    const surelyEnded = slice.kind === "reserved" &&
-      slice.availableAt <= askedAt.monotonic;
-    return surelyEnded ? { kind: "free" } : slice;
-  });
+  const write = { askedAt: askedAt.monotonic, roster };
+  const slices = state.slices.map((slice): Slice =>
+    freedBy(slice, write) ? { kind: "free" } : slice
+  );
+  const unheard = [...state.unheard].filter((id) => inRoster(roster, id));
   const newcomers = state.applicants.filter((entry) =>
     inRoster(roster, entry.id)
   );
@@ -454,6 +483,7 @@
     ...state,
     slices,
     roster,
+    unheard: new Set(unheard),
     writing: null,
     applicants: state.applicants.filter((entry) => !inRoster(roster, entry.id)),
     delegationEndsAt: delegationEnd(askedAt, state.settings),
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -68,6 +68,8 @@
   /** Servers that asked to join and wait for the roster to be stored. */
   readonly applicants: readonly RosterEntry[];
   readonly holders: ReadonlyMap<AgentId, Holder>;
+  /** Servers of the former grantor that this one has not heard from yet. */
+  readonly unheard: ReadonlySet<AgentId>;
   readonly slices: readonly Slice[];
   readonly isolatedKeys: readonly IsolatedKey[];
   readonly loads: ReadonlyMap<number, number>;
--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -122,9 +122,11 @@
   return { kind: "owned", token: held.token };
 }
 
-/** The grants that a holder reports: those that its lease still covers. */
-export function heldGrants(state: HolderState, now: Clocks): readonly Grant[] {
-  if (!leaseHolds(state, now)) return [];
+/**
+ * The grants that a holder reports: all that it has not released, even when
+ * its lease has ended. Whether they may be had again is the grantor's to say.
+ */
+export function heldGrants(state: HolderState): readonly Grant[] {
   return [...state.slices].map(([slice, held]) => ({
     slice,
     token: held.token,
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -213,7 +213,7 @@
       weight: 1,
       checksFencing: false,
       leaving: server.leaving,
-      held: heldGrants(server.state, askedAt),
+      held: heldGrants(server.state),
       released: server.state.released,
       tableVersion: server.state.table.version,
       sliceLoads: [],
@@ -283,7 +283,7 @@
       server.grantor = move.grantor;
       return [{
         id: entry.id,
-        held: heldGrants(server.state, this.clocks(server)),
+        held: heldGrants(server.state),
         weight: 1,
         checksFencing: false,
         leaving: server.leaving,
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -55,6 +55,7 @@
     roster: takeover.roster,
     applicants: [],
     holders,
+    unheard: unheardOf(takeover),
     slices,
     isolatedKeys: takeover.isolatedKeys,
     loads: new Map(),
@@ -93,7 +94,7 @@
     newest = { owner: answer.id, token: grant.token };
   }
   if (newest !== null) return { kind: "held", ...newest };
-  if (everybodyAnswered(takeover)) return { kind: "free" };
+  if (unheardOf(takeover).size === 0) return { kind: "free" };
   return {
     kind: "reserved",
     owner: null,
@@ -102,9 +103,10 @@
   };
 }
 
-function everybodyAnswered(takeover: Takeover): boolean {
+function unheardOf(takeover: Takeover): ReadonlySet<AgentId> {
   const answered = new Set(takeover.answers.map((answer) => answer.id));
-  return takeover.roster.every((entry) => answered.has(entry.id));
+  const ids = takeover.roster.map((entry) => entry.id);
+  return new Set(ids.filter((id) => !answered.has(id)));
 }
 
 function unheardGrantsEndAt(takeover: Takeover): number {
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -6,7 +6,11 @@
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import { hashText } from "../adapters/hashing.ts";
-import { type Front, openFront } from "../adapters/http_front.ts";
+import {
+  type Front,
+  type HandleRequest,
+  openFront,
+} from "../adapters/http_front.ts";
 import { openLog } from "../adapters/log.ts";
 import { startLogicalClock } from "../adapters/logical_clock.ts";
 import { startMetrics } from "../adapters/metrics.ts";
@@ -18,37 +22,25 @@
 import { readDocument } from "../adapters/yaml_document.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import type { Agent } from "../core/agent.ts";
-import { assembleConfiguration } from "../core/document/assembly.ts";
 import {
   type Configuration,
   emptyConfiguration,
-  type Service,
+  serviceNamed,
 } from "../core/document/document.ts";
+import { notRun } from "../core/request/outcome.ts";
+import type { Target } from "../ports/upstream.ts";
+import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
 import {
-  beginFreshness,
-  confirmFreshness,
-  isFresh,
-} from "../core/document/freshness.ts";
-import type { Replica } from "../core/dissemination/replica.ts";
-import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
-import {
-  grantorCandidates,
-  groupOfHost,
-} from "../core/ownership/membership.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
-import { mainObject } from "../ports/store.ts";
-import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
-import { startAdmission } from "../tasks/admission_task.ts";
-import { takeCensus } from "../tasks/census_task.ts";
-import { isWatcher, startDocument } from "../tasks/document_task.ts";
-import { startEntry } from "../tasks/entry_task.ts";
-import { startGrantors } from "../tasks/grantors_task.ts";
-import { type HolderTask, startHolder } from "../tasks/holder_task.ts";
-import { startServing } from "../tasks/serve_task.ts";
-import { startSpread } from "../tasks/spread_task.ts";
-import { monotonicNow, readClocks, startTicker } from "../tasks/time.ts";
+  type Coordinator,
+  type CoordinatorTimes,
+  startCoordinator,
+} from "../tasks/coordinator.ts";
+import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
+import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { startTargetWatch } from "../tasks/target_watch_task.ts";
+import { monotonicNow } from "../tasks/time.ts";
+import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
-import { peerMethods } from "./peer_methods.ts";
 import type { AgentSettings } from "./settings.ts";
 import { drain } from "./stop.ts";
 
@@ -62,23 +54,18 @@
 
 const tickMilliseconds = 100;
 const admissionTickMilliseconds = 10;
-const healthMilliseconds = 300;
-const healthTimeoutMilliseconds = 250;
-const failuresBeforeLeaving = 2;
 const watchMilliseconds = 30_000;
 const storeRetryMilliseconds = 500;
 const censusMilliseconds = 9_000;
 const censusTimeoutMilliseconds = 1_500;
+const relocationMilliseconds = 2_000;
 /** The target for a configuration to be in force everywhere. */
 const freshnessMilliseconds = 9_000;
-/** Slices of a leaving target that nobody takes are served this long. */
-const evacuationMilliseconds = 1_500;
-const relocationMilliseconds = 2_000;
-const movesAtOnce = 8;
-const isolatedKeysPerGroup = 32;
+const healthTimeoutMilliseconds = 250;
 const connectTimeoutMilliseconds = 300;
 const idleMilliseconds = 4_000;
 const connectionsPerAgent = 64;
+const queueBeforeConfiguration = 64;
 
 const retries = {
   earnedByRequest: 0.1,
@@ -87,21 +74,19 @@
   longestDelayMilliseconds: 200,
 };
 
-/** Starts an agent; fails with a fault in plain words. */
-export async function startAgent(
+/** What every part of an agent reports to or calls through. */
+function openOutside(
   settings: AgentSettings,
-  options: { readonly writeLog: (line: string) => void },
-): Promise<Result<RunningAgent, string>> {
-  const incarnation = Date.now();
-  const id = `${settings.host}/${incarnation.toString(36)}`;
+  options: { readonly id: string; readonly writeLog: (line: string) => void },
+) {
   const clock = startLogicalClock();
   const metrics = startMetrics();
   const log = openLog({
-    agent: id,
+    agent: options.id,
     level: settings.logLevel,
     write: options.writeLog,
   });
-  const events = startTimeline({ agent: id, clock, log });
+  const events = startTimeline({ agent: options.id, clock, log });
   const peers = connectPeers({ clock, metrics });
   const store = openStore({
     origin: settings.store,
@@ -127,87 +112,44 @@
     now: monotonicNow,
     clock: () => clock.next(),
   });
+  return { clock, metrics, events, peers, store, target, forwarder };
+}
 
-  let configuration: Configuration = emptyConfiguration;
-  let freshness = beginFreshness(freshnessMilliseconds);
-  let holder: HolderTask | null = null;
-  let leavingSince: number | null = null;
-  let stopping = false;
-
-  const fresh = () => isFresh(freshness, readClocks());
-  const confirmed = () => {
-    if (!fresh()) events.record("configuration-fresh");
-    freshness = confirmFreshness(freshness, readClocks());
-  };
-
-  type Serve = (
-    request: ProxyRequest,
-    options: { readonly body: Body },
-  ) => Promise<Result<ProxyAnswer, Failure>>;
-  let enter: Serve | null = null;
-  let serveHere: Serve | null = null;
+type Outside = ReturnType<typeof openOutside>;
 
-  /** Hands on a request, unless this agent's configuration may be old. */
-  async function guarded(
-    serve: Serve | null,
-    request: ProxyRequest,
-    body: Body,
-  ): Promise<Result<ProxyAnswer, Failure>> {
-    if (serve === null || !fresh()) {
-      events.record("configuration-stale", { request: request.id });
-      return Result.err(notRun("configuration-stale"));
-    }
-    return await serve(request, { body });
-  }
+/** The parts that exist once the listeners' ports are known. */
+interface Inside {
+  readonly coordinator: Coordinator;
+  readonly admission: AdmissionTask;
+  readonly serve: ServeTask;
+  readonly entry: EntryTask;
+}
 
-  const pages = operatorPages({
-    metrics,
-    ready: () => fresh() && configuration.revision > 0 && !stopping,
-    describe: () => ({
-      agent: id,
-      revision: configuration.revision,
-      fresh: fresh(),
-      phase: spread.self().phase,
-      group: spread.self().group ?? "",
-      slices: holder?.heldSlices() ?? 0,
-      grants: grantors.groups().join(","),
-    }),
-  });
-  const front = {
-    configuration: () => configuration,
-    now: monotonicNow,
-    onClock: (time: number) => clock.observe(time),
-    longestHeaderBytes: settings.longestHeaders,
-  };
-  const callers = await openFront({
-    ...front,
-    ...settings.listen,
-    kind: "callers",
-    pages: new Map(),
-    handle: (request, { body }) => observed(request, body),
-  });
-  if (callers.isErr) {
-    return Result.err(`can't listen for callers: ${callers.error}`);
-  }
-  const agents = await openFront({
-    ...front,
-    ...settings.peerListen,
-    kind: "agents",
-    pages,
-    handle: (request, { body }) => guarded(serveHere, request, body),
+/** Starts an agent; fails with a fault in plain words. */
+export async function startAgent(
+  settings: AgentSettings,
+  options: { readonly writeLog: (line: string) => void },
+): Promise<Result<RunningAgent, string>> {
+  const incarnation = Date.now();
+  const id = `${settings.host}/${incarnation.toString(36)}`;
+  const outside = openOutside(settings, { ...options, id });
+  let inside: Inside | null = null;
+  const fronts = await openFronts(settings, {
+    outside,
+    inside: () => inside,
+    id,
   });
-  if (agents.isErr) {
-    callers.value.close();
-    return Result.err(`can't listen for agents: ${agents.error}`);
+  if (fronts.isErr) {
+    await closeOutside(outside);
+    return Result.err(fronts.error);
   }
-
-  const callerFront = callers.value;
+  const { callers, agents } = fronts.value;
   const agent: Agent = {
     id,
     host: settings.host,
     incarnation,
-    callerAddress: addressOf(settings.listen.host, callers.value),
-    peerAddress: addressOf(settings.peerListen.host, agents.value),
+    callerAddress: addressOf(settings.listen.host, callers),
+    peerAddress: addressOf(settings.peerListen.host, agents),
     place: { dataCenter: settings.dataCenter, region: settings.region },
     service: settings.service,
     group: null,
@@ -215,154 +157,173 @@
     checksFencing: settings.checksFencing,
     phase: "serving",
   };
-  events.record("agent-started", {
+  outside.events.record("agent-started", {
     callers: agent.callerAddress,
     peers: agent.peerAddress,
     service: agent.service,
     dataCenter: agent.place.dataCenter,
   });
+  const watch = startTargetWatch({
+    target: outside.target,
+    events: outside.events,
+    onChange: (leaving) => inside?.coordinator.setLeaving(leaving),
+  });
+  const started = startInside(settings, {
+    outside,
+    agent,
+    accepts: watch.accepts,
+  });
+  inside = started;
+  const peerServer = servePeers({
+    server: agents.server,
+    methods: started.coordinator.methods,
+    clock: outside.clock,
+  });
 
-  async function observed(
-    request: ProxyRequest,
-    body: Body,
-  ): Promise<Result<ProxyAnswer, Failure>> {
-    const startedAt = monotonicNow();
-    const rank = configuration.ranks[request.rank]?.name ?? "";
-    metrics.count("requests_entered", { rank });
-    events.record("request-entered", {
-      request: request.id,
-      service: request.service,
-      rank,
-      ...(request.key === null ? {} : { key: request.key }),
+  async function stop(): Promise<void> {
+    outside.events.record("agent-stopping");
+    watch.leave();
+    await started.coordinator.beginStop();
+    await drain({ ...started, callers }, {
+      timeoutMilliseconds: settings.drainTimeout,
     });
-    const result = await guarded(enter, request, body);
-    metrics.time("request_duration", monotonicNow() - startedAt, { rank });
-    if (result.isOk) {
-      metrics.count("requests_answered", { rank });
-      events.record("request-answered", {
-        request: request.id,
-        status: result.value.status,
-      });
-      return result;
-    }
-    const { outcome, reason } = result.error;
-    const counter = outcome === "not-run"
-      ? "requests_not_run"
-      : "requests_unknown";
-    metrics.count(counter, { rank, reason });
-    events.record("request-failed", { request: request.id, outcome, reason });
-    return result;
+    outside.events.record("agent-stopped");
+    await started.coordinator.stop();
+    started.admission.stop();
+    callers.close();
+    peerServer.close();
+    agents.close();
+    await closeOutside(outside);
   }
 
-  const spread = startSpread({
-    agent,
-    seeds: findSeeds,
-    times: {
-      exchangeMilliseconds: settings.exchange,
-      callTimeoutMilliseconds: settings.callTimeout,
-    },
-    peers,
-    events,
-    hash: hashText,
-    random: Math.random,
-    onChange: applyRecords,
-    fresh,
-    onConfirmed: confirmed,
+  return Result.ok({
+    callerAddress: agent.callerAddress,
+    peerAddress: agent.peerAddress,
+    stop,
   });
+}
 
-  async function findSeeds(): Promise<readonly string[]> {
-    if (settings.seeds.length > 0) return settings.seeds;
-    const stored = await store.seeds.read(mainObject);
-    return stored.isOk ? stored.value?.value.addresses ?? [] : [];
+/** Opens both listeners; requests are refused until the inside exists. */
+async function openFronts(
+  settings: AgentSettings,
+  options: {
+    readonly outside: Outside;
+    readonly inside: () => Inside | null;
+    readonly id: string;
+  },
+): Promise<
+  Result<{ readonly callers: Front; readonly agents: Front }, string>
+> {
+  const { outside, inside } = options;
+  const configuration = () =>
+    inside()?.coordinator.configuration() ?? emptyConfiguration;
+  const common = {
+    configuration,
+    now: monotonicNow,
+    onClock: (time: number) => outside.clock.observe(time),
+    longestHeaderBytes: settings.longestHeaders,
+  };
+  const enter: HandleRequest = (request, { body }) =>
+    guarded(outside, inside())?.entry.handle(request, { body }) ?? stale();
+  const callers = await openFront({
+    ...common,
+    ...settings.listen,
+    kind: "callers",
+    pages: new Map(),
+    handle: observeRequests(enter, { ...outside, configuration }),
+  });
+  if (callers.isErr) {
+    return Result.err(`can't listen for callers: ${callers.error}`);
   }
-
-  const admission = startAdmission({
-    settings: admissionSettings(settings, configuration),
-    tickMilliseconds: admissionTickMilliseconds,
+  const agents = await openFront({
+    ...common,
+    ...settings.peerListen,
+    kind: "agents",
+    pages: operatorPages({
+      metrics: outside.metrics,
+      ready: () =>
+        inside()?.coordinator.fresh() === true &&
+        configuration().revision > 0,
+      describe: () => describeAgent(options.id, inside()),
+    }),
+    handle: (request, { body }) =>
+      guarded(outside, inside())?.serve.serve(request, { body }) ?? stale(),
   });
-
-  function applyRecords(replica: Replica): void {
-    const next = assembleConfiguration(replica, configuration);
-    if (next === null) return;
-    configuration = next;
-    events.record("revision-applied", { revision: next.revision });
-    admission.configure(admissionSettings(settings, next));
-    const service = serviceNamed(next, settings.service);
-    if (service !== null && holder === null) holder = beginHolding(service);
+  if (agents.isErr) {
+    callers.value.close();
+    return Result.err(`can't listen for agents: ${agents.error}`);
   }
+  return Result.ok({ callers: callers.value, agents: agents.value });
+}
 
-  function beginHolding(service: Service): HolderTask | null {
-    if (service.keys === null || stopping) return null;
-    const group = groupOfHost(settings.host, {
-      service: service.name,
-      groups: service.keys.groups,
-      hash: hashText,
-    });
-    spread.join(group);
-    return startHolder({
-      agent: { ...agent, group },
-      times: {
-        renewalMilliseconds: settings.renewal,
-        retryMilliseconds: Math.ceil(settings.renewal / 4),
-        callTimeoutMilliseconds: settings.callTimeout,
-        marginMilliseconds: settings.margin,
-      },
-      peers,
-      events,
-      hash: hashText,
-      candidates: () => ({
-        members: spread.agents()
-          .filter((other) => other.group === group && other.id !== id)
-          .filter((other) => other.phase !== "lost")
-          .map((other) => other.peerAddress),
-        grantors: candidatesFor(group),
-      }),
-    });
-  }
+/** The parts that serve, unless this agent's configuration may be old. */
+function guarded(outside: Outside, inside: Inside | null): Inside | null {
+  if (inside !== null && inside.coordinator.fresh()) return inside;
+  outside.events.record("configuration-stale");
+  return null;
+}
 
-  function candidatesFor(group: string): readonly string[] {
-    return grantorCandidates(group, {
-      agents: spread.agents(),
-      hash: hashText,
-    });
-  }
+function stale(): ReturnType<HandleRequest> {
+  return Promise.resolve(Result.err(notRun("configuration-stale")));
+}
 
-  const grantors = startGrantors({
+function describeAgent(id: string, inside: Inside | null) {
+  const coordinator = inside?.coordinator;
+  const self = coordinator?.spread.self();
+  return {
+    agent: id,
+    revision: coordinator?.configuration().revision ?? 0,
+    fresh: coordinator?.fresh() ?? false,
+    phase: self?.phase ?? "starting",
+    group: self?.group ?? "",
+    slices: coordinator?.holder()?.heldSlices() ?? 0,
+    grants: coordinator?.grantors.groups().join(",") ?? "",
+  };
+}
+
+function startInside(
+  settings: AgentSettings,
+  options: {
+    readonly outside: Outside;
+    readonly agent: Agent;
+    readonly accepts: (work: { readonly keyed: boolean }) => boolean;
+  },
+): Inside {
+  const { outside, agent } = options;
+  const { events, metrics, peers, store, target, forwarder } = outside;
+  const admission = startAdmission({
+    settings: admissionSettings(settings, emptyConfiguration),
+    tickMilliseconds: admissionTickMilliseconds,
+  });
+  const coordinator = startCoordinator({
     agent,
-    times: {
-      tickMilliseconds,
-      callTimeoutMilliseconds: settings.callTimeout,
-      storeRetryMilliseconds,
-    },
-    delegations: store.delegations,
+    seeds: settings.seeds,
+    times: coordinatorTimes(settings),
+    store,
     peers,
     events,
+    hash: hashText,
+    random: Math.random,
     newMark: randomUUID,
-    settingsOf: (group) => grantorSettings(group, { settings, configuration }),
-    successors: (group) =>
-      candidatesFor(group).filter((address) => address !== agent.peerAddress),
+    readDocument,
+    eventsAfter: (time) => events.after(time),
+    onConfiguration: (configuration) =>
+      admission.configure(admissionSettings(settings, configuration)),
   });
-
   const serve = startServing({
     service: settings.service,
-    holder: () => holder,
+    holder: coordinator.holder,
     admission,
-    accepts: ({ keyed }) => {
-      if (leavingSince === null) return true;
-      return keyed && monotonicNow() - leavingSince < evacuationMilliseconds;
-    },
-    target,
+    accepts: options.accepts,
+    target: target satisfies Target,
     events,
     metrics,
   });
-
   const entry = startEntry({
     agent,
-    agents: () => spread.agents(),
-    configuration: () => configuration,
-    localTable: (group) =>
-      grantors.table(group) ??
-        (spread.self().group === group ? holder?.table() ?? null : null),
+    agents: () => coordinator.spread.agents(),
+    configuration: coordinator.configuration,
+    localTable: coordinator.table,
     serve,
     forwarder,
     peers,
@@ -372,122 +333,17 @@
     random: Math.random,
     retries,
   });
+  return { coordinator, admission, serve, entry };
+}
 
-  const census = (addresses: readonly string[] | null) =>
-    takeCensus({
-      own: {
-        host: settings.host,
-        revision: configuration.revision,
-        fresh: fresh(),
-      },
-      addresses: addresses ??
-        spread.agents().filter((other) => other.id !== id)
-          .map((other) => other.peerAddress),
-      peers,
-      hostOf: (address) =>
-        spread.agents().find((other) => other.peerAddress === address)?.host ??
-          address,
-      timeoutMilliseconds: censusTimeoutMilliseconds,
-    });
-
-  const document = startDocument({
-    store,
-    times: { watchMilliseconds, storeRetryMilliseconds, censusMilliseconds },
-    events,
-    read: readDocument,
-    watches: () => isWatcher(agent, spread.agents(), hashText),
-    publish: (records) => spread.publish(records),
-    onConfirmed: confirmed,
-    census: () => census(null),
-    seeds: () =>
-      spread.agents()
-        .filter((other) => other.phase === "serving")
-        .filter((other) => isWatcher(other, spread.agents(), hashText))
-        .map((other) => other.peerAddress)
-        .sort(),
-  });
-
-  const peerServer = servePeers({
-    server: agents.value.server,
-    methods: peerMethods({
-      spread,
-      grantors,
-      holder: () => holder,
-      census,
-      eventsAfter: (time) => events.after(time),
-    }),
-    clock,
-  });
-  enter = entry.handle;
-  serveHere = serve.serve;
-
-  const relocation = startTicker(relocateGrantors, {
-    intervalMilliseconds: relocationMilliseconds,
-  });
-
-  /** A grantor beside a server of its own group would be lost with it. */
-  function relocateGrantors(): void {
-    for (const group of grantors.groups()) {
-      const best = spread.agents().find((other) =>
-        other.peerAddress === candidatesFor(group)[0]
-      );
-      const beside = spread.self().group === group;
-      if (beside && best !== undefined && best.group !== group) {
-        void grantors.relocate(group);
-      }
-    }
-  }
-
-  let healthFailures = 0;
-  const health = startTicker(() => void checkHealth(), {
-    intervalMilliseconds: healthMilliseconds,
-  });
-
-  async function checkHealth(): Promise<void> {
-    const report = await target.health();
-    if (stopping) return;
-    healthFailures = report === null ? healthFailures + 1 : 0;
-    if (healthFailures > 0 && healthFailures < failuresBeforeLeaving) return;
-    setLeaving(report === null || report.phase === "leaving");
-  }
-
-  function setLeaving(leaving: boolean): void {
-    if (leaving === (leavingSince !== null)) return;
-    leavingSince = leaving ? monotonicNow() : null;
-    events.record("target-phase", { phase: leaving ? "leaving" : "serving" });
-    holder?.setLeaving(leaving);
-    spread.setPhase(leaving ? "leaving" : "serving");
-  }
-
-  async function stop(): Promise<void> {
-    if (stopping) return;
-    stopping = true;
-    health.stop();
-    relocation.stop();
-    events.record("agent-stopping");
-    setLeaving(true);
-    await document.stop();
-    await drain(
-      { spread, grantors, holder, serve, entry, callers: callerFront },
-      { timeoutMilliseconds: settings.drainTimeout },
-    );
-    events.record("agent-stopped");
-    await holder?.stop();
-    await grantors.stop();
-    await spread.stop();
-    admission.stop();
-    callers.map((front) => front.close());
-    peerServer.close();
-    agents.map((front) => front.close());
-    await Promise.all([peers.close(), store.close(), forwarder.close()]);
-    await target.close();
-  }
-
-  return Result.ok({
-    callerAddress: agent.callerAddress,
-    peerAddress: agent.peerAddress,
-    stop,
-  });
+async function closeOutside(outside: Outside): Promise<void> {
+  const { peers, store, forwarder, target } = outside;
+  await Promise.all([
+    peers.close(),
+    store.close(),
+    forwarder.close(),
+    target.close(),
+  ]);
 }
 
 function addressOf(host: string, front: Front): string {
@@ -496,16 +352,33 @@
     : `${host}:${front.port}`;
 }
 
-function serviceNamed(
-  configuration: Configuration,
-  name: string,
-): Service | null {
-  return configuration.services.find((service) => service.name === name) ??
-    null;
+function coordinatorTimes(settings: AgentSettings): CoordinatorTimes {
+  const callTimeoutMilliseconds = settings.callTimeout;
+  return {
+    holder: {
+      renewalMilliseconds: settings.renewal,
+      retryMilliseconds: Math.ceil(settings.renewal / 4),
+      callTimeoutMilliseconds,
+      marginMilliseconds: settings.margin,
+    },
+    grantor: {
+      tickMilliseconds,
+      callTimeoutMilliseconds,
+      storeRetryMilliseconds,
+    },
+    spread: {
+      exchangeMilliseconds: settings.exchange,
+      callTimeoutMilliseconds,
+    },
+    document: { watchMilliseconds, storeRetryMilliseconds, censusMilliseconds },
+    leaseMilliseconds: settings.lease,
+    delegationMilliseconds: settings.delegation,
+    relocationMilliseconds,
+    censusTimeoutMilliseconds,
+    freshnessMilliseconds,
+  };
 }
 
-const queueBeforeConfiguration = 64;
-
 function admissionSettings(
   settings: AgentSettings,
   configuration: Configuration,
@@ -519,25 +392,3 @@
     queueLength: service?.queueLength ?? queueBeforeConfiguration,
   };
 }
-
-function grantorSettings(
-  group: string,
-  options: {
-    readonly settings: AgentSettings;
-    readonly configuration: Configuration;
-  },
-): GrantorSettings | null {
-  const { settings, configuration } = options;
-  const service = configuration.services.find((service) =>
-    group.startsWith(`${service.name}.`)
-  );
-  if (service === undefined || service.keys === null) return null;
-  return {
-    leaseMilliseconds: settings.lease,
-    longestDeadlineMilliseconds: service.longestDeadlineMilliseconds,
-    hashedSlices: service.keys.slicesPerGroup,
-    movesAtOnce,
-    isolatedKeys: isolatedKeysPerGroup,
-    delegationMilliseconds: settings.delegation,
-  };
-}
--- /dev/null
+++ b/source/programs/observe.ts
@@ -0,0 +1,67 @@
+/**
+ * Counts, times and records each request that enters at an agent.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+import type { HandleRequest } from "../adapters/http_front.ts";
+import type { Configuration } from "../core/document/document.ts";
+import type { Failure } from "../core/request/outcome.ts";
+import type { Events } from "../ports/events.ts";
+import type { Metrics } from "../ports/metrics.ts";
+import type { ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+import { monotonicNow } from "../tasks/time.ts";
+
+/** Wraps a handler so that every request leaves its traces. */
+export function observeRequests(
+  handle: HandleRequest,
+  options: {
+    readonly events: Events;
+    readonly metrics: Metrics;
+    readonly configuration: () => Configuration;
+  },
+): HandleRequest {
+  const { events, metrics } = options;
+
+  function noteEntry(request: ProxyRequest, rank: string): void {
+    metrics.count("requests_entered", { rank });
+    events.record("request-entered", {
+      request: request.id,
+      service: request.service,
+      rank,
+      ...(request.key === null ? {} : { key: request.key }),
+    });
+  }
+
+  function noteEnd(
+    request: ProxyRequest,
+    end: {
+      readonly rank: string;
+      readonly result: Result<ProxyAnswer, Failure>;
+    },
+  ): void {
+    const { rank, result } = end;
+    if (result.isOk) {
+      const { status } = result.value;
+      metrics.count("requests_answered", { rank });
+      events.record("request-answered", { request: request.id, status });
+      return;
+    }
+    const { outcome, reason } = result.error;
+    const counter = outcome === "not-run"
+      ? "requests_not_run"
+      : "requests_unknown";
+    metrics.count(counter, { rank, reason });
+    events.record("request-failed", { request: request.id, outcome, reason });
+  }
+
+  return async (request, { body }) => {
+    const startedAt = monotonicNow();
+    const rank = options.configuration().ranks[request.rank]?.name ?? "";
+    noteEntry(request, rank);
+    const result = await handle(request, { body });
+    metrics.time("request_duration", monotonicNow() - startedAt, { rank });
+    noteEnd(request, { rank, result });
+    return result;
+  };
+}
--- a/source/programs/settings.ts
+++ b/source/programs/settings.ts
@@ -184,7 +184,7 @@
     "callTimeout",
     "duration",
     "longest wait for another agent",
-    "400ms",
+    "300ms",
     duration,
   ],
   ["storeTimeout", "duration", "longest wait for the store", "1s", duration],
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -5,18 +5,15 @@
  * @module
  */
 import type { Front } from "../adapters/http_front.ts";
+import type { Coordinator } from "../tasks/coordinator.ts";
 import type { EntryTask } from "../tasks/entry_task.ts";
-import type { GrantorsTask } from "../tasks/grantors_task.ts";
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
-import type { SpreadTask } from "../tasks/spread_task.ts";
 import { monotonicNow, pause } from "../tasks/time.ts";
 
 /** What a planned stop goes through. */
 export interface StoppingParts {
-  readonly spread: SpreadTask;
-  readonly grantors: GrantorsTask;
-  readonly holder: HolderTask | null;
+  readonly coordinator: Coordinator;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
   readonly callers: Front;
@@ -34,19 +31,20 @@
   options: { readonly timeoutMilliseconds: number },
 ): Promise<void> {
   const end = monotonicNow() + options.timeoutMilliseconds;
-  parts.spread.setPhase("leaving");
-  parts.holder?.setLeaving(true);
-  await parts.spread.hurry();
+  const { coordinator } = parts;
+  await coordinator.spread.hurry();
   parts.callers.drain();
   await Promise.all([
-    parts.grantors.handOver(),
-    giveUpSlices(parts, end),
+    coordinator.grantors.handOver(),
+    giveUpSlices(coordinator.holder(), end),
   ]);
   await untilQuiet(parts, end);
 }
 
-async function giveUpSlices(parts: StoppingParts, end: number): Promise<void> {
-  const { holder } = parts;
+async function giveUpSlices(
+  holder: HolderTask | null,
+  end: number,
+): Promise<void> {
   if (holder === null) return;
   const patience = Math.min(end, monotonicNow() + evacuationMilliseconds);
   while (holder.heldSlices() > 0 && monotonicNow() < patience) {
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -65,6 +65,8 @@
   readonly newMark: () => string;
   /** The delegation that the new grantor follows, as the store had it. */
   readonly former: Versioned<Delegation> | null;
+  /** False when its grantor did not answer a moment ago. */
+  readonly formerReachable: boolean;
 }
 
 interface Claim {
@@ -150,6 +152,7 @@
 ): Promise<boolean> {
   const { former } = claim;
   if (former === null || former.grantor === options.agent.id) return true;
+  if (!options.formerReachable) return false;
   const result = await options.peers.call(
     former.grantorAddress,
     "sealGrantor",
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -7,14 +7,12 @@
 import type { Agent, AgentId } from "../core/agent.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
-import type { Delegation } from "../core/ownership/delegation.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type {
   EpochClaim,
   GrantorLocation,
   LocateQuestion,
 } from "../ports/peers.ts";
-import type { Versioned } from "../ports/store.ts";
 import {
   type GrantorOptions,
   type GrantorTask,
@@ -37,13 +35,15 @@
 
 /** Starts without any group. */
 export function startGrantors(
-  options: Omit<GrantorOptions, "group" | "settings" | "former"> & {
-    readonly agent: Agent;
-    /** Null while the group's service is in no configuration. */
-    readonly settingsOf: (group: string) => GrantorSettings | null;
-    /** Agents that could grant in a group, the best first. */
-    readonly successors: (group: string) => readonly string[];
-  },
+  options:
+    & Omit<GrantorOptions, "group" | "settings" | "former" | "formerReachable">
+    & {
+      readonly agent: Agent;
+      /** Null while the group's service is in no configuration. */
+      readonly settingsOf: (group: string) => GrantorSettings | null;
+      /** Agents that could grant in a group, the best first. */
+      readonly successors: (group: string) => readonly string[];
+    },
 ): GrantorsTask {
   const { agent, delegations, peers, times } = options;
   const grantors = new Map<string, GrantorTask>();
@@ -81,27 +81,31 @@
     const stored = former?.value ?? null;
     if (stored !== null && stored.grantor !== agent.id) {
       const location = { address: stored.grantorAddress, epoch: stored.epoch };
-      if (await grantsStill(question.group, location)) return location;
+      const state = await askGrantor(question.group, location);
+      if (state === "grants") return location;
+      return await takeOver(question.group, {
+        former,
+        formerReachable: state === "stopped",
+      });
     }
-    return await takeOver(question.group, former);
+    return await takeOver(question.group, { former, formerReachable: true });
   }
 
-  async function grantsStill(
+  async function askGrantor(
     group: string,
     location: GrantorLocation,
-  ): Promise<boolean> {
+  ): Promise<"grants" | "stopped" | "unreachable"> {
     const result = await peers.call(location.address, "locateGrantor", {
       message: { group, unreachable: null, effort: "own" },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    return result.isOk && result.value !== null &&
-      result.value.epoch === location.epoch &&
-      result.value.address === location.address;
+    if (result.isErr) return "unreachable";
+    return result.value?.epoch === location.epoch ? "grants" : "stopped";
   }
 
   async function takeOver(
     group: string,
-    former: Versioned<Delegation> | null,
+    claim: Pick<GrantorOptions, "former" | "formerReachable">,
   ): Promise<GrantorLocation | null> {
     const settings = options.settingsOf(group);
     if (settings === null || closing) return null;
@@ -109,7 +113,7 @@
       ...options,
       group,
       settings,
-      former,
+      ...claim,
     });
     if (grantor === null) return null;
     if (closing || (sealed.get(group) ?? 0) > grantor.epoch) {
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -64,6 +64,8 @@
 export interface HolderTask {
   /** Admits one request on a key, or says why not. */
   admit(key: string): Permit | HoldRefusal;
+  /** Whether a request on this key would be admitted now. */
+  owns(key: string): boolean;
   takeEpoch(claim: EpochClaim): Promise<TakeoverAnswer | null>;
   nudge(): void;
   table(): OwnershipTable;
@@ -159,7 +161,7 @@
     });
     return {
       id: agent.id,
-      held: heldGrants(state, readClocks()),
+      held: heldGrants(state),
       weight: agent.slots,
       checksFencing: agent.checksFencing,
       leaving,
@@ -170,7 +172,7 @@
     wake.abort();
   }
 
-  function compose(now: Clocks): Renewal {
+  function compose(): Renewal {
     const measured = measure(load, state, hash);
     return {
       group: state.group,
@@ -180,7 +182,7 @@
       weight: agent.slots,
       checksFencing: agent.checksFencing,
       leaving,
-      held: heldGrants(state, now),
+      held: heldGrants(state),
       released: state.released,
       tableVersion: state.table.version,
       ...measured,
@@ -189,7 +191,7 @@
 
   async function renewOnce(location: GrantorLocation): Promise<boolean> {
     const askedAt = readClocks();
-    const renewal = compose(askedAt);
+    const renewal = compose();
     const result = await peers.call(location.address, "renew", {
       message: renewal,
       timeoutMilliseconds: times.callTimeoutMilliseconds,
@@ -208,9 +210,12 @@
 
   async function locate(): Promise<GrantorLocation | null> {
     const { members, grantors } = options.candidates();
+    const others = grantors.filter((address) =>
+      address !== unreachable?.address
+    );
     const known = await askInOrder(members.slice(0, 2), "known");
     if (known !== null) return known;
-    return await askInOrder(grantors.slice(0, 3), "take-over");
+    return await askInOrder(others.slice(0, 3), "take-over");
   }
 
   async function askInOrder(
@@ -249,9 +254,8 @@
     if (failures >= 2 && grantor === asked) {
       unreachable = asked;
       grantor = null;
-      wake.abort();
     }
-    return times.retryMilliseconds;
+    return failures <= 2 ? 0 : times.retryMilliseconds;
   }
 
   function noteLease(): void {
@@ -295,6 +299,10 @@
         },
       };
     },
+    owns(key) {
+      const slice = sliceOfKey(state.table, key, hash);
+      return decideHold(state, slice, readClocks()).kind === "owned";
+    },
     takeEpoch: (claim) =>
       ask<Message, TakeoverAnswer | null>(
         mailbox,
--- a/source/programs/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -12,9 +12,9 @@
   LocateQuestion,
   PeerMethods,
 } from "../ports/peers.ts";
-import type { GrantorsTask } from "../tasks/grantors_task.ts";
-import type { HolderTask } from "../tasks/holder_task.ts";
-import type { SpreadTask } from "../tasks/spread_task.ts";
+import type { GrantorsTask } from "./grantors_task.ts";
+import type { HolderTask } from "./holder_task.ts";
+import type { SpreadTask } from "./spread_task.ts";
 
 /** Joins the tasks to the calls. */
 export function peerMethods(options: {
--- /dev/null
+++ b/tests/fake_mesh.ts
@@ -0,0 +1,347 @@
+/**
+ * Coordinators of several agents in one process, with fakes at their ports:
+ * peers that can be cut off from each other, and a store that can be down,
+ * out of reach, or lose replies. Time is the runtime's, paused and advanced.
+ *
+ * @module
+ */
+import FakeTimers from "@sinonjs/fake-timers";
+import { Result } from "true-myth";
+import { hashText } from "../source/adapters/hashing.ts";
+import { readDocument } from "../source/adapters/yaml_document.ts";
+import type { Agent } from "../source/core/agent.ts";
+import type { EventKind, Events } from "../source/ports/events.ts";
+import type { PeerMethod, Peers } from "../source/ports/peers.ts";
+import type {
+  Repository,
+  Store,
+  StoreFault,
+  Versioned,
+} from "../source/ports/store.ts";
+import {
+  type Coordinator,
+  type CoordinatorTimes,
+  startCoordinator,
+} from "../source/tasks/coordinator.ts";
+import { seededRandom } from "../standins/load.ts";
+
+/** One agent of a fake mesh. */
+export interface FakeNode {
+  readonly agent: Agent;
+  readonly coordinator: Coordinator;
+  /** Names the node's links; two nodes talk unless a link of them is cut. */
+  readonly address: string;
+}
+
+/** An event that some node recorded. */
+export interface FakeEvent {
+  readonly at: number;
+  readonly host: string;
+  readonly kind: EventKind;
+  readonly detail: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Where a node is, and what it serves. */
+export interface NodeOptions {
+  readonly host: string;
+  readonly service: string;
+  readonly dataCenter: string;
+  readonly region: string;
+}
+
+/** A mesh of coordinators on a paused clock. */
+export interface FakeMesh {
+  readonly nodes: readonly FakeNode[];
+  readonly events: readonly FakeEvent[];
+  readonly store: FakeStore;
+  add(options: NodeOptions): FakeNode;
+  node(host: string): FakeNode;
+  /** Lets time pass; calls `each` after every step of it. */
+  advance(milliseconds: number, each?: () => void): Promise<void>;
+  now(): number;
+  /** Whether two ends can reach each other; the store is the end "store". */
+  setLinks(reaches: (from: string, to: string) => boolean): void;
+  heal(): void;
+  /** Hosts that may serve this key now. */
+  owners(key: string): readonly string[];
+  /** The host that grants in a group now, by its own account. */
+  grantors(): readonly string[];
+  stop(): Promise<void>;
+}
+
+/** The usual settings of an agent. */
+export const usualTimes: CoordinatorTimes = {
+  holder: {
+    renewalMilliseconds: 800,
+    retryMilliseconds: 200,
+    callTimeoutMilliseconds: 300,
+    marginMilliseconds: 200,
+  },
+  grantor: {
+    tickMilliseconds: 100,
+    callTimeoutMilliseconds: 300,
+    storeRetryMilliseconds: 500,
+  },
+  spread: { exchangeMilliseconds: 500, callTimeoutMilliseconds: 300 },
+  document: {
+    watchMilliseconds: 30_000,
+    storeRetryMilliseconds: 500,
+    censusMilliseconds: 9_000,
+  },
+  leaseMilliseconds: 2_500,
+  delegationMilliseconds: 600_000,
+  relocationMilliseconds: 2_000,
+  censusTimeoutMilliseconds: 1_500,
+  freshnessMilliseconds: 9_000,
+};
+
+const stepMilliseconds = 50;
+const latencyMilliseconds = 5;
+
+/** Starts a mesh; `stop` must be called, since it replaces the clock. */
+export function startFakeMesh(options: {
+  readonly document: string;
+  readonly nodes: readonly NodeOptions[];
+  readonly times?: CoordinatorTimes;
+  readonly seed?: number;
+}): FakeMesh {
+  const clock = FakeTimers.install({
+    now: 1_000_000,
+    toFake: [
+      "setTimeout",
+      "clearTimeout",
+      "setInterval",
+      "clearInterval",
+      "Date",
+      "performance",
+    ],
+  });
+  const random = seededRandom(options.seed ?? 7);
+  const times = options.times ?? usualTimes;
+  const nodes: FakeNode[] = [];
+  const events: FakeEvent[] = [];
+  let reaches: (from: string, to: string) => boolean = () => true;
+  let marks = 0;
+  const store = startFakeStore({ reaches: (from) => reaches(from, "store") });
+  store.seed(options.document);
+
+  function peersOf(host: string): Peers {
+    return {
+      async call(address, method, { message, timeoutMilliseconds }) {
+        const other = nodes.find((node) => node.address === address);
+        await sleep(latencyMilliseconds);
+        if (other === undefined || !reaches(host, other.agent.host)) {
+          await sleep(timeoutMilliseconds);
+          return Result.err({ kind: "timeout", detail: method });
+        }
+        const answer = await serve(other, { method, message });
+        await sleep(latencyMilliseconds);
+        if (!reaches(other.agent.host, host)) {
+          await sleep(timeoutMilliseconds);
+          return Result.err({ kind: "timeout", detail: method });
+        }
+        // The fake hands on what the method gave, whose type the caller knows.
+        return Result.ok(answer as never);
+      },
+      close: () => Promise.resolve(),
+    };
+  }
+
+  function add(node: NodeOptions): FakeNode {
+    const address = `127.0.0.1:${nodes.length + 1}`;
+    const agent: Agent = {
+      id: `${node.host}/${Date.now()}`,
+      host: node.host,
+      incarnation: Date.now(),
+      callerAddress: address,
+      peerAddress: address,
+      place: { dataCenter: node.dataCenter, region: node.region },
+      service: node.service,
+      group: null,
+      slots: 8,
+      checksFencing: false,
+      phase: "serving",
+    };
+    const recorder: Events = {
+      record(kind, detail = {}) {
+        events.push({ at: performance.now(), host: node.host, kind, detail });
+      },
+    };
+    const coordinator = startCoordinator({
+      agent,
+      seeds: nodes.slice(0, 2).map((other) => other.address),
+      times,
+      store: store.storeOf(node.host),
+      peers: peersOf(node.host),
+      events: recorder,
+      hash: hashText,
+      random,
+      newMark: () => `mark-${marks += 1}`,
+      readDocument,
+      eventsAfter: () => [],
+      onConfiguration: () => undefined,
+    });
+    const added = { agent, coordinator, address };
+    nodes.push(added);
+    return added;
+  }
+
+  async function advance(
+    milliseconds: number,
+    each: () => void = () => undefined,
+  ): Promise<void> {
+    const end = performance.now() + milliseconds;
+    while (performance.now() < end) {
+      await clock.tickAsync(
+        Math.min(stepMilliseconds, end - performance.now()),
+      );
+      each();
+    }
+  }
+
+  for (const node of options.nodes) add(node);
+  return {
+    nodes,
+    events,
+    store,
+    add,
+    node(host) {
+      const found = nodes.find((node) => node.agent.host === host);
+      if (found === undefined) throw new Error(`no node ${host}`);
+      return found;
+    },
+    advance,
+    now: () => performance.now(),
+    setLinks(next) {
+      reaches = next;
+    },
+    heal() {
+      reaches = () => true;
+    },
+    owners: (key) =>
+      nodes.filter((node) => node.coordinator.holder()?.owns(key))
+        .map((node) => node.agent.host),
+    grantors: () =>
+      nodes.filter((node) => node.coordinator.grantors.groups().length > 0)
+        .map((node) => node.agent.host),
+    async stop() {
+      const stopping = Promise.all(
+        nodes.map((node) => node.coordinator.stop()),
+      );
+      await finish(clock, stopping);
+      clock.uninstall();
+    },
+  };
+}
+
+async function finish(
+  clock: ReturnType<typeof FakeTimers.install>,
+  work: Promise<unknown>,
+): Promise<void> {
+  let done = false;
+  void work.finally(() => done = true);
+  for (let step = 0; step < 200 && !done; step += 1) {
+    await clock.tickAsync(1_000);
+  }
+}
+
+function serve(
+  node: FakeNode,
+  call: { readonly method: PeerMethod; readonly message: unknown },
+): Promise<unknown> {
+  const method = node.coordinator.methods[call.method] as (
+    message: unknown,
+  ) => Promise<unknown>;
+  return method(structuredClone(call.message));
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** A store in memory. */
+export interface FakeStore {
+  storeOf(host: string): Store;
+  seed(text: string): void;
+  setDown(down: boolean): void;
+  /** So many of the next writes take effect and lose their reply. */
+  loseReplies(count: number): void;
+  writes(): number;
+}
+
+function startFakeStore(options: {
+  readonly reaches: (from: string) => boolean;
+}): FakeStore {
+  const objects = new Map<string, Versioned<unknown>>();
+  let version = 0;
+  let down = false;
+  let lost = 0;
+  let writes = 0;
+  const storeTimeoutMilliseconds = 1_000;
+
+  function repository<Value>(host: string, kind: string): Repository<Value> {
+    async function reach(): Promise<StoreFault | null> {
+      await sleep(latencyMilliseconds);
+      if (!down && options.reaches(host)) return null;
+      await sleep(storeTimeoutMilliseconds);
+      return { kind: "uncertain", detail: "no answer" };
+    }
+    return {
+      async read(name) {
+        const fault = await reach();
+        if (fault !== null) return Result.err(fault);
+        const found = objects.get(`${kind}/${name}`);
+        return Result.ok(found as Versioned<Value> | undefined ?? null);
+      },
+      async write(name, value, { version: expected }) {
+        const fault = await reach();
+        if (fault !== null) return Result.err(fault);
+        const former = objects.get(`${kind}/${name}`)?.version ?? null;
+        if (former !== expected) return Result.err({ kind: "conflict" });
+        version += 1;
+        writes += 1;
+        objects.set(`${kind}/${name}`, { value, version: String(version) });
+        if (lost > 0) {
+          lost -= 1;
+          await sleep(storeTimeoutMilliseconds);
+          return Result.err({ kind: "uncertain", detail: "reply lost" });
+        }
+        return Result.ok(String(version));
+      },
+    };
+  }
+
+  return {
+    storeOf: (host) => ({
+      documents: repository(host, "documents"),
+      acceptances: repository(host, "acceptances"),
+      delegations: repository(host, "delegations"),
+      statuses: repository(host, "statuses"),
+      seeds: repository(host, "seeds"),
+      async awaitChange() {
+        const seen = objects.get("documents/main")?.version;
+        const end = performance.now() + 30_000;
+        while (performance.now() < end) {
+          if (down || !options.reaches(host)) {
+            return Result.err({ kind: "uncertain", detail: "no answer" });
+          }
+          if (objects.get("documents/main")?.version !== seen) break;
+          await sleep(50);
+        }
+        return Result.ok(null);
+      },
+    }),
+    seed(text) {
+      version += 1;
+      const value = { text, author: "test" };
+      objects.set("documents/main", { value, version: String(version) });
+    },
+    setDown(value) {
+      down = value;
+    },
+    loseReplies(count) {
+      lost = count;
+    },
+    writes: () => writes,
+  };
+}
