--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -17,6 +17,7 @@
 import { type Failure, notRun, statusOf } from "../core/request/outcome.ts";
 import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
 import { fields } from "./headers.ts";
+import type { LogicalClock } from "./logical_clock.ts";
 import {
   readBody,
   readCallerRequest,
@@ -59,7 +60,8 @@
   readonly handle: HandleRequest;
   readonly pages: ReadonlyMap<string, OperatorPage>;
   readonly now: () => number;
-  readonly onClock: (time: number) => void;
+  /** Carries causes and effects between the time lines of agents. */
+  readonly clock: LogicalClock;
   /** Bytes of header fields that a request may have. */
   readonly longestHeaderBytes: number;
 }
@@ -132,13 +134,20 @@
       : await options.handle(request, { body });
     if (result.isErr) {
       clearTimeout(timer);
+      stampClock(response);
       const { id } = request;
       return writeFailure(response, { failure: result.error, id, text: "" });
     }
     response.on("close", () => clearTimeout(timer));
+    stampClock(response);
     writeAnswer(response, { answer: result.value, id: request.id });
   }
 
+  function stampClock(response: ServerResponse): void {
+    if (options.kind === "callers" || response.destroyed) return;
+    response.setHeader(fields.clock, String(options.clock.next()));
+  }
+
   return new Promise((resolve) => {
     server.once("error", (error) => resolve(Result.err(error.message)));
     server.listen(options.port, options.host, () => {
@@ -176,7 +185,7 @@
 
 function observeClock(message: IncomingMessage, options: FrontOptions): void {
   const time = Number(message.headers[fields.clock]);
-  if (Number.isSafeInteger(time)) options.onClock(time);
+  if (Number.isSafeInteger(time)) options.clock.observe(time);
 }
 
 function writePage(
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/request_reader.ts
@@ -63,7 +63,12 @@
     );
   }
   const key = single(message.headers, fields.key) ?? route.key;
-  return readFields(message, { ...options, service: route.service, key });
+  return readFields(message, {
+    ...options,
+    service: route.service,
+    key,
+    numbered: false,
+  });
 }
 
 /** Reads a request that another agent sent on. */
@@ -80,7 +85,7 @@
   }
   const encoded = single(message.headers, fields.key);
   const key = encoded === null ? null : decode(encoded);
-  return readFields(message, { ...options, service, key });
+  return readFields(message, { ...options, service, key, numbered: true });
 }
 
 function decode(text: string): string {
@@ -96,9 +101,11 @@
   options: ReadOptions & {
     readonly service: Service;
     readonly key: string | null;
+    /** Agents state a rank by its number, callers by its name. */
+    readonly numbered: boolean;
   },
 ): Result<ProxyRequest, RefusedRequest> {
-  const { service, configuration } = options;
+  const { service } = options;
   const id = single(message.headers, fields.requestId) ?? randomUUID();
   if (!/^[\x21-\x7e]+$/.test(id) || id.length > longestIdLength) {
     return malformed(
@@ -107,7 +114,7 @@
   }
   const key = readKey(options);
   if (key.isErr) return Result.err(key.error);
-  const rank = readRank(message, { service, configuration });
+  const rank = readRank(message, options);
   if (rank.isErr) return Result.err(rank.error);
   const deadline = readDeadline(message, { ...options, rank: rank.value });
   if (deadline.isErr) return Result.err(deadline.error);
@@ -152,11 +159,12 @@
   options: {
     readonly service: Service;
     readonly configuration: Configuration;
+    readonly numbered: boolean;
   },
 ): Result<number, RefusedRequest> {
   const { ranks } = options.configuration;
   const stated = single(message.headers, fields.rank);
-  if (stated !== null && /^\d{1,2}$/.test(stated)) {
+  if (options.numbered && stated !== null && /^\d{1,2}$/.test(stated)) {
     return Result.ok(Math.min(Number(stated), ranks.length - 1));
   }
   const name = stated ?? options.service.defaultRank;
--- a/source/adapters/route_matcher.ts
+++ b/source/adapters/route_matcher.ts
@@ -18,7 +18,11 @@
 
 /** Builds the matcher of a configuration's services. */
 export function compileRoutes(services: readonly Service[]): MatchRoute {
-  const router = FindMyWay({ ignoreTrailingSlash: true });
+  const router = FindMyWay({
+    ignoreTrailingSlash: true,
+    // Longer than any key, so that a long one gets its own refusal.
+    maxParamLength: 16_384,
+  });
   for (const service of services) {
     for (const route of service.routes) {
       router.on("GET", route, () => undefined, service);
--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -22,6 +22,7 @@
   Target,
   TargetHealth,
 } from "../ports/upstream.ts";
+import type { LogicalClock } from "./logical_clock.ts";
 import { failureIn, fields, passableHeaders, single } from "./headers.ts";
 
 /** Settings of the connections to one kind of hop. */
@@ -54,7 +55,7 @@
 export function openForwarder(options: {
   readonly settings: ConnectionSettings;
   readonly now: () => number;
-  readonly clock: () => number;
+  readonly clock: LogicalClock;
 }): Forwarder {
   const pools = new Map<Address, Pool>();
   function poolFor(address: Address): Pool {
@@ -80,7 +81,7 @@
           Math.max(1, Math.floor(remaining - hopMarginMilliseconds)),
         ),
         [fields.idempotent]: String(request.idempotent),
-        [fields.clock]: String(options.clock()),
+        [fields.clock]: String(options.clock.next()),
         ...(request.key === null
           ? {}
           : { [fields.key]: encodeURIComponent(request.key) }),
@@ -92,6 +93,8 @@
         now: options.now,
       });
       if (result.isErr) return result;
+      const time = Number(single(result.value.headers, fields.clock));
+      if (Number.isSafeInteger(time)) options.clock.observe(time);
       return await readAgentAnswer(result.value);
     },
     async close() {
--- a/source/adapters/yaml_sections.ts
+++ b/source/adapters/yaml_sections.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Result } from "true-myth";
-import { type Document, isMap, parseDocument } from "yaml";
+import { type Document, isMap, parseDocument, stringify } from "yaml";
 
 /** How one section differs between two documents. */
 export interface SectionChange {
@@ -34,10 +34,8 @@
 }
 
 function writeSection(document: Document, name: string): string {
-  const plain: unknown = document.getIn(["sections", name]);
-  return document.createNode(plain) === null
-    ? ""
-    : parseDocument("").createNode(plain)?.toString() ?? "";
+  const plain = document.toJS() as { sections: Record<string, unknown> };
+  return stringify(plain.sections[name]).trimEnd();
 }
 
 /** The sections that differ, in the order of their names. */
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -110,7 +110,7 @@
       idleMilliseconds,
     },
     now: monotonicNow,
-    clock: () => clock.next(),
+    clock,
   });
   return { clock, metrics, events, peers, store, target, forwarder };
 }
@@ -220,7 +220,7 @@
   const common = {
     configuration,
     now: monotonicNow,
-    onClock: (time: number) => outside.clock.observe(time),
+    clock: outside.clock,
     longestHeaderBytes: settings.longestHeaders,
   };
   const enter: HandleRequest = (request, { body }) =>
