--- /dev/null
+++ b/source/core/admission/admission_test.ts
@@ -0,0 +1,186 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import {
+  type AdmissionEvent,
+  type AdmissionSettings,
+  type AdmissionState,
+  beginAdmission,
+  countWaiting,
+  stepAdmission,
+} from "./admission.ts";
+
+const settings: AdmissionSettings = {
+  slots: 4,
+  ranks: [
+    { name: "urgent", share: 0 },
+    { name: "usual", share: 0.2 },
+    { name: "bulk", share: 0.1 },
+  ],
+  queueLength: 12,
+};
+
+/** Runs a constant flood of some ranks, and counts the starts of each. */
+function flood(
+  ranks: readonly number[],
+  options: { readonly starts: number },
+): readonly number[] {
+  let state: AdmissionState = { ...beginAdmission(settings), limit: 4 };
+  const rankOf = new Map<number, number>();
+  const started = settings.ranks.map(() => 0);
+  const running: number[] = [];
+  let id = 0;
+  let now = 0;
+  const feed = (event: AdmissionEvent) => {
+    const next = stepAdmission(state, event);
+    state = next.state;
+    for (const effect of next.effects) {
+      if (effect.kind !== "start") continue;
+      running.push(effect.id);
+      const rank = rankOf.get(effect.id) ?? 0;
+      started[rank] = (started[rank] ?? 0) + 1;
+    }
+  };
+  while (started.reduce((sum, count) => sum + count, 0) < options.starts) {
+    for (const rank of ranks) {
+      id += 1;
+      rankOf.set(id, rank);
+      feed({ kind: "arrived", id, rank, deadlineAt: now + 1_000, now });
+    }
+    now += 10;
+    const done = running.shift();
+    if (done !== undefined) {
+      feed({ kind: "finished", id: done, finish: "answered", now });
+    }
+  }
+  return started;
+}
+
+describe("admission", () => {
+  describe("in a flood", () => {
+    it("of all ranks gives each its share and the urgent the rest", () => {
+      const [urgent = 0, usual = 0, bulk = 0] = flood([0, 1, 2], {
+        starts: 1_000,
+      });
+      assert.ok(usual >= 190, `usual ${usual}`);
+      assert.ok(bulk >= 90, `bulk ${bulk}`);
+      assert.ok(urgent >= 650, `urgent ${urgent}`);
+    });
+
+    it("of the least urgent starts the urgent before them", () => {
+      let state = { ...beginAdmission(settings), limit: 1 };
+      const feed = (event: AdmissionEvent) => {
+        const next = stepAdmission(state, event);
+        state = next.state;
+        return next.effects;
+      };
+      for (let id = 1; id <= 6; id += 1) {
+        feed({ kind: "arrived", id, rank: 2, deadlineAt: 900, now: 0 });
+      }
+      feed({ kind: "arrived", id: 9, rank: 0, deadlineAt: 900, now: 0 });
+      const effects = feed({
+        kind: "finished",
+        id: 1,
+        finish: "answered",
+        now: 5,
+      });
+      assert.deepEqual(effects[0], { kind: "start", id: 9 });
+    });
+  });
+
+  describe("refusal", () => {
+    it("comes early when the deadline can't be met", () => {
+      const state: AdmissionState = {
+        ...beginAdmission(settings),
+        serviceMilliseconds: [50, 50, 50],
+      };
+      const { effects } = stepAdmission(state, {
+        kind: "arrived",
+        id: 1,
+        rank: 0,
+        deadlineAt: 30,
+        now: 0,
+      });
+      assert.deepEqual(effects, [
+        { kind: "refuse", id: 1, reason: "deadline-too-near" },
+      ]);
+    });
+  });
+
+  describe("under any order of events", () => {
+    const events = fc.array(
+      fc.oneof(
+        {
+          weight: 4,
+          arbitrary: fc.record({
+            kind: fc.constant("arrived" as const),
+            rank: fc.integer({ min: 0, max: 2 }),
+            patience: fc.integer({ min: -5, max: 400 }),
+          }),
+        },
+        {
+          weight: 3,
+          arbitrary: fc.record({
+            kind: fc.constant("finished" as const),
+            finish: fc.constantFrom("answered", "refused", "failed"),
+          }),
+        },
+        {
+          weight: 1,
+          arbitrary: fc.record({
+            kind: fc.constantFrom("withdrawn", "tick", "close"),
+          }),
+        },
+      ),
+      { maxLength: 150 },
+    );
+
+    it("starts or refuses each request once, within the limit", () => {
+      fc.assert(
+        fc.property(events, (steps) => {
+          let state = beginAdmission(settings);
+          const ends = new Map<number, string>();
+          const running: number[] = [];
+          const withdrawn = new Set<number>();
+          let now = 0;
+          let id = 0;
+          const feed = (event: AdmissionEvent) => {
+            const next = stepAdmission(state, event);
+            state = next.state;
+            for (const effect of next.effects) {
+              assert.ok(!ends.has(effect.id), "ended twice");
+              ends.set(effect.id, effect.kind);
+              if (effect.kind === "start") running.push(effect.id);
+            }
+          };
+          for (const step of steps) {
+            now += 7;
+            if (step.kind === "arrived") {
+              id += 1;
+              const deadlineAt = now + step.patience;
+              feed({ kind: "arrived", id, rank: step.rank, deadlineAt, now });
+            } else if (step.kind === "finished") {
+              const done = running.shift();
+              const finish = step.finish as "answered";
+              if (done !== undefined) {
+                feed({ kind: "finished", id: done, finish, now });
+              }
+            } else if (step.kind === "withdrawn") {
+              if (!ends.has(id)) withdrawn.add(id);
+              feed({ kind: "withdrawn", id, now });
+            } else if (step.kind === "tick") feed({ kind: "tick", now });
+            else feed({ kind: "close" });
+            assert.ok(state.running.size <= Math.max(1, settings.slots));
+            assert.ok(countWaiting(state) <= settings.queueLength);
+            assert.equal(state.running.size, running.length);
+          }
+          feed({ kind: "close" });
+          for (let one = 1; one <= id; one += 1) {
+            assert.ok(ends.has(one) || withdrawn.has(one), `${one} is lost`);
+          }
+        }),
+        { numRuns: 2_000, seed: 3 },
+      );
+    });
+  });
+});
--- /dev/null
+++ b/source/core/routing/routing_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Agent } from "../agent.ts";
+import { seededRandom } from "../../../standins/load.ts";
+import {
+  beginRouting,
+  chooseTarget,
+  type RoutingEvent,
+  type RoutingState,
+  stepRouting,
+} from "./routing.ts";
+
+function target(id: string, dataCenter: string, region: string): Agent {
+  return {
+    id,
+    host: id,
+    incarnation: 1,
+    callerAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:2",
+    place: { dataCenter, region },
+    service: "booking",
+    group: null,
+    slots: 10,
+    checksFencing: false,
+    phase: "serving",
+  };
+}
+
+const targets = [
+  target("near-1", "kolkata-1", "kolkata"),
+  target("near-2", "kolkata-1", "kolkata"),
+  target("beside", "kolkata-2", "kolkata"),
+  target("far", "siliguri-1", "siliguri"),
+];
+const from = { dataCenter: "kolkata-1", region: "kolkata" };
+
+function apply(
+  state: RoutingState,
+  events: readonly RoutingEvent[],
+): RoutingState {
+  return events.reduce(stepRouting, state);
+}
+
+function choices(
+  state: RoutingState,
+  options: { readonly among?: readonly Agent[]; readonly now?: number } = {},
+): ReadonlySet<string> {
+  const random = seededRandom(5);
+  const ids = Array.from({ length: 200 }, () =>
+    chooseTarget(state, {
+      from,
+      targets: options.among ?? targets,
+      tried: new Set(),
+      now: options.now ?? 10_000,
+      random,
+    })?.id ?? "none");
+  return new Set(ids);
+}
+
+function loaded(ids: readonly string[], load: number): readonly RoutingEvent[] {
+  return ids.map((id): RoutingEvent => ({
+    kind: "replied",
+    id,
+    load,
+    now: 9_900,
+  }));
+}
+
+function warm(ids: readonly string[]): RoutingState {
+  return apply(
+    beginRouting(),
+    ids.flatMap((id): RoutingEvent[] => [
+      { kind: "sent", id, now: 0 },
+      { kind: "replied", id, load: 0, now: 0 },
+    ]),
+  );
+}
+
+const ids = targets.map((one) => one.id);
+
+describe("routing without keys", () => {
+  describe("by distance", () => {
+    it("stays in the data centre while its targets have room", () => {
+      assert.deepEqual(choices(warm(ids)), new Set(["near-1", "near-2"]));
+    });
+
+    it("spills to the region, then to others, when they are full", () => {
+      const near = apply(warm(ids), loaded(["near-1", "near-2"], 40));
+      assert.deepEqual(choices(near), new Set(["beside"]));
+      const all = apply(near, loaded(["beside"], 40));
+      assert.deepEqual(choices(all), new Set(["far"]));
+    });
+
+    it("trusts no report that has grown old", () => {
+      const near = apply(warm(ids), loaded(["near-1", "near-2"], 40));
+      const later = choices(near, { now: 20_000 });
+      assert.deepEqual(later, new Set(["near-1", "near-2"]));
+    });
+  });
+
+  describe("around failing targets", () => {
+    const failed = (id: string): readonly RoutingEvent[] =>
+      [1, 2, 3].map(() => ({ kind: "failed", id, now: 9_900 }));
+
+    it("ejects one after repeated failures, and tries it again later", () => {
+      const state = apply(warm(ids), failed("near-1"));
+      assert.deepEqual(choices(state), new Set(["near-2"]));
+      const later = choices(state, { now: 30_000 });
+      assert.ok(later.has("near-1"));
+    });
+
+    it("never ejects more than half of a data centre's targets", () => {
+      const state = apply(warm(ids), [
+        ...failed("near-1"),
+        ...failed("near-2"),
+      ]);
+      assert.deepEqual(choices(state), new Set(["near-1", "near-2"]));
+    });
+
+    it("sends nothing to a target that leaves or is lost", () => {
+      const among = targets.map((one): Agent =>
+        one.id === "near-1" ? { ...one, phase: "leaving" } : one
+      );
+      assert.deepEqual(choices(warm(ids), { among }), new Set(["near-2"]));
+    });
+  });
+
+  describe("at a cold target", () => {
+    it("starts slowly", () => {
+      const state = apply(warm(["near-1"]), [
+        { kind: "sent", id: "near-1", now: 9_999 },
+        { kind: "sent", id: "near-2", now: 9_999 },
+      ]);
+      assert.deepEqual(
+        choices(state, { among: targets.slice(0, 2) }),
+        new Set(["near-1"]),
+      );
+    });
+  });
+});
