--- /dev/null
+++ b/benches/baselines.ts
@@ -0,0 +1,58 @@
+/**
+ * What the policy is measured against: no admission at all, and plain
+ * first-in-first-out with a limit.
+ *
+ * @module
+ */
+import { Result } from "true-myth";
+import { type Failure, notRun } from "../source/core/request/outcome.ts";
+import type { AdmissionTask, Slot } from "../source/tasks/admission_task.ts";
+
+/** Lets every request through at once. */
+export function admitAll(): AdmissionTask {
+  let running = 0;
+  return {
+    enter() {
+      running += 1;
+      const slot: Slot = { finish: () => running -= 1 };
+      return Promise.resolve(Result.ok(slot));
+    },
+    load: () => running,
+    configure: () => undefined,
+    close: () => undefined,
+    stop: () => undefined,
+  };
+}
+
+/** Runs so many at one time, lets so many wait, in the order of arrival. */
+export function firstInFirstOut(options: {
+  readonly slots: number;
+  readonly queueLength: number;
+}): AdmissionTask {
+  const waiting: (() => void)[] = [];
+  let running = 0;
+  function finish(): void {
+    running -= 1;
+    waiting.shift()?.();
+  }
+  return {
+    enter() {
+      return new Promise<Result<Slot, Failure>>((resolve) => {
+        const start = () => {
+          running += 1;
+          resolve(Result.ok({ finish }));
+        };
+        if (running < options.slots) return start();
+        if (waiting.length < options.queueLength) {
+          waiting.push(start);
+          return;
+        }
+        resolve(Result.err(notRun("queue-full")));
+      });
+    },
+    load: () => running + waiting.length,
+    configure: () => undefined,
+    close: () => undefined,
+    stop: () => undefined,
+  };
+}
--- /dev/null
+++ b/benches/single_agent.ts
@@ -0,0 +1,85 @@
+/**
+ * The serving half of an agent in front of one target, with the admission
+ * under test put in as an argument.
+ *
+ * @module
+ */
+import { type Front, openFront } from "../source/adapters/http_front.ts";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { openTarget } from "../source/adapters/upstream.ts";
+import type { Configuration } from "../source/core/document/document.ts";
+import type { Metrics } from "../source/ports/metrics.ts";
+import type { AdmissionTask } from "../source/tasks/admission_task.ts";
+import { startServing } from "../source/tasks/serve_task.ts";
+import { monotonicNow } from "../source/tasks/time.ts";
+import {
+  startTargetStandIn,
+  type TargetBehaviour,
+} from "../standins/target.ts";
+
+/** A target behind one admission, at an address. */
+export interface SingleAgent {
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+const noMetrics: Metrics = {
+  count: () => undefined,
+  time: () => undefined,
+};
+
+/** Starts a target and the serving tasks in front of it. */
+export async function startSingleAgent(options: {
+  readonly admission: AdmissionTask;
+  readonly configuration: Configuration;
+  readonly behaviour: Partial<TargetBehaviour>;
+}): Promise<SingleAgent> {
+  const standIn = await startTargetStandIn({
+    name: "target",
+    port: 0,
+    behaviour: options.behaviour,
+  });
+  const target = openTarget({
+    address: standIn.address,
+    settings: {
+      connections: 2_000,
+      connectTimeoutMilliseconds: 1_000,
+      idleMilliseconds: 4_000,
+    },
+    now: monotonicNow,
+    healthTimeoutMilliseconds: 1_000,
+  });
+  const [service] = options.configuration.services;
+  const serve = startServing({
+    service: service?.name ?? "",
+    holder: () => null,
+    admission: options.admission,
+    accepts: () => true,
+    target,
+    events: { record: () => undefined },
+    metrics: noMetrics,
+  });
+  const opened = await openFront({
+    kind: "callers",
+    host: "127.0.0.1",
+    port: 0,
+    configuration: () => options.configuration,
+    handle: serve.serve,
+    pages: new Map(),
+    now: monotonicNow,
+    clock: startLogicalClock(),
+    longestHeaderBytes: 16_384,
+  });
+  const front = opened.unwrapOrElse((fault): Front => {
+    throw new Error(fault);
+  });
+  return {
+    address: `127.0.0.1:${front.port}`,
+    async close() {
+      front.close();
+      options.admission.stop();
+      await target.close();
+      await standIn.close();
+    },
+  };
+}
