--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -60,8 +60,7 @@
 export function passableHeaders(
   headers: IncomingHttpHeaders | Headers,
 ): Headers {
-  const named = String(headers["connection"] ?? "").toLowerCase();
-  const dropped = new Set(named.split(",").map((name) => name.trim()));
+  const dropped = fieldsOfConnection(headers);
   const kept: Record<string, string | readonly string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || connectionFields.has(name)) continue;
@@ -71,6 +70,22 @@
   return kept;
 }
 
+const usualConnections: ReadonlySet<string> = new Set([
+  "",
+  "keep-alive",
+  "close",
+]);
+const none: ReadonlySet<string> = new Set();
+
+/** Fields that the message itself says concern this connection only. */
+function fieldsOfConnection(
+  headers: IncomingHttpHeaders | Headers,
+): ReadonlySet<string> {
+  const named = String(headers["connection"] ?? "").toLowerCase();
+  if (usualConnections.has(named)) return none;
+  return new Set(named.split(",").map((name) => name.trim()));
+}
+
 /** One value of a field; the first when there are several. */
 export function single(
   headers: IncomingHttpHeaders | Headers,
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -95,7 +95,9 @@
     const page = options.pages.get(message.url ?? "");
     if (page !== undefined) return writePage(response, await page());
     const cancel = new AbortController();
-    response.on("close", () => cancel.abort());
+    response.on("close", () => {
+      if (!response.writableFinished) cancel.abort();
+    });
     const configuration = options.configuration();
     const read = options.kind === "callers"
       ? readCallerRequest
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -15,7 +15,7 @@
 } from "../core/admission/admission.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
-import { monotonicNow, startTicker } from "./time.ts";
+import { monotonicNow } from "./time.ts";
 
 /** The right to use one of the target's slots. */
 export interface Slot {
@@ -54,6 +54,7 @@
     const next = stepAdmission(state, event);
     state = next.state;
     for (const effect of next.effects) perform(effect);
+    tickWhileWaiting();
   });
 
   function perform(effect: AdmissionEffect): void {
@@ -73,10 +74,16 @@
     };
   }
 
-  const ticker = startTicker(
-    () => mailbox.send({ kind: "tick", now: monotonicNow() }),
-    { intervalMilliseconds: options.tickMilliseconds },
-  );
+  let timer: ReturnType<typeof setTimeout> | null = null;
+
+  /** Time matters only to requests that wait; an idle agent sleeps. */
+  function tickWhileWaiting(): void {
+    if (timer !== null || countWaiting(state) === 0) return;
+    timer = setTimeout(() => {
+      timer = null;
+      mailbox.send({ kind: "tick", now: monotonicNow() });
+    }, options.tickMilliseconds);
+  }
 
   return {
     enter({ rank, deadlineAt, signal }) {
@@ -93,16 +100,17 @@
           resolve(result);
         });
         if (signal.aborted) return withdraw();
-        signal.addEventListener("abort", withdraw, { once: true });
         const now = monotonicNow();
         mailbox.send({ kind: "arrived", id, rank, deadlineAt, now });
+        if (!settles.has(id)) return;
+        signal.addEventListener("abort", withdraw, { once: true });
       });
     },
     load: () => state.running.size + countWaiting(state),
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
     close: () => mailbox.send({ kind: "close" }),
     stop() {
-      ticker.stop();
+      if (timer !== null) clearTimeout(timer);
       mailbox.close();
     },
   };
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -280,7 +280,8 @@
   }
 }
 
-function freePort(): Promise<number> {
+/** A port that nothing listens on just now. */
+export function freePort(): Promise<number> {
   return new Promise((resolve, reject) => {
     const server = createServer();
     server.once("error", reject);
