Find connections between agents that have gone silent

Cause: a request on a connection that a middle box had forgotten waited until its deadline and ended as unknown; a booking could not be sent again. Now the owner's agent acknowledges a request that takes over 50 ms (HTTP 102), and a hop that hears nothing at all for 400 ms sends one more copy on a new connection. Copies carry the hop's name, and the owner's agent runs them once. Ruled out: probing idle connections, which does not help the request that finds the silence, and costs at rest.

Also: records in 64 buckets, so that one change copies 1/64 of them; the census after a change comes 1, 2 and 4 s later instead of every half second.

--- /dev/null
+++ b/benches/coordinators.ts
@@ -0,0 +1,122 @@
+/**
+ * Many coordinators in one process, joined by real connections, with their
+ * calls and bytes counted.
+ *
+ * @module
+ */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { hashText } from "../source/adapters/hashing.ts";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { connectPeers } from "../source/adapters/peer_client.ts";
+import { servePeers } from "../source/adapters/peer_server.ts";
+import { openStore } from "../source/adapters/store_client.ts";
+import { readDocument } from "../source/adapters/yaml_document.ts";
+import type { Agent } from "../source/core/agent.ts";
+import type { Metrics } from "../source/ports/metrics.ts";
+import type { Peers } from "../source/ports/peers.ts";
+import {
+  type Coordinator,
+  startCoordinator,
+} from "../source/tasks/coordinator.ts";
+import { usualTimes } from "../tests/fake_mesh.ts";
+
+/** What the agents of a mesh have sent so far. */
+export interface PeerTraffic {
+  calls: number;
+  bytes: number;
+}
+
+/** Coordinators that run in this process. */
+export interface Coordinators {
+  readonly coordinators: readonly Coordinator[];
+  readonly addresses: readonly string[];
+  readonly traffic: PeerTraffic;
+}
+
+/** Bytes that tRPC and WebSocket add to a call's message and answer. */
+const framingBytes = 150;
+
+const noMetrics: Metrics = { count: () => undefined, time: () => undefined };
+
+/** Starts the agents with these numbers, spread over 13 data centres. */
+export async function startCoordinators(options: {
+  readonly numbers: readonly number[];
+  readonly storeOrigin: string;
+  readonly seeds: readonly string[];
+}): Promise<Coordinators> {
+  const traffic: PeerTraffic = { calls: 0, bytes: 0 };
+  const coordinators: Coordinator[] = [];
+  const addresses: string[] = [];
+  for (const index of options.numbers) {
+    const server = createServer();
+    await new Promise<void>((resolve) => {
+      server.listen(0, "127.0.0.1", () => resolve());
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const clock = startLogicalClock();
+    const coordinator = startCoordinator({
+      agent: agentOf(index, address),
+      seeds: [...options.seeds, ...addresses.slice(0, 1)],
+      times: usualTimes,
+      store: openStore({
+        origin: options.storeOrigin,
+        timeoutMilliseconds: 2_000,
+        metrics: noMetrics,
+      }),
+      peers: counted(connectPeers({ clock, metrics: noMetrics }), traffic),
+      events: { record: () => undefined },
+      hash: hashText,
+      random: Math.random,
+      newMark: () => `${index}-${Math.random()}`,
+      readDocument,
+      eventsAfter: () => [],
+      onConfiguration: () => undefined,
+    });
+    servePeers({ server, methods: coordinator.methods, clock });
+    coordinators.push(coordinator);
+    addresses.push(address);
+  }
+  return { coordinators, addresses, traffic };
+}
+
+function agentOf(index: number, address: string): Agent {
+  const dataCenter = index % 13;
+  const services = ["timetable", "booking", "media"];
+  return {
+    id: `host-${index}/1`,
+    host: `host-${index}`,
+    incarnation: 1,
+    callerAddress: address,
+    peerAddress: address,
+    place: {
+      dataCenter: `data-center-${dataCenter}`,
+      region: `region-${dataCenter % 5}`,
+    },
+    service: services[index % 3] ?? "media",
+    group: null,
+    slots: 8,
+    checksFencing: false,
+    phase: "serving",
+  };
+}
+
+/** Counts both ways of each call, for the agent that calls. */
+function counted(peers: Peers, traffic: PeerTraffic): Peers {
+  return {
+    async call(address, method, options) {
+      const result = await peers.call(address, method, options);
+      const answer = result.isOk ? result.value : null;
+      traffic.calls += 1;
+      traffic.bytes += framingBytes + sizeOf(options.message) + sizeOf(answer);
+      return result;
+    },
+    close: () => peers.close(),
+  };
+}
+
+/** The length of a value as it goes over the wire. */
+export function sizeOf(value: unknown): number {
+  return JSON.stringify(value)?.length ?? 0;
+}
--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -29,6 +29,7 @@
   slice: "geraniumledge-slice",
   leaseEnd: "geraniumledge-lease-ends-at",
   clock: "geraniumledge-clock",
+  hop: "geraniumledge-hop",
 } as const;
 
 /** Fields that concern one connection only (RFC 9110, section 7.6.1). */
@@ -54,6 +55,7 @@
   fields.slice,
   fields.leaseEnd,
   fields.clock,
+  fields.hop,
 ]);
 
 /** Fields of a message that go on to the next hop. */
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -16,7 +16,8 @@
 import type { Configuration } from "../core/document/document.ts";
 import { type Failure, notRun, statusOf } from "../core/request/outcome.ts";
 import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
-import { fields } from "./headers.ts";
+import { fields, single } from "./headers.ts";
+import { type HopCopy, parseHop, startHopLedger } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
 import {
   readBody,
@@ -66,6 +67,8 @@
   readonly longestHeaderBytes: number;
 }
 
+/** A request that takes longer is acknowledged to the agent that sent it. */
+export const acknowledgeMilliseconds = 50;
 /** Longer than any agent keeps an idle connection to this one. */
 const keepAliveMilliseconds = 65_000;
 /** After the deadline the next hop's own refusal is still awaited this long. */
@@ -76,6 +79,7 @@
   options: FrontOptions,
 ): Promise<Result<Front, string>> {
   const routes = cachedRoutes();
+  const hops = startHopLedger();
   let draining = false;
   const server = createServer(
     { maxHeaderSize: options.longestHeaderBytes },
@@ -95,8 +99,12 @@
     const page = options.pages.get(message.url ?? "");
     if (page !== undefined) return writePage(response, await page());
     const cancel = new AbortController();
+    const hop = options.kind === "agents"
+      ? parseHop(single(message.headers, fields.hop))
+      : null;
     response.on("close", () => {
-      if (!response.writableFinished) cancel.abort();
+      if (response.writableFinished) return;
+      if (hop === null || !hops.superseded(hop)) cancel.abort();
     });
     const configuration = options.configuration();
     const read = options.kind === "callers"
@@ -113,7 +121,7 @@
       const { reason, message: text } = request.error;
       return writeFailure(response, { failure: notRun(reason), text, id: "" });
     }
-    await handle(message, { response, cancel, request: request.value });
+    await handle(message, { response, cancel, request: request.value, hop });
   }
 
   async function handle(
@@ -122,18 +130,25 @@
       readonly response: ServerResponse;
       readonly cancel: AbortController;
       readonly request: ProxyRequest;
+      readonly hop: HopCopy | null;
     },
   ): Promise<void> {
-    const { response, cancel, request } = context;
+    const { response, cancel, request, hop } = context;
     const grace = options.kind === "callers" ? deadlineGraceMilliseconds : 0;
     const timer = setTimeout(
       () => cancel.abort(),
       request.deadlineAt - options.now() + grace,
     );
     const body = await readBody(message);
+    const acknowledgement = hop === null ? null : acknowledgeLater(response);
     const result = body === null
       ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
-      : await options.handle(request, { body });
+      : await handleOnce(request, { body, hop });
+    if (acknowledgement !== null) clearTimeout(acknowledgement);
+    if (result === null) {
+      clearTimeout(timer);
+      return void response.destroy();
+    }
     if (result.isErr) {
       clearTimeout(timer);
       stampClock(response);
@@ -145,6 +160,18 @@
     writeAnswer(response, { answer: result.value, id: request.id });
   }
 
+  function handleOnce(
+    request: ProxyRequest,
+    context: { readonly body: Body; readonly hop: HopCopy | null },
+  ): Promise<Result<ProxyAnswer, Failure> | null> {
+    const { body, hop } = context;
+    if (hop === null) return options.handle(request, { body });
+    return hops.run(hop, {
+      start: () => options.handle(request, { body }),
+      forgetAfterMilliseconds: request.deadlineAt - options.now(),
+    });
+  }
+
   function stampClock(response: ServerResponse): void {
     if (options.kind === "callers" || response.destroyed) return;
     response.setHeader(fields.clock, String(options.clock.next()));
@@ -173,6 +200,16 @@
   });
 }
 
+function acknowledgeLater(
+  response: ServerResponse,
+): ReturnType<typeof setTimeout> {
+  return setTimeout(() => {
+    if (!response.headersSent && !response.destroyed) {
+      response.writeProcessing();
+    }
+  }, acknowledgeMilliseconds);
+}
+
 function cachedRoutes(): (configuration: Configuration) => MatchRoute {
   let compiled: { configuration: Configuration; match: MatchRoute } | null =
     null;
--- /dev/null
+++ b/source/adapters/silence_test.ts
@@ -0,0 +1,174 @@
+import assert from "node:assert/strict";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { Readable } from "node:stream";
+import { after, before, beforeEach, describe, it } from "node:test";
+import { Result } from "true-myth";
+import type { Configuration } from "../core/document/document.ts";
+import type { Forwarder, ProxyRequest } from "../ports/upstream.ts";
+import { type Front, openFront } from "./http_front.ts";
+import { startLogicalClock } from "./logical_clock.ts";
+import { openForwarder } from "./upstream.ts";
+
+const configuration: Configuration = {
+  revision: 1,
+  ranks: [{ name: "booking", share: 0, defaultDeadlineMilliseconds: 2_000 }],
+  regions: [],
+  services: [{
+    name: "booking",
+    routes: ["/booking"],
+    keys: null,
+    defaultRank: "booking",
+    longestDeadlineMilliseconds: 5_000,
+    queueLength: 10,
+    longestBodyBytes: 1_000,
+  }],
+};
+
+/** What a middle box does to connections that it has lost track of. */
+interface Relay {
+  readonly server: Server;
+  /** Existing connections pass nothing on; new ones work. */
+  forgetConnections(direction: "requests" | "answers"): void;
+}
+
+function startRelay(port: number): Promise<Relay> {
+  const pairs = new Set<{ readonly near: Socket; readonly far: Socket }>();
+  const server = createServer((near) => {
+    const far = connect(port, "127.0.0.1");
+    near.pipe(far);
+    far.pipe(near);
+    pairs.add({ near, far });
+    for (const socket of [near, far]) {
+      socket.on("error", () => socket.destroy());
+    }
+  });
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () =>
+      resolve({
+        server,
+        forgetConnections(direction) {
+          for (const { near, far } of pairs) {
+            if (direction === "requests") near.unpipe(far);
+            else far.unpipe(near);
+          }
+        },
+      }));
+  });
+}
+
+function portOf(server: Server): number {
+  const address = server.address();
+  return typeof address === "object" ? address?.port ?? 0 : 0;
+}
+
+describe("a connection between agents that goes silent", () => {
+  let front: Front;
+  let relay: Relay;
+  let forwarder: Forwarder;
+  let runs: string[] = [];
+  let workMilliseconds = 0;
+  let silences = 0;
+
+  before(async () => {
+    const opened = await openFront({
+      kind: "agents",
+      host: "127.0.0.1",
+      port: 0,
+      configuration: () => configuration,
+      pages: new Map(),
+      now: () => performance.now(),
+      clock: startLogicalClock(),
+      longestHeaderBytes: 16_384,
+      async handle(request) {
+        runs.push(request.id);
+        await new Promise((resolve) => setTimeout(resolve, workMilliseconds));
+        return Result.ok({
+          status: 200,
+          headers: {},
+          body: Readable.from([`done ${request.id}`]),
+          load: null,
+        });
+      },
+    });
+    assert.ok(opened.isOk);
+    front = opened.value;
+    relay = await startRelay(front.port);
+    forwarder = openForwarder({
+      settings: {
+        connections: 1,
+        connectTimeoutMilliseconds: 500,
+        idleMilliseconds: 4_000,
+      },
+      now: () => performance.now(),
+      clock: startLogicalClock(),
+      hopPrefix: "test",
+      onSilence: () => silences += 1,
+    });
+  });
+
+  beforeEach(async () => {
+    workMilliseconds = 0;
+    await send("warm-up");
+    runs = [];
+    silences = 0;
+  });
+
+  after(async () => {
+    relay.server.close();
+    front.close();
+    await Promise.race([
+      forwarder.close(),
+      new Promise((resolve) => setTimeout(resolve, 500)),
+    ]);
+  });
+
+  async function send(id: string) {
+    const request: ProxyRequest = {
+      id,
+      method: "POST",
+      path: "/booking",
+      headers: {},
+      service: "booking",
+      key: null,
+      rank: 0,
+      idempotent: false,
+      deadlineAt: performance.now() + 3_000,
+      signal: AbortSignal.timeout(3_000),
+    };
+    const address = `127.0.0.1:${portOf(relay.server)}`;
+    const result = await forwarder.forward(address, request, {
+      body: { kind: "kept", bytes: new Uint8Array() },
+    });
+    if (result.isErr) return result.error.outcome;
+    const chunks = await result.value.body.toArray();
+    return chunks.map(String).join("");
+  }
+
+  describe("towards the owner", () => {
+    it("is replaced, and a booking on it runs once", async () => {
+      relay.forgetConnections("requests");
+      assert.equal(await send("first"), "done first");
+      assert.deepEqual(runs, ["first"]);
+      assert.equal(silences, 1);
+    });
+  });
+
+  describe("towards the caller", () => {
+    it("is replaced while the booking runs, which is answered once", async () => {
+      workMilliseconds = 800;
+      relay.forgetConnections("answers");
+      assert.equal(await send("second"), "done second");
+      assert.deepEqual(runs, ["second"]);
+      assert.equal(silences, 1);
+    });
+  });
+
+  describe("but only takes long", () => {
+    it("is kept, since the owner acknowledges", async () => {
+      workMilliseconds = 800;
+      assert.equal(await send("third"), "done third");
+      assert.deepEqual(runs, ["third"]);
+      assert.equal(silences, 0);
+    });
+  });
+});
--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -22,6 +22,7 @@
   Target,
   TargetHealth,
 } from "../ports/upstream.ts";
+import { formatHop } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
 import { failureIn, fields, passableHeaders, single } from "./headers.ts";
 
@@ -51,13 +52,23 @@
   });
 }
 
+/**
+ * An agent that has a request answers or acknowledges it well within this
+ * time; silence means that the connection is lost without either end knowing.
+ */
+const silenceMilliseconds = 400;
+
 /** Sends requests on to other agents. */
 export function openForwarder(options: {
   readonly settings: ConnectionSettings;
   readonly now: () => number;
   readonly clock: LogicalClock;
+  /** Begins the names of this process's hops. */
+  readonly hopPrefix: string;
+  readonly onSilence: (address: Address, request: ProxyRequest) => void;
 }): Forwarder {
   const pools = new Map<Address, Pool>();
+  let hops = 0;
   function poolFor(address: Address): Pool {
     const pool = pools.get(address) ?? openPool(address, options.settings);
     pools.delete(address);
@@ -69,6 +80,12 @@
     }
     return pool;
   }
+  /** Other idle connections to the address may be lost in the same way. */
+  function replacePool(address: Address): void {
+    const pool = pools.get(address);
+    pools.delete(address);
+    void pool?.close().catch(() => undefined);
+  }
   return {
     async forward(address, request, { body }) {
       const remaining = request.deadlineAt - options.now();
@@ -86,13 +103,25 @@
           ? {}
           : { [fields.key]: encodeURIComponent(request.key) }),
       };
-      const result = await send(poolFor(address), {
-        request,
-        headers,
-        body,
-        now: options.now,
-      });
-      if (result.isErr) return result;
+      hops += 1;
+      const id = `${options.hopPrefix}.${hops}`;
+      const sendCopy = (copy: number) =>
+        send(poolFor(address), {
+          request,
+          headers: { ...headers, [fields.hop]: formatHop({ id, copy }) },
+          body,
+          now: options.now,
+          silenceMilliseconds: body.kind === "kept" && copy === 1
+            ? silenceMilliseconds
+            : null,
+        });
+      let result = await sendCopy(1);
+      if (result === null) {
+        options.onSilence(address, request);
+        replacePool(address);
+        result = await sendCopy(2);
+      }
+      if (result === null || result.isErr) return result ?? lost;
       const time = Number(single(result.value.headers, fields.clock));
       if (Number.isSafeInteger(time)) options.clock.observe(time);
       return await readAgentAnswer(result.value);
@@ -103,6 +132,10 @@
   };
 }
 
+const lost = Result.err<ProxyAnswer, Failure>(
+  unknownOutcome("connection-lost"),
+);
+
 /** An agent says by a header when the answer is not its target's. */
 async function readAgentAnswer(
   answer: ProxyAnswer,
@@ -149,8 +182,9 @@
         headers,
         body,
         now: options.now,
+        silenceMilliseconds: null,
       });
-      if (result.isErr) return result;
+      if (result === null || result.isErr) return result ?? lost;
       return await readTargetAnswer(result.value);
     },
     health: () => askHealth(pool, options.healthTimeoutMilliseconds),
@@ -187,6 +221,7 @@
   }
 }
 
+/** Null when the other end stayed silent for the stated time. */
 async function send(
   pool: Pool,
   options: {
@@ -194,19 +229,26 @@
     readonly headers: Headers;
     readonly body: Body;
     readonly now: () => number;
+    /** Null to wait in silence until the deadline. */
+    readonly silenceMilliseconds: number | null;
   },
-): Promise<Result<ProxyAnswer, Failure>> {
+): Promise<Result<ProxyAnswer, Failure> | null> {
   const { request, body } = options;
   if (request.signal.aborted) return Result.err(abortedBefore(options));
+  const watch = options.silenceMilliseconds === null
+    ? null
+    : watchSilence(request.signal, options.silenceMilliseconds);
   try {
     const response = await pool.request({
       method: request.method as "GET",
       path: request.path,
       headers: options.headers as Record<string, string | string[]>,
       body: bodyToSend(body),
-      signal: request.signal,
+      signal: watch?.signal ?? request.signal,
+      onInfo: () => watch?.heard(),
       responseHeaders: null,
     });
+    watch?.heard();
     return Result.ok({
       status: response.statusCode,
       headers: response.headers as Headers,
@@ -214,10 +256,29 @@
       load: null,
     });
   } catch (error) {
+    if (watch?.silent() === true) return null;
+    watch?.heard();
     return Result.err(failureOf(error, options));
   }
 }
 
+/** Aborts one copy of a request when nothing at all is heard of it. */
+function watchSilence(signal: AbortSignal, milliseconds: number) {
+  const copy = new AbortController();
+  let silent = false;
+  const follow = () => copy.abort();
+  signal.addEventListener("abort", follow, { once: true });
+  const timer = setTimeout(() => {
+    silent = !signal.aborted;
+    copy.abort();
+  }, milliseconds);
+  return {
+    signal: copy.signal,
+    heard: () => clearTimeout(timer),
+    silent: () => silent,
+  };
+}
+
 /**
  * A stream is read only once the connection stands, so that a request that
  * never left can be sent elsewhere.
--- a/source/core/dissemination/replica.ts
+++ b/source/core/dissemination/replica.ts
@@ -30,10 +30,14 @@
   readonly version: number;
 }
 
+/** Records whose keys fall together, so that a change copies only these. */
+type Bucket = ReadonlyMap<string, SharedRecord>;
+
 /** One agent's copy of all records. */
 export interface Replica {
-  readonly records: ReadonlyMap<string, SharedRecord>;
-  /** For each bucket of keys a digest of its records' versions. */
+  readonly hash: KeyHash;
+  readonly buckets: readonly Bucket[];
+  /** For each bucket a digest of its records' versions. */
   readonly digests: readonly number[];
   /** Records worth telling unasked, each with the tellings left. */
   readonly news: ReadonlyMap<string, number>;
@@ -48,9 +52,10 @@
 const mostNews = 32;
 
 /** A copy without records. */
-export function beginReplica(): Replica {
+export function beginReplica(hash: KeyHash): Replica {
   return {
-    records: new Map(),
+    hash,
+    buckets: Array.from({ length: bucketCount }, () => new Map()),
     digests: Array.from({ length: bucketCount }, () => 0),
     news: new Map(),
   };
@@ -69,64 +74,78 @@
 /** The key of the one record that lists the sections in force. */
 export const indexKey = "index";
 
+/** The record with this key; null when there is none. */
+export function recordOf(replica: Replica, key: string): SharedRecord | null {
+  return replica.buckets[bucketOf(replica, key)]?.get(key) ?? null;
+}
+
+/** The version known of a key; below every version when there is none. */
+function versionOf(replica: Replica, key: string): number {
+  return recordOf(replica, key)?.version ?? -1;
+}
+
+function allRecords(replica: Replica): readonly SharedRecord[] {
+  return replica.buckets.flatMap((bucket) => [...bucket.values()]);
+}
+
 /** Takes in records; those that are not newer change nothing. */
 export function mergeRecords(
   replica: Replica,
   offered: readonly SharedRecord[],
-  hash: KeyHash,
 ): Replica {
-  const newer = offered.filter((record) =>
-    record.version > (replica.records.get(record.key)?.version ?? -1)
-  );
-  if (newer.length === 0) return replica;
-  const records = new Map(replica.records);
-  const digests = [...replica.digests];
-  const news = new Map(replica.news);
-  for (const record of newer) {
-    const former = records.get(record.key);
-    if (former !== undefined && former.version >= record.version) continue;
-    const bucket = bucketOf(record.key, hash);
-    const removed = former === undefined ? 0 : digestOf(former, hash);
-    const digest = digests[bucket] ?? 0;
-    digests[bucket] = (digest ^ removed ^ digestOf(record, hash)) >>> 0;
-    records.set(record.key, record);
-    news.set(record.key, tellings);
-  }
-  return { records, digests, news };
+  return offered.reduce(mergeRecord, replica);
+}
+
+function mergeRecord(replica: Replica, record: SharedRecord): Replica {
+  if (record.version <= versionOf(replica, record.key)) return replica;
+  const news = new Map(replica.news).set(record.key, tellings);
+  return { ...replaceRecord(replica, record.key, record), news };
 }
 
 /** Removes records that nobody needs any more. */
 export function dropRecords(
   replica: Replica,
   keys: readonly string[],
-  hash: KeyHash,
 ): Replica {
-  const records = new Map(replica.records);
-  const digests = [...replica.digests];
-  const news = new Map(replica.news);
-  for (const key of keys) {
-    const former = records.get(key);
-    if (former === undefined) continue;
-    const bucket = bucketOf(key, hash);
-    const digest = digests[bucket] ?? 0;
-    digests[bucket] = (digest ^ digestOf(former, hash)) >>> 0;
-    records.delete(key);
+  return keys.reduce((replica, key) => {
+    const news = new Map(replica.news);
     news.delete(key);
-  }
-  return { records, digests, news };
+    return { ...replaceRecord(replica, key, null), news };
+  }, replica);
+}
+
+/** Puts a record in a key's place, or nothing, and keeps the digest right. */
+function replaceRecord(
+  replica: Replica,
+  key: string,
+  record: SharedRecord | null,
+): Replica {
+  const index = bucketOf(replica, key);
+  const bucket = new Map(replica.buckets[index]);
+  const former = bucket.get(key) ?? null;
+  if (record === null) bucket.delete(key);
+  else bucket.set(key, record);
+  const digest = (replica.digests[index] ?? 0) ^ digestOf(replica, former) ^
+    digestOf(replica, record);
+  return {
+    ...replica,
+    buckets: replica.buckets.with(index, bucket),
+    digests: replica.digests.with(index, digest >>> 0),
+  };
 }
 
-function bucketOf(key: string, hash: KeyHash): number {
-  return hash(key, bucketSeed) % bucketCount;
+function bucketOf(replica: Replica, key: string): number {
+  return replica.hash(key, bucketSeed) % bucketCount;
 }
 
-function digestOf(record: RecordVersion, hash: KeyHash): number {
-  return hash(`${record.key}@${record.version}`, digestSeed);
+function digestOf(replica: Replica, record: RecordVersion | null): number {
+  if (record === null) return 0;
+  return replica.hash(`${record.key}@${record.version}`, digestSeed);
 }
 
 /** One number that is equal for equal copies. */
-export function rootDigest(replica: Replica, hash: KeyHash): number {
-  return hash(replica.digests.join(","), digestSeed);
+export function rootDigest(replica: Replica): number {
+  return replica.hash(replica.digests.join(","), digestSeed);
 }
 
 /** The news to tell in one message, and the copy that has told it. */
@@ -140,8 +159,8 @@
   const news = new Map(replica.news);
   const records: SharedRecord[] = [];
   for (const [key, left] of told) {
-    const record = replica.records.get(key);
-    if (record !== undefined) records.push(record);
+    const record = recordOf(replica, key);
+    if (record !== null) records.push(record);
     if (left <= 1) news.delete(key);
     else news.set(key, left - 1);
   }
@@ -152,15 +171,10 @@
 export function differingVersions(
   replica: Replica,
   digests: readonly number[],
-  hash: KeyHash,
 ): readonly RecordVersion[] {
-  const differing = new Set(
-    replica.digests.flatMap((digest, bucket) =>
-      digest === digests[bucket] ? [] : [bucket]
-    ),
-  );
-  return [...replica.records.values()]
-    .filter((record) => differing.has(bucketOf(record.key, hash)))
+  return replica.buckets
+    .filter((_, index) => replica.digests[index] !== digests[index])
+    .flatMap((bucket) => [...bucket.values()])
     .map(({ key, version }) => ({ key, version }));
 }
 
@@ -171,7 +185,6 @@
     readonly versions: readonly RecordVersion[];
     readonly digests: readonly number[];
   },
-  hash: KeyHash,
 ): {
   readonly wanted: readonly string[];
   readonly offered: readonly SharedRecord[];
@@ -180,15 +193,13 @@
     other.versions.map((entry) => [entry.key, entry.version]),
   );
   const wanted = other.versions
-    .filter((entry) =>
-      entry.version > (replica.records.get(entry.key)?.version ?? -1)
-    )
+    .filter((entry) => entry.version > versionOf(replica, entry.key))
     .map((entry) => entry.key);
-  const mine = differingVersions(replica, other.digests, hash);
+  const mine = differingVersions(replica, other.digests);
   const offered = mine.flatMap((entry) => {
-    const record = replica.records.get(entry.key);
+    const record = recordOf(replica, entry.key);
     const known = theirs.get(entry.key) ?? -1;
-    return record !== undefined && entry.version > known ? [record] : [];
+    return record !== null && entry.version > known ? [record] : [];
   });
   return { wanted, offered };
 }
@@ -199,14 +210,14 @@
   keys: readonly string[],
 ): readonly SharedRecord[] {
   return keys.flatMap((key) => {
-    const record = replica.records.get(key);
-    return record === undefined ? [] : [record];
+    const record = recordOf(replica, key);
+    return record === null ? [] : [record];
   });
 }
 
 /** All agents that any record tells of, the lost ones included. */
 export function agentsOf(replica: Replica): readonly Agent[] {
-  return [...replica.records.values()].flatMap((record) =>
+  return allRecords(replica).flatMap((record) =>
     record.value.kind === "agent" ? [record.value.agent] : []
   );
 }
@@ -214,8 +225,7 @@
 /** A record of an agent, at a version above the one known of its host. */
 export function agentRecord(replica: Replica, agent: Agent): SharedRecord {
   const key = agentKey(agent.host);
-  const known = replica.records.get(key)?.version ?? 0;
-  const version = Math.max(known + 1, agent.incarnation);
+  const version = Math.max(versionOf(replica, key) + 1, agent.incarnation);
   return { key, version, value: { kind: "agent", agent } };
 }
 
@@ -224,7 +234,7 @@
   replica: Replica,
   self: Agent,
 ): SharedRecord | null {
-  const value = replica.records.get(agentKey(self.host))?.value;
+  const value = recordOf(replica, agentKey(self.host))?.value;
   if (value?.kind !== "agent") return agentRecord(replica, self);
   const { agent } = value;
   if (agent.id === self.id && agent.phase === self.phase) return null;
--- a/source/core/document/assembly.ts
+++ b/source/core/document/assembly.ts
@@ -8,6 +8,7 @@
  */
 import {
   indexKey,
+  recordOf,
   type Replica,
   sectionKey,
   type SharedRecord,
@@ -25,12 +26,12 @@
   replica: Replica,
   current: Configuration,
 ): Configuration | null {
-  const index = replica.records.get(indexKey)?.value;
+  const index = recordOf(replica, indexKey)?.value;
   if (index?.kind !== "index") return null;
   if (index.index.revision <= current.revision) return null;
   const sections: AcceptedSection[] = [];
   for (const [name, revision] of Object.entries(index.index.sections)) {
-    const value = replica.records.get(sectionKey(name))?.value;
+    const value = recordOf(replica, sectionKey(name))?.value;
     if (value?.kind !== "section") return null;
     if (value.section.revision !== revision) return null;
     sections.push(value.section);
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -111,6 +111,9 @@
     },
     now: monotonicNow,
     clock,
+    hopPrefix: options.id,
+    onSilence: (address, request) =>
+      events.record("connection-silent", { address, request: request.id }),
   });
   return { clock, metrics, events, peers, store, target, forwarder };
 }
--- a/source/programs/settings.ts
+++ b/source/programs/settings.ts
@@ -155,10 +155,10 @@
     "lease",
     "duration",
     "how long a server may serve without renewal",
-    "2500ms",
+    "3s",
     duration,
   ],
-  ["renewal", "duration", "time between renewals", "800ms", duration],
+  ["renewal", "duration", "time between renewals", "1s", duration],
   [
     "margin",
     "duration",
--- a/source/tasks/document_task.ts
+++ b/source/tasks/document_task.ts
@@ -34,7 +34,8 @@
 
 /** How many agents of a data centre watch the store. */
 const watchersPerDataCenter = 2;
-const censusIntervalMilliseconds = 500;
+/** The first look comes when most have it; the next ones ever later. */
+const firstCensusMilliseconds = 1_000;
 
 /** Whether this agent is among those of its data centre that watch. */
 export function isWatcher(
@@ -128,10 +129,13 @@
   /** Tells the store, for operators' own tools, how far a revision came. */
   async function follow(revision: number): Promise<void> {
     const end = performance.now() + times.censusMilliseconds;
+    let rest = firstCensusMilliseconds;
+    await pause(rest, stopped.signal);
     let result = await options.census();
-    while (!complete(result, revision) && performance.now() < end) {
+    while (!complete(result, revision) && performance.now() + rest < end) {
       if (stopped.signal.aborted) return;
-      await pause(censusIntervalMilliseconds, stopped.signal);
+      rest *= 2;
+      await pause(rest, stopped.signal);
       result = await options.census();
     }
     const former = await store.statuses.read(mainObject);
--- a/source/tasks/spread_task.ts
+++ b/source/tasks/spread_task.ts
@@ -22,6 +22,7 @@
   dropRecords,
   lossRecord,
   mergeRecords,
+  recordOf,
   recordsOf,
   type Replica,
   rootDigest,
@@ -93,9 +94,9 @@
   /** Called when an agent that is itself fresh has answered an exchange. */
   readonly onConfirmed: () => void;
 }): SpreadTask {
-  const { peers, events, hash, random, times } = options;
+  const { peers, events, random, times } = options;
   let self = options.agent;
-  let replica = beginReplica();
+  let replica = beginReplica(options.hash);
   let agents: readonly Agent[] = [];
   let rounds = 0;
   let failures: ReadonlyMap<AgentId, number> = new Map();
@@ -118,10 +119,10 @@
   function take(records: readonly SharedRecord[]): void {
     const before = replica;
     const wanted = records.filter((record) => !isOldLoss(record));
-    replica = mergeRecords(replica, wanted, hash);
+    replica = mergeRecords(replica, wanted);
     const corrected = correction(replica, self);
     if (corrected !== null) {
-      replica = mergeRecords(replica, [corrected], hash);
+      replica = mergeRecords(replica, [corrected]);
       events.record("agent-refuted-loss", { phase: self.phase });
     }
     if (replica === before) return;
@@ -133,7 +134,7 @@
   function isOldLoss(record: SharedRecord): boolean {
     return record.value.kind === "agent" &&
       record.value.agent.phase === "lost" &&
-      !replica.records.has(record.key);
+      recordOf(replica, record.key) === null;
   }
 
   /** Drops agents that have been lost for long. */
@@ -148,7 +149,7 @@
     );
     if (old.length === 0) return;
     const keys = old.map((agent) => agentKey(agent.host));
-    replica = dropRecords(replica, keys, hash);
+    replica = dropRecords(replica, keys);
     agents = agentsOf(replica);
     options.onChange(replica);
   }
@@ -164,14 +165,14 @@
       message: {
         from: self.id,
         news: tellNews(),
-        root: rootDigest(replica, hash),
+        root: rootDigest(replica),
       },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
     if (result.isErr) return null;
     const reply = result.value;
     mailbox.send({ kind: "merge", records: reply.news });
-    if (reply.root !== rootDigest(replica, hash)) await reconcile(address);
+    if (reply.root !== rootDigest(replica)) await reconcile(address);
     if (reply.fresh) options.onConfirmed();
     return reply.id;
   }
@@ -182,7 +183,7 @@
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
     if (compared.isErr) return;
-    const difference = compareVersions(replica, compared.value, hash);
+    const difference = compareVersions(replica, compared.value);
     if (difference.offered.length + difference.wanted.length === 0) return;
     const received = await peers.call(address, "transfer", {
       message: difference,
@@ -286,12 +287,12 @@
     exchange(message) {
       mailbox.send({ kind: "merge", records: message.news });
       const news = tellNews();
-      const root = rootDigest(replica, hash);
+      const root = rootDigest(replica);
       return { id: self.id, news, root, fresh: options.fresh() };
     },
     compare: ({ digests }) => ({
       digests: replica.digests,
-      versions: differingVersions(replica, digests, hash),
+      versions: differingVersions(replica, digests),
     }),
     transfer({ offered, wanted }) {
       mailbox.send({ kind: "merge", records: offered });
