--- /dev/null
+++ b/source/mod.ts
@@ -0,0 +1,98 @@
+/**
+ * The library: the decisions that the agents are made of, for others to embed.
+ *
+ * Every decision is a pure function from a read-only state and an event to the
+ * next state and the effects to carry out. None of them reads a clock, does
+ * input or output, or throws; times are in milliseconds.
+ *
+ * @module
+ */
+export {
+  type AdmissionEffect,
+  type AdmissionEvent,
+  type AdmissionSettings,
+  type AdmissionState,
+  beginAdmission,
+  type RankPolicy,
+  stepAdmission,
+} from "./core/admission/admission.ts";
+export type { Agent, AgentId, Place } from "./core/agent.ts";
+export { type Clocks, later, surelyBefore } from "./core/clocks.ts";
+export {
+  beginReplica,
+  compareVersions,
+  mergeRecords,
+  type Replica,
+  rootDigest,
+  type SharedRecord,
+  takeNews,
+} from "./core/dissemination/replica.ts";
+export {
+  type Acceptance,
+  judge,
+  nothingAccepted,
+  type ReadDocument,
+} from "./core/document/document.ts";
+export {
+  type Delegation,
+  successorDelegation,
+} from "./core/ownership/delegation.ts";
+export {
+  type GrantorEffect,
+  type GrantorEvent,
+  stepGrantor,
+  tableOf,
+} from "./core/ownership/grantor.ts";
+export type {
+  GrantorSettings,
+  GrantorState,
+} from "./core/ownership/grantor_state.ts";
+export {
+  beginHolder,
+  decideHold,
+  heldGrants,
+  type HoldDecision,
+  type HolderEvent,
+  type HolderState,
+  stepHolder,
+} from "./core/ownership/holder.ts";
+export type { Renewal, RenewalAnswer } from "./core/ownership/renewal.ts";
+export {
+  groupOfKey,
+  type KeyHash,
+  ownerOfSlice,
+  type OwnershipTable,
+  sliceOfKey,
+} from "./core/ownership/table.ts";
+export { beginGrantor, type Takeover } from "./core/ownership/takeover.ts";
+export {
+  compareTokens,
+  type FencingToken,
+  formatToken,
+  parseToken,
+} from "./core/ownership/token.ts";
+export {
+  combineFailures,
+  type Failure,
+  notRun,
+  type Outcome,
+  unknownOutcome,
+} from "./core/request/outcome.ts";
+export {
+  beginBudget,
+  decideRetry,
+  earnRetry,
+  type RetrySettings,
+} from "./core/retry/retry.ts";
+export {
+  beginRouting,
+  chooseTarget,
+  type RoutingState,
+  stepRouting,
+} from "./core/routing/routing.ts";
+export type { Transition } from "./core/step.ts";
+export {
+  type Coordinator,
+  type CoordinatorOptions,
+  startCoordinator,
+} from "./tasks/coordinator.ts";
--- /dev/null
+++ b/tests/inputs_test.ts
@@ -0,0 +1,142 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { after, before, describe, it } from "node:test";
+import fc from "fast-check";
+import { WebSocket } from "ws";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { connectPeers } from "../source/adapters/peer_client.ts";
+import { servePeers } from "../source/adapters/peer_server.ts";
+import { peerSchemas } from "../source/adapters/schemas.ts";
+import { openStore } from "../source/adapters/store_client.ts";
+import type { Metrics } from "../source/ports/metrics.ts";
+import type { PeerMethods } from "../source/ports/peers.ts";
+
+const noMetrics: Metrics = { count: () => undefined, time: () => undefined };
+
+function portOf(server: ReturnType<typeof createServer>): number {
+  return (server.address() as AddressInfo).port;
+}
+
+function listening(server: ReturnType<typeof createServer>): Promise<void> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+}
+
+describe("inputs from outside", () => {
+  describe("peers' messages", () => {
+    const server = createServer();
+    const served: unknown[] = [];
+    const record = (message: unknown) => {
+      served.push(message);
+      return Promise.resolve(null);
+    };
+    const methods = Object.fromEntries(
+      Object.keys(peerSchemas).map((name) => [name, record]),
+    ) as unknown as PeerMethods;
+    let serving: ReturnType<typeof servePeers>;
+
+    before(async () => {
+      await listening(server);
+      serving = servePeers({ server, methods, clock: startLogicalClock() });
+    });
+    after(() => {
+      serving.close();
+      server.close();
+      server.closeAllConnections();
+    });
+
+    it("reach no decision unless they have the agreed shape", async () => {
+      const socket = new WebSocket(`ws://127.0.0.1:${portOf(server)}`);
+      await new Promise((resolve) => socket.once("open", resolve));
+      const call = fc.record({
+        id: fc.integer(),
+        method: fc.constantFrom("mutation", "query", "subscription"),
+        params: fc.record({
+          path: fc.constantFrom(...Object.keys(peerSchemas)),
+          input: fc.oneof(
+            fc.jsonValue(),
+            fc.record({ clock: fc.jsonValue(), message: fc.jsonValue() }),
+          ),
+        }),
+      });
+      await fc.assert(
+        fc.asyncProperty(fc.oneof(fc.string(), call), async (message) => {
+          const text = typeof message === "string"
+            ? message
+            : JSON.stringify(message);
+          socket.send(text);
+          await new Promise((resolve) => setTimeout(resolve, 1));
+          assert.equal(socket.readyState, WebSocket.OPEN);
+        }),
+        { numRuns: 300, seed: 51 },
+      );
+      for (const message of served) {
+        const fits = Object.values(peerSchemas).some((schema) =>
+          schema.message.safeParse(message).success
+        );
+        assert.ok(fits, JSON.stringify(message));
+      }
+      socket.close();
+    });
+
+    it("of another shape come back to a caller as a fault", async () => {
+      const peers = connectPeers({
+        clock: startLogicalClock(),
+        metrics: noMetrics,
+      });
+      const result = await peers.call(`127.0.0.1:${portOf(server)}`, "census", {
+        message: { addresses: null },
+        timeoutMilliseconds: 1_000,
+      });
+      assert.ok(result.isErr);
+      assert.equal(result.error.kind, "rejected");
+      await peers.close();
+    });
+  });
+
+  describe("the store's replies", () => {
+    let reply = "";
+    let status = 200;
+    const server = createServer((_message, response) => {
+      response.writeHead(status, { "content-type": "application/json" });
+      response.end(reply);
+    });
+
+    before(() => listening(server));
+    after(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+
+    it("are values or faults, whatever they contain", async () => {
+      const store = openStore({
+        origin: `http://127.0.0.1:${portOf(server)}`,
+        timeoutMilliseconds: 1_000,
+        metrics: noMetrics,
+      });
+      const object = fc.record({
+        metadata: fc.record({
+          name: fc.string(),
+          resourceVersion: fc.oneof(fc.string(), fc.integer()),
+        }),
+        spec: fc.jsonValue(),
+      }).map((value) => JSON.stringify(value));
+      await fc.assert(
+        fc.asyncProperty(
+          fc.oneof(fc.string(), object),
+          fc.constantFrom(200, 201, 404, 409, 429, 500, 503),
+          async (text, code) => {
+            reply = text;
+            status = code;
+            const read = await store.delegations.read("timetable.0");
+            if (read.isOk) assert.equal(code, 404);
+          },
+        ),
+        { numRuns: 200, seed: 52 },
+      );
+      await store.close();
+    });
+  });
+});
