A hot key can't have two owners across a takeover

Cause, found by reading: the list of isolated keys lived in the grantor alone. A successor began with none, so a key's owner by its own slice and the owner of the slice that it is hashed to could both serve it until they had heard. The property counted slices, not keys, and could not see it; it now follows keys through each holder's own table, with busy keys in the renewals. Now the store has the list before any holder hears of it; a successor reads it; an unreported slice of a key's own follows the holder of its hashed slice once all were heard; and no slice moves before its owner has had the table for longer than any request runs, since earlier requests were counted elsewhere. Hot keys far below the load of others give their slices up.

Also: grantor.ts is split (checkpoint, isolation, table, unreported, state); dead code is gone; a holder counts admissions by message like all else.

--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -21,7 +21,7 @@
 } from "../source/core/dissemination/replica.ts";
 import { stepGrantor } from "../source/core/ownership/grantor.ts";
 import type { GrantorState } from "../source/core/ownership/grantor_state.ts";
-import { tableOf } from "../source/core/ownership/grantor.ts";
+import { tableOf } from "../source/core/ownership/grantor_table.ts";
 import type { Renewal } from "../source/core/ownership/renewal.ts";
 import { beginGrantor } from "../source/core/ownership/takeover.ts";
 import { seededRandom } from "../standins/load.ts";
--- a/benches/ownership_bench.ts
+++ b/benches/ownership_bench.ts
@@ -6,7 +6,8 @@
  */
 import { readFileSync } from "node:fs";
 import { hashText } from "../source/adapters/hashing.ts";
-import { stepGrantor, tableOf } from "../source/core/ownership/grantor.ts";
+import { stepGrantor } from "../source/core/ownership/grantor.ts";
+import { tableOf } from "../source/core/ownership/grantor_table.ts";
 import type { GrantorState } from "../source/core/ownership/grantor_state.ts";
 import type { Grant, Renewal } from "../source/core/ownership/renewal.ts";
 import {
@@ -115,6 +116,8 @@
       state = stepGrantor(state, { kind: "renewal", renewal, now }).state;
     }
     state = stepGrantor(state, { kind: "tick", now }).state;
+    if (state.writing === null) continue;
+    state = stepGrantor(state, { kind: "confirmed", askedAt: now }).state;
   }
   return state;
 }
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -68,7 +68,7 @@
 }
 
 /** A request that takes longer is acknowledged to the agent that sent it. */
-export const acknowledgeMilliseconds = 50;
+const acknowledgeMilliseconds = 50;
 /** Longer than any agent keeps an idle connection to this one. */
 const keepAliveMilliseconds = 65_000;
 /** After the deadline the next hop's own refusal is still awaited this long. */
--- a/source/adapters/peer_server.ts
+++ b/source/adapters/peer_server.ts
@@ -21,7 +21,7 @@
 }
 
 /** Builds the router that serves these methods. */
-export function buildPeerRouter(
+function buildPeerRouter(
   methods: PeerMethods,
   clock: LogicalClock,
 ) {
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/request_reader.ts
@@ -20,14 +20,8 @@
   readonly message: string;
 }
 
-/** A request and its body. */
-export interface ReadRequest {
-  readonly request: ProxyRequest;
-  readonly body: Body;
-}
-
 /** A body up to this size is kept, so that the request can be repeated. */
-export const keptBodyBytes = 65_536;
+const keptBodyBytes = 65_536;
 
 const longestKeyLength = 1_024;
 const longestIdLength = 128;
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -84,8 +84,7 @@
   content,
 });
 
-/** A record that spreads between agents. */
-export const sharedRecord: z.ZodType<SharedRecord> = z.strictObject({
+const sharedRecord: z.ZodType<SharedRecord> = z.strictObject({
   key: name,
   version: count,
   value: z.discriminatedUnion("kind", [
@@ -104,6 +103,12 @@
 const records = z.array(sharedRecord).max(50_000);
 const digests = z.array(count).max(4_096);
 
+const isolatedKeys = z.array(z.strictObject({
+  key: z.string().max(4_096),
+  slice: count,
+  base: count,
+})).max(10_000);
+
 /** An ownership table. */
 export const table: z.ZodType<OwnershipTable> = z.strictObject({
   group: name,
@@ -111,10 +116,7 @@
   holders: z.array(z.strictObject({ id: name, peerAddress: address })),
   owners: z.array(z.number().int().min(-1)).max(100_000),
   hashedSlices: count,
-  isolatedKeys: z.array(z.strictObject({
-    key: z.string().max(4_096),
-    slice: count,
-  })),
+  isolatedKeys,
 });
 
 const renewal: z.ZodType<Renewal> = z.strictObject({
@@ -242,6 +244,7 @@
   durationMilliseconds: rate,
   roster: z.array(z.strictObject({ id: name, peerAddress: address })),
   earlierMayGrant: z.boolean(),
+  isolatedKeys,
   writerMark: name,
 });
 
--- a/source/core/document/document.ts
+++ b/source/core/document/document.ts
@@ -12,12 +12,6 @@
  */
 import type { RankPolicy } from "../admission/admission.ts";
 
-/** A place in the document's text. */
-export interface TextPosition {
-  /** Counts from 1. */
-  readonly line: number;
-}
-
 /** Why a section can't be accepted, for its owner to read. */
 export interface SectionFault {
   readonly section: string;
@@ -215,7 +209,7 @@
 }
 
 /** Whether two sections say the same, whoever wrote them. */
-export function sameSection(left: Candidate, right: Candidate): boolean {
+function sameSection(left: Candidate, right: Candidate): boolean {
   return left.owner === right.owner &&
     JSON.stringify(left.content) === JSON.stringify(right.content);
 }
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Address, AgentId } from "../agent.ts";
+import type { IsolatedKey } from "./table.ts";
 
 /** A server that the grantor may grant to. */
 export interface RosterEntry {
@@ -12,7 +13,10 @@
 }
 
 /** What a grantor writes to the store while its epoch lasts. */
-export type Checkpoint = Pick<Delegation, "roster" | "earlierMayGrant">;
+export type Checkpoint = Pick<
+  Delegation,
+  "roster" | "earlierMayGrant" | "isolatedKeys"
+>;
 
 /**
  * Invariants: a grantor grants only to servers in the stored roster, and gives
@@ -33,6 +37,11 @@
    * by every claim, and cleared once the whole roster has been heard.
    */
   readonly earlierMayGrant: boolean;
+  /**
+   * Keys with a slice of their own. Stored before any holder hears of them, so
+   * that no successor maps such a key to a slice that another server has.
+   */
+  readonly isolatedKeys: readonly IsolatedKey[];
   /** Unique to each write, so that a lost reply can be settled by reading. */
   readonly writerMark: string;
 }
@@ -40,12 +49,18 @@
 /** The delegation that takes a group over from `previous`. */
 export function successorDelegation(
   previous: Delegation | null,
-  claim: Omit<Delegation, "epoch" | "roster" | "earlierMayGrant">,
+  claim: Omit<Delegation, "epoch" | keyof Checkpoint>,
 ): Delegation {
   return {
     ...claim,
     epoch: (previous?.epoch ?? 0) + 1,
     roster: previous?.roster ?? [],
     earlierMayGrant: previous !== null,
+    isolatedKeys: previous?.isolatedKeys ?? [],
   };
 }
+
+/** Whether a roster names this server. */
+export function inRoster(roster: readonly RosterEntry[], id: AgentId): boolean {
+  return roster.some((entry) => entry.id === id);
+}
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -11,62 +11,24 @@
  * @module
  */
 import type { Address, AgentId } from "../agent.ts";
-import { type Clocks, later, surelyBefore } from "../clocks.ts";
+import { type Clocks, surelyBefore } from "../clocks.ts";
 import type { Transition } from "../step.ts";
-import type { Checkpoint, RosterEntry } from "./delegation.ts";
-import {
-  delegationEnd,
-  type GrantorSettings,
-  type GrantorState,
-  type Holder,
-  type Slice,
+import { afterCheckpoint, wantCheckpoint } from "./checkpoint.ts";
+import { inRoster } from "./delegation.ts";
+import type {
+  GrantorEffect,
+  GrantorEvent,
+  GrantorSettings,
+  GrantorState,
+  Holder,
+  Slice,
 } from "./grantor_state.ts";
+import { tableOf } from "./grantor_table.ts";
+import { noteBusyKeys } from "./isolation.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
-import type { Grant, KeyLoad, Renewal, RenewalAnswer } from "./renewal.ts";
-import type { OwnershipTable } from "./table.ts";
-import { compareTokens, type FencingToken } from "./token.ts";
-
-/** What happens to a grantor. */
-export type GrantorEvent =
-  | {
-    readonly kind: "renewal";
-    readonly renewal: Renewal;
-    readonly now: Clocks;
-  }
-  | { readonly kind: "tick"; readonly now: Clocks }
-  | {
-    /** A store write at this epoch took effect. */
-    readonly kind: "confirmed";
-    readonly askedAt: Clocks;
-  }
-  | {
-    /** The store write surely had no effect, and this epoch still stands. */
-    readonly kind: "notWritten";
-  };
-
-/** What a grantor asks of its task. */
-export type GrantorEffect =
-  | { readonly kind: "answer"; readonly answer: RenewalAnswer }
-  | { readonly kind: "refuse" }
-  | {
-    readonly kind: "writeCheckpoint";
-    readonly checkpoint: Checkpoint;
-  }
-  | { readonly kind: "nudge"; readonly peerAddresses: readonly Address[] }
-  | { readonly kind: "lapsed"; readonly id: AgentId; readonly slices: number }
-  | {
-    readonly kind: "granted";
-    readonly slice: number;
-    readonly owner: AgentId;
-    readonly token: FencingToken;
-  }
-  | {
-    readonly kind: "moveStarted";
-    readonly slice: number;
-    readonly owner: AgentId;
-    readonly destination: AgentId;
-  }
-  | { readonly kind: "isolated"; readonly key: string; readonly slice: number };
+import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
+import { compareTokens, noToken } from "./token.ts";
+import { freeUnreported } from "./unreported.ts";
 
 /** Applies one event to a grantor. */
 export function stepGrantor(
@@ -104,9 +66,8 @@
   const known = withHolder(state, renewal, now);
   const restored = restoreReported(known, renewal);
   const released = acceptReleases(restored, renewal);
-  const isolated = isolateBusyKeys(released, renewal);
-  const assigned = assignFree(isolated.state);
-  const effects = [...isolated.effects, ...assigned.effects];
+  const assigned = assignFree(noteBusyKeys(released, renewal));
+  const { effects } = assigned;
   const answer = answerFor(assigned.state, renewal);
   return {
     state: assigned.state,
@@ -140,8 +101,24 @@
   return { state: next, effects: [{ kind: "answer", answer }] };
 }
 
-function inRoster(roster: readonly RosterEntry[], id: AgentId): boolean {
-  return roster.some((entry) => entry.id === id);
+/** A version settles once every request of earlier ones must have ended. */
+function settle(
+  former: Holder | undefined,
+  seen: {
+    readonly renewal: Renewal;
+    readonly now: number;
+    readonly settings: GrantorSettings;
+  },
+): Pick<Holder, "settledVersion" | "settling"> {
+  const version = seen.renewal.tableVersion;
+  const next = { version, since: seen.now };
+  if (former === undefined) return { settledVersion: noToken, settling: next };
+  const { settling, settledVersion } = former;
+  const { longestDeadlineMilliseconds } = seen.settings;
+  if (seen.now - settling.since < longestDeadlineMilliseconds) {
+    return { settledVersion, settling };
+  }
+  return { settledVersion: settling.version, settling: next };
 }
 
 /** One renewal counts a second's requests; placement needs a steadier view. */
@@ -152,6 +129,7 @@
   renewal: Renewal,
   now: Clocks,
 ): GrantorState {
+  const former = state.holders.get(renewal.id);
   const holder: Holder = {
     id: renewal.id,
     peerAddress: renewal.peerAddress,
@@ -160,8 +138,12 @@
     leaving: renewal.leaving,
     leaseEndsAt: now.monotonic + state.settings.leaseMilliseconds,
     tableVersion: renewal.tableVersion,
+    ...settle(former, {
+      renewal,
+      now: now.monotonic,
+      settings: state.settings,
+    }),
   };
-  const former = state.holders.get(renewal.id);
   const holders = new Map(state.holders).set(renewal.id, holder);
   const loads = new Map(state.loads);
   for (const { slice, requestsPerSecond } of renewal.sliceLoads) {
@@ -199,15 +181,11 @@
   return firstHeard ? noteHeard(restored, renewal.id) : restored;
 }
 
-/** Once all are heard, what nobody reported is nobody's. */
 function noteHeard(state: GrantorState, id: AgentId): GrantorState {
   const unheard = new Set(state.unheard);
   unheard.delete(id);
-  if (unheard.size > 0) return { ...state, unheard };
-  const slices = state.slices.map((slice): Slice =>
-    slice.kind === "reserved" && slice.owner === null ? { kind: "free" } : slice
-  );
-  return { ...state, unheard, slices };
+  const heard = { ...state, unheard };
+  return unheard.size > 0 ? heard : freeUnreported(heard);
 }
 
 function acceptReleases(state: GrantorState, renewal: Renewal): GrantorState {
@@ -226,61 +204,6 @@
   return { ...state, slices, sequence: state.sequence + 1 };
 }
 
-const isolationShare = 0.25;
-const isolationFloorPerSecond = 50;
-
-/** Gives a key that carries much of its slice's load a slice of its own. */
-function isolateBusyKeys(
-  state: GrantorState,
-  renewal: Renewal,
-): Transition<GrantorState, GrantorEffect> {
-  let next = state;
-  const effects: GrantorEffect[] = [];
-  for (const load of renewal.keyLoads) {
-    if (!worthIsolating(next, renewal.id, load)) continue;
-    const owner = next.slices[load.slice];
-    if (owner === undefined || owner.kind !== "held") continue;
-    const slice = next.slices.length;
-    const sequence = next.sequence + 1;
-    const token = { epoch: next.epoch, sequence };
-    next = {
-      ...next,
-      sequence,
-      slices: [...next.slices, { kind: "held", owner: renewal.id, token }],
-      isolatedKeys: [...next.isolatedKeys, { key: load.key, slice }],
-      loads: new Map(next.loads).set(slice, load.requestsPerSecond),
-    };
-    effects.push({ kind: "isolated", key: load.key, slice });
-  }
-  return { state: next, effects };
-}
-
-function worthIsolating(
-  state: GrantorState,
-  owner: AgentId,
-  load: KeyLoad,
-): boolean {
-  if (state.isolatedKeys.length >= state.settings.isolatedKeys) return false;
-  if (load.requestsPerSecond < isolationFloorPerSecond) return false;
-  if (load.slice >= state.settings.hashedSlices) return false;
-  if (state.isolatedKeys.some((entry) => entry.key === load.key)) return false;
-  const slice = state.slices[load.slice];
-  if (slice === undefined || slice.kind !== "held") return false;
-  if (slice.owner !== owner) return false;
-  const whole = ownedLoad(state, owner);
-  return load.requestsPerSecond >= isolationShare * whole;
-}
-
-function ownedLoad(state: GrantorState, owner: AgentId): number {
-  let sum = 0;
-  state.slices.forEach((slice, index) => {
-    if (slice.kind === "held" && slice.owner === owner) {
-      sum += state.loads.get(index) ?? 0;
-    }
-  });
-  return sum;
-}
-
 function tick(
   state: GrantorState,
   now: Clocks,
@@ -406,99 +329,24 @@
   };
 }
 
-/** A write is wanted again after this share of the delegation has passed. */
-const renewalShare = 0.25;
-
-function wantCheckpoint(
-  state: GrantorState,
-  now: Clocks,
-): Transition<GrantorState, GrantorEffect> {
-  if (state.writing !== null || !needsCheckpoint(state, now)) {
-    return { state, effects: [] };
-  }
-  const checkpoint: Checkpoint = {
-    roster: nextRoster(state, now.monotonic),
-    earlierMayGrant: state.unheard.size > 0,
-  };
-  return {
-    state: { ...state, writing: checkpoint },
-    effects: [{ kind: "writeCheckpoint", checkpoint }],
-  };
-}
-
-function needsCheckpoint(state: GrantorState, now: Clocks): boolean {
-  if (state.applicants.length > 0) return true;
-  if (state.earlierMayGrant && state.unheard.size === 0) return true;
-  const surelyEnded = state.slices.some((slice) =>
-    slice.kind === "reserved" && slice.availableAt <= now.monotonic
-  );
-  if (surelyEnded) return true;
-  const passed = state.settings.delegationMilliseconds * renewalShare;
-  const renewAt = later(
-    state.delegationEndsAt,
-    passed - state.settings.delegationMilliseconds,
-  );
-  return !surelyBefore(now, renewAt);
-}
-
-/** Applicants join; a server stays while a slice may still be with it. */
-function nextRoster(
-  state: GrantorState,
-  now: number,
-): readonly RosterEntry[] {
-  const needed = new Set<AgentId>(state.holders.keys());
-  for (const slice of state.slices) {
-    if (slice.kind !== "reserved" || slice.availableAt <= now) continue;
-    if (slice.owner !== null) needed.add(slice.owner);
-    else for (const id of state.unheard) needed.add(id);
-  }
-  const kept = state.roster.filter((entry) => needed.has(entry.id));
-  return [...kept, ...state.applicants];
-}
-
-/** Whether a write that drops these servers makes the slice free. */
-function freedBy(
-  slice: Slice,
-  write: {
-    readonly askedAt: number;
-    readonly roster: readonly RosterEntry[];
-  },
-): boolean {
-  if (slice.kind !== "reserved" || slice.availableAt > write.askedAt) {
-    return false;
-  }
-  return slice.owner === null || !inRoster(write.roster, slice.owner);
-}
-
 function confirm(
   state: GrantorState,
   askedAt: Clocks,
 ): Transition<GrantorState, GrantorEffect> {
-  const roster = state.writing?.roster ?? state.roster;
-  const write = { askedAt: askedAt.monotonic, roster };
-  const slices = state.slices.map((slice): Slice =>
-    freedBy(slice, write) ? { kind: "free" } : slice
-  );
-  const unheard = [...state.unheard].filter((id) => inRoster(roster, id));
+  const confirmed = afterCheckpoint(state, askedAt);
   const newcomers = state.applicants.filter((entry) =>
-    inRoster(roster, entry.id)
+    inRoster(confirmed.roster, entry.id)
   );
-  const confirmed: GrantorState = {
-    ...state,
-    slices,
-    roster,
-    unheard: new Set(unheard),
-    earlierMayGrant: state.writing?.earlierMayGrant ?? state.earlierMayGrant,
-    writing: null,
-    applicants: state.applicants.filter((entry) => !inRoster(roster, entry.id)),
-    delegationEndsAt: delegationEnd(askedAt, state.settings),
-    sequence: state.sequence + 1,
-  };
+  const isolated = confirmed.isolatedKeys
+    .filter((entry) => !state.isolatedKeys.includes(entry))
+    .map(({ key, slice }): GrantorEffect => ({ kind: "isolated", key, slice }));
   const assigned = assignFree(confirmed);
-  if (newcomers.length === 0) return assigned;
   const peerAddresses = newcomers.map((entry) => entry.peerAddress);
   const nudge: GrantorEffect = { kind: "nudge", peerAddresses };
-  return { state: assigned.state, effects: [...assigned.effects, nudge] };
+  return {
+    state: assigned.state,
+    effects: [...isolated, ...assigned.effects, nudge],
+  };
 }
 
 function answerFor(state: GrantorState, renewal: Renewal): RenewalAnswer {
@@ -520,24 +368,3 @@
     table: stale ? table : null,
   };
 }
-
-/** The table that a grantor's state stands for. */
-export function tableOf(state: GrantorState): OwnershipTable {
-  const holders = [...state.holders.values()].map((holder) => ({
-    id: holder.id,
-    peerAddress: holder.peerAddress,
-  }));
-  const indexes = new Map(holders.map((holder, index) => [holder.id, index]));
-  const owners = state.slices.map((slice) => {
-    if (slice.kind === "free" || slice.owner === null) return -1;
-    return indexes.get(slice.owner) ?? -1;
-  });
-  return {
-    group: state.group,
-    version: { epoch: state.epoch, sequence: state.sequence },
-    holders,
-    owners,
-    hashedSlices: state.settings.hashedSlices,
-    isolatedKeys: state.isolatedKeys,
-  };
-}
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -6,6 +6,7 @@
 import type { Address, AgentId } from "../agent.ts";
 import { type Clocks, later } from "../clocks.ts";
 import type { Checkpoint, RosterEntry } from "./delegation.ts";
+import type { KeyLoad, Renewal, RenewalAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import type { FencingToken } from "./token.ts";
 
@@ -33,6 +34,16 @@
   /** On the grantor's monotonic clock. */
   readonly leaseEndsAt: number;
   readonly tableVersion: FencingToken;
+  /**
+   * A table that the holder has had for longer than any request runs: all
+   * that it runs now was admitted by that table or a later one.
+   */
+  readonly settledVersion: FencingToken;
+  /** The next settled version, and when it was first reported. */
+  readonly settling: {
+    readonly version: FencingToken;
+    readonly since: number;
+  };
 }
 
 /** What the grantor knows of one slice. */
@@ -75,6 +86,8 @@
   readonly loads: ReadonlyMap<number, number>;
   /** What the store says of earlier grantors, as this one last wrote it. */
   readonly earlierMayGrant: boolean;
+  /** Busy keys that wait for a store write to get slices of their own. */
+  readonly busyKeys: readonly KeyLoad[];
   /** What a store write not yet settled carries; null for none. */
   readonly writing: Checkpoint | null;
 }
@@ -90,3 +103,45 @@
   const length = settings.delegationMilliseconds * (1 - clockDriftShare);
   return later(askedAt, length);
 }
+
+/** What happens to a grantor. */
+export type GrantorEvent =
+  | {
+    readonly kind: "renewal";
+    readonly renewal: Renewal;
+    readonly now: Clocks;
+  }
+  | { readonly kind: "tick"; readonly now: Clocks }
+  | {
+    /** A store write at this epoch took effect. */
+    readonly kind: "confirmed";
+    readonly askedAt: Clocks;
+  }
+  | {
+    /** The store write surely had no effect, and this epoch still stands. */
+    readonly kind: "notWritten";
+  };
+
+/** What a grantor asks of its task. */
+export type GrantorEffect =
+  | { readonly kind: "answer"; readonly answer: RenewalAnswer }
+  | { readonly kind: "refuse" }
+  | {
+    readonly kind: "writeCheckpoint";
+    readonly checkpoint: Checkpoint;
+  }
+  | { readonly kind: "nudge"; readonly peerAddresses: readonly Address[] }
+  | { readonly kind: "lapsed"; readonly id: AgentId; readonly slices: number }
+  | {
+    readonly kind: "granted";
+    readonly slice: number;
+    readonly owner: AgentId;
+    readonly token: FencingToken;
+  }
+  | {
+    readonly kind: "moveStarted";
+    readonly slice: number;
+    readonly owner: AgentId;
+    readonly destination: AgentId;
+  }
+  | { readonly kind: "isolated"; readonly key: string; readonly slice: number };
--- /dev/null
+++ b/source/core/ownership/isolation.ts
@@ -0,0 +1,125 @@
+/**
+ * Hot keys: a key that carries much of its server's load gets a slice of its
+ * own, so that it can be moved alone.
+ *
+ * Invariants:
+ * - a key's own slice begins where the slice is that it is hashed to;
+ * - the store knows of it before any holder does.
+ *
+ * @module
+ */
+import type { AgentId } from "../agent.ts";
+import type { GrantorState, Slice } from "./grantor_state.ts";
+import type { KeyLoad, Renewal } from "./renewal.ts";
+import type { IsolatedKey } from "./table.ts";
+import { followBase } from "./unreported.ts";
+
+const isolationShare = 0.25;
+const isolationFloorPerSecond = 50;
+/** An isolated key below this load may give its slice up to a busier one. */
+const coldPerSecond = 25;
+
+/** Notes the keys of a renewal that deserve slices of their own. */
+export function noteBusyKeys(
+  state: GrantorState,
+  renewal: Renewal,
+): GrantorState {
+  const busy = renewal.keyLoads.filter((load) =>
+    worthIsolating(state, renewal.id, load)
+  );
+  if (busy.length === 0) return state;
+  return { ...state, busyKeys: [...state.busyKeys, ...busy] };
+}
+
+function worthIsolating(
+  state: GrantorState,
+  owner: AgentId,
+  load: KeyLoad,
+): boolean {
+  if (load.requestsPerSecond < isolationFloorPerSecond) return false;
+  if (load.slice >= state.settings.hashedSlices) return false;
+  if (!holds(state, owner, load.slice)) return false;
+  const known = [...state.isolatedKeys, ...state.busyKeys];
+  if (known.some((entry) => entry.key === load.key)) return false;
+  return load.requestsPerSecond >= isolationShare * ownedLoad(state, owner);
+}
+
+function holds(state: GrantorState, owner: AgentId, index: number): boolean {
+  const slice = state.slices[index];
+  return slice?.kind === "held" && slice.owner === owner;
+}
+
+function ownedLoad(state: GrantorState, owner: AgentId): number {
+  return state.slices.reduce(
+    (sum, slice, index) =>
+      slice.kind === "held" && slice.owner === owner
+        ? sum + (state.loads.get(index) ?? 0)
+        : sum,
+    0,
+  );
+}
+
+/** The isolated keys as the next store write shall carry them. */
+export function nextIsolatedKeys(state: GrantorState): readonly IsolatedKey[] {
+  return state.busyKeys.reduce(
+    (keys, load) => withKey(state, { keys, load }),
+    state.isolatedKeys,
+  );
+}
+
+function withKey(
+  state: GrantorState,
+  change: { readonly keys: readonly IsolatedKey[]; readonly load: KeyLoad },
+): readonly IsolatedKey[] {
+  const { keys, load } = change;
+  const entry = { key: load.key, base: load.slice };
+  if (keys.length < state.settings.isolatedKeys) {
+    const slice = state.settings.hashedSlices + keys.length;
+    return [...keys, { ...entry, slice }];
+  }
+  const place = keys.findIndex((cold) => canReplace(state, cold, load));
+  const cold = keys[place];
+  if (cold === undefined) return keys;
+  return keys.with(place, { ...entry, slice: cold.slice });
+}
+
+/** All three slices have one owner, so that no key changes hands by it. */
+function canReplace(
+  state: GrantorState,
+  cold: IsolatedKey,
+  load: KeyLoad,
+): boolean {
+  const slice = state.slices[load.slice];
+  if (slice?.kind !== "held") return false;
+  return (state.loads.get(cold.slice) ?? 0) < coldPerSecond &&
+    holds(state, slice.owner, cold.slice) &&
+    holds(state, slice.owner, cold.base);
+}
+
+/** The slices once a store write has changed the isolated keys to these. */
+export function slicesWithKeys(
+  state: GrantorState,
+  keys: readonly IsolatedKey[],
+): readonly Slice[] {
+  const former = new Set(state.isolatedKeys);
+  return keys
+    .filter((entry) => !former.has(entry))
+    .reduce(
+      (slices, entry) => putSlice(slices, { entry, state }),
+      state.slices,
+    );
+}
+
+/** A new token, so that the slice stays until its owner knows of the key. */
+function putSlice(
+  slices: readonly Slice[],
+  change: { readonly entry: IsolatedKey; readonly state: GrantorState },
+): readonly Slice[] {
+  const { entry, state } = change;
+  const base = slices[entry.base];
+  const token = { epoch: state.epoch, sequence: state.sequence + 1 };
+  const slice = followBase(base, token);
+  return entry.slice < slices.length
+    ? slices.with(entry.slice, slice)
+    : [...slices, slice];
+}
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -11,8 +11,11 @@
 import type { Clocks } from "../clocks.ts";
 import { type Delegation, successorDelegation } from "./delegation.ts";
 import { delegationEnded, stepGrantor } from "./grantor.ts";
-import type { GrantorEvent } from "./grantor.ts";
-import type { GrantorSettings, GrantorState } from "./grantor_state.ts";
+import type {
+  GrantorEvent,
+  GrantorSettings,
+  GrantorState,
+} from "./grantor_state.ts";
 import {
   beginHolder,
   decideHold,
@@ -21,6 +24,7 @@
   stepHolder,
 } from "./holder.ts";
 import type { Renewal, RenewalAnswer } from "./renewal.ts";
+import { type KeyHash, sliceOfKey } from "./table.ts";
 import { beginGrantor } from "./takeover.ts";
 
 const settings: GrantorSettings = {
@@ -47,7 +51,13 @@
     readonly milliseconds: number;
   }
   | { readonly kind: "advance"; readonly milliseconds: number }
-  | { readonly kind: "renew"; readonly holder: number; readonly fate: Fate }
+  | {
+    readonly kind: "renew";
+    readonly holder: number;
+    readonly fate: Fate;
+    /** The number of a key that is busy just now; null for none. */
+    readonly busy?: number | null;
+  }
   | { readonly kind: "deliver"; readonly holder: number }
   | { readonly kind: "tick"; readonly grantor: number }
   | { readonly kind: "write"; readonly grantor: number; readonly fate: Fate }
@@ -69,6 +79,7 @@
 
 interface Work {
   readonly holder: number;
+  readonly key: string;
   readonly slice: number;
   readonly endsAt: number;
 }
@@ -82,6 +93,13 @@
   monotonic: number;
 }
 
+/** A key for each slice that keys are hashed to. */
+function keyOf(number: number): string {
+  return `k${number}`;
+}
+
+const hash: KeyHash = (text) => Number(text.slice(1));
+
 /** Just enough of a world to carry the decisions' messages. */
 class World {
   now = 1_000;
@@ -130,7 +148,7 @@
         }
         return;
       case "renew":
-        return this.renew(move.holder, move.fate);
+        return this.renew(move.holder, move.fate, move.busy ?? null);
       case "deliver":
         return this.deliver(move.holder);
       case "tick":
@@ -197,7 +215,7 @@
     return answer;
   }
 
-  renew(index: number, fate: Fate): void {
+  renew(index: number, fate: Fate, busy: number | null = null): void {
     const server = this.servers[index]!;
     if (server.frozen || server.grantor === null) return;
     if (this.grantors[server.grantor] === null && this.stored !== null) {
@@ -217,7 +235,11 @@
       released: server.state.released,
       tableVersion: server.state.table.version,
       sliceLoads: [],
-      keyLoads: [],
+      keyLoads: busy === null ? [] : [{
+        key: keyOf(busy),
+        slice: busy,
+        requestsPerSecond: 1_000,
+      }],
     };
     const answer = this.feed(server.grantor, {
       kind: "renewal",
@@ -299,7 +321,7 @@
       claimedFromOther: former !== null,
       formerDurationMilliseconds: former?.durationMilliseconds ?? 0,
       askedAt: this.grantorClocks(),
-      isolatedKeys: [],
+      isolatedKeys: this.stored.isolatedKeys,
       now: this.grantorClocks(),
     });
     for (const server of this.servers) server.grantor ??= move.grantor;
@@ -308,24 +330,27 @@
   admit(move: Move & { readonly kind: "admit" }): void {
     const server = this.servers[move.holder]!;
     if (server.frozen) return;
-    const { slice } = move;
+    const key = keyOf(move.slice);
+    const slice = sliceOfKey(server.state.table, key, hash);
     const decision = decideHold(server.state, slice, this.clocks(server));
     if (decision.kind !== "owned") return;
     server.state = stepHolder(server.state, { kind: "admitted", slice });
     this.works.push({
       holder: move.holder,
+      key,
       slice,
       endsAt: this.now + move.milliseconds,
     });
   }
 
-  /** Who may admit, or still runs, work on a slice now. */
-  activeOn(slice: number): ReadonlySet<number> {
+  /** Who may admit, or still runs, work on a key now. */
+  activeOn(number: number): ReadonlySet<number> {
+    const key = keyOf(number);
     const active = new Set(
-      this.works.filter((work) => work.slice === slice)
-        .map((work) => work.holder),
+      this.works.filter((work) => work.key === key).map((work) => work.holder),
     );
     this.servers.forEach((server, index) => {
+      const slice = sliceOfKey(server.state.table, key, hash);
       const decision = decideHold(server.state, slice, this.clocks(server));
       if (decision.kind === "owned") active.add(index);
     });
@@ -377,7 +402,12 @@
   },
   {
     weight: 6,
-    arbitrary: fc.record({ kind: fc.constant("renew" as const), holder, fate }),
+    arbitrary: fc.record({
+      kind: fc.constant("renew" as const),
+      holder,
+      fate,
+      busy: fc.option(fc.integer({ min: 0, max: settings.hashedSlices - 1 })),
+    }),
   },
   {
     weight: 4,
@@ -500,6 +530,48 @@
     });
   });
 
+  describe("of a hot key", () => {
+    function isolated(): World {
+      const world = new World();
+      for (const move of opening) world.run(move);
+      for (const holder of [0, 1, 2]) {
+        world.run({ kind: "renew", holder, fate: "arrives", busy: 2 });
+      }
+      world.run({ kind: "tick", grantor: 0 });
+      world.run({ kind: "write", grantor: 0, fate: "arrives" });
+      return world;
+    }
+
+    it("stays where it is when it gets a slice of its own", () => {
+      const world = isolated();
+      assert.deepEqual(
+        world.stored?.isolatedKeys.map((entry) => entry.key),
+        ["k2"],
+      );
+      const before = [...world.activeOn(2)];
+      for (const holder of [0, 1, 2]) {
+        world.run({ kind: "renew", holder, fate: "arrives" });
+      }
+      assert.deepEqual([...world.activeOn(2)], before);
+    });
+
+    it("stays with a holder that had not heard of it at a takeover", () => {
+      const world = isolated();
+      const before = [...world.activeOn(2)];
+      world.run({
+        kind: "takeOver",
+        grantor: 1,
+        reached: [true, true, true],
+        formerReached: false,
+      });
+      const slice = world.grantors[1]?.slices[settings.hashedSlices];
+      assert.ok(slice?.kind === "held");
+      assert.equal(slice.owner, `s${before[0]}`);
+      world.run({ kind: "round", milliseconds: 10 });
+      assert.deepEqual([...world.activeOn(2)], before);
+    });
+  });
+
   describe("without faults", () => {
     it("gives every slice an owner", () => {
       const world = new World();
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -89,7 +89,10 @@
   const moves: Move[] = [];
   state.slices.forEach((slice, index) => {
     if (slice.kind !== "held") return;
-    if (state.holders.get(slice.owner)?.leaving !== true) return;
+    const owner = state.holders.get(slice.owner);
+    if (owner?.leaving !== true) return;
+    const isolated = index >= state.settings.hashedSlices;
+    if (isolated && !settled(owner, slice.token)) return;
     const destination = lowest(loads);
     if (destination === null) return;
     moves.push({ slice: index, owner: slice.owner, destination });
@@ -182,10 +185,13 @@
   return best;
 }
 
-/** A slice moves only after its owner is known to have seen its grant. */
+/**
+ * A slice moves only after its owner has long had the table that has it: what
+ * ran on a key before it was isolated was counted on another slice.
+ */
 function settled(
   holder: Holder,
   token: { readonly epoch: number; readonly sequence: number },
 ): boolean {
-  return compareTokens(holder.tableVersion, token) >= 0;
+  return compareTokens(holder.settledVersion, token) >= 0;
 }
--- a/source/core/ownership/table.ts
+++ b/source/core/ownership/table.ts
@@ -21,6 +21,8 @@
 export interface IsolatedKey {
   readonly key: string;
   readonly slice: number;
+  /** The slice that the key is hashed to. */
+  readonly base: number;
 }
 
 /** Who owns what in one group, at one version. */
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -14,6 +14,7 @@
   type Holder,
   type Slice,
 } from "./grantor_state.ts";
+import { freeUnreported } from "./unreported.ts";
 import type { TakeoverAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import { compareTokens, type FencingToken, noToken } from "./token.ts";
@@ -60,11 +61,12 @@
     unheard: unheardOf(takeover),
     slices,
     isolatedKeys: takeover.isolatedKeys,
+    busyKeys: [],
     loads: new Map(),
     earlierMayGrant: takeover.claimedFromOther,
     writing: null,
   };
-  return state;
+  return state.unheard.size === 0 ? freeUnreported(state) : state;
 }
 
 function countSlices(takeover: Takeover): number {
@@ -83,6 +85,8 @@
     leaseEndsAt: takeover.now.monotonic +
       takeover.settings.leaseMilliseconds,
     tableVersion: noToken,
+    settledVersion: noToken,
+    settling: { version: noToken, since: takeover.now.monotonic },
   };
 }
 
@@ -97,7 +101,6 @@
     newest = { owner: answer.id, token: grant.token };
   }
   if (newest !== null) return { kind: "held", ...newest };
-  if (unheardOf(takeover).size === 0) return { kind: "free" };
   return {
     kind: "reserved",
     owner: null,
--- a/source/mod.ts
+++ b/source/mod.ts
@@ -37,13 +37,11 @@
   type Delegation,
   successorDelegation,
 } from "./core/ownership/delegation.ts";
-export {
-  type GrantorEffect,
-  type GrantorEvent,
-  stepGrantor,
-  tableOf,
-} from "./core/ownership/grantor.ts";
+export { stepGrantor } from "./core/ownership/grantor.ts";
+export { tableOf } from "./core/ownership/grantor_table.ts";
 export type {
+  GrantorEffect,
+  GrantorEvent,
   GrantorSettings,
   GrantorState,
 } from "./core/ownership/grantor_state.ts";
--- a/source/tasks/census_task.ts
+++ b/source/tasks/census_task.ts
@@ -10,12 +10,6 @@
 /** Parts that an agent splits the others into. */
 const fanOut = 16;
 
-/** An agent to ask, with the name to report if it does not answer. */
-export interface Respondent {
-  readonly host: string;
-  readonly address: Address;
-}
-
 /** Brings this agent's answer together with those of all given addresses. */
 export async function takeCensus(options: {
   readonly own: AppliedRevision;
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -66,7 +66,7 @@
 }
 
 const tableTimeoutMilliseconds = 250;
-/** Most failed targets that a request without a key avoids. */
+/** A table fetched so lately is not fetched again. */
 const shortestTableAgeMilliseconds = 20;
 
 /** Starts with empty tables. */
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -4,21 +4,20 @@
  *
  * @module
  */
-import type { Address, Agent, AgentId } from "../core/agent.ts";
+import type { Address, Agent } from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
 import {
   type Checkpoint,
   type Delegation,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
-import {
-  delegationEnded,
-  type GrantorEffect,
-  type GrantorEvent,
-  stepGrantor,
-  tableOf,
-} from "../core/ownership/grantor.ts";
-import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import { delegationEnded, stepGrantor } from "../core/ownership/grantor.ts";
+import { tableOf } from "../core/ownership/grantor_table.ts";
+import type {
+  GrantorEffect,
+  GrantorEvent,
+  GrantorSettings,
+} from "../core/ownership/grantor_state.ts";
 import type {
   Renewal,
   RenewalAnswer,
@@ -105,7 +104,7 @@
     claimedFromOther: claim.former !== null,
     formerDurationMilliseconds: claim.former?.durationMilliseconds ?? 0,
     askedAt: claim.askedAt,
-    isolatedKeys: [],
+    isolatedKeys: claim.stored.value.isolatedKeys,
     now: readClocks(),
   });
   options.events.record("grantor-begun", {
@@ -352,8 +351,3 @@
 }
 
 type Answer = (value: RenewalAnswer | null) => void;
-
-/** Names a grantor's host for events. */
-export function hostOf(id: AgentId): string {
-  return id.split("/")[0] ?? id;
-}
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -92,7 +92,7 @@
     readonly claim: EpochClaim;
     readonly answer: (value: TakeoverAnswer | null) => void;
   }
-  | { readonly kind: "finished"; readonly slice: number }
+  | { readonly kind: "admitted" | "finished"; readonly slice: number }
   | { readonly kind: "releaseAll" };
 
 const sketchCapacity = 64;
@@ -141,6 +141,7 @@
       case "takeEpoch":
         message.answer(acceptEpoch(message.claim));
         break;
+      case "admitted":
       case "finished":
       case "releaseAll":
         change(stepHolder(state, message));
@@ -283,7 +284,7 @@
       const slice = sliceOfKey(state.table, key, hash);
       const decision = decideHold(state, slice, readClocks());
       if (decision.kind === "refused") return decision.reason;
-      state = stepHolder(state, { kind: "admitted", slice });
+      mailbox.send({ kind: "admitted", slice });
       load = countLoad(load, key, slice);
       let finished = false;
       return {
