--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -7,6 +7,8 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { hashText } from "../source/adapters/hashing.ts";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { startTimeline } from "../source/adapters/timeline_buffer.ts";
 import type { Agent } from "../source/core/agent.ts";
 import {
   agentKey,
@@ -25,12 +27,15 @@
 import type { Renewal } from "../source/core/ownership/renewal.ts";
 import { beginGrantor } from "../source/core/ownership/takeover.ts";
 import { seededRandom } from "../standins/load.ts";
+import { launchMesh } from "../standins/processes.ts";
 import { checkBounds, round, show, sleep } from "./bench.ts";
 import {
   type CoordinatorMesh,
   launchCoordinators,
 } from "./coordinator_mesh.ts";
 import { sizeOf } from "./coordinators.ts";
+import { residentMegabytes } from "./processor_time.ts";
+import { bundleProgram } from "./programs.ts";
 
 const studios = readFileSync(
   new URL("../examples/studios.yaml", import.meta.url),
@@ -182,6 +187,47 @@
   return kilobytes / count;
 }
 
+/** Memory of a full time line at one agent. */
+function measureTimeline(): void {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const timeline = startTimeline({
+    agent: "host-1/abcdefgh",
+    clock: startLogicalClock(),
+    log: () => undefined,
+  });
+  for (let index = 0; index < 10_000; index += 1) {
+    const request = `request-${index}`;
+    timeline.record("request-routed", { request, to: `host-${index}/abc` });
+    timeline.record("slice-granted", { slice: index, holder: request });
+  }
+  collectGarbage();
+  const megabytes = (process.memoryUsage().heapUsed - before) / 1_048_576;
+  const events = timeline.after(0).length;
+  show(`  ${events} events: ${round(megabytes)} MB`);
+}
+
+/** Resident memory of agents as they are shipped, at rest. */
+async function measureAgentMemory(): Promise<number> {
+  const place = { dataCenter: "kolkata-1", region: "kolkata" };
+  const mesh = await launchMesh({
+    document: "examples/studios.yaml",
+    program: await bundleProgram(),
+    targets: [
+      { service: "timetable", ...place },
+      { service: "timetable", ...place },
+      { service: "booking", ...place },
+    ],
+  });
+  await sleep(5_000);
+  const sizes = mesh.agents.map((agent) =>
+    residentMegabytes(agent.agentProcess.pid ?? 0)
+  );
+  await mesh.stop();
+  show(`  ${sizes.map((size) => round(size)).join(", ")} MB`);
+  return Math.max(...sizes);
+}
+
 /** Rounds of exchanges until one change is known to all. */
 function measureSpread(count: number): number {
   const random = seededRandom(41);
@@ -321,6 +367,10 @@
   const rounds = [100, 1_000, 10_000].map(measureSpread);
   show("renewals at a grantor");
   for (const holders of [4, 16, 64]) measureRenewal(holders);
+  show("a full time line");
+  measureTimeline();
+  show("resident memory of agents at rest, the program's own included");
+  const resident = await measureAgentMemory();
   show("whole coordinators over real connections");
   const costs: MeshCost[] = [];
   for (const agents of [6, 50, 200]) {
@@ -330,6 +380,7 @@
   }
   return conclude({
     kilobytesOfRecord: sizes[2] ?? 0,
+    resident,
     rounds: rounds[2] ?? 0,
     cost: costs[2],
   });
@@ -337,6 +388,7 @@
 
 function conclude(measured: {
   readonly kilobytesOfRecord: number;
+  readonly resident: number;
   readonly rounds: number;
   readonly cost: MeshCost | undefined;
 }): boolean {
@@ -360,9 +412,10 @@
       most: bytesPerSecondOfControl,
     },
     {
-      name: "megabytes of records",
-      value: measured.kilobytesOfRecord * targetAgents / 1_024,
-      most: megabytesOfControl / 2,
+      name: "megabytes resident at rest, with all records",
+      value: measured.resident +
+        measured.kilobytesOfRecord * targetAgents / 1_024,
+      most: megabytesOfControl,
     },
     {
       name: "seconds until a change is in force everywhere",
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -555,6 +555,18 @@
       assert.deepEqual([...world.activeOn(2)], before);
     });
 
+    it("waits with its move for what ran on it before", () => {
+      const world = isolated();
+      const [owner = 0] = world.activeOn(2);
+      world.run({ kind: "admit", holder: owner, slice: 2, milliseconds: 400 });
+      world.run({ kind: "leave", holder: owner, on: true });
+      for (let round = 0; round < 60; round += 1) {
+        world.run({ kind: "round", milliseconds: 20 });
+        assert.ok(world.activeOn(2).size <= 1, `round ${round}`);
+      }
+      assert.notEqual([...world.activeOn(2)][0], owner);
+    });
+
     it("stays with a holder that had not heard of it at a takeover", () => {
       const world = isolated();
       const before = [...world.activeOn(2)];
