A request sent twice after silence is never called not run

Found by reading: after a silent first copy, a refused connection for the second one said 'not run', though the first may have run. Its failures are now unknown; the test fails without that ('not-run' for a booking that ran). Also: a body without a stated length is held to the service's limit, and a forwarded answer is let go as soon as it is on its way.

--- a/source/adapters/hop_ledger.ts
+++ b/source/adapters/hop_ledger.ts
@@ -35,9 +35,9 @@
 }
 
 interface Entry {
-  readonly result: Promise<Result<ProxyAnswer, Failure>>;
+  /** Null once it has gone to a copy, so that nothing is kept for others. */
+  result: Promise<Result<ProxyAnswer, Failure>> | null;
   latest: number;
-  taken: boolean;
 }
 
 /** A later copy comes within a deadline; nothing is kept for longer. */
@@ -51,8 +51,8 @@
       const entry = entries.get(hop.id) ?? begin(hop, start);
       entry.latest = Math.max(entry.latest, hop.copy);
       const result = await entry.result;
-      if (entry.latest !== hop.copy || entry.taken) return null;
-      entry.taken = true;
+      if (entry.latest !== hop.copy || entry.result === null) return null;
+      entry.result = null;
       const timer = setTimeout(
         () => entries.delete(hop.id),
         forgetAfterMilliseconds + graceMilliseconds,
@@ -67,7 +67,7 @@
     hop: HopCopy,
     start: () => Promise<Result<ProxyAnswer, Failure>>,
   ): Entry {
-    const entry = { result: start(), latest: hop.copy, taken: false };
+    const entry: Entry = { result: start(), latest: hop.copy };
     entries.set(hop.id, entry);
     return entry;
   }
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -139,7 +139,9 @@
       () => cancel.abort(),
       request.deadlineAt - options.now() + grace,
     );
-    const body = await readBody(message);
+    const body = await readBody(message, {
+      longestBytes: request.longestBodyBytes,
+    });
     const acknowledgement = hop === null ? null : acknowledgeLater(response);
     const result = body === null
       ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/request_reader.ts
@@ -125,6 +125,7 @@
     key: key.value,
     rank: rank.value,
     idempotent: idempotent.value,
+    longestBodyBytes: service.longestBodyBytes,
     deadlineAt: options.now + deadline.value,
     signal: options.signal,
   });
@@ -232,12 +233,15 @@
  * Reads a body whole when it is small and its length is known; leaves any
  * other to be streamed. Null when the sender broke off.
  */
-export async function readBody(message: IncomingMessage): Promise<Body | null> {
+export async function readBody(
+  message: IncomingMessage,
+  options: { readonly longestBytes: number },
+): Promise<Body | null> {
   const { headers } = message;
   const chunked = headers["transfer-encoding"] !== undefined;
   const length = Number(headers["content-length"] ?? 0);
   if (chunked || length > keptBodyBytes) {
-    return { kind: "stream", stream: message, used: false };
+    return { kind: "stream", stream: message, used: false, ...options };
   }
   if (length === 0) return { kind: "kept", bytes: new Uint8Array() };
   const chunks: Uint8Array[] = [];
--- a/source/adapters/silence_test.ts
+++ b/source/adapters/silence_test.ts
@@ -29,6 +29,7 @@
   readonly server: Server;
   /** Existing connections pass nothing on; new ones work. */
   forgetConnections(direction: "requests" | "answers"): void;
+  refuseConnections(): void;
 }
 
 function startRelay(port: number): Promise<Relay> {
@@ -46,6 +47,7 @@
     server.listen(0, "127.0.0.1", () =>
       resolve({
         server,
+        refuseConnections: () => void server.close(),
         forgetConnections(direction) {
           for (const { near, far } of pairs) {
             if (direction === "requests") near.unpipe(far);
@@ -132,6 +134,7 @@
       key: null,
       rank: 0,
       idempotent: false,
+      longestBodyBytes: 1_000,
       deadlineAt: performance.now() + 3_000,
       signal: AbortSignal.timeout(3_000),
     };
@@ -171,4 +174,13 @@
       assert.equal(silences, 0);
     });
   });
+
+  describe("and can't be replaced", () => {
+    it("leaves the outcome unknown, never 'not run'", async () => {
+      relay.forgetConnections("answers");
+      workMilliseconds = 800;
+      relay.refuseConnections();
+      assert.equal(await send("fourth"), "unknown");
+    });
+  });
 });
--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -115,13 +115,19 @@
             ? silenceMilliseconds
             : null,
         });
-      let result = await sendCopy(1);
-      if (result === null) {
+      const first = await sendCopy(1);
+      const result = first ?? await sendAfterSilence();
+      if (result.isErr) return result;
+      /** The silent copy may have run, whatever comes of the second one. */
+      async function sendAfterSilence(): Promise<Result<ProxyAnswer, Failure>> {
         options.onSilence(address, request);
         replacePool(address);
-        result = await sendCopy(2);
+        const second = await sendCopy(2) ?? lost;
+        const answer = second.isOk
+          ? await readAgentAnswer(second.value)
+          : second;
+        return answer.mapErr(({ reason }) => unknownOutcome(reason));
       }
-      if (result === null || result.isErr) return result ?? lost;
       const time = Number(single(result.value.headers, fields.clock));
       if (Number.isSafeInteger(time)) options.clock.observe(time);
       return await readAgentAnswer(result.value);
@@ -285,9 +291,25 @@
  */
 function bodyToSend(body: Body): Uint8Array | Readable | null {
   if (body.kind === "kept") return body.bytes.length === 0 ? null : body.bytes;
-  const iterator = body.stream.iterator({ destroyOnReturn: false });
+  const chunks = limited(body);
   // The library takes any asynchronous iterable, but its types name streams.
-  return iterator as unknown as Readable;
+  return chunks as unknown as Readable;
+}
+
+const tooLargeCode = "BODY_TOO_LARGE";
+
+/** The length of a body is not always stated before it comes. */
+async function* limited(
+  body: Body & { readonly kind: "stream" },
+): AsyncGenerator<Uint8Array> {
+  let bytes = 0;
+  for await (const chunk of body.stream.iterator({ destroyOnReturn: false })) {
+    bytes += chunk.length;
+    if (bytes > body.longestBytes) {
+      throw Object.assign(new Error("body too large"), { code: tooLargeCode });
+    }
+    yield chunk;
+  }
 }
 
 interface Attempt {
@@ -313,6 +335,7 @@
     ? String(error.code)
     : "";
   if (nothingSent.has(code)) return notRun("target-unreachable");
+  if (code === tooLargeCode) return unknownOutcome("body-too-large");
   if (attempt.request.signal.aborted) {
     const late = attempt.now() >= attempt.request.deadlineAt;
     return unknownOutcome(late ? "deadline-passed" : "caller-left");
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -23,6 +23,8 @@
     readonly stream: Readable;
     /** Whether part of it has been read already. */
     readonly used: boolean;
+    /** More than this is not passed on. */
+    readonly longestBytes: number;
   };
 
 /** A request in the form that every hop shares. */
@@ -36,6 +38,7 @@
   readonly key: string | null;
   readonly rank: number;
   readonly idempotent: boolean;
+  readonly longestBodyBytes: number;
   /** On this process's monotonic clock, in milliseconds. */
   readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
--- a/tests/sessions/commands_test.ts
+++ b/tests/sessions/commands_test.ts
@@ -129,6 +129,18 @@
       assert.match(await exchange("hello\r\n\r\n"), /no HTTP\/1\.1 request/);
     });
 
+    it("whose body grows too large without a stated length take no effect", async () => {
+      const chunk = "f4240\r\n" + "x".repeat(1_000_000) + "\r\n";
+      const text = await exchange(
+        "POST /booking HTTP/1.1\r\nhost: a\r\nx-request-id: huge\r\n" +
+          "transfer-encoding: chunked\r\n\r\n" + chunk.repeat(11) +
+          "0\r\n\r\n",
+      );
+      assert.match(text, /^HTTP\/1\.1 413/);
+      const runs = await mesh.runs();
+      assert.ok(!runs.some((run) => run.request === "huge" && run.effect));
+    });
+
     it("whose upload breaks off never take effect", async () => {
       await exchange(
         "POST /media/broken HTTP/1.1\r\nhost: a\r\nx-request-id: broken\r\n" +
