--- a/source/adapters/silence_test.ts
+++ b/source/adapters/silence_test.ts
@@ -27,6 +27,7 @@
 /** What a middle box does to connections that it has lost track of. */
 interface Relay {
   readonly server: Server;
+  readonly port: number;
   /** Existing connections pass nothing on; new ones work. */
   forgetConnections(direction: "requests" | "answers"): void;
   refuseConnections(): void;
@@ -47,6 +48,7 @@
     server.listen(0, "127.0.0.1", () =>
       resolve({
         server,
+        port: portOf(server),
         refuseConnections: () => void server.close(),
         forgetConnections(direction) {
           for (const { near, far } of pairs) {
@@ -138,7 +140,7 @@
       deadlineAt: performance.now() + 3_000,
       signal: AbortSignal.timeout(3_000),
     };
-    const address = `127.0.0.1:${portOf(relay.server)}`;
+    const address = `127.0.0.1:${relay.port}`;
     const result = await forwarder.forward(address, request, {
       body: { kind: "kept", bytes: new Uint8Array() },
     });
