A grantor that stops as planned waits for the store

Cause, found by reading: a planned stop during an outage of the store stopped granting first, and nobody could take the group over, so its keys ended with their leases.

--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -35,7 +35,7 @@
   await coordinator.spread.hurry();
   parts.callers.drain();
   await Promise.all([
-    coordinator.grantors.handOver(),
+    coordinator.grantors.handOver(options),
     giveUpSlices(coordinator.holder(), end),
   ]);
   await untilQuiet(parts, end);
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -18,6 +18,7 @@
   type GrantorTask,
   startGrantor,
 } from "./grantor_task.ts";
+import { monotonicNow, pause } from "./time.ts";
 
 /** The grantors that run in one agent. */
 export interface GrantorsTask {
@@ -28,8 +29,11 @@
   groups(): readonly string[];
   /** Lets a better placed agent take a group over, if there is one. */
   relocate(group: string): Promise<void>;
-  /** Stops granting in all groups and lets another agent take each over. */
-  handOver(): Promise<void>;
+  /**
+   * Lets another agent take each group over, and goes on granting until then
+   * or until the time is over.
+   */
+  handOver(options: { readonly timeoutMilliseconds: number }): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -133,8 +137,13 @@
     grantors.delete(group);
   }
 
-  /** Stops granting in a group, and asks others in turn to take it over. */
-  async function passOn(group: string): Promise<void> {
+  /**
+   * Stops granting in a group, and asks others in turn to take it over. Only
+   * while the store answers: nobody could take it over without.
+   */
+  async function passOn(group: string): Promise<boolean> {
+    const read = await delegations.read(group);
+    if (read.isErr) return false;
     const unreachable = here(group);
     await grantors.get(group)?.stop();
     for (const address of options.successors(group).slice(0, 3)) {
@@ -142,7 +151,15 @@
         message: { group, unreachable, effort: "take-over" },
         timeoutMilliseconds: times.callTimeoutMilliseconds * 3,
       });
-      if (result.isOk && result.value !== null) return;
+      if (result.isOk && result.value !== null) return true;
+    }
+    return true;
+  }
+
+  async function passOnUntil(group: string, end: number): Promise<void> {
+    while (running(group) !== null && !(await passOn(group))) {
+      if (monotonicNow() >= end) return;
+      await pause(times.storeRetryMilliseconds);
     }
   }
 
@@ -162,10 +179,14 @@
     },
     table: (group) => running(group)?.table() ?? null,
     groups: () => [...grantors.keys()].filter((group) => running(group)),
-    relocate: (group) => passOn(group),
-    async handOver() {
+    async relocate(group) {
+      await passOn(group);
+    },
+    async handOver({ timeoutMilliseconds }) {
       closing = true;
-      await Promise.all([...grantors.keys()].map(passOn));
+      const end = monotonicNow() + timeoutMilliseconds;
+      const groups = [...grantors.keys()];
+      await Promise.all(groups.map((group) => passOnUntil(group, end)));
     },
     async stop() {
       closing = true;
