--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -22,10 +22,8 @@
   takeNews,
 } from "../source/core/dissemination/replica.ts";
 import { stepGrantor } from "../source/core/ownership/grantor.ts";
-import type { GrantorState } from "../source/core/ownership/grantor_state.ts";
 import { tableOf } from "../source/core/ownership/grantor_table.ts";
 import type { Renewal } from "../source/core/ownership/renewal.ts";
-import { beginGrantor } from "../source/core/ownership/takeover.ts";
 import { seededRandom } from "../standins/load.ts";
 import { launchMesh } from "../standins/processes.ts";
 import { checkBounds, round, show, sleep } from "./bench.ts";
@@ -34,6 +32,7 @@
   launchCoordinators,
 } from "./coordinator_mesh.ts";
 import { sizeOf } from "./coordinators.ts";
+import { beginBenchGrantor, benchGroup } from "./grantor.ts";
 import { residentMegabytes } from "./processor_time.ts";
 import { bundleProgram } from "./programs.ts";
 
@@ -278,37 +277,9 @@
   return toldA.records.length + toldB.records.length;
 }
 
-function grantorWith(holders: number): GrantorState {
-  const roster = Array.from({ length: holders }, (_, index) => ({
-    id: `host-${index}/abcdefgh`,
-    peerAddress: "10.100.100.100:8081",
-  }));
-  const now = { monotonic: 1_000, wall: 1_000 };
-  return beginGrantor({
-    group: "timetable.0",
-    epoch: 1,
-    settings: {
-      leaseMilliseconds: 2_500,
-      longestDeadlineMilliseconds: 1_000,
-      hashedSlices: 128,
-      movesAtOnce: 8,
-      isolatedKeys: 32,
-      delegationMilliseconds: 600_000,
-    },
-    roster,
-    answers: [],
-    earlierStopped: true,
-    claimedFromOther: false,
-    formerDurationMilliseconds: 0,
-    askedAt: now,
-    isolatedKeys: [],
-    now,
-  });
-}
-
 /** Decision time of one renewal, and the bytes of message and answer. */
 function measureRenewal(holders: number): void {
-  let state: GrantorState = grantorWith(holders);
+  let state = beginBenchGrantor(holders);
   let bytes = 0;
   let answered = 0;
   let milliseconds = 0;
@@ -318,7 +289,7 @@
     for (const entry of state.roster) {
       const own = held.get(entry.id) ?? [];
       const renewal: Renewal = {
-        group: "timetable.0",
+        group: benchGroup,
         epoch: 1,
         id: entry.id,
         peerAddress: entry.peerAddress,
--- a/benches/ownership_bench.ts
+++ b/benches/ownership_bench.ts
@@ -15,10 +15,10 @@
   type OwnershipTable,
   sliceOfKey,
 } from "../source/core/ownership/table.ts";
-import { beginGrantor } from "../source/core/ownership/takeover.ts";
 import { seededRandom } from "../standins/load.ts";
 import { startFakeMesh } from "../tests/fake_mesh.ts";
 import { checkBounds, round, show } from "./bench.ts";
+import { beginBenchGrantor } from "./grantor.ts";
 
 const servers = 8;
 const keyCount = 5_000;
@@ -69,34 +69,6 @@
   return ownerOfSlice(table, slice)?.id ?? "nobody";
 }
 
-function begin(): GrantorState {
-  const roster = Array.from({ length: servers }, (_, index) => ({
-    id: `server-${index}`,
-    peerAddress: "127.0.0.1:1",
-  }));
-  const now = { monotonic: 0, wall: 0 };
-  return beginGrantor({
-    group: "stock.0",
-    epoch: 1,
-    settings: {
-      leaseMilliseconds: 3_000,
-      longestDeadlineMilliseconds: 1_000,
-      hashedSlices: 128,
-      movesAtOnce: 8,
-      isolatedKeys: 32,
-      delegationMilliseconds: 3_600_000,
-    },
-    roster,
-    answers: [],
-    earlierStopped: true,
-    claimedFromOther: false,
-    formerDurationMilliseconds: 0,
-    askedAt: now,
-    isolatedKeys: [],
-    now,
-  });
-}
-
 /** Renews every server once a second for a while, under this demand. */
 function run(
   from: GrantorState,
@@ -239,7 +211,11 @@
 /** Measures placement, and the time that a loss takes. */
 export async function benchOwnership(): Promise<boolean> {
   const first = demand(61);
-  const settled = run(begin(), { keys: first, fromSecond: 0, seconds: 120 });
+  const settled = run(beginBenchGrantor(servers), {
+    keys: first,
+    fromSecond: 0,
+    seconds: 120,
+  });
   const before = tableOf(settled);
   const placed = imbalance(loadsBy(first, (key) => tableOwner(before, key)));
   const hashed = imbalance(loadsBy(first, (key) => staticOwner(key, servers)));
--- a/source/adapters/log.ts
+++ b/source/adapters/log.ts
@@ -31,7 +31,6 @@
   "section-refused",
   "configuration-stale",
   "connection-silent",
-  "program-fault",
 ]);
 
 /** Opens a log that writes lines to a stream. */
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -22,7 +22,6 @@
   | "lease-restored"
   | "slice-granted"
   | "move-started"
-  | "slices-released"
   | "key-isolated"
   | "checkpoint-written"
   | "revision-accepted"
@@ -39,8 +38,7 @@
   | "request-retried"
   | "request-failed"
   | "request-answered"
-  | "connection-silent"
-  | "program-fault";
+  | "connection-silent";
 
 /** What an event tells besides its kind. */
 export type EventDetail = Readonly<Record<string, string | number | boolean>>;
