--- a/source/adapters/timeline_page.ts
+++ b/source/adapters/timeline_page.ts
@@ -28,8 +28,39 @@
   return "other";
 }
 
+/** More requests than this would hide what happened to the system. */
+const mostRequestEvents = 400;
+
+/** Events that follow each other and differ in their detail only. */
+interface EventRun extends TimelineEvent {
+  readonly count: number;
+}
+
+function collapse(events: readonly TimelineEvent[]): readonly EventRun[] {
+  const runs: EventRun[] = [];
+  for (const event of events) {
+    const last = runs.at(-1);
+    if (last?.agent === event.agent && last.kind === event.kind) {
+      runs[runs.length - 1] = { ...last, count: last.count + 1 };
+    } else runs.push({ ...event, count: 1 });
+  }
+  return runs;
+}
+
 /** Draws events, already in order, as a page. */
-export function timelinePage(events: readonly TimelineEvent[]): string {
+export function timelinePage(all: readonly TimelineEvent[]): string {
+  const requests = all.filter((event) => event.kind.startsWith("request-"));
+  const left = requests.length > mostRequestEvents ? requests.length : 0;
+  const shown = left === 0
+    ? all
+    : all.filter((event) => !event.kind.startsWith("request-"));
+  const note = left === 0
+    ? ""
+    : ` ${left} events of requests are left out; --request shows one request.`;
+  return drawPage(collapse(shown), note);
+}
+
+function drawPage(events: readonly EventRun[], note: string): string {
   const lanes = [...new Set(events.map((event) => event.agent))].sort();
   const width = labelWidth + (events.length + 2) * stepWidth;
   const height = (lanes.length + 1) * laneHeight;
@@ -62,7 +93,8 @@
     "<h1>Time line</h1>",
     `<p>${events.length} events of ${lanes.length} agents, causes before ` +
     "effects. Green: grants; red: losses and ends; violet: document; grey: " +
-    "requests; blue: other. Point at a dot to read it.</p>",
+    "requests; blue: other. Point at a dot to read it.",
+    `${note}</p>`,
     `<div class="picture"><svg width="${width}" height="${height}">`,
     ...labels,
     ...dots,
@@ -74,14 +106,15 @@
   ].join("\n");
 }
 
-function describe(event: TimelineEvent): string {
+function describe(event: EventRun): string {
   return `${event.agent} ${event.kind} ${detailOf(event)}`;
 }
 
-function detailOf(event: TimelineEvent): string {
+function detailOf(event: EventRun): string {
+  const more = event.count === 1 ? "" : ` (and ${event.count - 1} more)`;
   return Object.entries(event.detail)
     .map(([name, value]) => `${name}=${value}`)
-    .join(" ");
+    .join(" ") + more;
 }
 
 function escape(text: string): string {
