Random requests never reach a decision with an unknown rank, key or deadline

400 random requests and byte strings, fixed seed: each is handled with values that the configuration knows, or answered 'not run'; none breaks the listener.

--- a/tests/inputs_test.ts
+++ b/tests/inputs_test.ts
@@ -1,16 +1,21 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { after, before, describe, it } from "node:test";
 import fc from "fast-check";
+import { Result } from "true-myth";
 import { WebSocket } from "ws";
+import { type Front, openFront } from "../source/adapters/http_front.ts";
 import { startLogicalClock } from "../source/adapters/logical_clock.ts";
 import { connectPeers } from "../source/adapters/peer_client.ts";
 import { servePeers } from "../source/adapters/peer_server.ts";
 import { peerSchemas } from "../source/adapters/schemas.ts";
 import { openStore } from "../source/adapters/store_client.ts";
+import type { Configuration } from "../source/core/document/document.ts";
+import { notRun } from "../source/core/request/outcome.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
 import type { PeerMethods } from "../source/ports/peers.ts";
+import type { ProxyRequest } from "../source/ports/upstream.ts";
 
 const noMetrics: Metrics = { count: () => undefined, time: () => undefined };
 
@@ -24,7 +29,105 @@
   });
 }
 
+const configuration: Configuration = {
+  revision: 1,
+  ranks: [{ name: "view", share: 0, defaultDeadlineMilliseconds: 500 }],
+  regions: [],
+  services: [{
+    name: "timetable",
+    routes: ["/timetable/:key"],
+    keys: { groups: 1, slicesPerGroup: 8 },
+    defaultRank: "view",
+    longestDeadlineMilliseconds: 1_000,
+    queueLength: 8,
+    longestBodyBytes: 1_000,
+  }],
+};
+
+/** Sends raw bytes, closes, and brings all that comes back. */
+function exchange(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.end(text));
+    let received = "";
+    socket.on("data", (data) => received += String(data));
+    socket.on("error", () => resolve(received));
+    socket.on("close", () => resolve(received));
+  });
+}
+
 describe("inputs from outside", () => {
+  describe("requests", () => {
+    const handled: ProxyRequest[] = [];
+    let front: Front;
+
+    before(async () => {
+      const opened = await openFront({
+        kind: "callers",
+        host: "127.0.0.1",
+        port: 0,
+        configuration: () => configuration,
+        pages: new Map(),
+        now: () => performance.now(),
+        clock: startLogicalClock(),
+        longestHeaderBytes: 4_096,
+        handle(request) {
+          handled.push(request);
+          return Promise.resolve(Result.err(notRun("queue-full")));
+        },
+      });
+      assert.ok(opened.isOk);
+      front = opened.value;
+    });
+    after(() => front.close());
+
+    it("are handled with a known rank, key and deadline, or refused", async () => {
+      const value = fc.string({ maxLength: 60 }).map((text) =>
+        text.replaceAll(/[\r\n]/g, " ")
+      );
+      const request = fc.record({
+        method: fc.constantFrom("GET", "POST", "PUT", "BREW", ""),
+        path: fc.oneof(value, value.map((key) => `/timetable/${key}`)),
+        fields: fc.array(
+          fc.tuple(
+            fc.constantFrom(
+              "geraniumledge-key",
+              "geraniumledge-rank",
+              "geraniumledge-deadline-milliseconds",
+              "geraniumledge-idempotent",
+              "x-request-id",
+              "content-length",
+              "transfer-encoding",
+              "connection",
+            ),
+            value,
+          ),
+          { maxLength: 5 },
+        ),
+        body: fc.string({ maxLength: 200 }),
+      }).map(({ method, path, fields, body }) => {
+        const head = fields.map(([name, value]) => `${name}: ${value}\r\n`);
+        return `${method} ${path} HTTP/1.1\r\nhost: a\r\n${
+          head.join("")
+        }connection: close\r\n\r\n${body}`;
+      });
+      await fc.assert(
+        fc.asyncProperty(fc.oneof(fc.string(), request), async (text) => {
+          const answer = await exchange(front.port, text);
+          if (answer.startsWith("HTTP/1.1 ")) {
+            assert.match(answer, /geraniumledge-outcome: not-run/);
+          }
+        }),
+        { numRuns: 400, seed: 53 },
+      );
+      for (const request of handled) {
+        assert.equal(request.rank, 0);
+        assert.ok(request.key !== null && request.key !== "");
+        const left = request.deadlineAt - performance.now();
+        assert.ok(left <= 1_000, `${left}`);
+      }
+    });
+  });
+
   describe("peers' messages", () => {
     const server = createServer();
     const served: unknown[] = [];
