An answer that has begun before its deadline arrives whole

Cause: the deadline's abort cut off the body of an answer whose head was out already; a caller saw a broken connection for a request that had run. The directed test fails before ('terminated') and passes after; an answer has 250 ms more once begun.

--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -73,6 +73,8 @@
 const keepAliveMilliseconds = 65_000;
 /** After the deadline the next hop's own refusal is still awaited this long. */
 const deadlineGraceMilliseconds = 20;
+/** An answer that has begun before the deadline may end this much after it. */
+const answerGraceMilliseconds = 250;
 
 /** Opens a listener; fails when the address can't be used. */
 export function openFront(
@@ -157,7 +159,12 @@
       const { id } = request;
       return writeFailure(response, { failure: result.error, id, text: "" });
     }
-    response.on("close", () => clearTimeout(timer));
+    clearTimeout(timer);
+    const last = setTimeout(
+      () => cancel.abort(),
+      request.deadlineAt - options.now() + answerGraceMilliseconds,
+    );
+    response.on("close", () => clearTimeout(last));
     stampClock(response);
     writeAnswer(response, { answer: result.value, id: request.id });
   }
--- /dev/null
+++ b/source/adapters/http_front_test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { Readable } from "node:stream";
+import { after, before, describe, it } from "node:test";
+import { Result } from "true-myth";
+import type { Configuration } from "../core/document/document.ts";
+import { type Front, openFront } from "./http_front.ts";
+import { startLogicalClock } from "./logical_clock.ts";
+
+const configuration: Configuration = {
+  revision: 1,
+  ranks: [{ name: "view", share: 0, defaultDeadlineMilliseconds: 200 }],
+  regions: [],
+  services: [{
+    name: "media",
+    routes: ["/media"],
+    keys: null,
+    defaultRank: "view",
+    longestDeadlineMilliseconds: 200,
+    queueLength: 8,
+    longestBodyBytes: 1_000,
+  }],
+};
+
+/** A body whose second half comes a while after the first. */
+async function* halves(signal: AbortSignal): AsyncGenerator<string> {
+  yield "first ";
+  await new Promise((resolve) => setTimeout(resolve, 250));
+  if (signal.aborted) throw new Error("aborted");
+  yield "second";
+}
+
+describe("an answer that begins just before its deadline", () => {
+  let front: Front;
+
+  before(async () => {
+    const opened = await openFront({
+      kind: "callers",
+      host: "127.0.0.1",
+      port: 0,
+      configuration: () => configuration,
+      pages: new Map(),
+      now: () => performance.now(),
+      clock: startLogicalClock(),
+      longestHeaderBytes: 4_096,
+      handle: (request) =>
+        Promise.resolve(Result.ok({
+          status: 200,
+          headers: {},
+          body: Readable.from(halves(request.signal)),
+          load: null,
+        })),
+    });
+    assert.ok(opened.isOk);
+    front = opened.value;
+  });
+  after(() => front.close());
+
+  it("arrives whole", async () => {
+    const answer = await fetch(`http://127.0.0.1:${front.port}/media`);
+    assert.equal(await answer.text(), "first second");
+  });
+});
