One listener for the tests of what passes through it; dead code and twins gone

Read over the whole change: three tests opened the same listener in eleven lines each (now tests/test_front.ts, each with its own limits as before); the grantor had an event that nothing sends; the time that a leaving target's keys are served stood twice and is now one constant.

--- a/source/adapters/http_front_test.ts
+++ b/source/adapters/http_front_test.ts
@@ -3,8 +3,8 @@
 import { after, before, describe, it } from "node:test";
 import { Result } from "true-myth";
 import type { Configuration } from "../core/document/document.ts";
-import { type Front, openFront } from "./http_front.ts";
-import { startLogicalClock } from "./logical_clock.ts";
+import type { Front } from "./http_front.ts";
+import { openTestFront } from "../../tests/test_front.ts";
 
 const configuration: Configuration = {
   revision: 1,
@@ -33,14 +33,9 @@
   let front: Front;
 
   before(async () => {
-    const opened = await openFront({
+    front = await openTestFront({
       kind: "callers",
-      host: "127.0.0.1",
-      port: 0,
-      configuration: () => configuration,
-      pages: new Map(),
-      now: () => performance.now(),
-      clock: startLogicalClock(),
+      configuration,
       longestHeaderBytes: 4_096,
       handle: (request) =>
         Promise.resolve(Result.ok({
@@ -50,8 +45,6 @@
           load: null,
         })),
     });
-    assert.ok(opened.isOk);
-    front = opened.value;
   });
   after(() => front.close());
 
--- a/source/adapters/silence_test.ts
+++ b/source/adapters/silence_test.ts
@@ -5,7 +5,8 @@
 import { Result } from "true-myth";
 import type { Configuration } from "../core/document/document.ts";
 import type { Forwarder, ProxyRequest } from "../ports/upstream.ts";
-import { type Front, openFront } from "./http_front.ts";
+import type { Front } from "./http_front.ts";
+import { openTestFront } from "../../tests/test_front.ts";
 import { startLogicalClock } from "./logical_clock.ts";
 import { openForwarder } from "./upstream.ts";
 
@@ -74,14 +75,9 @@
   let silences = 0;
 
   before(async () => {
-    const opened = await openFront({
+    front = await openTestFront({
       kind: "agents",
-      host: "127.0.0.1",
-      port: 0,
-      configuration: () => configuration,
-      pages: new Map(),
-      now: () => performance.now(),
-      clock: startLogicalClock(),
+      configuration,
       longestHeaderBytes: 16_384,
       async handle(request) {
         runs.push(request.id);
@@ -94,8 +90,6 @@
         });
       },
     });
-    assert.ok(opened.isOk);
-    front = opened.value;
     relay = await startRelay(front.port);
     forwarder = openForwarder({
       settings: {
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -42,8 +42,6 @@
       return tick(state, event.now);
     case "confirmed":
       return confirm(state, event.askedAt);
-    case "notWritten":
-      return { state: { ...state, writing: null }, effects: [] };
   }
 }
 
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -116,10 +116,6 @@
     /** A store write at this epoch took effect. */
     readonly kind: "confirmed";
     readonly askedAt: Clocks;
-  }
-  | {
-    /** The store write surely had no effect, and this epoch still stands. */
-    readonly kind: "notWritten";
   };
 
 /** What a grantor asks of its task. */
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -28,7 +28,6 @@
   serviceNamed,
 } from "../core/document/document.ts";
 import { notRun } from "../core/request/outcome.ts";
-import type { Target } from "../ports/upstream.ts";
 import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
 import {
   type Coordinator,
@@ -318,7 +317,7 @@
     holder: coordinator.holder,
     admission,
     accepts: options.accepts,
-    target: target satisfies Target,
+    target,
     events,
     metrics,
   });
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -9,6 +9,7 @@
 import type { EntryTask } from "../tasks/entry_task.ts";
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
+import { evacuationMilliseconds } from "../tasks/target_watch_task.ts";
 import { monotonicNow, pause } from "../tasks/time.ts";
 
 /** What a planned stop goes through. */
@@ -19,8 +20,6 @@
   readonly callers: Front;
 }
 
-/** Slices that no other server takes are given up after this time. */
-const evacuationMilliseconds = 1_500;
 /** No request for this long means that nobody sends here any more. */
 const quietMilliseconds = 700;
 const pollMilliseconds = 20;
--- a/source/tasks/target_watch_task.ts
+++ b/source/tasks/target_watch_task.ts
@@ -20,7 +20,7 @@
 /** A report can be lost; silence counts from this many on. */
 const failuresBeforeLeaving = 2;
 /** Keys of a leaving target are served this long, until another owns them. */
-const evacuationMilliseconds = 1_500;
+export const evacuationMilliseconds = 1_500;
 
 /** Starts watching; `onChange` hears whether the target is leaving. */
 export function startTargetWatch(options: {
--- a/tests/inputs_test.ts
+++ b/tests/inputs_test.ts
@@ -5,7 +5,8 @@
 import fc from "fast-check";
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
-import { type Front, openFront } from "../source/adapters/http_front.ts";
+import type { Front } from "../source/adapters/http_front.ts";
+import { openTestFront } from "./test_front.ts";
 import { startLogicalClock } from "../source/adapters/logical_clock.ts";
 import { connectPeers } from "../source/adapters/peer_client.ts";
 import { servePeers } from "../source/adapters/peer_server.ts";
@@ -61,22 +62,15 @@
     let front: Front;
 
     before(async () => {
-      const opened = await openFront({
+      front = await openTestFront({
         kind: "callers",
-        host: "127.0.0.1",
-        port: 0,
-        configuration: () => configuration,
-        pages: new Map(),
-        now: () => performance.now(),
-        clock: startLogicalClock(),
+        configuration,
         longestHeaderBytes: 4_096,
         handle(request) {
           handled.push(request);
           return Promise.resolve(Result.err(notRun("queue-full")));
         },
       });
-      assert.ok(opened.isOk);
-      front = opened.value;
     });
     after(() => front.close());
 
--- /dev/null
+++ b/tests/test_front.ts
@@ -0,0 +1,34 @@
+/**
+ * A listener on the loopback address for tests of what passes through it.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import {
+  type Front,
+  type FrontKind,
+  type HandleRequest,
+  openFront,
+} from "../source/adapters/http_front.ts";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import type { Configuration } from "../source/core/document/document.ts";
+
+/** Opens a listener with this handler on any free port. */
+export async function openTestFront(options: {
+  readonly kind: FrontKind;
+  readonly configuration: Configuration;
+  readonly longestHeaderBytes: number;
+  readonly handle: HandleRequest;
+}): Promise<Front> {
+  const opened = await openFront({
+    ...options,
+    host: "127.0.0.1",
+    port: 0,
+    configuration: () => options.configuration,
+    pages: new Map(),
+    now: () => performance.now(),
+    clock: startLogicalClock(),
+  });
+  assert.ok(opened.isOk);
+  return opened.value;
+}
