--- a/benches/baselines.ts
+++ b/benches/baselines.ts
@@ -17,6 +17,7 @@
       const slot: Slot = { finish: () => running -= 1 };
       return Promise.resolve(Result.ok(slot));
     },
+    weight: () => 1,
     load: () => running,
     configure: () => undefined,
     close: () => undefined,
@@ -50,6 +51,7 @@
         resolve(Result.err(notRun("queue-full")));
       });
     },
+    weight: () => 1,
     load: () => running + waiting.length,
     configure: () => undefined,
     close: () => undefined,
--- a/benches/coordinators.ts
+++ b/benches/coordinators.ts
@@ -13,13 +13,19 @@
 import { openStore } from "../source/adapters/store_client.ts";
 import { readDocument } from "../source/adapters/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
+import { placeByHash } from "../source/core/ownership/table.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
 import type { Peers } from "../source/ports/peers.ts";
 import {
   type Coordinator,
   startCoordinator,
 } from "../source/tasks/coordinator.ts";
-import { usualTimes } from "../tests/fake_mesh.ts";
+import { documentSource } from "../source/tasks/document_source.ts";
+import {
+  documentTimes,
+  freshnessMilliseconds,
+  usualTimes,
+} from "../tests/fake_mesh.ts";
 
 /** What the agents of a mesh have sent so far. */
 export interface PeerTraffic {
@@ -56,21 +62,34 @@
     const { port } = server.address() as AddressInfo;
     const address = `127.0.0.1:${port}`;
     const clock = startLogicalClock();
+    const store = openStore({
+      origin: options.storeOrigin,
+      timeoutMilliseconds: 2_000,
+      metrics: noMetrics,
+    });
+    const events = { record: () => undefined };
+    const agent = agentOf(index, address);
     const coordinator = startCoordinator({
-      agent: agentOf(index, address),
-      seeds: [...options.seeds, ...addresses.slice(0, 1)],
+      agent,
       times: usualTimes,
-      store: openStore({
-        origin: options.storeOrigin,
-        timeoutMilliseconds: 2_000,
-        metrics: noMetrics,
-      }),
+      delegations: store.delegations,
       peers: counted(connectPeers({ clock, metrics: noMetrics }), traffic),
-      events: { record: () => undefined },
+      events,
       hash: hashText,
+      place: placeByHash(hashText),
       random: Math.random,
       newMark: () => `${index}-${Math.random()}`,
-      readDocument,
+      startSource: documentSource({
+        seeds: [...options.seeds, ...addresses.slice(0, 1)],
+        store,
+        times: documentTimes,
+        freshnessMilliseconds,
+        readDocument,
+        events,
+        hash: hashText,
+      }),
+      startKeyGrants: null,
+      weight: () => agent.slots,
       eventsAfter: () => [],
       onConfiguration: () => undefined,
     });
--- a/benches/ownership_bench.ts
+++ b/benches/ownership_bench.ts
@@ -13,6 +13,7 @@
 import {
   ownerOfSlice,
   type OwnershipTable,
+  placeByHash,
   sliceOfKey,
 } from "../source/core/ownership/table.ts";
 import { seededRandom } from "../standins/load.ts";
@@ -65,7 +66,7 @@
 }
 
 function tableOwner(table: OwnershipTable, key: string): string {
-  const slice = sliceOfKey(table, key, hashText);
+  const slice = sliceOfKey(table, key, placeByHash(hashText));
   return ownerOfSlice(table, slice)?.id ?? "nobody";
 }
 
@@ -107,7 +108,7 @@
   const own: { key: string; slice: number; requestsPerSecond: number }[] = [];
   for (const [key, rate] of options.keys) {
     if (tableOwner(table, key) !== options.id) continue;
-    const slice = sliceOfKey(table, key, hashText);
+    const slice = sliceOfKey(table, key, placeByHash(hashText));
     loads.set(slice, (loads.get(slice) ?? 0) + rate);
     own.push({ key, slice, requestsPerSecond: rate });
   }
--- a/benches/ranks_bench.ts
+++ b/benches/ranks_bench.ts
@@ -42,6 +42,8 @@
   revision: 1,
   ranks,
   regions: [],
+  hostRoutes: [],
+  limits: null,
   services: [{
     name: "stock",
     routes: ["/stock", "/stock/*"],
--- a/build/binary.sh
+++ b/build/binary.sh
@@ -4,11 +4,7 @@
 cd "$(dirname "$0")/.."
 out=distribution
 mkdir -p "$out"
-npx esbuild source/programs/main.ts --bundle --platform=node --format=cjs \
-  --target=node20 --alias:dtrace-provider=./build/absent.cjs \
-  --alias:bufferutil=./build/absent.cjs --alias:utf-8-validate=./build/absent.cjs \
-  --alias:source-map-support=./build/absent.cjs --log-level=warning \
-  --outfile="$out/geraniumledge.cjs"
+bash build/bundle.sh "$out/geraniumledge.cjs"
 cat > "$out/sea.json" <<JSON
 {
   "main": "$out/geraniumledge.cjs",
--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -30,6 +30,7 @@
   leaseEnd: "geraniumledge-lease-ends-at",
   clock: "geraniumledge-clock",
   hop: "geraniumledge-hop",
+  retryAfter: "geraniumledge-retry-after-milliseconds",
 } as const;
 
 /** Fields that concern one connection only (RFC 9110, section 7.6.1). */
@@ -104,5 +105,7 @@
   if (outcome === null || outcome === "answered") return null;
   const reason = single(headers, fields.reason) ?? "";
   const known = isFailureReason(reason) ? reason : "target-refused";
-  return outcome === "not-run" ? notRun(known) : unknownOutcome(known);
+  if (outcome !== "not-run") return unknownOutcome(known);
+  const retryAfter = single(headers, fields.retryAfter);
+  return notRun(known, retryAfter === null ? null : Number(retryAfter));
 }
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -10,22 +10,27 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { Result } from "true-myth";
 import type { Configuration } from "../core/document/document.ts";
-import { type Failure, notRun, statusOf } from "../core/request/outcome.ts";
-import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+import { type Failure, notRun } from "../core/request/outcome.ts";
+import type {
+  Body,
+  Headers,
+  ProxyAnswer,
+  ProxyRequest,
+} from "../ports/upstream.ts";
+import {
+  type CallerDialect,
+  type FailedRequest,
+  productDialect,
+} from "./caller_dialect.ts";
 import { fields, single } from "./headers.ts";
 import { type HopCopy, parseHop, startHopLedger } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
-import {
-  readBody,
-  readCallerRequest,
-  readForwardedRequest,
-} from "./request_reader.ts";
+import { readBody, readForwardedRequest } from "./request_reader.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
-import { answerHeaders } from "./upstream.ts";
 
 /** Takes a request to its end. */
 export type HandleRequest = (
@@ -65,6 +70,10 @@
   readonly clock: LogicalClock;
   /** Bytes of header fields that a request may have. */
   readonly longestHeaderBytes: number;
+  /** How callers talk; the product's own way when left out. */
+  readonly dialect?: CallerDialect;
+  /** Bodies up to this size are kept, so that they can be sent again. */
+  readonly keptBodyBytes?: number;
 }
 
 /** A request that takes longer is acknowledged to the agent that sent it. */
@@ -82,6 +91,8 @@
 ): Promise<Result<Front, string>> {
   const routes = cachedRoutes();
   const hops = startHopLedger();
+  const dialect = options.dialect ?? productDialect;
+  const read = options.kind === "callers" ? dialect.read : readForwardedRequest;
   let draining = false;
   const server = createServer(
     { maxHeaderSize: options.longestHeaderBytes },
@@ -104,14 +115,10 @@
     const hop = options.kind === "agents"
       ? parseHop(single(message.headers, fields.hop))
       : null;
-    response.on("close", () => {
-      if (response.writableFinished) return;
+    onCallerLeft(response, message.socket, () => {
       if (hop === null || !hops.superseded(hop)) cancel.abort();
     });
     const configuration = options.configuration();
-    const read = options.kind === "callers"
-      ? readCallerRequest
-      : readForwardedRequest;
     const request = read(message, {
       configuration,
       match: routes(configuration),
@@ -121,7 +128,11 @@
     if (options.kind === "agents") observeClock(message, options);
     if (request.isErr) {
       const { reason, message: text } = request.error;
-      return writeFailure(response, { failure: notRun(reason), text, id: "" });
+      return writeFailure(response, {
+        failure: notRun(reason),
+        text,
+        id: "",
+      }, dialect);
     }
     await handle(message, { response, cancel, request: request.value, hop });
   }
@@ -143,6 +154,9 @@
     );
     const body = await readBody(message, {
       longestBytes: request.longestBodyBytes,
+      ...(options.keptBodyBytes === undefined
+        ? {}
+        : { keptBytes: options.keptBodyBytes }),
     });
     const acknowledgement = hop === null ? null : acknowledgeLater(response);
     const result = body === null
@@ -157,7 +171,11 @@
       clearTimeout(timer);
       stampClock(response);
       const { id } = request;
-      return writeFailure(response, { failure: result.error, id, text: "" });
+      return writeFailure(
+        response,
+        { failure: result.error, id, text: "" },
+        dialect,
+      );
     }
     clearTimeout(timer);
     const last = setTimeout(
@@ -166,7 +184,10 @@
     );
     response.on("close", () => clearTimeout(last));
     stampClock(response);
-    writeAnswer(response, { answer: result.value, id: request.id });
+    writeAnswer(response, {
+      answer: result.value,
+      headers: dialect.answerFields(result.value, request.id),
+    });
   }
 
   function handleOnce(
@@ -246,47 +267,48 @@
 
 function writeFailure(
   response: ServerResponse,
-  options: {
-    readonly failure: Failure;
-    readonly id: string;
-    readonly text: string;
-  },
+  failed: FailedRequest,
+  dialect: CallerDialect,
 ): void {
   if (response.destroyed || response.headersSent) return;
-  const { failure, id, text } = options;
-  const status = statusOf(failure);
-  const body = JSON.stringify({
-    outcome: failure.outcome,
-    reason: failure.reason,
-    ...(text === "" ? {} : { message: text }),
-  });
-  response.writeHead(status, {
-    "content-type": "application/json",
-    [fields.outcome]: failure.outcome,
-    [fields.reason]: failure.reason,
-    ...(id === "" ? {} : { [fields.requestId]: id }),
-    ...(status === 503 ? { "retry-after": "1" } : {}),
+  const { status, headers, body } = dialect.composeFailure(failed);
+  response.writeHead(status, headers as Record<string, string | string[]>);
+  response.end(body);
+}
+
+/** Calls back when the connection ends before the answer has been written. */
+function onCallerLeft(
+  response: ServerResponse,
+  socket: Socket,
+  leave: () => void,
+): void {
+  // A response that waits behind another on its connection has no event yet.
+  const closed = () => {
+    if (!response.writableFinished) leave();
+  };
+  socket.setMaxListeners(0);
+  socket.once("close", closed);
+  response.once("close", () => {
+    socket.off("close", closed);
+    closed();
   });
-  response.end(body + "\n");
 }
 
 /** A body that breaks off breaks the connection: never a clean end. */
 function writeAnswer(
   response: ServerResponse,
-  options: { readonly answer: ProxyAnswer; readonly id: string },
+  options: { readonly answer: ProxyAnswer; readonly headers: Headers },
 ): void {
-  const { answer, id } = options;
+  const { answer, headers } = options;
   if (response.destroyed) {
     answer.body.on("error", () => undefined);
     answer.body.destroy();
     return;
   }
-  response.writeHead(answer.status, {
-    ...answerHeaders(answer) as Record<string, string | string[]>,
-    [fields.outcome]: "answered",
-    [fields.requestId]: id,
-    ...(answer.load === null ? {} : { [fields.load]: String(answer.load) }),
-  });
+  response.writeHead(
+    answer.status,
+    headers as Record<string, string | string[]>,
+  );
   answer.body.on("error", () => response.destroy());
   answer.body.on("aborted", () => response.destroy());
   response.on("close", () => answer.body.destroy());
--- a/source/adapters/http_front_test.ts
+++ b/source/adapters/http_front_test.ts
@@ -10,6 +10,8 @@
   revision: 1,
   ranks: [{ name: "view", share: 0, defaultDeadlineMilliseconds: 200 }],
   regions: [],
+  hostRoutes: [],
+  limits: null,
   services: [{
     name: "media",
     routes: ["/media"],
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/request_reader.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from "node:crypto";
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { Readable } from "node:stream";
 import { Result } from "true-myth";
 import type { Configuration, Service } from "../core/document/document.ts";
 import { type FailureReason } from "../core/request/outcome.ts";
@@ -75,7 +76,8 @@
     service.name === name
   );
   if (service === undefined) {
-    return refused("no-such-service", `no service is named ${name}`);
+    // The sender may have a newer configuration: no reason for a 404.
+    return refused("configuration-stale", `no service is named ${name}`);
   }
   const encoded = single(message.headers, fields.key);
   const key = encoded === null ? null : decode(encoded);
@@ -120,12 +122,14 @@
     id,
     method: message.method ?? "GET",
     path: message.url ?? "/",
+    authority: message.headers.host ?? "",
     headers: passableHeaders(message.headers),
     service: service.name,
     key: key.value,
     rank: rank.value,
     idempotent: idempotent.value,
     longestBodyBytes: service.longestBodyBytes,
+    mostAttempts: null,
     deadlineAt: options.now + deadline.value,
     signal: options.signal,
   });
@@ -230,25 +234,61 @@
 }
 
 /**
- * Reads a body whole when it is small and its length is known; leaves any
- * other to be streamed. Null when the sender broke off.
+ * Reads a body whole when it is small; leaves any other to be streamed. Null
+ * when the sender broke off.
  */
 export async function readBody(
   message: IncomingMessage,
-  options: { readonly longestBytes: number },
+  options: {
+    readonly longestBytes: number;
+    /** A body up to this size is kept, so that it can be sent again. */
+    readonly keptBytes?: number;
+  },
 ): Promise<Body | null> {
   const { headers } = message;
+  const { longestBytes, keptBytes = keptBodyBytes } = options;
   const chunked = headers["transfer-encoding"] !== undefined;
   const length = Number(headers["content-length"] ?? 0);
-  if (chunked || length > keptBodyBytes) {
-    return { kind: "stream", stream: message, used: false, ...options };
+  if (length > keptBytes) return streamed(message, longestBytes);
+  if (length === 0 && !chunked) {
+    return { kind: "kept", bytes: new Uint8Array() };
   }
-  if (length === 0) return { kind: "kept", bytes: new Uint8Array() };
+  return await collect(message, { longestBytes, keptBytes });
+}
+
+function streamed(stream: Readable, longestBytes: number): Body {
+  return { kind: "stream", stream, used: false, longestBytes };
+}
+
+/** A body whose length is not stated is streamed on once it proves long. */
+async function collect(
+  message: IncomingMessage,
+  options: { readonly longestBytes: number; readonly keptBytes: number },
+): Promise<Body | null> {
   const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  const source = message.iterator({ destroyOnReturn: false });
   try {
-    for await (const chunk of message) chunks.push(chunk as Uint8Array);
+    for await (const chunk of source) {
+      chunks.push(chunk as Uint8Array);
+      bytes += (chunk as Uint8Array).length;
+      if (bytes > options.keptBytes) {
+        const whole = Readable.from(rejoin(chunks, message), {
+          objectMode: false,
+        });
+        return streamed(whole, options.longestBytes);
+      }
+    }
   } catch {
     return null;
   }
   return { kind: "kept", bytes: Buffer.concat(chunks) };
 }
+
+async function* rejoin(
+  first: readonly Uint8Array[],
+  rest: IncomingMessage,
+): AsyncGenerator<Uint8Array> {
+  yield* first;
+  yield* rest;
+}
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -33,7 +33,8 @@
 const rate = z.number().min(0);
 
 const token = z.strictObject({ epoch: count, sequence: count });
-const grant = z.strictObject({ slice: count, token });
+const handover = z.string().max(200).optional();
+const grant = z.strictObject({ slice: count, token, handover });
 const grants = z.array(grant).max(100_000);
 
 const agent: z.ZodType<Agent> = z.strictObject({
@@ -50,6 +51,9 @@
   phase: z.enum(["serving", "leaving", "lost"]),
 });
 
+/** An agent as it describes itself. */
+export const member = agent;
+
 const content: z.ZodType<SectionContent> = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ranks"),
--- a/source/adapters/silence_test.ts
+++ b/source/adapters/silence_test.ts
@@ -14,6 +14,8 @@
   revision: 1,
   ranks: [{ name: "booking", share: 0, defaultDeadlineMilliseconds: 2_000 }],
   regions: [],
+  hostRoutes: [],
+  limits: null,
   services: [{
     name: "booking",
     routes: ["/booking"],
@@ -124,6 +126,8 @@
     const request: ProxyRequest = {
       id,
       method: "POST",
+      authority: "test",
+      mostAttempts: null,
       path: "/booking",
       headers: {},
       service: "booking",
--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -24,7 +24,7 @@
 } from "../ports/upstream.ts";
 import { formatHop } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
-import { failureIn, fields, passableHeaders, single } from "./headers.ts";
+import { failureIn, fields, single } from "./headers.ts";
 
 /** Settings of the connections to one kind of hop. */
 export interface ConnectionSettings {
@@ -91,6 +91,7 @@
       const remaining = request.deadlineAt - options.now();
       const headers = {
         ...request.headers,
+        host: request.authority,
         [fields.requestId]: request.id,
         [fields.service]: request.service,
         [fields.rank]: String(request.rank),
@@ -264,7 +265,7 @@
   } catch (error) {
     if (watch?.silent() === true) return null;
     watch?.heard();
-    return Result.err(failureOf(error, options));
+    return Result.err(failureOfError(error, options));
   }
 }
 
@@ -289,7 +290,7 @@
  * A stream is read only once the connection stands, so that a request that
  * never left can be sent elsewhere.
  */
-function bodyToSend(body: Body): Uint8Array | Readable | null {
+export function bodyToSend(body: Body): Uint8Array | Readable | null {
   if (body.kind === "kept") return body.bytes.length === 0 ? null : body.bytes;
   const chunks = limited(body);
   // The library takes any asynchronous iterable, but its types name streams.
@@ -330,7 +331,8 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-function failureOf(error: unknown, attempt: Attempt): Failure {
+/** What an error in sending proves of the request. */
+export function failureOfError(error: unknown, attempt: Attempt): Failure {
   const code = typeof error === "object" && error !== null && "code" in error
     ? String(error.code)
     : "";
@@ -342,8 +344,3 @@
   }
   return unknownOutcome("connection-lost");
 }
-
-/** Header fields of an answer that go back to the caller. */
-export function answerHeaders(answer: ProxyAnswer): Headers {
-  return passableHeaders(answer.headers);
-}
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -137,6 +137,18 @@
   return state.waiting.reduce((sum, queue) => sum + queue.length, 0);
 }
 
+/** The service time of a rank that has not been seen, in milliseconds. */
+const usualServiceMilliseconds = 100;
+
+/** Requests a second that the target runs when all its slots are in use. */
+export function throughput(state: AdmissionState): number {
+  const known = state.serviceMilliseconds.filter((mean) => mean > 0);
+  const mean = known.length === 0
+    ? usualServiceMilliseconds
+    : known.reduce((sum, each) => sum + each, 0) / known.length;
+  return state.settings.slots * 1_000 / mean;
+}
+
 function arrive(
   state: AdmissionState,
   event: AdmissionEvent & { readonly kind: "arrived" },
--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -19,6 +19,11 @@
  */
 export type AgentId = string;
 
+/** The host that an agent runs or ran on. */
+export function hostOfAgent(id: AgentId): string {
+  return id.slice(0, id.lastIndexOf("/"));
+}
+
 /** Whether a target takes new work. */
 export type TargetPhase = "serving" | "leaving" | "lost";
 
--- a/source/core/dissemination/replica.ts
+++ b/source/core/dissemination/replica.ts
@@ -222,6 +222,15 @@
   );
 }
 
+/** A record of an agent as it described itself when it started. */
+export function agentEntry(agent: Agent): SharedRecord {
+  return {
+    key: agentKey(agent.host),
+    version: agent.incarnation,
+    value: { kind: "agent", agent },
+  };
+}
+
 /** A record of an agent, at a version above the one known of its host. */
 export function agentRecord(replica: Replica, agent: Agent): SharedRecord {
   const key = agentKey(agent.host);
@@ -237,7 +246,9 @@
   const value = recordOf(replica, agentKey(self.host))?.value;
   if (value?.kind !== "agent") return agentRecord(replica, self);
   const { agent } = value;
-  if (agent.id === self.id && agent.phase === self.phase) return null;
+  const same = agent.id === self.id && agent.phase === self.phase &&
+    agent.slots === self.slots && agent.service === self.service;
+  if (same) return null;
   return agentRecord(replica, self);
 }
 
--- a/source/core/document/document.ts
+++ b/source/core/document/document.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { RankPolicy } from "../admission/admission.ts";
+import type { RequestLimits, Route } from "../routes/routes.ts";
 
 /** Why a section can't be accepted, for its owner to read. */
 export interface SectionFault {
@@ -99,6 +100,10 @@
   readonly ranks: readonly Rank[];
   readonly regions: readonly Region[];
   readonly services: readonly Service[];
+  /** Routes by host and path prefix; none where services state their own. */
+  readonly hostRoutes: readonly Route[];
+  /** What callers may send; null where services state it by themselves. */
+  readonly limits: RequestLimits | null;
 }
 
 /** Before anything has been accepted. */
@@ -374,6 +379,8 @@
     services: contents.flatMap((content) =>
       content.kind === "service" ? [content.service] : []
     ),
+    hostRoutes: [],
+    limits: null,
   };
 }
 
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -189,15 +189,15 @@
 function acceptReleases(state: GrantorState, renewal: Renewal): GrantorState {
   if (renewal.released.length === 0) return state;
   const released = new Map(
-    renewal.released.map((grant) => [grant.slice, grant.token]),
+    renewal.released.map((grant) => [grant.slice, grant]),
   );
   const slices = state.slices.map((slice, index): Slice => {
-    const token = released.get(index);
-    if (token === undefined) return slice;
+    const grant = released.get(index);
+    if (grant === undefined) return slice;
     if (slice.kind !== "moving" && slice.kind !== "held") return slice;
     if (slice.owner !== renewal.id) return slice;
-    if (compareTokens(slice.token, token) !== 0) return slice;
-    return { kind: "free" };
+    if (compareTokens(slice.token, grant.token) !== 0) return slice;
+    return { kind: "free", handover: grant.handover };
   });
   return { ...state, slices, sequence: state.sequence + 1 };
 }
@@ -314,7 +314,8 @@
     if (owner === null) break;
     const sequence = next.sequence + 1;
     const token = { epoch: next.epoch, sequence };
-    const held: Slice = { kind: "held", owner, token };
+    const { handover } = slice;
+    const held: Slice = { kind: "held", owner, token, handover };
     next = { ...next, sequence, slices: next.slices.with(index, held) };
     receivers.add(owner);
     effects.push({ kind: "granted", slice: index, owner, token });
@@ -353,7 +354,11 @@
   state.slices.forEach((slice, index) => {
     if (slice.kind !== "held" && slice.kind !== "moving") return;
     if (slice.owner !== renewal.id) return;
-    grants.push({ slice: index, token: slice.token });
+    grants.push(
+      slice.kind === "held" && slice.handover !== undefined
+        ? { slice: index, token: slice.token, handover: slice.handover }
+        : { slice: index, token: slice.token },
+    );
     if (slice.kind === "moving") release.push(index);
   });
   const table = tableOf(state);
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -48,11 +48,13 @@
 
 /** What the grantor knows of one slice. */
 export type Slice =
-  | { readonly kind: "free" }
+  | { readonly kind: "free"; readonly handover?: string | undefined }
   | {
     readonly kind: "held";
     readonly owner: AgentId;
     readonly token: FencingToken;
+    /** What the former holder handed over for this grant. */
+    readonly handover?: string | undefined;
   }
   | {
     readonly kind: "moving";
--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -28,6 +28,10 @@
   readonly releasing: boolean;
   /** Requests admitted and not finished. */
   readonly running: number;
+  /** What the former holder handed over with this grant. */
+  readonly handover: string | undefined;
+  /** The target has given the slice up, with this for the next holder. */
+  readonly surrendered: { readonly handover: string | undefined } | null;
 }
 
 /** The state of one holder. */
@@ -35,6 +39,8 @@
   readonly id: AgentId;
   readonly group: string;
   readonly marginMilliseconds: number;
+  /** Whether the target has to give a slice up before it is released. */
+  readonly targetSurrenders: boolean;
   readonly epoch: number;
   readonly leaseEndsAt: Clocks;
   readonly slices: ReadonlyMap<number, HeldSlice>;
@@ -63,6 +69,15 @@
   | { readonly kind: "epochTaken"; readonly epoch: number }
   | { readonly kind: "admitted"; readonly slice: number }
   | { readonly kind: "finished"; readonly slice: number }
+  | {
+    /** The target has given up a slice that it held under this token. */
+    readonly kind: "surrendered";
+    readonly slice: number;
+    readonly token: FencingToken;
+    readonly handover: string | undefined;
+  }
+  /** The target holds these slices no more, and hands nothing over. */
+  | { readonly kind: "lost"; readonly slices: readonly number[] }
   | { readonly kind: "releaseAll" };
 
 /** A holder with nothing in its hands. */
@@ -70,9 +85,11 @@
   readonly id: AgentId;
   readonly group: string;
   readonly marginMilliseconds: number;
+  readonly targetSurrenders?: boolean;
 }): HolderState {
   return {
     ...options,
+    targetSurrenders: options.targetSurrenders ?? false,
     epoch: 0,
     leaseEndsAt: beginningOfTime,
     slices: new Map(),
@@ -97,6 +114,10 @@
       return countRunning(state, event.slice, 1);
     case "finished":
       return settleReleases(countRunning(state, event.slice, -1));
+    case "surrendered":
+      return settleReleases(noteSurrender(state, event));
+    case "lost":
+      return settleReleases(loseSlices(state, event.slices));
     case "releaseAll":
       return settleReleases(markReleasing(state, [...state.slices.keys()]));
   }
@@ -169,15 +190,58 @@
   for (const grant of answer.grants) {
     if (alreadyReleased(state, grant)) continue;
     const former = state.slices.get(grant.slice);
+    if (former !== undefined && beingSurrendered(state, former, grant)) {
+      slices.set(grant.slice, former);
+      continue;
+    }
     slices.set(grant.slice, {
       token: newerToken(former?.token, grant.token),
       releasing: false,
       running: former?.running ?? 0,
+      handover: grant.handover,
+      surrendered: null,
     });
   }
   return slices;
 }
 
+function loseSlices(
+  state: HolderState,
+  lost: readonly number[],
+): HolderState {
+  const slices = new Map(state.slices);
+  for (const slice of lost) {
+    const held = slices.get(slice);
+    if (held === undefined) continue;
+    const surrendered = { handover: undefined };
+    slices.set(slice, { ...held, releasing: true, surrendered });
+  }
+  return { ...state, slices };
+}
+
+function noteSurrender(
+  state: HolderState,
+  event: HolderEvent & { readonly kind: "surrendered" },
+): HolderState {
+  const held = state.slices.get(event.slice);
+  if (held === undefined || !held.releasing) return state;
+  if (compareTokens(held.token, event.token) !== 0) return state;
+  const surrendered = { handover: event.handover };
+  const slices = new Map(state.slices);
+  slices.set(event.slice, { ...held, surrendered });
+  return { ...state, slices };
+}
+
+/** A target that was told to give a slice up is not told otherwise. */
+function beingSurrendered(
+  state: HolderState,
+  former: HeldSlice,
+  grant: Grant,
+): boolean {
+  return state.targetSurrenders && former.releasing &&
+    compareTokens(former.token, grant.token) >= 0;
+}
+
 /** An answer written before the release arrived must not bring it back. */
 function alreadyReleased(state: HolderState, grant: Grant): boolean {
   return state.released.some((released) =>
@@ -221,12 +285,18 @@
 
 function settleReleases(state: HolderState): HolderState {
   const done = [...state.slices].filter(([, held]) =>
-    held.releasing && held.running === 0
+    held.releasing && held.running === 0 &&
+    (held.surrendered !== null || !state.targetSurrenders)
   );
   if (done.length === 0) return state;
   const slices = new Map(state.slices);
   for (const [slice] of done) slices.delete(slice);
-  const released = done.map(([slice, held]) => ({ slice, token: held.token }));
+  const released = done.map(([slice, held]): Grant => {
+    const handover = held.surrendered?.handover;
+    return handover === undefined
+      ? { slice, token: held.token }
+      : { slice, token: held.token, handover };
+  });
   return { ...state, slices, released: [...state.released, ...released] };
 }
 
--- /dev/null
+++ b/source/core/ownership/key_ranges.ts
@@ -0,0 +1,116 @@
+/**
+ * Slices of a numbered key space as ranges of keys, for targets that are told
+ * which keys they hold.
+ *
+ * Invariant: the ranges of one holder cover exactly the keys whose slices it
+ * holds, and no isolated key of another.
+ *
+ * @module
+ */
+import type { Grant } from "./renewal.ts";
+import type { OwnershipTable, PlaceKey } from "./table.ts";
+import { compareTokens, type FencingToken } from "./token.ts";
+
+/** Keys from one number to another, both inclusive, under one token. */
+export interface KeyRange {
+  readonly first: number;
+  readonly last: number;
+  readonly token: FencingToken;
+}
+
+/** A key space that is numbered from 0. */
+export interface NumberedKeys {
+  readonly count: number;
+}
+
+/** Places a numbered key in one of equal, ordered slices. */
+export function placeByNumber(keys: NumberedKeys): PlaceKey {
+  return (key, slices) => {
+    const number = Number(key);
+    if (!Number.isInteger(number) || number < 0 || number >= keys.count) {
+      return -1;
+    }
+    return Math.floor(number * slices / keys.count);
+  };
+}
+
+/** The ranges that these grants stand for, in ascending order and joined. */
+export function rangesOfGrants(
+  grants: readonly Grant[],
+  options: { readonly table: OwnershipTable; readonly keys: NumberedKeys },
+): readonly KeyRange[] {
+  const pieces = grants.flatMap((grant) => rangesOfGrant(grant, options));
+  return joinRanges(pieces.toSorted((left, right) => left.first - right.first));
+}
+
+/** The ranges of one grant: its slice, less the keys isolated from it. */
+export function rangesOfGrant(
+  grant: Grant,
+  options: { readonly table: OwnershipTable; readonly keys: NumberedKeys },
+): readonly KeyRange[] {
+  const { table, keys } = options;
+  const { token } = grant;
+  const isolated = table.isolatedKeys.find((entry) =>
+    entry.slice === grant.slice
+  );
+  if (isolated !== undefined) {
+    const number = Number(isolated.key);
+    return [{ first: number, last: number, token }];
+  }
+  if (grant.slice >= table.hashedSlices) return [];
+  const bounds = boundsOfSlice(grant.slice, table.hashedSlices, keys);
+  return withoutKeys({ ...bounds, token }, isolatedNumbers(table));
+}
+
+function boundsOfSlice(
+  slice: number,
+  slices: number,
+  keys: NumberedKeys,
+): { readonly first: number; readonly last: number } {
+  return {
+    first: Math.ceil(slice * keys.count / slices),
+    last: Math.ceil((slice + 1) * keys.count / slices) - 1,
+  };
+}
+
+function isolatedNumbers(table: OwnershipTable): readonly number[] {
+  return table.isolatedKeys
+    .map((entry) => Number(entry.key))
+    .sort((left, right) => left - right);
+}
+
+function withoutKeys(
+  range: KeyRange,
+  numbers: readonly number[],
+): readonly KeyRange[] {
+  const ranges: KeyRange[] = [];
+  let { first } = range;
+  for (const number of numbers) {
+    if (number < first || number > range.last) continue;
+    if (number > first) ranges.push({ ...range, first, last: number - 1 });
+    first = number + 1;
+  }
+  if (first <= range.last) ranges.push({ ...range, first });
+  return ranges;
+}
+
+/** Neighbours become one range under the newest of their tokens. */
+function joinRanges(ranges: readonly KeyRange[]): readonly KeyRange[] {
+  const joined: KeyRange[] = [];
+  for (const range of ranges) {
+    const former = joined.at(-1);
+    if (former === undefined || former.last + 1 !== range.first) {
+      joined.push(range);
+      continue;
+    }
+    const token = compareTokens(former.token, range.token) > 0
+      ? former.token
+      : range.token;
+    joined[joined.length - 1] = {
+      first: former.first,
+      last: range.last,
+      token,
+    };
+  }
+  return joined;
+}
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -24,7 +24,7 @@
   stepHolder,
 } from "./holder.ts";
 import type { Renewal, RenewalAnswer } from "./renewal.ts";
-import { type KeyHash, sliceOfKey } from "./table.ts";
+import { type PlaceKey, sliceOfKey } from "./table.ts";
 import { beginGrantor } from "./takeover.ts";
 
 const settings: GrantorSettings = {
@@ -98,7 +98,7 @@
   return `k${number}`;
 }
 
-const hash: KeyHash = (text) => Number(text.slice(1));
+const place: PlaceKey = (text, slices) => Number(text.slice(1)) % slices;
 
 /** Just enough of a world to carry the decisions' messages. */
 class World {
@@ -331,7 +331,7 @@
     const server = this.servers[move.holder]!;
     if (server.frozen) return;
     const key = keyOf(move.slice);
-    const slice = sliceOfKey(server.state.table, key, hash);
+    const slice = sliceOfKey(server.state.table, key, place);
     const decision = decideHold(server.state, slice, this.clocks(server));
     if (decision.kind !== "owned") return;
     server.state = stepHolder(server.state, { kind: "admitted", slice });
@@ -350,7 +350,7 @@
       this.works.filter((work) => work.key === key).map((work) => work.holder),
     );
     this.servers.forEach((server, index) => {
-      const slice = sliceOfKey(server.state.table, key, hash);
+      const slice = sliceOfKey(server.state.table, key, place);
       const decision = decideHold(server.state, slice, this.clocks(server));
       if (decision.kind === "owned") active.add(index);
     });
--- a/source/core/ownership/renewal.ts
+++ b/source/core/ownership/renewal.ts
@@ -11,6 +11,8 @@
 export interface Grant {
   readonly slice: number;
   readonly token: FencingToken;
+  /** What the slice's last holder handed over for the next one. */
+  readonly handover?: string | undefined;
 }
 
 /** What a holder measured for one of its slices. */
--- a/source/core/ownership/table.ts
+++ b/source/core/ownership/table.ts
@@ -11,6 +11,9 @@
 /** A key hash: a 32-bit unsigned number that depends on text and seed only. */
 export type KeyHash = (text: string, seed: number) => number;
 
+/** The slice, of so many, that a key belongs to; the same on every agent. */
+export type PlaceKey = (key: string, slices: number) => number;
+
 /** A server that may hold slices of the group. */
 export interface TableHolder {
   readonly id: AgentId;
@@ -70,16 +73,21 @@
   return `${service}.${index}`;
 }
 
+/** Spreads keys over slices by their hash. */
+export function placeByHash(hash: KeyHash): PlaceKey {
+  return (key, slices) => hash(key, sliceSeed) % slices;
+}
+
 /** The slice that a key belongs to; -1 while the table is empty. */
 export function sliceOfKey(
   table: OwnershipTable,
   key: string,
-  hash: KeyHash,
+  place: PlaceKey,
 ): number {
   const isolated = table.isolatedKeys.find((entry) => entry.key === key);
   if (isolated !== undefined) return isolated.slice;
   if (table.hashedSlices === 0) return -1;
-  return hash(key, sliceSeed) % table.hashedSlices;
+  return place(key, table.hashedSlices);
 }
 
 /** The owner of a slice as this table has it; null when it names none. */
--- /dev/null
+++ b/source/core/ownership/target_hold.ts
@@ -0,0 +1,87 @@
+/**
+ * What the target beside an agent may still hold, as far as the agent can
+ * know: a target that is told to hold keys holds them until the told time is
+ * over, and an order that it did not answer may take effect late.
+ *
+ * @module
+ */
+import type { FencingToken } from "./token.ts";
+
+/** The last orders that were sent for one slice. */
+export interface TargetHold {
+  readonly token: FencingToken;
+  /** The target has confirmed that it holds the slice until then. */
+  readonly confirmedUntil: number;
+  /** It may hold the slice until then if every order took effect at once. */
+  readonly heldUntil: number;
+  /** It may hold the slice until then if the last order takes effect late. */
+  readonly lateUntil: number;
+}
+
+/** How targets carry orders out, in milliseconds. */
+export interface OrderTimes {
+  /** The longest between sending an order and its effect. */
+  readonly longestDelayMilliseconds: number;
+  /** The share by which the target's clock may run slow. */
+  readonly clockSlowShare: number;
+}
+
+/** Nothing was ever sent for the slice under this token. */
+export function beginHold(token: FencingToken): TargetHold {
+  return { token, confirmedUntil: 0, heldUntil: 0, lateUntil: 0 };
+}
+
+/** An order to hold goes out; until it is answered it may come late. */
+export function holdSent(
+  hold: TargetHold,
+  order: {
+    readonly token: FencingToken;
+    readonly sentAt: number;
+    readonly holdMilliseconds: number;
+  },
+  times: OrderTimes,
+): TargetHold {
+  const length = order.holdMilliseconds * (1 + times.clockSlowShare);
+  const lateUntil = order.sentAt + times.longestDelayMilliseconds + length;
+  return {
+    ...hold,
+    token: order.token,
+    lateUntil: Math.max(hold.lateUntil, lateUntil),
+  };
+}
+
+/** The target has answered the order: it took effect before the answer. */
+export function holdConfirmed(
+  hold: TargetHold,
+  order: {
+    readonly sentAt: number;
+    readonly answeredAt: number;
+    readonly holdMilliseconds: number;
+  },
+  times: OrderTimes,
+): TargetHold {
+  const length = order.holdMilliseconds * (1 + times.clockSlowShare);
+  const heldUntil = order.answeredAt + length;
+  return {
+    ...hold,
+    confirmedUntil: Math.max(
+      hold.confirmedUntil,
+      order.sentAt + order.holdMilliseconds,
+    ),
+    heldUntil: Math.max(hold.heldUntil, heldUntil),
+    lateUntil: Math.max(hold.heldUntil, heldUntil),
+  };
+}
+
+/**
+ * When a slice that the target does not confirm to have given up is surely no
+ * longer held. A target that is gone takes no late order any more.
+ */
+export function holdSurelyEnds(
+  hold: TargetHold,
+  options: { readonly targetLives: boolean },
+): number {
+  return options.targetLives
+    ? Math.max(hold.heldUntil, hold.lateUntil)
+    : hold.heldUntil;
+}
--- a/source/core/ownership/token.ts
+++ b/source/core/ownership/token.ts
@@ -29,3 +29,19 @@
   if (match === null) return null;
   return { epoch: Number(match[1]), sequence: Number(match[2]) };
 }
+
+/** Grants of one epoch are numbered below this. */
+const sequencesPerEpoch = 2 ** 24;
+
+/**
+ * The whole number that stands for a token towards servers that compare
+ * numbers. The one of a release is above the one of the grant that it ends, so
+ * that the grant is refused if it arrives after its release.
+ */
+export function fenceOf(
+  token: FencingToken,
+  order: "grant" | "release",
+): number {
+  const place = token.epoch * sequencesPerEpoch + token.sequence;
+  return place * 2 + (order === "release" ? 1 : 0);
+}
--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -34,16 +34,21 @@
 export interface Failure {
   readonly outcome: "not-run" | "unknown";
   readonly reason: FailureReason;
+  /** When to come back, in milliseconds; null where nothing is known. */
+  readonly retryAfterMilliseconds: number | null;
 }
 
 /** A failure with proof that nothing began. */
-export function notRun(reason: FailureReason): Failure {
-  return { outcome: "not-run", reason };
+export function notRun(
+  reason: FailureReason,
+  retryAfterMilliseconds: number | null = null,
+): Failure {
+  return { outcome: "not-run", reason, retryAfterMilliseconds };
 }
 
 /** A failure after which the request may have taken effect. */
 export function unknownOutcome(reason: FailureReason): Failure {
-  return { outcome: "unknown", reason };
+  return { outcome: "unknown", reason, retryAfterMilliseconds: null };
 }
 
 /**
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -26,6 +26,10 @@
   readonly failure: Failure;
   /** Counts from 1. */
   readonly attempt: number;
+  /** Attempts so far that may have reached a target. */
+  readonly reached: number;
+  /** Most targets that the request may reach; null for no bound. */
+  readonly mostAttempts: number | null;
   readonly idempotent: boolean;
   /** Whether the whole body can be sent once more. */
   readonly bodyRepeatable: boolean;
@@ -78,6 +82,22 @@
   "no-owner-known",
 ]);
 
+/** Refusals by an agent in its target's place: another one may have room. */
+const elsewhere: ReadonlySet<FailureReason> = new Set([
+  "queue-full",
+  "target-leaving",
+  "target-unreachable",
+]);
+
+/** Agents that are asked for room before the request is refused. */
+const mostAgentsAsked = 4;
+
+/** Whether a failed attempt may have reached a target. */
+export function reachedTarget(failure: Failure): boolean {
+  const { outcome, reason } = failure;
+  return outcome === "unknown" || reason === "target-refused";
+}
+
 /**
  * Whether to send a request again, and after which delay.
  *
@@ -101,7 +121,14 @@
   if (waiting.has(reason)) {
     return { kind: "retry", delayMilliseconds: delay, budget };
   }
+  if (elsewhere.has(reason)) {
+    if (failed.attempt >= mostAgentsAsked) return giveUp;
+    return { kind: "retry", delayMilliseconds: 0, budget };
+  }
   if (budget.saved < 1) return giveUp;
+  if (failed.mostAttempts !== null && failed.reached >= failed.mostAttempts) {
+    return giveUp;
+  }
   return {
     kind: "retry",
     delayMilliseconds: delay,
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -18,6 +18,8 @@
 
 const usual = {
   attempt: 1,
+  reached: 1,
+  mostAttempts: null,
   idempotent: false,
   bodyRepeatable: true,
   now: 0,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -38,7 +38,16 @@
   | "request-retried"
   | "request-failed"
   | "request-answered"
-  | "connection-silent";
+  | "connection-silent"
+  | "target-registered"
+  | "target-replaced"
+  | "target-heartbeat-refused"
+  | "target-grant-failed"
+  | "target-release-failed"
+  | "settings-reloaded"
+  | "settings-refused"
+  | "desired-state-refused"
+  | "member-refused";
 
 /** What an event tells besides its kind. */
 export type EventDetail = Readonly<Record<string, string | number | boolean>>;
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -33,12 +33,16 @@
   readonly id: string;
   readonly method: string;
   readonly path: string;
+  /** The host that the caller named. */
+  readonly authority: string;
   readonly headers: Headers;
   readonly service: string;
   readonly key: string | null;
   readonly rank: number;
   readonly idempotent: boolean;
   readonly longestBodyBytes: number;
+  /** Most targets that the request is sent to; null for no bound. */
+  readonly mostAttempts: number | null;
   /** On this process's monotonic clock, in milliseconds. */
   readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -27,6 +27,7 @@
   emptyConfiguration,
   serviceNamed,
 } from "../core/document/document.ts";
+import { placeByHash } from "../core/ownership/table.ts";
 import { notRun } from "../core/request/outcome.ts";
 import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
 import {
@@ -34,6 +35,7 @@
   type CoordinatorTimes,
   startCoordinator,
 } from "../tasks/coordinator.ts";
+import { documentSource } from "../tasks/document_source.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startTargetWatch } from "../tasks/target_watch_task.ts";
@@ -66,6 +68,12 @@
 const connectionsPerAgent = 64;
 const queueBeforeConfiguration = 64;
 
+const documentTimes = {
+  watchMilliseconds,
+  storeRetryMilliseconds,
+  censusMilliseconds,
+};
+
 const retries = {
   earnedByRequest: 0.1,
   mostSaved: 20,
@@ -187,6 +195,7 @@
     watch.leave();
     await started.coordinator.beginStop();
     await drain({ ...started, callers }, {
+      announceMilliseconds: 0,
       timeoutMilliseconds: settings.drainTimeout,
     });
     outside.events.record("agent-stopped");
@@ -297,17 +306,28 @@
     settings: admissionSettings(settings, emptyConfiguration),
     tickMilliseconds: admissionTickMilliseconds,
   });
+  const place = placeByHash(hashText);
   const coordinator = startCoordinator({
     agent,
-    seeds: settings.seeds,
     times: coordinatorTimes(settings),
-    store,
+    delegations: store.delegations,
     peers,
     events,
     hash: hashText,
+    place,
     random: Math.random,
     newMark: randomUUID,
-    readDocument,
+    startSource: documentSource({
+      seeds: settings.seeds,
+      store,
+      times: documentTimes,
+      freshnessMilliseconds,
+      readDocument,
+      events,
+      hash: hashText,
+    }),
+    startKeyGrants: null,
+    weight: () => agent.slots,
     eventsAfter: (time) => events.after(time),
     onConfiguration: (configuration) =>
       admission.configure(admissionSettings(settings, configuration)),
@@ -332,6 +352,7 @@
     events,
     metrics,
     hash: hashText,
+    place,
     random: Math.random,
     retries,
   });
@@ -372,12 +393,10 @@
       exchangeMilliseconds: settings.exchange,
       callTimeoutMilliseconds,
     },
-    document: { watchMilliseconds, storeRetryMilliseconds, censusMilliseconds },
     leaseMilliseconds: settings.lease,
     delegationMilliseconds: settings.delegation,
     relocationMilliseconds,
     censusTimeoutMilliseconds,
-    freshnessMilliseconds,
   };
 }
 
--- a/source/programs/main.ts
+++ b/source/programs/main.ts
@@ -67,6 +67,20 @@
 }
 agentCommand.action(runAgent);
 
+program
+  .command("platform-agent", "run beside a target of the users' platform")
+  .option("--log-level <level>", "debug, info (usual), warn or error")
+  .example("  GERANIUMLEDGE_NODE_FILE=local.json geraniumledge platform-agent")
+  .action(async (flags) => {
+    const { runPlatformAgent } = await import("./platform_command.ts");
+    const code = await runPlatformAgent({
+      flags,
+      environment: process.env,
+      output: { writeLine, writeError },
+    });
+    if (code !== null) process.exitCode = code;
+  });
+
 const storeText = "the platform's object store, as http://ip:port";
 const output = { writeLine, writeError };
 
--- /dev/null
+++ b/source/programs/platform_agent.ts
@@ -0,0 +1,415 @@
+/**
+ * An agent on the users' platform: joins the same tasks as `agent.ts` to the
+ * platform's adapters.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth";
+import { platformDialect } from "../../platform/caller_dialect.ts";
+import { openKeyServer } from "../../platform/key_server.ts";
+import {
+  type Listener,
+  listenForHeartbeats,
+  listenForReadiness,
+} from "../../platform/listeners.ts";
+import { keyCount } from "../../platform/names.ts";
+import type { PlatformSettings } from "../../platform/settings.ts";
+import { openPlatformStore } from "../../platform/store.ts";
+import { openPlatformTarget } from "../../platform/target.ts";
+import { hashText } from "../adapters/hashing.ts";
+import {
+  type Front,
+  type HandleRequest,
+  openFront,
+} from "../adapters/http_front.ts";
+import { type LogLevel, openLog } from "../adapters/log.ts";
+import { startLogicalClock } from "../adapters/logical_clock.ts";
+import { startMetrics } from "../adapters/metrics.ts";
+import { connectPeers } from "../adapters/peer_client.ts";
+import { servePeers } from "../adapters/peer_server.ts";
+import { startTimeline } from "../adapters/timeline_buffer.ts";
+import { openForwarder } from "../adapters/upstream.ts";
+import type { AdmissionSettings } from "../core/admission/admission.ts";
+import type { Address, Agent } from "../core/agent.ts";
+import {
+  type Configuration,
+  emptyConfiguration,
+  serviceNamed,
+} from "../core/document/document.ts";
+import { placeByNumber } from "../core/ownership/key_ranges.ts";
+import { notRun } from "../core/request/outcome.ts";
+import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
+import { type Coordinator, startCoordinator } from "../tasks/coordinator.ts";
+import { desiredStateSource } from "../tasks/desired_state_source.ts";
+import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
+import { startKeyGrants } from "../tasks/key_grants_task.ts";
+import {
+  type RegistrationTask,
+  startRegistration,
+} from "../tasks/registration_task.ts";
+import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { monotonicNow } from "../tasks/time.ts";
+import { observeRequests } from "./observe.ts";
+import { operatorPages } from "./operator_pages.ts";
+import {
+  admissionTickMilliseconds,
+  connections,
+  coordinatorTimes,
+  desiredStateTimes,
+  keptBodyBytes,
+  keyGrantsTimes,
+  longestHeaderBytes,
+  retrySettings,
+  servicePolicy,
+  silentHeartbeats,
+  stopTimes,
+} from "./platform_policy.ts";
+import { drain } from "./stop.ts";
+
+/** A running agent. */
+export interface RunningPlatformAgent {
+  /** The settings file has changed. */
+  reload(settings: PlatformSettings): void;
+  /** The planned stop: resolves when nothing runs here any more. */
+  stop(): Promise<void>;
+}
+
+/** What an agent is started with, besides its settings. */
+export interface PlatformAgentOptions {
+  readonly logLevel: LogLevel;
+  readonly writeLog: (line: string) => void;
+}
+
+/** What every part reports to or calls through. */
+function openOutside(
+  settings: PlatformSettings,
+  options: PlatformAgentOptions & { readonly id: string },
+) {
+  const clock = startLogicalClock();
+  const metrics = startMetrics();
+  const log = openLog({
+    agent: options.id,
+    level: options.logLevel,
+    write: options.writeLog,
+  });
+  const events = startTimeline({ agent: options.id, clock, log });
+  const peers = connectPeers({ clock, metrics });
+  const store = openPlatformStore({
+    address: settings.store,
+    metrics,
+    events,
+  });
+  const forwarder = openForwarder({
+    settings: connections,
+    now: monotonicNow,
+    clock,
+    hopPrefix: options.id,
+    onSilence: (address, request) =>
+      events.record("connection-silent", { address, request: request.id }),
+  });
+  return { clock, metrics, events, peers, store, forwarder };
+}
+
+type Outside = ReturnType<typeof openOutside>;
+
+/** The parts that decide. */
+interface Inside {
+  readonly agent: Agent;
+  readonly registration: RegistrationTask;
+  readonly coordinator: Coordinator;
+  readonly admission: AdmissionTask;
+  readonly serve: ServeTask;
+  readonly entry: EntryTask;
+  /** Closes the connections to the target. */
+  readonly closeTarget: () => Promise<void>;
+}
+
+/** Starts an agent; fails with a fault in plain words. */
+export async function startPlatformAgent(
+  settings: PlatformSettings,
+  options: PlatformAgentOptions,
+): Promise<Result<RunningPlatformAgent, string>> {
+  let current = settings;
+  const incarnation = Date.now();
+  const id = `${settings.host}/${incarnation.toString(36)}`;
+  const outside = openOutside(settings, { ...options, id });
+  const inside = startInside(settings, { outside, id, incarnation });
+  const state = { stopping: false };
+  const listeners = await openListeners(settings, {
+    outside,
+    inside,
+    ownService: () => current.service,
+    ready: () => !state.stopping && inside.coordinator.fresh(),
+  });
+  if (listeners.isErr) return Result.err(listeners.error);
+  outside.events.record("agent-started", {
+    callers: settings.callers,
+    peers: settings.peers,
+    service: settings.service,
+    dataCenter: settings.place.dataCenter,
+  });
+  const { callers, others } = listeners.value;
+
+  async function stop(): Promise<void> {
+    state.stopping = true;
+    outside.events.record("agent-stopping");
+    inside.registration.stopServing();
+    await inside.coordinator.beginStop();
+    await drain({ ...inside, callers }, stopTimes(current));
+    outside.events.record("agent-stopped");
+    await inside.coordinator.stop();
+    inside.registration.stop();
+    inside.admission.stop();
+    callers.close();
+    for (const listener of others) listener.close();
+  }
+
+  return Result.ok({
+    reload(next) {
+      current = next;
+      outside.events.record("settings-reloaded", { service: next.service });
+    },
+    stop,
+  });
+}
+
+function startInside(
+  settings: PlatformSettings,
+  options: {
+    readonly outside: Outside;
+    readonly id: string;
+    readonly incarnation: number;
+  },
+): Inside {
+  const { outside } = options;
+  const { events, metrics, peers, store } = outside;
+  const place = placeByNumber({ count: keyCount });
+  const agent = describeAgent(settings, options);
+  let configuration: Configuration = emptyConfiguration;
+  const registration = startRegistration({
+    silenceMilliseconds: settings.heartbeatMilliseconds * silentHeartbeats,
+    events,
+    onServing: noteServing,
+    onReplaced: () => coordinator.holder()?.targetReplaced(),
+  });
+  const target = openPlatformTarget({
+    address: settings.target,
+    identity: () => registration.target()?.id ?? null,
+    now: monotonicNow,
+    onRefused: () => registration.noteRefused(),
+  });
+  const keyServer = openKeyServer({
+    address: settings.target,
+    onRefused: () => registration.noteRefused(),
+  });
+  const admission = startAdmission({
+    settings: admissionSettings(1),
+    tickMilliseconds: admissionTickMilliseconds,
+  });
+  const coordinator = startCoordinator({
+    agent,
+    times: coordinatorTimes,
+    delegations: store.delegations,
+    peers,
+    events,
+    hash: hashText,
+    place,
+    random: Math.random,
+    newMark: randomUUID,
+    startSource: desiredStateSource({
+      desiredStates: store.desiredStates,
+      members: store.members,
+      seeds: settings.seeds,
+      policy: servicePolicy,
+      times: desiredStateTimes,
+      events,
+      random: Math.random,
+    }),
+    startKeyGrants: ({ onSuperseded }) =>
+      startKeyGrants({
+        keyServer,
+        keys: { count: keyCount },
+        times: keyGrantsTimes(settings),
+        events,
+        targetLives: () => registration.lives(),
+        onSuperseded,
+      }),
+    weight: () => admission.weight(),
+    eventsAfter: (time) => events.after(time),
+    onConfiguration(next) {
+      configuration = next;
+      configureAdmission();
+    },
+  });
+
+  function noteServing(serving: boolean): void {
+    const reported = registration.target();
+    if (reported !== null) {
+      coordinator.spread.describeTarget({ slots: reported.slots });
+      configureAdmission();
+    }
+    coordinator.setLeaving(!serving);
+  }
+
+  function configureAdmission(): void {
+    const slots = registration.target()?.slots ?? 1;
+    admission.configure(admissionSettings(slots));
+  }
+
+  function admissionSettings(slots: number): AdmissionSettings {
+    const service = serviceNamed(configuration, settings.service);
+    const { ranks } = configuration;
+    return {
+      slots,
+      ranks: ranks.length > 0 ? ranks : [{ name: "any", share: 0 }],
+      queueLength: service?.queueLength ?? servicePolicy.queueLength,
+    };
+  }
+
+  const serve = startServing({
+    service: settings.service,
+    holder: coordinator.holder,
+    admission,
+    accepts: registration.accepts,
+    target,
+    events,
+    metrics,
+  });
+  const entry = startEntry({
+    agent,
+    agents: () => coordinator.spread.agents(),
+    configuration: coordinator.configuration,
+    localTable: coordinator.table,
+    serve,
+    forwarder: outside.forwarder,
+    peers,
+    events,
+    metrics,
+    hash: hashText,
+    place,
+    random: Math.random,
+    retries: retrySettings(settings),
+  });
+  return {
+    agent,
+    registration,
+    coordinator,
+    admission,
+    serve,
+    entry,
+    closeTarget: async () => {
+      await Promise.all([target.close(), keyServer.close()]);
+    },
+  };
+}
+
+function describeAgent(
+  settings: PlatformSettings,
+  options: { readonly id: string; readonly incarnation: number },
+): Agent {
+  return {
+    id: options.id,
+    host: settings.host,
+    incarnation: options.incarnation,
+    callerAddress: settings.callers,
+    peerAddress: settings.peers,
+    place: settings.place,
+    service: settings.service,
+    group: null,
+    slots: 1,
+    // The target ends its work itself when its hold on a key is over.
+    checksFencing: true,
+    // Until the target has reported itself.
+    phase: "leaving",
+  };
+}
+
+interface Listeners {
+  readonly callers: Front;
+  readonly others: readonly Listener[];
+}
+
+async function openListeners(
+  settings: PlatformSettings,
+  options: {
+    readonly outside: Outside;
+    readonly inside: Inside;
+    readonly ownService: () => string;
+    readonly ready: () => boolean;
+  },
+): Promise<Result<Listeners, string>> {
+  const { outside, inside } = options;
+  const { events, clock } = outside;
+  const { coordinator, registration } = inside;
+  const common = {
+    configuration: coordinator.configuration,
+    now: monotonicNow,
+    clock,
+    longestHeaderBytes,
+    keptBodyBytes,
+  };
+  const enter: HandleRequest = (request, { body }) =>
+    inside.entry.handle(request, { body });
+  const callers = await openFront({
+    ...common,
+    ...splitAddress(settings.callers),
+    kind: "callers",
+    dialect: platformDialect({
+      ownService: options.ownService,
+      random: Math.random,
+    }),
+    pages: new Map(),
+    handle: observeRequests(enter, {
+      ...outside,
+      configuration: coordinator.configuration,
+    }),
+  });
+  if (callers.isErr) return Result.err(`callers: ${callers.error}`);
+  const agents = await openFront({
+    ...common,
+    ...splitAddress(settings.peers),
+    kind: "agents",
+    pages: operatorPages({
+      metrics: outside.metrics,
+      ready: options.ready,
+      describe: () => ({ agent: inside.agent.id }),
+    }),
+    handle: (request, { body }) =>
+      coordinator.fresh()
+        ? inside.serve.serve(request, { body })
+        : Promise.resolve(Result.err(notRun("configuration-stale"))),
+  });
+  if (agents.isErr) return Result.err(`agents: ${agents.error}`);
+  const peerServer = servePeers({
+    server: agents.value.server,
+    methods: coordinator.methods,
+    clock,
+  });
+  const readiness = await listenForReadiness({
+    address: settings.readiness,
+    ready: options.ready,
+  });
+  if (readiness.isErr) return Result.err(`readiness: ${readiness.error}`);
+  const heartbeats = await listenForHeartbeats({
+    address: settings.heartbeats,
+    target: settings.target,
+    events,
+    handler: {
+      report: registration.report,
+      leave: registration.leave,
+    },
+  });
+  if (heartbeats.isErr) return Result.err(`heartbeats: ${heartbeats.error}`);
+  return Result.ok({
+    callers: callers.value,
+    others: [agents.value, peerServer, readiness.value, heartbeats.value],
+  });
+}
+
+function splitAddress(
+  address: Address,
+): { readonly host: string; readonly port: number } {
+  const [host = "", port = ""] = address.split(":");
+  return { host, port: Number(port) };
+}
--- /dev/null
+++ b/source/programs/platform_policy.ts
@@ -0,0 +1,113 @@
+/**
+ * What an agent decides by itself on the platform: durations, sizes and
+ * shares.
+ *
+ * @module
+ */
+import type { PlatformSettings } from "../../platform/settings.ts";
+import type { ConnectionSettings } from "../adapters/upstream.ts";
+import type { ServicePolicy } from "../core/routes/desired_state.ts";
+import type { RetrySettings } from "../core/retry/retry.ts";
+import type { CoordinatorTimes } from "../tasks/coordinator.ts";
+import type { DesiredStateTimes } from "../tasks/desired_state_source.ts";
+import type { KeyGrantsTimes } from "../tasks/key_grants_task.ts";
+import type { StopTimes } from "./stop.ts";
+
+const callTimeoutMilliseconds = 400;
+
+/** Durations of coordination, in milliseconds. */
+export const coordinatorTimes: CoordinatorTimes = {
+  holder: {
+    renewalMilliseconds: 1_000,
+    retryMilliseconds: 200,
+    callTimeoutMilliseconds,
+    marginMilliseconds: 200,
+  },
+  grantor: {
+    tickMilliseconds: 100,
+    callTimeoutMilliseconds,
+    storeRetryMilliseconds: 500,
+  },
+  spread: { exchangeMilliseconds: 500, callTimeoutMilliseconds },
+  leaseMilliseconds: 4_000,
+  // Outlasts the store's usual outages; a lost grantor and server together
+  // keep the server's keys unserved for as long.
+  delegationMilliseconds: 24_000,
+  relocationMilliseconds: 2_000,
+  censusTimeoutMilliseconds: 1_500,
+};
+
+/** Durations of watching the desired state, in milliseconds. */
+export const desiredStateTimes: DesiredStateTimes = {
+  watchMilliseconds: 20_000,
+  retryMilliseconds: 400,
+};
+
+/** What holds for every service. */
+export const servicePolicy: ServicePolicy = {
+  keys: { groups: 1, slicesPerGroup: 128 },
+  queueLength: 64,
+  lowerRankShare: 0.05,
+  usualDeadlineMilliseconds: 2_000,
+};
+
+/** Connections to other agents. */
+export const connections: ConnectionSettings = {
+  connections: 64,
+  connectTimeoutMilliseconds: 300,
+  idleMilliseconds: 10_000,
+};
+
+/** A target is silent after so many missed heartbeats. */
+export const silentHeartbeats = 4;
+
+export const admissionTickMilliseconds = 10;
+/** Above what any desired state allows callers to send. */
+export const longestHeaderBytes = 65_536;
+/** Bodies up to this size are kept, so that they can be sent again. */
+export const keptBodyBytes = 524_288;
+
+/** The longest between an order to a target and its late effect. */
+const longestOrderDelayMilliseconds = 12_500;
+const clockSlowShare = 0.02;
+
+/** How targets are told which keys they hold. */
+export function keyGrantsTimes(settings: PlatformSettings): KeyGrantsTimes {
+  return {
+    order: {
+      longestDelayMilliseconds: longestOrderDelayMilliseconds,
+      clockSlowShare,
+    },
+    retryMilliseconds: 200,
+    longestHoldMilliseconds: settings.bounds.longestHoldMilliseconds,
+  };
+}
+
+/** Agents that share the budget of repeats, until their number is known. */
+const assumedAgents = 18;
+/** The part of the allowed ratio that is used: other repeats count too. */
+const usedRatio = 0.6;
+
+/** The budget of repeats of one agent. */
+export function retrySettings(settings: PlatformSettings): RetrySettings {
+  return {
+    earnedByRequest: settings.bounds.retryRatio * usedRatio,
+    mostSaved: Math.max(1, settings.bounds.retrySlack / assumedAgents),
+    firstDelayMilliseconds: 5,
+    longestDelayMilliseconds: 100,
+  };
+}
+
+/** Two questions a second apart take a machine's callers away. */
+const announceMilliseconds = 2_300;
+/** What is left of the grace once the agent has finished. */
+const graceMarginMilliseconds = 700;
+
+/** How long a planned stop may take. */
+export function stopTimes(settings: PlatformSettings): StopTimes {
+  return {
+    announceMilliseconds,
+    timeoutMilliseconds: settings.bounds.graceMilliseconds -
+      graceMarginMilliseconds,
+  };
+}
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -20,6 +20,13 @@
   readonly callers: Front;
 }
 
+/** Durations of a planned stop, in milliseconds. */
+export interface StopTimes {
+  /** Callers are served as before until they must have heard of the stop. */
+  readonly announceMilliseconds: number;
+  readonly timeoutMilliseconds: number;
+}
+
 /** No request for this long means that nobody sends here any more. */
 const quietMilliseconds = 700;
 const pollMilliseconds = 20;
@@ -27,13 +34,16 @@
 /** Resolves when nothing runs here any more, or the time is over. */
 export async function drain(
   parts: StoppingParts,
-  options: { readonly timeoutMilliseconds: number },
+  options: StopTimes,
 ): Promise<void> {
   const end = monotonicNow() + options.timeoutMilliseconds;
   const { coordinator } = parts;
+  const announced = pause(options.announceMilliseconds).then(() =>
+    parts.callers.drain()
+  );
   await coordinator.spread.hurry();
-  parts.callers.drain();
   await Promise.all([
+    announced,
     coordinator.grantors.handOver(options),
     giveUpSlices(coordinator.holder(), end),
   ]);
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -12,6 +12,7 @@
   countWaiting,
   type FinishKind,
   stepAdmission,
+  throughput,
 } from "../core/admission/admission.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
@@ -33,6 +34,8 @@
   }): Promise<Result<Slot, Failure>>;
   /** Requests running and waiting. */
   load(): number;
+  /** Requests that the target can run in a second, as last measured. */
+  weight(): number;
   configure(settings: AdmissionSettings): void;
   /** Refuses what waits and all that comes. */
   close(): void;
@@ -107,6 +110,7 @@
       });
     },
     load: () => state.running.size + countWaiting(state),
+    weight: () => Math.max(1, Math.round(throughput(state))),
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
     close: () => mailbox.send({ kind: "close" }),
     stop() {
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -1,6 +1,7 @@
 /**
  * Everything that agents agree on, wired together for one agent: who takes
- * part, the configuration in force, and who owns which slice.
+ * part, the configuration in force, and who owns which slice. Where the
+ * configuration comes from is a function passed as an argument.
  *
  * It knows its surroundings by ports only, so that a program can embed it and
  * a test can put fakes in their place.
@@ -8,41 +9,34 @@
  * @module
  */
 import type { Address, Agent } from "../core/agent.ts";
-import type { Replica } from "../core/dissemination/replica.ts";
-import { assembleConfiguration } from "../core/document/assembly.ts";
+import type { Replica, SharedRecord } from "../core/dissemination/replica.ts";
 import {
   type Configuration,
   emptyConfiguration,
-  type ReadDocument,
   type Service,
   serviceNamed,
 } from "../core/document/document.ts";
-import {
-  beginFreshness,
-  confirmFreshness,
-  isFresh,
-} from "../core/document/freshness.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import {
   grantorCandidates,
   groupOfHost,
 } from "../core/ownership/membership.ts";
-import type { KeyHash, OwnershipTable } from "../core/ownership/table.ts";
+import type {
+  KeyHash,
+  OwnershipTable,
+  PlaceKey,
+} from "../core/ownership/table.ts";
 import type { Events, TimelineEvent } from "../ports/events.ts";
 import type { CensusReply, PeerMethods, Peers } from "../ports/peers.ts";
-import { mainObject, type Store } from "../ports/store.ts";
+import type { Store } from "../ports/store.ts";
 import { takeCensus } from "./census_task.ts";
-import {
-  type DocumentTimes,
-  isWatcher,
-  startDocument,
-} from "./document_task.ts";
 import type { GrantorTimes } from "./grantor_task.ts";
 import { type GrantorsTask, startGrantors } from "./grantors_task.ts";
 import {
   type HolderTask,
   type HolderTimes,
   startHolder,
+  type StartKeyGrants,
 } from "./holder_task.ts";
 import { peerMethods } from "./peer_methods.ts";
 import {
@@ -50,38 +44,66 @@
   type SpreadTimes,
   startSpread,
 } from "./spread_task.ts";
-import { readClocks, startTicker } from "./time.ts";
+import { startTicker } from "./time.ts";
 
 /** Durations of coordination, in milliseconds. */
 export interface CoordinatorTimes {
   readonly holder: HolderTimes;
   readonly grantor: GrantorTimes;
   readonly spread: SpreadTimes;
-  readonly document: DocumentTimes;
   readonly leaseMilliseconds: number;
   readonly delegationMilliseconds: number;
   readonly relocationMilliseconds: number;
   readonly censusTimeoutMilliseconds: number;
-  /** How long a confirmation of the configuration counts. */
-  readonly freshnessMilliseconds: number;
 }
 
+/** What a source of configurations can use. */
+export interface SourceContext {
+  readonly agent: Agent;
+  agents(): readonly Agent[];
+  publish(records: readonly SharedRecord[]): void;
+  /** Puts a configuration into force on this agent. */
+  apply(configuration: Configuration): void;
+  /** The configuration in force on this agent. */
+  current(): Configuration;
+  census(): Promise<CensusReply>;
+}
+
+/** Where the configuration and the first addresses come from. */
+export interface ConfigurationSource {
+  /** Addresses of agents to start from. */
+  seeds(): Promise<readonly Address[]>;
+  /** What other agents have told has changed. */
+  noteRecords(replica: Replica): void;
+  /** An agent that trusts its own configuration has answered. */
+  noteConfirmed(): void;
+  /** Whether the configuration may be trusted. */
+  fresh(): boolean;
+  stop(): Promise<void>;
+}
+
+/** Starts a source of configurations. */
+export type StartSource = (context: SourceContext) => ConfigurationSource;
+
 /** What a coordinator needs. */
 export interface CoordinatorOptions {
   /** This agent; its group is found from the configuration. */
   readonly agent: Agent;
-  /** Peer addresses of some other agents; none to ask the store for them. */
-  readonly seeds: readonly Address[];
   readonly times: CoordinatorTimes;
-  readonly store: Store;
+  readonly delegations: Store["delegations"];
   readonly peers: Peers;
   readonly events: Events;
   readonly hash: KeyHash;
+  readonly place: PlaceKey;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
   /** Returns a text that no other write to the store carries. */
   readonly newMark: () => string;
-  readonly readDocument: (text: string) => ReadDocument;
+  readonly startSource: StartSource;
+  /** Null for targets that need not be told which keys they hold. */
+  readonly startKeyGrants: StartKeyGrants | null;
+  /** What the target carries, relative to the others of its service. */
+  readonly weight: () => number;
   readonly eventsAfter: (logicalTime: number) => readonly TimelineEvent[];
   readonly onConfiguration: (configuration: Configuration) => void;
 }
@@ -111,41 +133,29 @@
 
 /** Starts taking part. */
 export function startCoordinator(options: CoordinatorOptions): Coordinator {
-  const { agent, times, store, peers, events, hash } = options;
+  const { agent, times, peers, events, hash } = options;
   let configuration: Configuration = emptyConfiguration;
-  let freshness = beginFreshness(times.freshnessMilliseconds);
   let holder: HolderTask | null = null;
   let stopping = false;
 
-  const fresh = () => isFresh(freshness, readClocks());
-
-  function confirm(): void {
-    if (!fresh()) events.record("configuration-fresh");
-    freshness = confirmFreshness(freshness, readClocks());
-  }
+  // A message may come before the source exists; nothing is known then.
+  let source: ConfigurationSource | null = null;
 
   const spread = startSpread({
     agent,
-    seeds: findSeeds,
+    seeds: () => source?.seeds() ?? Promise.resolve([]),
     times: times.spread,
     peers,
     events,
     hash,
     random: options.random,
-    onChange: applyRecords,
-    fresh,
-    onConfirmed: confirm,
+    onChange: (replica) => source?.noteRecords(replica),
+    fresh: () => source?.fresh() ?? false,
+    onConfirmed: () => source?.noteConfirmed(),
   });
 
-  async function findSeeds(): Promise<readonly Address[]> {
-    if (options.seeds.length > 0) return options.seeds;
-    const stored = await store.seeds.read(mainObject);
-    return stored.isOk ? stored.value?.value.addresses ?? [] : [];
-  }
-
-  function applyRecords(replica: Replica): void {
-    const next = assembleConfiguration(replica, configuration);
-    if (next === null) return;
+  function apply(next: Configuration): void {
+    if (next.revision <= configuration.revision) return;
     configuration = next;
     events.record("revision-applied", { revision: next.revision });
     options.onConfiguration(next);
@@ -166,7 +176,10 @@
       times: times.holder,
       peers,
       events,
-      hash,
+      place: options.place,
+      weight: options.weight,
+      startKeyGrants: options.startKeyGrants,
+      leaving: spread.self().phase !== "serving",
       candidates: () => ({
         members: otherMembers(group),
         grantors: candidatesFor(group),
@@ -188,7 +201,7 @@
   const grantors = startGrantors({
     agent,
     times: times.grantor,
-    delegations: store.delegations,
+    delegations: options.delegations,
     peers,
     events,
     newMark: options.newMark,
@@ -223,7 +236,7 @@
       own: {
         host: agent.host,
         revision: configuration.revision,
-        fresh: fresh(),
+        fresh: source?.fresh() ?? false,
       },
       addresses: addresses ?? others.map((other) => other.peerAddress),
       peers,
@@ -233,17 +246,15 @@
     });
   }
 
-  const document = startDocument({
-    store,
-    times: times.document,
-    events,
-    read: options.readDocument,
-    watches: () => isWatcher(agent, spread.agents(), hash),
+  source = options.startSource({
+    agent,
+    agents: () => spread.agents(),
     publish: (records) => spread.publish(records),
-    onConfirmed: confirm,
+    apply,
+    current: () => configuration,
     census: () => census(null),
-    seeds: () => seedAddresses(spread.agents(), hash),
   });
+  const started = source;
 
   return {
     spread,
@@ -256,7 +267,7 @@
       eventsAfter: options.eventsAfter,
     }),
     configuration: () => configuration,
-    fresh,
+    fresh: () => started.fresh(),
     holder: () => holder,
     table(group) {
       const held = spread.self().group === group ? holder?.table() : null;
@@ -269,12 +280,12 @@
     async beginStop() {
       stopping = true;
       relocation.stop();
-      await document.stop();
+      await started.stop();
     },
     async stop() {
       stopping = true;
       relocation.stop();
-      await document.stop();
+      await started.stop();
       await holder?.stop();
       await grantors.stop();
       await spread.stop();
@@ -282,17 +293,6 @@
   };
 }
 
-function seedAddresses(
-  agents: readonly Agent[],
-  hash: KeyHash,
-): readonly Address[] {
-  return agents
-    .filter((agent) => agent.phase === "serving")
-    .filter((agent) => isWatcher(agent, agents, hash))
-    .map((agent) => agent.peerAddress)
-    .sort();
-}
-
 function grantorSettings(
   group: string,
   options: {
--- /dev/null
+++ b/source/tasks/desired_state_source.ts
@@ -0,0 +1,141 @@
+/**
+ * A desired state that the platform judges and numbers as the source of the
+ * configuration: each agent watches it, and finds the others in the
+ * platform's list of those that have started.
+ *
+ * @module
+ */
+import type { Address } from "../core/agent.ts";
+import { agentEntry } from "../core/dissemination/replica.ts";
+import {
+  configurationOfDesired,
+  type ServicePolicy,
+} from "../core/routes/desired_state.ts";
+import type { Events } from "../ports/events.ts";
+import type { DesiredStates, Members } from "../ports/registry.ts";
+import type { Versioned } from "../ports/store.ts";
+import type { DesiredState } from "../core/routes/desired_state.ts";
+import type {
+  ConfigurationSource,
+  SourceContext,
+  StartSource,
+} from "./coordinator.ts";
+import { pause } from "./time.ts";
+
+/** Durations of watching, in milliseconds. */
+export interface DesiredStateTimes {
+  readonly watchMilliseconds: number;
+  readonly retryMilliseconds: number;
+}
+
+/** What the source needs. */
+export interface DesiredStateSourceOptions {
+  readonly desiredStates: DesiredStates;
+  readonly members: Members;
+  /** Peer addresses of other agents, which may be stale. */
+  readonly seeds: readonly Address[];
+  readonly policy: ServicePolicy;
+  readonly times: DesiredStateTimes;
+  readonly events: Events;
+  /** Returns a number from 0 up to but not including 1. */
+  readonly random: () => number;
+}
+
+/** A source that follows the platform's desired state. */
+export function desiredStateSource(
+  options: DesiredStateSourceOptions,
+): StartSource {
+  return (context) => startSource(options, context);
+}
+
+function startSource(
+  options: DesiredStateSourceOptions,
+  context: SourceContext,
+): ConfigurationSource {
+  const { desiredStates, members, times, events } = options;
+  const stopped = new AbortController();
+  let available = true;
+
+  function note(reachable: boolean): void {
+    if (reachable === available) return;
+    available = reachable;
+    events.record(reachable ? "store-available" : "store-unavailable");
+  }
+
+  /** A random part, so that agents do not all come back at once. */
+  function rest(): Promise<void> {
+    const milliseconds = times.retryMilliseconds * (0.5 + options.random());
+    return pause(milliseconds, stopped.signal);
+  }
+
+  async function enrol(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      const written = await members.put(context.agent);
+      note(written.isOk);
+      if (written.isOk && await meet()) return;
+      await rest();
+    }
+  }
+
+  /** Learns of the agents that have started before. */
+  async function meet(): Promise<boolean> {
+    const listed = await members.list();
+    note(listed.isOk);
+    if (listed.isErr) return false;
+    const others = listed.value.filter((agent) =>
+      agent.host !== context.agent.host
+    );
+    context.publish(others.map(agentEntry));
+    return true;
+  }
+
+  async function look(): Promise<Versioned<DesiredState> | null> {
+    const read = await desiredStates.read();
+    note(read.isOk);
+    if (read.isErr || read.value === null) return null;
+    context.apply(configurationOfDesired(read.value.value, options.policy));
+    return read.value;
+  }
+
+  async function follow(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      const found = await look();
+      if (found === null) await rest();
+      else await watchFrom(found.version);
+    }
+  }
+
+  /** Until something has changed, or the watch has failed. */
+  async function watchFrom(version: string): Promise<void> {
+    let from = version;
+    while (!stopped.signal.aborted) {
+      const result = await desiredStates.awaitChange({
+        version: from,
+        longestMilliseconds: times.watchMilliseconds,
+      });
+      if (result.isErr) return await rest();
+      note(true);
+      if (result.value.changed) return;
+      from = result.value.version;
+    }
+  }
+
+  void enrol();
+  void follow();
+
+  return {
+    async seeds() {
+      await meet();
+      return options.seeds;
+    },
+    noteRecords: () => undefined,
+    noteConfirmed: () => undefined,
+    // The store judges and keeps it: an agent serves by the newest it has
+    // seen also while the store is away.
+    fresh: () => context.current().revision > 0,
+    stop() {
+      stopped.abort();
+      return Promise.resolve();
+    },
+  };
+}
--- /dev/null
+++ b/source/tasks/document_source.ts
@@ -0,0 +1,101 @@
+/**
+ * The operators' document in the store as the source of the configuration:
+ * a few agents watch it, and what they accept spreads from agent to agent.
+ *
+ * @module
+ */
+import type { Address, Agent } from "../core/agent.ts";
+import type { Replica } from "../core/dissemination/replica.ts";
+import { assembleConfiguration } from "../core/document/assembly.ts";
+import type { ReadDocument } from "../core/document/document.ts";
+import {
+  beginFreshness,
+  confirmFreshness,
+  isFresh,
+} from "../core/document/freshness.ts";
+import type { KeyHash } from "../core/ownership/table.ts";
+import type { Events } from "../ports/events.ts";
+import { mainObject, type Store } from "../ports/store.ts";
+import type {
+  ConfigurationSource,
+  SourceContext,
+  StartSource,
+} from "./coordinator.ts";
+import {
+  type DocumentTimes,
+  isWatcher,
+  startDocument,
+} from "./document_task.ts";
+import { readClocks } from "./time.ts";
+
+/** What the document's source needs. */
+export interface DocumentSourceOptions {
+  /** Peer addresses of some other agents; none to ask the store for them. */
+  readonly seeds: readonly Address[];
+  readonly store: Store;
+  readonly times: DocumentTimes;
+  /** How long a confirmation of the configuration counts. */
+  readonly freshnessMilliseconds: number;
+  readonly readDocument: (text: string) => ReadDocument;
+  readonly events: Events;
+  readonly hash: KeyHash;
+}
+
+/** A source that follows the operators' document. */
+export function documentSource(options: DocumentSourceOptions): StartSource {
+  return (context) => startSource(options, context);
+}
+
+function startSource(
+  options: DocumentSourceOptions,
+  context: SourceContext,
+): ConfigurationSource {
+  const { store, events, hash } = options;
+  let freshness = beginFreshness(options.freshnessMilliseconds);
+  const fresh = () => isFresh(freshness, readClocks());
+
+  function confirm(): void {
+    if (!fresh()) events.record("configuration-fresh");
+    freshness = confirmFreshness(freshness, readClocks());
+  }
+
+  function noteRecords(replica: Replica): void {
+    const next = assembleConfiguration(replica, context.current());
+    if (next !== null) context.apply(next);
+  }
+
+  const document = startDocument({
+    store,
+    times: options.times,
+    events,
+    read: options.readDocument,
+    watches: () => isWatcher(context.agent, context.agents(), hash),
+    publish: (records) => context.publish(records),
+    onConfirmed: confirm,
+    census: () => context.census(),
+    seeds: () => seedAddresses(context.agents(), hash),
+  });
+
+  return {
+    async seeds() {
+      if (options.seeds.length > 0) return options.seeds;
+      const stored = await store.seeds.read(mainObject);
+      return stored.isOk ? stored.value?.value.addresses ?? [] : [];
+    },
+    noteRecords,
+    noteConfirmed: confirm,
+    fresh,
+    stop: () => document.stop(),
+  };
+}
+
+function seedAddresses(
+  agents: readonly Agent[],
+  hash: KeyHash,
+): readonly Address[] {
+  return agents
+    .filter((agent) => agent.phase === "serving")
+    .filter((agent) => isWatcher(agent, agents, hash))
+    .map((agent) => agent.peerAddress)
+    .sort();
+}
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -15,6 +15,7 @@
   newerTable,
   ownerOfSlice,
   type OwnershipTable,
+  type PlaceKey,
   sliceOfKey,
 } from "../core/ownership/table.ts";
 import {
@@ -26,6 +27,7 @@
   beginBudget,
   decideRetry,
   earnRetry,
+  reachedTarget,
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import {
@@ -81,6 +83,7 @@
   readonly events: Events;
   readonly metrics: Metrics;
   readonly hash: KeyHash;
+  readonly place: PlaceKey;
   readonly random: () => number;
   readonly retries: RetrySettings;
 }): EntryTask {
@@ -126,15 +129,19 @@
     const tried = new Set<AgentId>();
     let left = body;
     let failure: Failure | null = null;
+    let reached = 0;
     for (let attempt = 1;; attempt += 1) {
       const result = await attemptOnce(request, { body: left, tried });
       if (result.isOk) return result;
+      if (reachedTarget(result.error)) reached += 1;
       left = afterAttempt(left);
       failure = combineFailures(failure, result.error);
       const decision = decideRetry({
         failure,
         attempt,
+        reached,
         idempotent: request.idempotent,
+        mostAttempts: request.mostAttempts,
         bodyRepeatable: left.kind === "kept" || !left.used,
         now: monotonicNow(),
         deadlineAt: request.deadlineAt,
@@ -190,7 +197,7 @@
 
   function ownerOf(group: string, key: string): Destination | null {
     const table = tableOf(group);
-    const owner = ownerOfSlice(table, sliceOfKey(table, key, hash));
+    const owner = ownerOfSlice(table, sliceOfKey(table, key, options.place));
     if (owner === null) return null;
     const known = options.agents().find((agent) => agent.id === owner.id);
     return {
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Agent, AgentId } from "../core/agent.ts";
+import { type Agent, type AgentId, hostOfAgent } from "../core/agent.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
@@ -173,7 +173,8 @@
       return await search(question);
     },
     async seal(claim) {
-      if (claim.grantor !== agent.id) return false;
+      // A former process of this host has ended, and grants nothing more.
+      if (hostOfAgent(claim.grantor) !== agent.host) return false;
       await giveUp(claim.group, claim.epoch);
       return true;
     },
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -24,8 +24,8 @@
   stepHolder,
 } from "../core/ownership/holder.ts";
 import {
-  type KeyHash,
   type OwnershipTable,
+  type PlaceKey,
   sliceOfKey,
 } from "../core/ownership/table.ts";
 import type { FencingToken } from "../core/ownership/token.ts";
@@ -37,6 +37,7 @@
   LocateEffort,
   Peers,
 } from "../ports/peers.ts";
+import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
 import { pause, readClocks } from "./time.ts";
 
@@ -77,9 +78,17 @@
     options: { readonly timeoutMilliseconds: number },
   ): Promise<boolean>;
   heldSlices(): number;
+  /** The target's process was replaced: nothing that it held is held now. */
+  targetReplaced(): void;
   stop(): Promise<void>;
 }
 
+/** Starts telling the target what it holds. */
+export type StartKeyGrants = (options: {
+  /** The target refuses the token of this slice for good. */
+  readonly onSuperseded: (slice: number) => void;
+}) => KeyGrantsTask;
+
 type Message =
   | {
     readonly kind: "answered";
@@ -93,6 +102,13 @@
     readonly answer: (value: TakeoverAnswer | null) => void;
   }
   | { readonly kind: "admitted" | "finished"; readonly slice: number }
+  | {
+    readonly kind: "surrendered";
+    readonly slice: number;
+    readonly token: FencingToken;
+    readonly handover: string | undefined;
+  }
+  | { readonly kind: "loseSlices"; readonly slices: readonly number[] }
   | { readonly kind: "releaseAll" };
 
 const sketchCapacity = 64;
@@ -104,25 +120,38 @@
   readonly times: HolderTimes;
   readonly peers: Peers;
   readonly events: Events;
-  readonly hash: KeyHash;
+  readonly place: PlaceKey;
+  /** What the target carries, relative to the others of its service. */
+  readonly weight: () => number;
+  /** Null for a target that needs not be told which keys it holds. */
+  readonly startKeyGrants: StartKeyGrants | null;
+  /** Whether the target takes no new work when the holder begins. */
+  readonly leaving: boolean;
   /** Agents to ask for the grantor, in order. */
   readonly candidates: () => {
     readonly members: readonly Address[];
     readonly grantors: readonly Address[];
   };
 }): HolderTask {
-  const { agent, times, peers, events, hash } = options;
+  const { agent, times, peers, events, place } = options;
   const stopped = new AbortController();
   let state = beginHolder({
     id: agent.id,
     group: agent.group,
     marginMilliseconds: times.marginMilliseconds,
+    targetSurrenders: options.startKeyGrants !== null,
   });
+  const keyGrants = options.startKeyGrants?.({
+    onSuperseded: (slice) =>
+      mailbox.send({ kind: "loseSlices", slices: [slice] }),
+  }) ?? null;
+  /** Slices that the target is being told to give up. */
+  const surrendering = new Set<number>();
   let grantor: GrantorLocation | null = null;
   /** The grantor that was given up last, until another has answered. */
   let unreachable: GrantorLocation | null = null;
   let failures = 0;
-  let leaving = false;
+  let { leaving } = options;
   let wake = new AbortController();
   let load = beginLoad();
   let hadLease = false;
@@ -130,19 +159,56 @@
   function change(next: HolderState): void {
     const released = next.released.length > state.released.length;
     state = next;
+    if (keyGrants !== null) surrenderReleasing(keyGrants);
     if (released) nudge();
   }
 
+  function surrenderReleasing(target: KeyGrantsTask): void {
+    for (const [slice, held] of state.slices) {
+      if (!held.releasing || held.surrendered !== null) continue;
+      if (surrendering.has(slice)) continue;
+      surrendering.add(slice);
+      const { token } = held;
+      void target.surrender({ slice, token }, state.table).then(
+        ({ handover }) => {
+          surrendering.delete(slice);
+          mailbox.send({ kind: "surrendered", slice, token, handover });
+        },
+      );
+    }
+  }
+
+  /** Tells the target what the lease covers now. */
+  function tellTarget(): void {
+    keyGrants?.hold({
+      grants: [...state.slices]
+        .filter(([, held]) => !held.releasing)
+        .map(([slice, { token, handover }]) => ({ slice, token, handover })),
+      table: state.table,
+      leaseEndsAt: state.leaseEndsAt.monotonic,
+    });
+  }
+
+  /** What the target's process held ended with it: nothing is handed over. */
+  function loseSlices(slices: readonly number[]): void {
+    change(stepHolder(state, { kind: "lost", slices }));
+  }
+
   const mailbox = openMailbox<Message>((message) => {
     switch (message.kind) {
       case "answered":
         change(stepHolder(state, message));
+        tellTarget();
+        break;
+      case "loseSlices":
+        loseSlices(message.slices);
         break;
       case "takeEpoch":
         message.answer(acceptEpoch(message.claim));
         break;
       case "admitted":
       case "finished":
+      case "surrendered":
       case "releaseAll":
         change(stepHolder(state, message));
         break;
@@ -163,7 +229,7 @@
     return {
       id: agent.id,
       held: heldGrants(state),
-      weight: agent.slots,
+      weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
     };
@@ -174,13 +240,13 @@
   }
 
   function compose(): Renewal {
-    const measured = measure(load, state, hash);
+    const measured = measure(load, state, place);
     return {
       group: state.group,
       epoch: state.epoch,
       id: agent.id,
       peerAddress: agent.peerAddress,
-      weight: agent.slots,
+      weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
       held: heldGrants(state),
@@ -281,9 +347,10 @@
 
   return {
     admit(key) {
-      const slice = sliceOfKey(state.table, key, hash);
+      const slice = sliceOfKey(state.table, key, place);
       const decision = decideHold(state, slice, readClocks());
       if (decision.kind === "refused") return decision.reason;
+      if (keyGrants?.confirmed(slice) === false) return "moving";
       mailbox.send({ kind: "admitted", slice });
       load = countLoad(load, key, slice);
       let finished = false;
@@ -301,8 +368,9 @@
       };
     },
     owns(key) {
-      const slice = sliceOfKey(state.table, key, hash);
-      return decideHold(state, slice, readClocks()).kind === "owned";
+      const slice = sliceOfKey(state.table, key, place);
+      return decideHold(state, slice, readClocks()).kind === "owned" &&
+        keyGrants?.confirmed(slice) !== false;
     },
     takeEpoch: (claim) =>
       ask<Message, TakeoverAnswer | null>(
@@ -327,6 +395,10 @@
       return true;
     },
     heldSlices: () => state.slices.size,
+    targetReplaced() {
+      keyGrants?.forget();
+      mailbox.send({ kind: "loseSlices", slices: [...state.slices.keys()] });
+    },
     async stop() {
       stopped.abort();
       wake.abort();
@@ -362,7 +434,7 @@
 function measure(
   load: HeldLoad,
   state: HolderState,
-  hash: KeyHash,
+  place: PlaceKey,
 ): {
   readonly sliceLoads: readonly SliceLoad[];
   readonly keyLoads: readonly KeyLoad[];
@@ -377,7 +449,7 @@
   }));
   const keyLoads = busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
     key,
-    slice: sliceOfKey(state.table, key, hash),
+    slice: sliceOfKey(state.table, key, place),
     requestsPerSecond: Math.round(count * scale / seconds),
   }));
   return { sliceLoads, keyLoads };
--- /dev/null
+++ b/source/tasks/key_grants_task.ts
@@ -0,0 +1,250 @@
+/**
+ * The task that tells the target beside this agent which keys it holds: it
+ * grants what the holder's lease covers, and takes back what the holder
+ * releases.
+ *
+ * @module
+ */
+import type { Result } from "true-myth";
+import {
+  type KeyRange,
+  type NumberedKeys,
+  rangesOfGrant,
+  rangesOfGrants,
+} from "../core/ownership/key_ranges.ts";
+import type { Grant } from "../core/ownership/renewal.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import {
+  beginHold,
+  holdConfirmed,
+  holdSent,
+  holdSurelyEnds,
+  type OrderTimes,
+  type TargetHold,
+} from "../core/ownership/target_hold.ts";
+import { compareTokens } from "../core/ownership/token.ts";
+import type { Events } from "../ports/events.ts";
+import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
+import { monotonicNow, pause } from "./time.ts";
+
+/** What the holder may hold just now. */
+export interface HeldView {
+  readonly grants: readonly Grant[];
+  readonly table: OwnershipTable;
+  /** On the monotonic clock. */
+  readonly leaseEndsAt: number;
+}
+
+/** A running task. */
+export interface KeyGrantsTask {
+  /** Grants these slices, and no others, until the lease ends. */
+  hold(view: HeldView): void;
+  /** Takes a slice back; brings what the next holder is to be given. */
+  surrender(
+    grant: Grant,
+    table: OwnershipTable,
+  ): Promise<{ readonly handover: string | undefined }>;
+  /** Whether the target has confirmed that it holds the slice still. */
+  confirmed(slice: number): boolean;
+  /** A new process has taken the target's place: it holds nothing. */
+  forget(): void;
+}
+
+/** Settings of the task. */
+export interface KeyGrantsTimes {
+  readonly order: OrderTimes;
+  readonly retryMilliseconds: number;
+  /** A target that is told to hold keys does so no longer than this. */
+  readonly longestHoldMilliseconds: number;
+}
+
+/** A hold shorter than this is not worth an order. */
+const shortestHoldMilliseconds = 50;
+
+/** Starts with nothing held. */
+export function startKeyGrants(options: {
+  readonly keyServer: KeyServer;
+  readonly keys: NumberedKeys;
+  readonly times: KeyGrantsTimes;
+  readonly events: Events;
+  /** Whether the target's process is known to run. */
+  readonly targetLives: () => boolean;
+  /** The target refuses the token of this slice for good. */
+  readonly onSuperseded: (slice: number) => void;
+}): KeyGrantsTask {
+  const { keyServer, keys, times, events } = options;
+  let holds: ReadonlyMap<number, TargetHold> = new Map();
+  let view: HeldView | null = null;
+  let round = 0;
+
+  function holdOf(grant: Grant): TargetHold {
+    const known = holds.get(grant.slice);
+    if (known === undefined) return beginHold(grant.token);
+    const renewed = compareTokens(known.token, grant.token) < 0;
+    return renewed ? { ...known, token: grant.token } : known;
+  }
+
+  function change(
+    grants: readonly Grant[],
+    step: (hold: TargetHold) => TargetHold,
+  ): void {
+    const next = new Map(holds);
+    for (const grant of grants) next.set(grant.slice, step(holdOf(grant)));
+    holds = next;
+  }
+
+  /** One order for one range; brings whether the target confirmed it. */
+  async function order(
+    range: KeyRange,
+    context: {
+      readonly view: HeldView;
+      readonly handover: string | null;
+    },
+  ): Promise<Result<null, KeyServerFault> | null> {
+    const sentAt = monotonicNow();
+    const holdMilliseconds = holdLength(context.view, sentAt);
+    if (holdMilliseconds < shortestHoldMilliseconds) return null;
+    const covered = coveredBy(range, context.view);
+    change(covered, (hold) =>
+      holdSent(
+        hold,
+        { token: hold.token, sentAt, holdMilliseconds },
+        times.order,
+      ));
+    const result = await keyServer.grant(range, {
+      holdMilliseconds,
+      handover: context.handover,
+    });
+    if (result.isErr) {
+      events.record("target-grant-failed", {
+        keys: `${range.first}-${range.last}`,
+        reason: result.error.kind,
+      });
+      return result;
+    }
+    const answeredAt = monotonicNow();
+    change(covered, (hold) =>
+      holdConfirmed(
+        hold,
+        { sentAt, answeredAt, holdMilliseconds },
+        times.order,
+      ));
+    return result;
+  }
+
+  function holdLength(view: HeldView, now: number): number {
+    const left = (view.leaseEndsAt - now) /
+      (1 + times.order.clockSlowShare);
+    return Math.floor(Math.min(left, times.longestHoldMilliseconds));
+  }
+
+  /** Slices of which the range has a part. */
+  function coveredBy(range: KeyRange, view: HeldView): readonly Grant[] {
+    return view.grants.filter((grant) =>
+      rangesOfGrant(grant, { table: view.table, keys }).some((piece) =>
+        piece.first <= range.last && piece.last >= range.first
+      )
+    );
+  }
+
+  /** Slices that come with something handed over are granted by themselves. */
+  function isHandedOver(grant: Grant): boolean {
+    if (grant.handover === undefined) return false;
+    return (holds.get(grant.slice)?.confirmedUntil ?? 0) <= monotonicNow();
+  }
+
+  function ordersFor(view: HeldView): readonly {
+    readonly range: KeyRange;
+    readonly handover: string | null;
+  }[] {
+    const { table } = view;
+    const single = view.grants.filter(isHandedOver);
+    const joined = view.grants.filter((grant) => !isHandedOver(grant));
+    return [
+      ...single.flatMap((grant) =>
+        rangesOfGrant(grant, { table, keys }).map((range) => ({
+          range,
+          handover: grant.handover ?? null,
+        }))
+      ),
+      ...rangesOfGrants(joined, { table, keys }).map((range) => ({
+        range,
+        handover: null,
+      })),
+    ];
+  }
+
+  async function runRound(view: HeldView, number: number): Promise<void> {
+    let left = ordersFor(view);
+    while (left.length > 0 && number === round) {
+      const results = await Promise.all(left.map(async (entry) => ({
+        entry,
+        result: await order(entry.range, { view, handover: entry.handover }),
+      })));
+      for (const { entry, result } of results) {
+        if (result?.isErr && result.error.kind === "superseded") {
+          coveredBy(entry.range, view).forEach((grant) =>
+            options.onSuperseded(grant.slice)
+          );
+        }
+      }
+      left = results
+        .filter(({ result }) =>
+          result?.isErr === true && result.error.kind === "unanswered"
+        )
+        .map(({ entry }) => entry);
+      if (left.length > 0) await pause(times.retryMilliseconds);
+    }
+  }
+
+  /** Until the target confirms, or surely holds the slice no longer. */
+  async function surrender(
+    grant: Grant,
+    table: OwnershipTable,
+  ): Promise<{ readonly handover: string | undefined }> {
+    const ranges = rangesOfGrant(grant, { table, keys });
+    let handover: string | undefined;
+    for (const range of ranges) {
+      const result = await releaseRange(range, grant);
+      handover ??= result ?? undefined;
+    }
+    const next = new Map(holds);
+    next.delete(grant.slice);
+    holds = next;
+    return { handover };
+  }
+
+  async function releaseRange(
+    range: KeyRange,
+    grant: Grant,
+  ): Promise<string | null> {
+    for (;;) {
+      const result = await keyServer.release(range);
+      if (result.isOk) return result.value;
+      events.record("target-release-failed", {
+        slice: grant.slice,
+        reason: result.error.kind,
+      });
+      if (result.error.kind === "gone") return null;
+      const hold = holdOf(grant);
+      const targetLives = options.targetLives();
+      if (monotonicNow() >= holdSurelyEnds(hold, { targetLives })) return null;
+      await pause(times.retryMilliseconds);
+    }
+  }
+
+  return {
+    hold(next) {
+      view = next;
+      round += 1;
+      void runRound(view, round);
+    },
+    surrender,
+    confirmed: (slice) =>
+      (holds.get(slice)?.confirmedUntil ?? 0) > monotonicNow(),
+    forget() {
+      round += 1;
+      holds = new Map();
+    },
+  };
+}
--- a/source/tasks/spread_task.ts
+++ b/source/tasks/spread_task.ts
@@ -57,6 +57,10 @@
   self(): Agent;
   publish(records: readonly SharedRecord[]): void;
   setPhase(phase: TargetPhase): void;
+  /** Tells what has become known of this agent's target. */
+  describeTarget(
+    target: Partial<Pick<Agent, "phase" | "service" | "slots">>,
+  ): void;
   /** Tells that this agent's target belongs to an ownership group. */
   join(group: string): void;
   exchange(message: Exchange): ExchangeReply;
@@ -83,6 +87,7 @@
 /** Starts with the record of this agent alone. */
 export function startSpread(options: {
   readonly agent: Agent;
+  /** Addresses to ask while no other agent is known. */
   readonly seeds: () => Promise<readonly Address[]>;
   readonly times: SpreadTimes;
   readonly peers: Peers;
@@ -264,6 +269,17 @@
     }
   }
 
+  function describeTarget(
+    target: Partial<Pick<Agent, "phase" | "service" | "slots">>,
+  ): void {
+    const next = { ...self, ...target };
+    const same = next.phase === self.phase && next.slots === self.slots &&
+      next.service === self.service;
+    if (same) return;
+    mailbox.send({ kind: "describe", self: next });
+    wake.abort();
+  }
+
   mailbox.send({ kind: "describe", self });
   const running = run();
 
@@ -275,11 +291,8 @@
       mailbox.send({ kind: "merge", records });
       wake.abort();
     },
-    setPhase(phase) {
-      if (self.phase === phase) return;
-      mailbox.send({ kind: "describe", self: { ...self, phase } });
-      wake.abort();
-    },
+    setPhase: (phase) => describeTarget({ phase }),
+    describeTarget,
     join(group) {
       mailbox.send({ kind: "describe", self: { ...self, group } });
       wake.abort();
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -23,6 +23,8 @@
   type CoordinatorTimes,
   startCoordinator,
 } from "../source/tasks/coordinator.ts";
+import { documentSource } from "../source/tasks/document_source.ts";
+import { placeByHash } from "../source/core/ownership/table.ts";
 import { seededRandom } from "../standins/load.ts";
 
 /** One agent of a fake mesh. */
@@ -83,18 +85,21 @@
     storeRetryMilliseconds: 500,
   },
   spread: { exchangeMilliseconds: 500, callTimeoutMilliseconds: 300 },
-  document: {
-    watchMilliseconds: 30_000,
-    storeRetryMilliseconds: 500,
-    censusMilliseconds: 9_000,
-  },
   leaseMilliseconds: 3_000,
   delegationMilliseconds: 600_000,
   relocationMilliseconds: 2_000,
   censusTimeoutMilliseconds: 1_500,
-  freshnessMilliseconds: 9_000,
 };
 
+/** The usual settings of a watch on the operators' document. */
+export const documentTimes = {
+  watchMilliseconds: 30_000,
+  storeRetryMilliseconds: 500,
+  censusMilliseconds: 9_000,
+};
+/** How long a confirmation of the configuration counts. */
+export const freshnessMilliseconds = 9_000;
+
 const stepMilliseconds = 50;
 const latencyMilliseconds = 5;
 
@@ -167,17 +172,28 @@
         events.push({ at: performance.now(), host: node.host, kind, detail });
       },
     };
+    const nodeStore = store.storeOf(node.host);
     const coordinator = startCoordinator({
       agent,
-      seeds: nodes.slice(0, 2).map((other) => other.address),
       times,
-      store: store.storeOf(node.host),
+      delegations: nodeStore.delegations,
       peers: peersOf(node.host),
       events: recorder,
       hash: hashText,
+      place: placeByHash(hashText),
       random,
       newMark: () => `mark-${marks += 1}`,
-      readDocument,
+      startSource: documentSource({
+        seeds: nodes.slice(0, 2).map((other) => other.address),
+        store: nodeStore,
+        times: documentTimes,
+        freshnessMilliseconds,
+        readDocument,
+        events: recorder,
+        hash: hashText,
+      }),
+      startKeyGrants: null,
+      weight: () => agent.slots,
       eventsAfter: () => [],
       onConfiguration: () => undefined,
     });
--- a/tests/inputs_test.ts
+++ b/tests/inputs_test.ts
@@ -34,6 +34,8 @@
   revision: 1,
   ranks: [{ name: "view", share: 0, defaultDeadlineMilliseconds: 500 }],
   regions: [],
+  hostRoutes: [],
+  limits: null,
   services: [{
     name: "timetable",
     routes: ["/timetable/:key"],
