Orders to key-holding targets: no lower numbers, no order overtaken by its release

(1) An order to hold a joined range that was under way when one of its slices was released arrived after the release. (2) After a range was granted under the newest token of its slices, the rest was renewed under an older one and refused; the refusal was taken for a loss, and slices were handed on that the target still held. Tests that failed first: key_grants_task_test.ts. Also: admission leaves slots to requests that can be in time (in_time_first.ts, with the burst it answers).

--- a/benches/coordinators.ts
+++ b/benches/coordinators.ts
@@ -19,6 +19,7 @@
 import {
   type Coordinator,
   startCoordinator,
+  usualGroupSettings,
 } from "../source/tasks/coordinator.ts";
 import { documentSource } from "../source/tasks/document_source.ts";
 import {
@@ -72,6 +73,7 @@
     const coordinator = startCoordinator({
       agent,
       times: usualTimes,
+      group: usualGroupSettings,
       delegations: store.delegations,
       peers: counted(connectPeers({ clock, metrics: noMetrics }), traffic),
       events,
--- a/benches/grantor.ts
+++ b/benches/grantor.ts
@@ -23,6 +23,8 @@
       hashedSlices: 128,
       movesAtOnce: 8,
       isolatedKeys: 32,
+      isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
+      gatherMilliseconds: 0,
       delegationMilliseconds: dayMilliseconds,
     },
     roster: Array.from({ length: servers }, (_, index) => ({
--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -20,6 +20,8 @@
   key: "geraniumledge-key",
   rank: "geraniumledge-rank",
   deadline: "geraniumledge-deadline-milliseconds",
+  /** What is left of the objective; below zero once it has passed. */
+  objective: "geraniumledge-objective-milliseconds",
   idempotent: "geraniumledge-idempotent",
   outcome: "geraniumledge-outcome",
   reason: "geraniumledge-reason",
@@ -51,6 +53,7 @@
 /** Fields that only agents may set. */
 const internalFields: ReadonlySet<string> = new Set([
   fields.service,
+  fields.objective,
   fields.load,
   fields.token,
   fields.slice,
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/request_reader.ts
@@ -130,6 +130,7 @@
     idempotent: idempotent.value,
     longestBodyBytes: service.longestBodyBytes,
     mostAttempts: null,
+    objectiveAt: options.numbered ? readObjective(message, options.now) : null,
     deadlineAt: options.now + deadline.value,
     signal: options.signal,
   });
@@ -196,6 +197,12 @@
   return Result.ok(Math.min(Number(stated), longest));
 }
 
+/** Only agents state it, to each other. */
+function readObjective(message: IncomingMessage, now: number): number | null {
+  const left = Number(single(message.headers, fields.objective) ?? NaN);
+  return Number.isFinite(left) ? now + left : null;
+}
+
 function readIdempotent(
   message: IncomingMessage,
 ): Result<boolean, RefusedRequest> {
--- a/source/adapters/silence_test.ts
+++ b/source/adapters/silence_test.ts
@@ -128,6 +128,7 @@
       method: "POST",
       authority: "test",
       mostAttempts: null,
+      objectiveAt: null,
       path: "/booking",
       headers: {},
       service: "booking",
--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -98,6 +98,11 @@
         [fields.deadline]: String(
           Math.max(1, Math.floor(remaining - hopMarginMilliseconds)),
         ),
+        ...(request.objectiveAt === null ? {} : {
+          [fields.objective]: String(
+            Math.floor(request.objectiveAt - options.now()),
+          ),
+        }),
         [fields.idempotent]: String(request.idempotent),
         [fields.clock]: String(options.clock.next()),
         ...(request.key === null
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { FailureReason } from "../request/outcome.ts";
+import { nextInTime, stayAway } from "./in_time_first.ts";
 import type { Transition } from "../step.ts";
 
 /** A rank of work; ranks are listed with the most urgent first. */
@@ -27,11 +28,20 @@
   readonly ranks: readonly RankPolicy[];
   /** Most requests that wait, of all ranks together. */
   readonly queueLength: number;
+  /** The part of its slots that an unknown target is given at first, 0 to 1. */
+  readonly startShare?: number;
+  /**
+   * The longest wait of a request that can't be answered within its objective
+   * any more; no bound but its deadline when left out.
+   */
+  readonly lateWaitMilliseconds?: number;
 }
 
 /** A request that waits for a slot. */
 export interface Waiting {
   readonly id: number;
+  readonly arrivedAt: number;
+  readonly objectiveAt: number;
   readonly deadlineAt: number;
 }
 
@@ -65,6 +75,8 @@
     readonly kind: "arrived";
     readonly id: number;
     readonly rank: number;
+    /** The end of its full worth; its deadline when left out. */
+    readonly objectiveAt?: number;
     readonly deadlineAt: number;
     readonly now: number;
   }
@@ -87,6 +99,8 @@
     readonly kind: "refuse";
     readonly id: number;
     readonly reason: FailureReason;
+    /** When there may be room, in milliseconds; null when not known. */
+    readonly retryAfterMilliseconds: number | null;
   };
 
 type AdmissionTransition = Transition<AdmissionState, AdmissionEffect>;
@@ -102,7 +116,7 @@
 export function beginAdmission(settings: AdmissionSettings): AdmissionState {
   return {
     settings,
-    limit: Math.max(1, settings.slots * coldShare),
+    limit: startLimit(settings),
     running: new Map(),
     waiting: settings.ranks.map(() => []),
     credits: settings.ranks.map(() => 0),
@@ -111,6 +125,10 @@
   };
 }
 
+function startLimit(settings: AdmissionSettings): number {
+  return Math.max(1, settings.slots * (settings.startShare ?? coldShare));
+}
+
 /** Applies one event to admission. */
 export function stepAdmission(
   state: AdmissionState,
@@ -156,7 +174,8 @@
   const refused = reasonToRefuse(state, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
-  const entry = { id: event.id, deadlineAt: event.deadlineAt };
+  const { id, deadlineAt, objectiveAt = deadlineAt } = event;
+  const entry = { id, arrivedAt: event.now, deadlineAt, objectiveAt };
   const queued = withQueue(
     state,
     rank,
@@ -166,18 +185,39 @@
   return startWaiting(evicted, event.now);
 }
 
+/** Why a request is refused, and when it may come back. */
+interface Refusal {
+  readonly reason: FailureReason;
+  readonly retryAfterMilliseconds: number | null;
+}
+
+function refusal(
+  reason: FailureReason,
+  retryAfterMilliseconds: number | null = null,
+): Refusal {
+  return { reason, retryAfterMilliseconds };
+}
+
 function reasonToRefuse(
   state: AdmissionState,
   event: AdmissionEvent & { readonly kind: "arrived" },
-): FailureReason | null {
-  if (state.closed) return "target-leaving";
-  if (event.deadlineAt <= event.now) return "deadline-passed";
-  const wait = expectedWait(state, event);
-  const service = state.serviceMilliseconds[event.rank] ?? 0;
-  if (event.now + wait + service > event.deadlineAt) {
-    return "deadline-too-near";
+): Refusal | null {
+  if (state.closed) return refusal("target-leaving");
+  const { now, deadlineAt, objectiveAt = deadlineAt } = event;
+  if (deadlineAt <= now) return refusal("deadline-passed");
+  const waitMilliseconds = expectedWait(state, event);
+  const serviceMilliseconds = state.serviceMilliseconds[event.rank] ?? 0;
+  if (now + waitMilliseconds + serviceMilliseconds > deadlineAt) {
+    const away = waitMilliseconds > 0 ? waitMilliseconds : null;
+    return refusal("deadline-too-near", away);
   }
-  return null;
+  const away = stayAway({ objectiveAt, deadlineAt }, {
+    now,
+    waitMilliseconds,
+    serviceMilliseconds,
+    lateWaitMilliseconds: state.settings.lateWaitMilliseconds ?? Infinity,
+  });
+  return away === null ? null : refusal("queue-full", away);
 }
 
 /**
@@ -188,8 +228,10 @@
   state: AdmissionState,
   event: { readonly rank: number; readonly deadlineAt: number },
 ): number {
-  if (countWaiting(state) === 0) return 0;
-  let work = 0;
+  const slots = Math.max(1, Math.floor(state.limit));
+  if (state.running.size < slots) return 0;
+  // The first to wait needs one of the running requests to end.
+  let work = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
     const before = rank < event.rank
       ? queue.length
@@ -198,8 +240,7 @@
       : 0;
     work += before * (state.serviceMilliseconds[rank] ?? 0);
   });
-  return work / Math.max(1, Math.floor(state.limit)) /
-    rankPortion(state, event.rank);
+  return work / slots / rankPortion(state, event.rank);
 }
 
 /** The part of the starts that is open to a rank while the others wait too. */
@@ -232,9 +273,9 @@
 function refuse(
   state: AdmissionState,
   id: number,
-  reason: FailureReason,
+  refused: Refusal,
 ): AdmissionTransition {
-  return { state, effects: [{ kind: "refuse", id, reason }] };
+  return { state, effects: [{ kind: "refuse", id, ...refused }] };
 }
 
 /** A full queue turns away its least urgent request beyond its rank's part. */
@@ -247,7 +288,7 @@
   const last = queue[queue.length - 1];
   if (last === undefined) return { state, effects: [] };
   const next = withQueue(state, rank, queue.slice(0, -1));
-  return refuse(next, last.id, "queue-full");
+  return refuse(next, last.id, refusal("queue-full"));
 }
 
 function rankToEvict(state: AdmissionState): number {
@@ -259,6 +300,25 @@
   return 0;
 }
 
+/** Why a waiting request is refused now; null while it may wait on. */
+function reasonToGiveUp(
+  state: AdmissionState,
+  entry: Waiting,
+  view: { readonly now: number; readonly serviceMilliseconds: number },
+): FailureReason | null {
+  const { now, serviceMilliseconds } = view;
+  if (entry.deadlineAt <= now) return "deadline-passed";
+  if (entry.deadlineAt <= now + serviceMilliseconds) {
+    return "deadline-too-near";
+  }
+  const { lateWaitMilliseconds = Infinity } = state.settings;
+  const lateSince = Math.max(
+    entry.arrivedAt,
+    entry.objectiveAt - serviceMilliseconds,
+  );
+  return now - lateSince > lateWaitMilliseconds ? "queue-full" : null;
+}
+
 function refuseHopeless(
   state: AdmissionState,
   now: number,
@@ -266,16 +326,18 @@
   const effects: AdmissionEffect[] = [];
   const waiting = state.waiting.map((queue, rank) => {
     const service = state.serviceMilliseconds[rank] ?? 0;
-    const hopeful = queue.filter((entry) => entry.deadlineAt > now + service);
-    if (hopeful.length === queue.length) return queue;
-    for (const entry of queue) {
-      if (entry.deadlineAt > now + service) continue;
-      const reason = entry.deadlineAt <= now
-        ? "deadline-passed"
-        : "deadline-too-near";
-      effects.push({ kind: "refuse", id: entry.id, reason });
+    const view = { now, serviceMilliseconds: service };
+    const judged = queue.map((entry) => ({
+      entry,
+      reason: reasonToGiveUp(state, entry, view),
+    }));
+    const hopeless = judged.filter(({ reason }) => reason !== null);
+    if (hopeless.length === 0) return queue;
+    for (const { entry, reason } of hopeless) {
+      if (reason === null) continue;
+      effects.push({ kind: "refuse", id: entry.id, ...refusal(reason) });
     }
-    return hopeful;
+    return judged.flatMap(({ entry, reason }) => reason === null ? entry : []);
   });
   if (effects.length === 0) return { state, effects };
   return { state: { ...state, waiting }, effects };
@@ -290,11 +352,15 @@
   while (state.running.size < Math.floor(state.limit)) {
     const rank = nextRank(state);
     if (rank === null) break;
-    const [first, ...rest] = state.waiting[rank] ?? [];
+    const queue = state.waiting[rank] ?? [];
+    const serviceMilliseconds = state.serviceMilliseconds[rank] ?? 0;
+    const place = nextInTime(queue, { now, serviceMilliseconds });
+    const first = queue[place];
     if (first === undefined) break;
-    state = withQueue(state, rank, rest);
+    state = withQueue(state, rank, queue.toSpliced(place, 1));
     if (first.deadlineAt <= now) {
-      effects.push({ kind: "refuse", id: first.id, reason: "deadline-passed" });
+      const refused = refusal("deadline-passed");
+      effects.push({ kind: "refuse", id: first.id, ...refused });
       continue;
     }
     state = start(state, { id: first.id, rank, now });
@@ -414,7 +480,7 @@
   const effects = state.waiting.flat().map((entry): AdmissionEffect => ({
     kind: "refuse",
     id: entry.id,
-    reason: "target-leaving",
+    ...refusal("target-leaving"),
   }));
   const waiting = state.waiting.map(() => []);
   return { state: { ...state, waiting, closed: true }, effects };
--- a/source/core/admission/admission_test.ts
+++ b/source/core/admission/admission_test.ts
@@ -102,7 +102,13 @@
         now: 0,
       });
       assert.deepEqual(effects, [
-        { kind: "refuse", id: 1, reason: "deadline-too-near" },
+        {
+          kind: "refuse",
+          id: 1,
+          reason: "deadline-too-near",
+          // Coming back would not help: nothing waits before it.
+          retryAfterMilliseconds: null,
+        },
       ]);
     });
   });
--- /dev/null
+++ b/source/core/admission/in_time_first_test.ts
@@ -0,0 +1,133 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type AdmissionSettings,
+  type AdmissionState,
+  beginAdmission,
+  stepAdmission,
+} from "./admission.ts";
+import { nextInTime, stayAway } from "./in_time_first.ts";
+
+const serviceMilliseconds = 100;
+const objectiveMilliseconds = 250;
+const deadlineMilliseconds = 1_200;
+
+const settings: AdmissionSettings = {
+  slots: 10,
+  ranks: [{ name: "view", share: 0 }],
+  queueLength: 64,
+  startShare: 1,
+  lateWaitMilliseconds: 50,
+};
+
+interface Outcome {
+  readonly inTime: number;
+  readonly served: number;
+  readonly refusedAt: readonly number[];
+}
+
+/** Requests that come evenly, at so many times what the slots can run. */
+function burst(overload: number, milliseconds: number): Outcome {
+  let state: AdmissionState = beginAdmission(settings);
+  const arrivals = new Map<number, number>();
+  const ends = new Map<number, number>();
+  const refusedAt: number[] = [];
+  let inTime = 0;
+  let served = 0;
+  let id = 0;
+  let due = 0;
+  const perMillisecond = overload * settings.slots / serviceMilliseconds;
+
+  function feed(event: Parameters<typeof stepAdmission>[1]): void {
+    const next = stepAdmission(state, event);
+    state = next.state;
+    for (const effect of next.effects) {
+      if (effect.kind === "start") {
+        ends.set(
+          effect.id,
+          event.kind === "close" || !("now" in event)
+            ? 0
+            : event.now + serviceMilliseconds,
+        );
+      } else if ("now" in event) {
+        refusedAt.push(event.now - (arrivals.get(effect.id) ?? 0));
+      }
+    }
+  }
+
+  for (let now = 0; now < milliseconds + deadlineMilliseconds; now += 1) {
+    for (const [ended, at] of ends) {
+      if (at > now) continue;
+      ends.delete(ended);
+      served += 1;
+      const took = now - (arrivals.get(ended) ?? 0);
+      if (took <= objectiveMilliseconds) inTime += 1;
+      feed({ kind: "finished", id: ended, finish: "answered", now });
+    }
+    due += now < milliseconds ? perMillisecond : 0;
+    while (due >= 1) {
+      due -= 1;
+      id += 1;
+      arrivals.set(id, now);
+      feed({
+        kind: "arrived",
+        id,
+        rank: 0,
+        objectiveAt: now + objectiveMilliseconds,
+        deadlineAt: now + deadlineMilliseconds,
+        now,
+      });
+    }
+    if (now % 10 === 0) feed({ kind: "tick", now });
+  }
+  return { inTime, served, refusedAt };
+}
+
+describe("a burst above what a target can run", () => {
+  describe("of requests with an objective", () => {
+    it("leaves nine in ten of the slots to requests in time", () => {
+      const { inTime } = burst(1.5, 3_000);
+      const capacity = settings.slots * 3_000 / serviceMilliseconds;
+      assert.ok(inTime >= 0.9 * capacity, `${inTime} of ${capacity}`);
+    });
+
+    it("refuses the rest within an eighth of the objective", () => {
+      const { refusedAt } = burst(1.5, 3_000);
+      const late = refusedAt.filter((age) => age > objectiveMilliseconds / 8);
+      assert.ok(refusedAt.length > 0);
+      assert.ok(
+        late.length <= refusedAt.length / 20,
+        `${late.length} of ${refusedAt.length}`,
+      );
+    });
+
+    it("serves everything while the slots suffice", () => {
+      assert.deepEqual(burst(0.9, 3_000).refusedAt, []);
+    });
+  });
+
+  describe("of one rank", () => {
+    const view = { now: 0, serviceMilliseconds };
+
+    it("starts the first that can be in time before older ones", () => {
+      const late = { objectiveAt: 40, deadlineAt: 900 };
+      const fresh = { objectiveAt: 250, deadlineAt: 1_200 };
+      assert.equal(nextInTime([late, fresh], view), 1);
+      assert.equal(nextInTime([late], view), 0);
+      assert.equal(nextInTime([], view), -1);
+    });
+
+    it("is told to stay away for as long as the wait is too long", () => {
+      const request = { objectiveAt: 250, deadlineAt: 1_200 };
+      const outlook = { now: 0, serviceMilliseconds, lateWaitMilliseconds: 50 };
+      assert.equal(
+        stayAway(request, { ...outlook, waitMilliseconds: 100 }),
+        null,
+      );
+      assert.equal(
+        stayAway(request, { ...outlook, waitMilliseconds: 300 }),
+        250,
+      );
+    });
+  });
+});
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -208,7 +208,7 @@
 ): Transition<GrantorState, GrantorEffect> {
   if (delegationEnded(state, now)) return { state, effects: [] };
   const lapsed = lapse(state, now.monotonic);
-  const moved = startMoves(lapsed.state);
+  const moved = startMoves(gathered(lapsed.state, now.monotonic));
   const assigned = assignFree(moved.state);
   const wanted = wantCheckpoint(assigned.state, now);
   return {
@@ -222,6 +222,12 @@
   };
 }
 
+/** The first servers to come would get all, and have to give most back. */
+function gathered(state: GrantorState, now: number): GrantorState {
+  if (state.assigns || now < state.assignsFrom) return state;
+  return { ...state, assigns: true };
+}
+
 function lapse(
   state: GrantorState,
   now: number,
@@ -302,9 +308,8 @@
 function assignFree(
   state: GrantorState,
 ): Transition<GrantorState, GrantorEffect> {
-  if (!state.slices.some((slice) => slice.kind === "free")) {
-    return { state, effects: [] };
-  }
+  const free = state.slices.some((slice) => slice.kind === "free");
+  if (!free || !state.assigns) return { state, effects: [] };
   let next = state;
   const effects: GrantorEffect[] = [];
   const receivers = new Set<AgentId>();
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -10,6 +10,15 @@
 import type { IsolatedKey } from "./table.ts";
 import type { FencingToken } from "./token.ts";
 
+/** When a key is busy enough for a slice of its own. */
+export interface IsolationSettings {
+  /** The part of its server's load, 0 to 1. */
+  readonly share: number;
+  readonly floorPerSecond: number;
+  /** An isolated key below this load may give its slice up to a busier one. */
+  readonly coldPerSecond: number;
+}
+
 /** Durations and sizes of one group. */
 export interface GrantorSettings {
   readonly leaseMilliseconds: number;
@@ -20,6 +29,9 @@
   readonly movesAtOnce: number;
   /** Most keys with a slice of their own. */
   readonly isolatedKeys: number;
+  readonly isolation: IsolationSettings;
+  /** A new grantor waits so long for servers before it assigns slices. */
+  readonly gatherMilliseconds: number;
   /** How long the delegation lasts after each successful store write. */
   readonly delegationMilliseconds: number;
 }
@@ -77,6 +89,10 @@
   readonly settings: GrantorSettings;
   readonly delegationEndsAt: Clocks;
   readonly sequence: number;
+  /** Free slices are assigned from then on, on the monotonic clock. */
+  readonly assignsFrom: number;
+  /** Whether that time has come. */
+  readonly assigns: boolean;
   readonly roster: readonly RosterEntry[];
   /** Servers that asked to join and wait for the roster to be stored. */
   readonly applicants: readonly RosterEntry[];
--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -78,6 +78,8 @@
   }
   /** The target holds these slices no more, and hands nothing over. */
   | { readonly kind: "lost"; readonly slices: readonly number[] }
+  /** These slices are to be given up, though nobody asked for them. */
+  | { readonly kind: "release"; readonly slices: readonly number[] }
   | { readonly kind: "releaseAll" };
 
 /** A holder with nothing in its hands. */
@@ -118,6 +120,8 @@
       return settleReleases(noteSurrender(state, event));
     case "lost":
       return settleReleases(loseSlices(state, event.slices));
+    case "release":
+      return settleReleases(markReleasing(state, event.slices));
     case "releaseAll":
       return settleReleases(markReleasing(state, [...state.slices.keys()]));
   }
--- a/source/core/ownership/isolation.ts
+++ b/source/core/ownership/isolation.ts
@@ -14,11 +14,6 @@
 import type { IsolatedKey } from "./table.ts";
 import { followBase } from "./unreported.ts";
 
-const isolationShare = 0.25;
-const isolationFloorPerSecond = 50;
-/** An isolated key below this load may give its slice up to a busier one. */
-const coldPerSecond = 25;
-
 /** Notes the keys of a renewal that deserve slices of their own. */
 export function noteBusyKeys(
   state: GrantorState,
@@ -36,12 +31,13 @@
   owner: AgentId,
   load: KeyLoad,
 ): boolean {
-  if (load.requestsPerSecond < isolationFloorPerSecond) return false;
+  const { share, floorPerSecond } = state.settings.isolation;
+  if (load.requestsPerSecond < floorPerSecond) return false;
   if (load.slice >= state.settings.hashedSlices) return false;
   if (!holds(state, owner, load.slice)) return false;
   const known = [...state.isolatedKeys, ...state.busyKeys];
   if (known.some((entry) => entry.key === load.key)) return false;
-  return load.requestsPerSecond >= isolationShare * ownedLoad(state, owner);
+  return load.requestsPerSecond >= share * ownedLoad(state, owner);
 }
 
 function holds(state: GrantorState, owner: AgentId, index: number): boolean {
@@ -91,7 +87,8 @@
 ): boolean {
   const slice = state.slices[load.slice];
   if (slice?.kind !== "held") return false;
-  return (state.loads.get(cold.slice) ?? 0) < coldPerSecond &&
+  return (state.loads.get(cold.slice) ?? 0) <
+      state.settings.isolation.coldPerSecond &&
     holds(state, slice.owner, cold.slice) &&
     holds(state, slice.owner, cold.base);
 }
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -33,6 +33,8 @@
   hashedSlices: 6,
   movesAtOnce: 2,
   isolatedKeys: 2,
+  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
+  gatherMilliseconds: 0,
   delegationMilliseconds: 8_000,
 };
 const marginMilliseconds = 50;
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -187,11 +187,13 @@
 
 /**
  * A slice moves only after its owner has long had the table that has it: what
- * ran on a key before it was isolated was counted on another slice.
+ * ran on a key before it was isolated was counted on another slice. A target
+ * that checks tokens counts by key itself.
  */
 function settled(
   holder: Holder,
   token: { readonly epoch: number; readonly sequence: number },
 ): boolean {
-  return compareTokens(holder.settledVersion, token) >= 0;
+  return holder.checksFencing ||
+    compareTokens(holder.settledVersion, token) >= 0;
 }
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -55,6 +55,8 @@
     settings: takeover.settings,
     delegationEndsAt: delegationEnd(takeover.askedAt, takeover.settings),
     sequence: 0,
+    assignsFrom: takeover.now.monotonic + takeover.settings.gatherMilliseconds,
+    assigns: takeover.settings.gatherMilliseconds === 0,
     roster: takeover.roster,
     applicants: [],
     holders,
--- a/source/core/ownership/target_hold.ts
+++ b/source/core/ownership/target_hold.ts
@@ -5,10 +5,11 @@
  *
  * @module
  */
-import type { FencingToken } from "./token.ts";
+import { compareTokens, type FencingToken } from "./token.ts";
 
 /** The last orders that were sent for one slice. */
 export interface TargetHold {
+  /** The newest token that the target was sent for the slice. */
   readonly token: FencingToken;
   /** The target has confirmed that it holds the slice until then. */
   readonly confirmedUntil: number;
@@ -45,7 +46,9 @@
   const lateUntil = order.sentAt + times.longestDelayMilliseconds + length;
   return {
     ...hold,
-    token: order.token,
+    token: compareTokens(hold.token, order.token) > 0
+      ? hold.token
+      : order.token,
     lateUntil: Math.max(hold.lateUntil, lateUntil),
   };
 }
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -43,6 +43,8 @@
   readonly longestBodyBytes: number;
   /** Most targets that the request is sent to; null for no bound. */
   readonly mostAttempts: number | null;
+  /** The end of its full worth, on the monotonic clock; null for none. */
+  readonly objectiveAt: number | null;
   /** On this process's monotonic clock, in milliseconds. */
   readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -34,6 +34,7 @@
   type Coordinator,
   type CoordinatorTimes,
   startCoordinator,
+  usualGroupSettings,
 } from "../tasks/coordinator.ts";
 import { documentSource } from "../tasks/document_source.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
@@ -310,6 +311,7 @@
   const coordinator = startCoordinator({
     agent,
     times: coordinatorTimes(settings),
+    group: usualGroupSettings,
     delegations: store.delegations,
     peers,
     events,
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -57,12 +57,15 @@
   connections,
   coordinatorTimes,
   desiredStateTimes,
+  groupSettings,
   keptBodyBytes,
   keyGrantsTimes,
+  lateWaitMilliseconds,
   longestHeaderBytes,
   retrySettings,
   servicePolicy,
   silentHeartbeats,
+  startShare,
   stopTimes,
 } from "./platform_policy.ts";
 import { drain } from "./stop.ts";
@@ -210,6 +213,7 @@
   const coordinator = startCoordinator({
     agent,
     times: coordinatorTimes,
+    group: groupSettings,
     delegations: store.delegations,
     peers,
     events,
@@ -264,6 +268,8 @@
       slots,
       ranks: ranks.length > 0 ? ranks : [{ name: "any", share: 0 }],
       queueLength: service?.queueLength ?? servicePolicy.queueLength,
+      startShare,
+      lateWaitMilliseconds,
     };
   }
 
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -8,7 +8,7 @@
 import type { ConnectionSettings } from "../adapters/upstream.ts";
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
 import type { RetrySettings } from "../core/retry/retry.ts";
-import type { CoordinatorTimes } from "../tasks/coordinator.ts";
+import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
 import type { DesiredStateTimes } from "../tasks/desired_state_source.ts";
 import type { KeyGrantsTimes } from "../tasks/key_grants_task.ts";
 import type { StopTimes } from "./stop.ts";
@@ -37,6 +37,14 @@
   censusTimeoutMilliseconds: 1_500,
 };
 
+/** How a service's keys are divided among its targets. */
+export const groupSettings: GroupSettings = {
+  movesAtOnce: 12,
+  isolatedKeys: 48,
+  isolation: { share: 0.05, floorPerSecond: 2, coldPerSecond: 1 },
+  gatherMilliseconds: 1_500,
+};
+
 /** Durations of watching the desired state, in milliseconds. */
 export const desiredStateTimes: DesiredStateTimes = {
   watchMilliseconds: 20_000,
@@ -45,7 +53,7 @@
 
 /** What holds for every service. */
 export const servicePolicy: ServicePolicy = {
-  keys: { groups: 1, slicesPerGroup: 128 },
+  keys: { groups: 1, slicesPerGroup: 256 },
   queueLength: 64,
   lowerRankShare: 0.05,
   usualDeadlineMilliseconds: 2_000,
@@ -62,6 +70,10 @@
 export const silentHeartbeats = 4;
 
 export const admissionTickMilliseconds = 10;
+/** Targets state their slots, and refuse by themselves what is beyond. */
+export const startShare = 1;
+/** The longest wait of a request that has missed its objective. */
+export const lateWaitMilliseconds = 100;
 /** Above what any desired state allows callers to send. */
 export const longestHeaderBytes = 65_536;
 /** Bodies up to this size are kept, so that they can be sent again. */
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -29,6 +29,8 @@
   /** Waits for a slot; fails with proof that nothing began. */
   enter(entry: {
     readonly rank: number;
+    /** The end of its full worth; null for its deadline. */
+    readonly objectiveAt: number | null;
     readonly deadlineAt: number;
     readonly signal: AbortSignal;
   }): Promise<Result<Slot, Failure>>;
@@ -64,7 +66,8 @@
     const settle = settles.get(effect.id);
     settles.delete(effect.id);
     if (effect.kind === "refuse") {
-      settle?.(Result.err(notRun(effect.reason)));
+      const { reason, retryAfterMilliseconds } = effect;
+      settle?.(Result.err(notRun(reason, retryAfterMilliseconds)));
     } else {
       settle?.(Result.ok(slotOf(effect.id)));
     }
@@ -89,7 +92,7 @@
   }
 
   return {
-    enter({ rank, deadlineAt, signal }) {
+    enter({ rank, objectiveAt, deadlineAt, signal }) {
       const id = nextId;
       nextId += 1;
       return new Promise((resolve) => {
@@ -104,7 +107,14 @@
         });
         if (signal.aborted) return withdraw();
         const now = monotonicNow();
-        mailbox.send({ kind: "arrived", id, rank, deadlineAt, now });
+        mailbox.send({
+          kind: "arrived",
+          id,
+          rank,
+          objectiveAt: objectiveAt ?? deadlineAt,
+          deadlineAt,
+          now,
+        });
         if (!settles.has(id)) return;
         signal.addEventListener("abort", withdraw, { once: true });
       });
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -90,6 +90,7 @@
   /** This agent; its group is found from the configuration. */
   readonly agent: Agent;
   readonly times: CoordinatorTimes;
+  readonly group: GroupSettings;
   readonly delegations: Store["delegations"];
   readonly peers: Peers;
   readonly events: Events;
@@ -128,8 +129,19 @@
   stop(): Promise<void>;
 }
 
-const movesAtOnce = 8;
-const isolatedKeysPerGroup = 32;
+/** Sizes of a group's division among its servers. */
+export type GroupSettings = Pick<
+  GrantorSettings,
+  "movesAtOnce" | "isolatedKeys" | "isolation" | "gatherMilliseconds"
+>;
+
+/** What suits a group of many servers and keys. */
+export const usualGroupSettings: GroupSettings = {
+  movesAtOnce: 8,
+  isolatedKeys: 32,
+  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
+  gatherMilliseconds: 0,
+};
 
 /** Starts taking part. */
 export function startCoordinator(options: CoordinatorOptions): Coordinator {
@@ -205,7 +217,8 @@
     peers,
     events,
     newMark: options.newMark,
-    settingsOf: (group) => grantorSettings(group, { times, configuration }),
+    settingsOf: (group) =>
+      grantorSettings(group, { times, configuration, sizes: options.group }),
     successors: (group) =>
       candidatesFor(group).filter((address) => address !== agent.peerAddress),
   });
@@ -298,9 +311,10 @@
   options: {
     readonly times: CoordinatorTimes;
     readonly configuration: Configuration;
+    readonly sizes: GroupSettings;
   },
 ): GrantorSettings | null {
-  const { times, configuration } = options;
+  const { times, configuration, sizes } = options;
   const service = configuration.services.find((service) =>
     group.startsWith(`${service.name}.`)
   );
@@ -309,8 +323,7 @@
     leaseMilliseconds: times.leaseMilliseconds,
     longestDeadlineMilliseconds: service.longestDeadlineMilliseconds,
     hashedSlices: service.keys.slicesPerGroup,
-    movesAtOnce,
-    isolatedKeys: isolatedKeysPerGroup,
+    ...sizes,
     delegationMilliseconds: times.delegationMilliseconds,
   };
 }
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -108,11 +108,14 @@
     readonly token: FencingToken;
     readonly handover: string | undefined;
   }
-  | { readonly kind: "loseSlices"; readonly slices: readonly number[] }
+  | {
+    readonly kind: "lost" | "release";
+    readonly slices: readonly number[];
+  }
   | { readonly kind: "releaseAll" };
 
 const sketchCapacity = 64;
-const reportedKeys = 8;
+const reportedKeys = 16;
 
 /** Starts holding for one agent in its group. */
 export function startHolder(options: {
@@ -142,8 +145,7 @@
     targetSurrenders: options.startKeyGrants !== null,
   });
   const keyGrants = options.startKeyGrants?.({
-    onSuperseded: (slice) =>
-      mailbox.send({ kind: "loseSlices", slices: [slice] }),
+    onSuperseded: (slice) => mailbox.send({ kind: "release", slices: [slice] }),
   }) ?? null;
   /** Slices that the target is being told to give up. */
   const surrendering = new Set<number>();
@@ -189,26 +191,20 @@
     });
   }
 
-  /** What the target's process held ended with it: nothing is handed over. */
-  function loseSlices(slices: readonly number[]): void {
-    change(stepHolder(state, { kind: "lost", slices }));
-  }
-
   const mailbox = openMailbox<Message>((message) => {
     switch (message.kind) {
       case "answered":
         change(stepHolder(state, message));
         tellTarget();
         break;
-      case "loseSlices":
-        loseSlices(message.slices);
-        break;
       case "takeEpoch":
         message.answer(acceptEpoch(message.claim));
         break;
       case "admitted":
       case "finished":
       case "surrendered":
+      case "lost":
+      case "release":
       case "releaseAll":
         change(stepHolder(state, message));
         break;
@@ -397,7 +393,7 @@
     heldSlices: () => state.slices.size,
     targetReplaced() {
       keyGrants?.forget();
-      mailbox.send({ kind: "loseSlices", slices: [...state.slices.keys()] });
+      mailbox.send({ kind: "lost", slices: [...state.slices.keys()] });
     },
     async stop() {
       stopped.abort();
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -76,6 +76,8 @@
   let holds: ReadonlyMap<number, TargetHold> = new Map();
   let view: HeldView | null = null;
   let round = 0;
+  /** Orders that the target has not answered yet. */
+  const inFlight = new Set<Promise<unknown>>();
 
   function holdOf(grant: Grant): TargetHold {
     const known = holds.get(grant.slice);
@@ -105,16 +107,16 @@
     const holdMilliseconds = holdLength(context.view, sentAt);
     if (holdMilliseconds < shortestHoldMilliseconds) return null;
     const covered = coveredBy(range, context.view);
-    change(covered, (hold) =>
-      holdSent(
-        hold,
-        { token: hold.token, sentAt, holdMilliseconds },
-        times.order,
-      ));
-    const result = await keyServer.grant(range, {
+    const { token } = range;
+    change(
+      covered,
+      (hold) =>
+        holdSent(hold, { token, sentAt, holdMilliseconds }, times.order),
+    );
+    const result = await track(keyServer.grant(range, {
       holdMilliseconds,
       handover: context.handover,
-    });
+    }));
     if (result.isErr) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
@@ -132,6 +134,15 @@
     return result;
   }
 
+  async function track<Answer>(order: Promise<Answer>): Promise<Answer> {
+    inFlight.add(order);
+    try {
+      return await order;
+    } finally {
+      inFlight.delete(order);
+    }
+  }
+
   function holdLength(view: HeldView, now: number): number {
     const left = (view.leaseEndsAt - now) /
       (1 + times.order.clockSlowShare);
@@ -158,8 +169,13 @@
     readonly handover: string | null;
   }[] {
     const { table } = view;
-    const single = view.grants.filter(isHandedOver);
-    const joined = view.grants.filter((grant) => !isHandedOver(grant));
+    // A token below one that the target was sent before would be refused.
+    const grants = view.grants.map((grant) => ({
+      ...grant,
+      token: holdOf(grant).token,
+    }));
+    const single = grants.filter(isHandedOver);
+    const joined = grants.filter((grant) => !isHandedOver(grant));
     return [
       ...single.flatMap((grant) =>
         rangesOfGrant(grant, { table, keys }).map((range) => ({
@@ -181,6 +197,7 @@
         entry,
         result: await order(entry.range, { view, handover: entry.handover }),
       })));
+      if (number !== round) return;
       for (const { entry, result } of results) {
         if (result?.isErr && result.error.kind === "superseded") {
           coveredBy(entry.range, view).forEach((grant) =>
@@ -202,7 +219,14 @@
     grant: Grant,
     table: OwnershipTable,
   ): Promise<{ readonly handover: string | undefined }> {
-    const ranges = rangesOfGrant(grant, { table, keys });
+    dropFromView(grant.slice);
+    // A grant that is overtaken by its release would bring the slice back.
+    await Promise.allSettled([...inFlight]);
+    const { token } = holdOf(grant);
+    const ranges = rangesOfGrant({ slice: grant.slice, token }, {
+      table,
+      keys,
+    });
     let handover: string | undefined;
     for (const range of ranges) {
       const result = await releaseRange(range, grant);
@@ -214,6 +238,15 @@
     return { handover };
   }
 
+  /** No order that covers the slice is sent again. */
+  function dropFromView(slice: number): void {
+    if (view === null) return;
+    const grants = view.grants.filter((grant) => grant.slice !== slice);
+    if (grants.length === view.grants.length) return;
+    view = { ...view, grants };
+    round += 1;
+  }
+
   async function releaseRange(
     range: KeyRange,
     grant: Grant,
--- /dev/null
+++ b/source/tasks/key_grants_task_test.ts
@@ -0,0 +1,164 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Result } from "true-myth";
+import type { KeyRange } from "../core/ownership/key_ranges.ts";
+import type { OwnershipTable } from "../core/ownership/table.ts";
+import { fenceOf } from "../core/ownership/token.ts";
+import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
+import { type KeyGrantsTask, startKeyGrants } from "./key_grants_task.ts";
+
+const keys = { count: 64 };
+
+const table: OwnershipTable = {
+  group: "timetable.0",
+  version: { epoch: 1, sequence: 9 },
+  holders: [],
+  owners: [],
+  hashedSlices: 4,
+  isolatedKeys: [],
+};
+
+type Order = {
+  readonly kind: "grant" | "release";
+  readonly range: KeyRange;
+  readonly handover: string | null;
+  readonly answer: (fault: KeyServerFault | null) => void;
+};
+
+/** A key server that answers when the test says so. */
+function heldServer() {
+  const orders: Order[] = [];
+  function order<Value>(
+    entry: Omit<Order, "answer">,
+    value: Value,
+  ): Promise<Result<Value, KeyServerFault>> {
+    return new Promise((resolve) => {
+      orders.push({
+        ...entry,
+        answer: (fault) =>
+          resolve(fault === null ? Result.ok(value) : Result.err(fault)),
+      });
+    });
+  }
+  const server: KeyServer = {
+    grant: (range, { handover }) =>
+      order({ kind: "grant", range, handover }, null),
+    release: (range) =>
+      order<string | null>(
+        { kind: "release", range, handover: null },
+        "handed-over",
+      ),
+  };
+  return { orders, server };
+}
+
+function start(server: KeyServer, superseded: number[] = []): KeyGrantsTask {
+  return startKeyGrants({
+    keyServer: server,
+    keys,
+    times: {
+      order: { longestDelayMilliseconds: 12_000, clockSlowShare: 0.02 },
+      retryMilliseconds: 1,
+      longestHoldMilliseconds: 10_000,
+    },
+    events: { record: () => undefined },
+    targetLives: () => true,
+    onSuperseded: (slice) => superseded.push(slice),
+  });
+}
+
+function grant(slice: number, sequence: number, handover?: string) {
+  return { slice, token: { epoch: 1, sequence }, handover };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+}
+
+function view(...grants: ReturnType<typeof grant>[]) {
+  return { grants, table, leaseEndsAt: performance.now() + 4_000 };
+}
+
+describe("orders to a target that holds keys", () => {
+  describe("to hold", () => {
+    it("join neighbours under the newest token", () => {
+      const { orders, server } = heldServer();
+      start(server).hold(view(grant(0, 1), grant(1, 3), grant(3, 2)));
+      assert.deepEqual(orders.map(({ range }) => range), [
+        { first: 0, last: 31, token: { epoch: 1, sequence: 3 } },
+        { first: 48, last: 63, token: { epoch: 1, sequence: 2 } },
+      ]);
+    });
+
+    it("confirm a slice only once the target has answered", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold(view(grant(0, 1)));
+      assert.ok(!task.confirmed(0));
+      orders[0]?.answer(null);
+      await settle();
+      assert.ok(task.confirmed(0));
+    });
+
+    it("pass on what the last holder handed over, slice by slice", () => {
+      const { orders, server } = heldServer();
+      start(server).hold(view(grant(0, 1, "a"), grant(1, 3, "b")));
+      assert.deepEqual(orders.map(({ handover }) => handover), ["a", "b"]);
+    });
+  });
+
+  describe("to hold again", () => {
+    it("carry no number below the one of a former, longer range", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold(view(grant(0, 1), grant(1, 3)));
+      orders[0]?.answer(null);
+      await settle();
+      task.hold(view(grant(0, 1)));
+      assert.deepEqual(orders[1]?.range.token, { epoch: 1, sequence: 3 });
+    });
+  });
+
+  describe("to give up", () => {
+    it("wait for an order to hold that is still under way", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold(view(grant(0, 1), grant(1, 3)));
+      const given = task.surrender(grant(0, 1), table);
+      await settle();
+      assert.deepEqual(orders.map(({ kind }) => kind), ["grant"]);
+      orders[0]?.answer(null);
+      await settle();
+      assert.deepEqual(orders.map(({ kind }) => kind), ["grant", "release"]);
+      orders[1]?.answer(null);
+      assert.deepEqual(await given, { handover: "handed-over" });
+    });
+
+    it("carry a number above every order to hold that covered them", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold(view(grant(0, 1), grant(1, 3)));
+      orders[0]?.answer(null);
+      await settle();
+      void task.surrender(grant(0, 1), table);
+      await settle();
+      const [held, released] = orders;
+      assert.ok(held !== undefined && released !== undefined);
+      assert.ok(
+        fenceOf(released.range.token, "release") >
+          fenceOf(held.range.token, "grant"),
+      );
+    });
+
+    it("keep what was refused meanwhile from being lost", async () => {
+      const { orders, server } = heldServer();
+      const superseded: number[] = [];
+      const task = start(server, superseded);
+      task.hold(view(grant(0, 1), grant(1, 3)));
+      void task.surrender(grant(0, 1), table);
+      orders[0]?.answer({ kind: "superseded" });
+      await settle();
+      assert.deepEqual(superseded, []);
+    });
+  });
+});
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -22,6 +22,7 @@
   type Coordinator,
   type CoordinatorTimes,
   startCoordinator,
+  usualGroupSettings,
 } from "../source/tasks/coordinator.ts";
 import { documentSource } from "../source/tasks/document_source.ts";
 import { placeByHash } from "../source/core/ownership/table.ts";
@@ -176,6 +177,7 @@
     const coordinator = startCoordinator({
       agent,
       times,
+      group: usualGroupSettings,
       delegations: nodeStore.delegations,
       peers: peersOf(node.host),
       events: recorder,
