--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -248,6 +248,7 @@
   durationMilliseconds: rate,
   roster: z.array(z.strictObject({ id: name, peerAddress: address })),
   earlierMayGrant: z.boolean(),
+  earlierGrantors: z.array(name).max(1_000),
   isolatedKeys,
   writerMark: name,
 });
--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -21,7 +21,27 @@
 
 /** The host that an agent runs or ran on. */
 export function hostOfAgent(id: AgentId): string {
-  return id.slice(0, id.lastIndexOf("/"));
+  const end = id.lastIndexOf("/");
+  return end < 0 ? id : id.slice(0, end);
+}
+
+/** Names the process that began on a host as its incarnation. */
+export function agentIdOf(host: string, incarnation: number): AgentId {
+  return `${host}/${incarnation.toString(36)}`;
+}
+
+/** The incarnation that an agent began as. */
+function incarnationOf(id: AgentId): number {
+  return parseInt(id.slice(id.lastIndexOf("/") + 1), 36);
+}
+
+/** Whether a later process of the same host is known: a host runs one. */
+export function hasEnded(id: AgentId, agents: readonly Agent[]): boolean {
+  const host = hostOfAgent(id);
+  return agents.some((agent) =>
+    agent.host === host && agent.id !== id &&
+    agent.incarnation > incarnationOf(id)
+  );
 }
 
 /** Whether a target takes new work. */
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -37,6 +37,8 @@
    * by every claim, and cleared once the whole roster has been heard.
    */
   readonly earlierMayGrant: boolean;
+  /** Those earlier grantors, as far as they have not been proved stopped. */
+  readonly earlierGrantors: readonly AgentId[];
   /**
    * Keys with a slice of their own. Stored before any holder hears of them, so
    * that no successor maps such a key to a slice that another server has.
@@ -49,17 +51,24 @@
 /** The delegation that takes a group over from `previous`. */
 export function successorDelegation(
   previous: Delegation | null,
-  claim: Omit<Delegation, "epoch" | keyof Checkpoint>,
+  claim: Omit<Delegation, "epoch" | "earlierGrantors" | keyof Checkpoint>,
 ): Delegation {
   return {
     ...claim,
     epoch: (previous?.epoch ?? 0) + 1,
     roster: previous?.roster ?? [],
     earlierMayGrant: previous !== null,
+    earlierGrantors: previous === null ? [] : earlierGrantorsOf(previous),
     isolatedKeys: previous?.isolatedKeys ?? [],
   };
 }
 
+/** Who may still grant when this delegation has been replaced. */
+export function earlierGrantorsOf(previous: Delegation): readonly AgentId[] {
+  const before = previous.earlierMayGrant ? previous.earlierGrantors : [];
+  return [...new Set([...before, previous.grantor])];
+}
+
 /** Whether a roster names this server. */
 export function inRoster(roster: readonly RosterEntry[], id: AgentId): boolean {
   return roster.some((entry) => entry.id === id);
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -26,6 +26,7 @@
 import { tableOf } from "./grantor_table.ts";
 import { noteBusyKeys } from "./isolation.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
+import { inheritSlices } from "./succession.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
 import { compareTokens, noToken } from "./token.ts";
 import { freeUnreported } from "./unreported.ts";
@@ -40,11 +41,25 @@
       return renew(state, event.renewal, event.now);
     case "tick":
       return tick(state, event.now);
+    case "earlierEnded":
+      return { state: shortenWait(state, event.now), effects: [] };
     case "confirmed":
       return confirm(state, event.askedAt);
   }
 }
 
+/** What nobody reported waits for the leases that were given last. */
+function shortenWait(state: GrantorState, now: Clocks): GrantorState {
+  const { leaseMilliseconds, longestDeadlineMilliseconds } = state.settings;
+  const end = now.monotonic + leaseMilliseconds + longestDeadlineMilliseconds;
+  const slices = state.slices.map((slice): Slice =>
+    slice.kind === "reserved" && slice.owner === null
+      ? { ...slice, availableAt: Math.min(slice.availableAt, end) }
+      : slice
+  );
+  return { ...state, slices };
+}
+
 /** Whether the grantor's own right to grant has ended. */
 export function delegationEnded(state: GrantorState, now: Clocks): boolean {
   return !surelyBefore(now, state.delegationEndsAt);
@@ -337,9 +352,13 @@
   state: GrantorState,
   askedAt: Clocks,
 ): Transition<GrantorState, GrantorEffect> {
-  const confirmed = afterCheckpoint(state, askedAt);
+  const checked = afterCheckpoint(state, askedAt);
   const newcomers = state.applicants.filter((entry) =>
-    inRoster(confirmed.roster, entry.id)
+    inRoster(checked.roster, entry.id)
+  );
+  const confirmed = newcomers.reduce(
+    (next, entry) => inheritSlices(next, entry.id),
+    checked,
   );
   const isolated = confirmed.isolatedKeys
     .filter((entry) => !state.isolatedKeys.includes(entry))
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -132,6 +132,8 @@
     readonly now: Clocks;
   }
   | { readonly kind: "tick"; readonly now: Clocks }
+  /** No earlier grantor can renew a lease any more, from now on. */
+  | { readonly kind: "earlierEnded"; readonly now: Clocks }
   | {
     /** A store write at this epoch took effect. */
     readonly kind: "confirmed";
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -13,6 +13,8 @@
   /** Most retries that can be saved up. */
   readonly mostSaved: number;
   readonly firstDelayMilliseconds: number;
+  /** The longest wait for the end of a hand-over; its deadline if left out. */
+  readonly longestWaitMilliseconds?: number;
   readonly longestDelayMilliseconds: number;
 }
 
@@ -35,6 +37,7 @@
   readonly keyed: boolean;
   /** Whether the whole body can be sent once more. */
   readonly bodyRepeatable: boolean;
+  readonly beganAt: number;
   readonly now: number;
   readonly deadlineAt: number;
 }
@@ -120,6 +123,8 @@
   const delay = delayBefore(failed.attempt, options);
   if (failed.now + delay >= failed.deadlineAt) return giveUp;
   if (waiting.has(reason)) {
+    const { longestWaitMilliseconds = Infinity } = options.settings;
+    if (failed.now - failed.beganAt > longestWaitMilliseconds) return giveUp;
     return { kind: "retry", delayMilliseconds: delay, budget };
   }
   if (elsewhere.has(reason)) {
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -23,6 +23,7 @@
   idempotent: false,
   keyed: false,
   bodyRepeatable: true,
+  beganAt: 0,
   now: 0,
   deadlineAt: 1_000,
 };
@@ -36,6 +37,24 @@
 }
 
 describe("retries", () => {
+  describe("of a request whose key is being handed over", () => {
+    const failure = notRun("moving");
+    const patient = { ...settings, longestWaitMilliseconds: 400 };
+
+    function wait(now: number) {
+      return decideRetry({ ...usual, now, failure }, {
+        settings: patient,
+        budget: beginBudget(patient),
+        random: () => 0.5,
+      }).kind;
+    }
+
+    it("end after the longest wait, well before the deadline", () => {
+      assert.equal(wait(399), "retry");
+      assert.equal(wait(401), "giveUp");
+    });
+  });
+
   describe("of a request that may have run", () => {
     it("are sent only when it is idempotent", () => {
       const failure = unknownOutcome("connection-lost");
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -16,6 +16,7 @@
   | "epoch-accepted"
   | "grantor-begun"
   | "grantor-stopped"
+  | "earlier-grantors-ended"
   | "grantor-located"
   | "holder-lapsed"
   | "lease-ended"
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -21,7 +21,7 @@
 import { openForwarder, openTarget } from "../adapters/upstream.ts";
 import { readDocument } from "../adapters/yaml_document.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
-import type { Agent } from "../core/agent.ts";
+import { type Agent, agentIdOf } from "../core/agent.ts";
 import {
   type Configuration,
   emptyConfiguration,
@@ -142,7 +142,7 @@
   options: { readonly writeLog: (line: string) => void },
 ): Promise<Result<RunningAgent, string>> {
   const incarnation = Date.now();
-  const id = `${settings.host}/${incarnation.toString(36)}`;
+  const id = agentIdOf(settings.host, incarnation);
   const outside = openOutside(settings, { ...options, id });
   let inside: Inside | null = null;
   const fronts = await openFronts(settings, {
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -31,7 +31,7 @@
 import { startTimeline } from "../adapters/timeline_buffer.ts";
 import { openForwarder } from "../adapters/upstream.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
-import type { Address, Agent } from "../core/agent.ts";
+import { type Address, type Agent, agentIdOf } from "../core/agent.ts";
 import {
   type Configuration,
   emptyConfiguration,
@@ -135,7 +135,7 @@
 ): Promise<Result<RunningPlatformAgent, string>> {
   let current = settings;
   const incarnation = Date.now();
-  const id = `${settings.host}/${incarnation.toString(36)}`;
+  const id = agentIdOf(settings.host, incarnation);
   const outside = openOutside(settings, { ...options, id });
   const inside = startInside(settings, { outside, id, incarnation });
   const state = { stopping: false };
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -29,7 +29,7 @@
     storeRetryMilliseconds: 500,
   },
   spread: { exchangeMilliseconds: 500, callTimeoutMilliseconds },
-  leaseMilliseconds: 4_000,
+  leaseMilliseconds: 3_000,
   // Outlasts the store's usual outages; a lost grantor and server together
   // keep the server's keys unserved for as long.
   delegationMilliseconds: 24_000,
@@ -92,7 +92,7 @@
       clockSlowShare,
     },
     retryMilliseconds: 200,
-    renewBeforeMilliseconds: 2_500,
+    renewBeforeMilliseconds: 2_000,
     longestHoldMilliseconds: settings.bounds.longestHoldMilliseconds,
   };
 }
@@ -109,6 +109,7 @@
     mostSaved: Math.max(1, settings.bounds.retrySlack / assumedAgents),
     firstDelayMilliseconds: 5,
     longestDelayMilliseconds: 100,
+    longestWaitMilliseconds: 400,
   };
 }
 
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type { Address, Agent } from "../core/agent.ts";
+import { type Address, type Agent, hasEnded } from "../core/agent.ts";
 import type { Replica, SharedRecord } from "../core/dissemination/replica.ts";
 import {
   type Configuration,
@@ -222,6 +222,7 @@
     peers,
     events,
     newMark: options.newMark,
+    hasEnded: (id) => hasEnded(id, spread.agents()),
     settingsOf: (group) =>
       grantorSettings(group, { times, configuration, sizes: options.group }),
     successors: (group) =>
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -21,6 +21,7 @@
 import {
   combineFailures,
   type Failure,
+  type FailureReason,
   notRun,
 } from "../core/request/outcome.ts";
 import {
@@ -67,6 +68,21 @@
   readonly region: string | null;
 }
 
+/** Failures after which another server may own the key. */
+const ownerChanges: ReadonlySet<FailureReason> = new Set([
+  "not-owner",
+  "moving",
+  "lease-ended",
+  "target-leaving",
+  "target-refused",
+  "target-unreachable",
+  "connection-lost",
+]);
+
+function ownerMayHaveChanged(failure: Failure): boolean {
+  return ownerChanges.has(failure.reason);
+}
+
 const tableTimeoutMilliseconds = 250;
 /** A table fetched so lately is not fetched again. */
 const shortestTableAgeMilliseconds = 20;
@@ -130,6 +146,7 @@
     let left = body;
     let failure: Failure | null = null;
     let reached = 0;
+    const beganAt = monotonicNow();
     for (let attempt = 1;; attempt += 1) {
       const result = await attemptOnce(request, { body: left, tried });
       if (result.isOk) return result;
@@ -144,6 +161,7 @@
         keyed: request.key !== null,
         mostAttempts: request.mostAttempts,
         bodyRepeatable: left.kind === "kept" || !left.used,
+        beganAt,
         now: monotonicNow(),
         deadlineAt: request.deadlineAt,
       }, { settings: options.retries, budget, random });
@@ -183,7 +201,9 @@
     }
     if (owner === null) return Result.err(notRun("no-owner-known"));
     const result = await sendTo(owner, request, body);
-    if (result.isErr) await refreshTable(group);
+    if (result.isErr && ownerMayHaveChanged(result.error)) {
+      await refreshTable(group);
+    }
     return result;
   }
 
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -4,11 +4,12 @@
  *
  * @module
  */
-import type { Address, Agent } from "../core/agent.ts";
+import type { Address, Agent, AgentId } from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
 import {
   type Checkpoint,
   type Delegation,
+  earlierGrantorsOf,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
 import { delegationEnded, stepGrantor } from "../core/ownership/grantor.ts";
@@ -47,6 +48,8 @@
   renew(renewal: Renewal): RenewalAnswer | null;
   table(): OwnershipTable;
   stopped(): boolean;
+  /** Whether it has heard from every server that may hold slices. */
+  heardAll(): boolean;
   /** Grants nothing more, for good. */
   stop(): Promise<void>;
 }
@@ -66,6 +69,8 @@
   readonly former: Versioned<Delegation> | null;
   /** False when its grantor did not answer a moment ago. */
   readonly formerReachable: boolean;
+  /** Whether this agent's process is known to have ended. */
+  readonly hasEnded: (id: AgentId) => boolean;
 }
 
 interface Claim {
@@ -92,8 +97,8 @@
     sealFormer(options, claim),
     askRoster(options, claim),
   ]);
-  const earlierStopped = formerStopped &&
-    claim.former?.earlierMayGrant !== true;
+  const sealed = formerStopped ? claim.former?.grantor : undefined;
+  const earlierStopped = earlierEnded(options, claim, sealed);
   const state = beginGrantor({
     group: options.group,
     epoch: claim.stored.value.epoch,
@@ -115,7 +120,23 @@
     earlierStopped,
     unheard: state.slices.filter((slice) => slice.kind === "reserved").length,
   });
-  return runGrantor(options, { state, stored: claim.stored });
+  return runGrantor(options, {
+    state,
+    stored: claim.stored,
+    earlierStopped: () => earlierEnded(options, claim, sealed),
+  });
+}
+
+/** Whether each earlier grantor has ended, or has stopped when asked to. */
+function earlierEnded(
+  options: GrantorOptions,
+  claim: Claim,
+  sealed: AgentId | undefined,
+): boolean {
+  if (claim.former === null) return true;
+  return earlierGrantorsOf(claim.former).every((id) =>
+    id === sealed || options.hasEnded(id)
+  );
 }
 
 async function claimEpoch(options: GrantorOptions): Promise<Claim | null> {
@@ -196,6 +217,7 @@
   begun: {
     readonly state: ReturnType<typeof beginGrantor>;
     readonly stored: Versioned<Delegation>;
+    readonly earlierStopped: () => boolean;
   },
 ): GrantorTask {
   const { events, group } = options;
@@ -331,8 +353,19 @@
     events.record("grantor-stopped", { group, epoch: state.epoch, reason });
   }
 
+  let waitsForEarlier = !begun.earlierStopped();
+
+  /** An earlier grantor may be proved ended only after this one has begun. */
+  function noteEarlierEnded(): void {
+    if (!waitsForEarlier || !begun.earlierStopped()) return;
+    waitsForEarlier = false;
+    events.record("earlier-grantors-ended", { group, epoch: state.epoch });
+    send({ kind: "earlierEnded", now: readClocks() });
+  }
+
   const ticker = startTicker(() => {
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
+    noteEarlierEnded();
     send({ kind: "tick", now: readClocks() });
   }, { intervalMilliseconds: options.times.tickMilliseconds });
 
@@ -343,6 +376,7 @@
       stopped ? null : send({ kind: "renewal", renewal, now: readClocks() }),
     table: () => tableOf(state),
     stopped: () => stopped,
+    heardAll: () => state.unheard.size === 0,
     async stop() {
       halt("stopped");
       await writing;
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -181,7 +181,8 @@
     table: (group) => running(group)?.table() ?? null,
     groups: () => [...grantors.keys()].filter((group) => running(group)),
     async relocate(group) {
-      await passOn(group);
+      // A successor would have to wait for the unheard servers all over again.
+      if (running(group)?.heardAll() === true) await passOn(group);
     },
     async handOver({ timeoutMilliseconds }) {
       closing = true;
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -117,6 +117,8 @@
 export async function launchPlatformMesh(options: {
   readonly hosts: readonly PlatformHost[];
   readonly serviceMilliseconds: number;
+  /** The program to run as agent; the sources when not stated. */
+  readonly program?: readonly string[];
 }): Promise<PlatformMesh> {
   const store = await startPlatformStore({ port: 0 });
   store.put("config", "main", exampleDesiredState(1));
@@ -125,7 +127,7 @@
   const lines: string[] = [];
 
   function launch(settingsPath: string): ChildProcess {
-    const [file = "", ...words] = agentProgram;
+    const [file = "", ...words] = options.program ?? agentProgram;
     const child = spawn(file, words, {
       cwd: root,
       stdio: ["ignore", "pipe", "pipe"],
@@ -197,8 +199,19 @@
     };
   }
 
-  const agents = await Promise.all(options.hosts.map(startHost));
-  await until(() => Promise.resolve(allHeld(agents)));
+  /** A mesh that does not get ready says what its agents logged. */
+  async function startAll(): Promise<readonly PlatformMeshAgent[]> {
+    try {
+      const agents = await Promise.all(options.hosts.map(startHost));
+      await until(() => Promise.resolve(allHeld(agents)));
+      return agents;
+    } catch (error) {
+      for (const child of children) child.kill("SIGKILL");
+      throw new Error(lines.slice(-40).join("\n"), { cause: error });
+    }
+  }
+
+  const agents = await startAll();
   return {
     store,
     agents,
