--- a/benches/grantor.ts
+++ b/benches/grantor.ts
@@ -21,6 +21,7 @@
       leaseMilliseconds: 3_000,
       longestDeadlineMilliseconds: 1_000,
       hashedSlices: 128,
+      stripeSlices: 1,
       movesAtOnce: 8,
       toleratedShare: 0.2,
       isolatedKeys: 32,
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -330,7 +330,8 @@
   const receivers = new Set<AgentId>();
   for (const [index, slice] of state.slices.entries()) {
     if (slice.kind !== "free") continue;
-    const owner = leastLoaded(next, index);
+    const owner = neighbourInStripe(next, index, receivers) ??
+      leastLoaded(next, index);
     if (owner === null) break;
     const sequence = next.sequence + 1;
     const token = { epoch: next.epoch, sequence };
@@ -348,6 +349,22 @@
   };
 }
 
+/**
+ * The server that has just been given the slice before, so that it holds few
+ * and long ranges; null where a new stripe begins.
+ */
+function neighbourInStripe(
+  state: GrantorState,
+  index: number,
+  receivers: ReadonlySet<AgentId>,
+): AgentId | null {
+  const { stripeSlices, hashedSlices } = state.settings;
+  if (index % stripeSlices === 0 || index >= hashedSlices) return null;
+  const before = state.slices[index - 1];
+  if (before?.kind !== "held" || !receivers.has(before.owner)) return null;
+  return before.owner;
+}
+
 function confirm(
   state: GrantorState,
   askedAt: Clocks,
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -25,6 +25,8 @@
   /** The longest that admitted work may go on after its admission. */
   readonly longestDeadlineMilliseconds: number;
   readonly hashedSlices: number;
+  /** Neighbouring slices that are given to one server when all are free. */
+  readonly stripeSlices: number;
   /** Most slices in a planned move at one time. */
   readonly movesAtOnce: number;
   /** A difference of load below this share of the mean is left alone. */
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -31,6 +31,7 @@
   leaseMilliseconds: 1_000,
   longestDeadlineMilliseconds: 400,
   hashedSlices: 6,
+  stripeSlices: 1,
   movesAtOnce: 2,
   toleratedShare: 0.2,
   isolatedKeys: 2,
--- a/source/core/ownership/succession_test.ts
+++ b/source/core/ownership/succession_test.ts
@@ -11,6 +11,7 @@
   leaseMilliseconds: 4_000,
   longestDeadlineMilliseconds: 1_000,
   hashedSlices: 8,
+  stripeSlices: 1,
   movesAtOnce: 8,
   toleratedShare: 0.2,
   isolatedKeys: 2,
--- a/source/programs/platform_command.ts
+++ b/source/programs/platform_command.ts
@@ -59,7 +59,8 @@
   });
   if (agent.isErr) {
     output.writeError(`can't listen: ${agent.error}`);
-    return ExitCode.unavailable;
+    // What has started meanwhile would go on without its listeners.
+    process.exit(ExitCode.unavailable);
   }
   followSettings(path, { agent: agent.value, first: settings.value, context });
   stopOnSignal(agent.value);
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -29,7 +29,7 @@
     storeRetryMilliseconds: 500,
   },
   spread: { exchangeMilliseconds: 500, callTimeoutMilliseconds },
-  leaseMilliseconds: 3_000,
+  leaseMilliseconds: 4_000,
   // Outlasts the store's usual outages; a lost grantor and server together
   // keep the server's keys unserved for as long.
   delegationMilliseconds: 24_000,
@@ -39,10 +39,11 @@
 
 /** How a service's keys are divided among its targets. */
 export const groupSettings: GroupSettings = {
+  stripeSlices: 4,
   movesAtOnce: 12,
   toleratedShare: 0.35,
-  isolatedKeys: 48,
-  isolation: { share: 0.05, floorPerSecond: 2, coldPerSecond: 1 },
+  isolatedKeys: 16,
+  isolation: { share: 0.08, floorPerSecond: 4, coldPerSecond: 2 },
   gatherMilliseconds: 1_500,
 };
 
@@ -92,7 +93,7 @@
       clockSlowShare,
     },
     retryMilliseconds: 200,
-    renewBeforeMilliseconds: 2_000,
+    renewBeforeMilliseconds: 1_600,
     longestHoldMilliseconds: settings.bounds.longestHoldMilliseconds,
   };
 }
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -132,6 +132,7 @@
 /** Sizes of a group's division among its servers. */
 export type GroupSettings = Pick<
   GrantorSettings,
+  | "stripeSlices"
   | "movesAtOnce"
   | "toleratedShare"
   | "isolatedKeys"
@@ -141,6 +142,7 @@
 
 /** What suits a group of many servers and keys. */
 export const usualGroupSettings: GroupSettings = {
+  stripeSlices: 1,
   movesAtOnce: 8,
   toleratedShare: 0.2,
   isolatedKeys: 32,
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -124,7 +124,7 @@
     if (result.isErr) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
-        reason: result.error.kind,
+        ...describeFault(result.error),
       });
       return result;
     }
@@ -256,7 +256,7 @@
       if (result.isOk) return result.value;
       events.record("target-release-failed", {
         slice: grant.slice,
-        reason: result.error.kind,
+        ...describeFault(result.error),
       });
       if (result.error.kind === "gone") return null;
       const hold = holdOf(grant);
@@ -281,3 +281,9 @@
     },
   };
 }
+
+function describeFault(fault: KeyServerFault) {
+  return fault.kind === "unanswered"
+    ? { reason: fault.kind, detail: fault.detail }
+    : { reason: fault.kind };
+}
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -126,6 +126,18 @@
   const children = new Set<ChildProcess>();
   const lines: string[] = [];
 
+  const taken = new Set<number>();
+
+  /** A port is free again until its process listens: none is given twice. */
+  async function newAddress(): Promise<string> {
+    for (;;) {
+      const port = await freePort();
+      if (taken.has(port)) continue;
+      taken.add(port);
+      return `127.0.0.1:${port}`;
+    }
+  }
+
   function launch(settingsPath: string): ChildProcess {
     const [file = "", ...words] = options.program ?? agentProgram;
     const child = spawn(file, words, {
@@ -146,9 +158,10 @@
     index: number,
   ): Promise<PlatformMeshAgent> {
     const name = `host-${index + 1}`;
-    const [callers, peers, ready, control] = await Promise.all(
-      [0, 0, 0, 0].map(async () => `127.0.0.1:${await freePort()}`),
-    ) as [string, string, string, string];
+    const callers = await newAddress();
+    const peers = await newAddress();
+    const ready = await newAddress();
+    const control = await newAddress();
     const target = await startPlatformTarget({
       id: `i-${name}`,
       service: host.service,
--- a/standins/platform_target.ts
+++ b/standins/platform_target.ts
@@ -89,8 +89,8 @@
     readonly hold_time: string;
   }): void {
     const { from, target: last, fence } = order;
-    for (const [key, seen] of fences) {
-      if (key >= from && key <= last && seen > fence) {
+    for (let key = from; key <= last; key += 1) {
+      if ((fences.get(key) ?? 0) > fence) {
         return void response.writeHead(409).end();
       }
     }
