--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -36,10 +36,22 @@
       from: { path: "^source/adapters/", pathNot: "_test\\.ts$" },
       to: { path: "^(source/(tasks|programs)|standins|benches|tests)/" },
     },
+    {
+      name: "only-programs-know-the-platform",
+      severity: "error",
+      from: { path: "^source/(core|ports|tasks|adapters)/" },
+      to: { path: "^platform/" },
+    },
+    {
+      name: "platform-is-an-adapter",
+      severity: "error",
+      from: { path: "^platform/", pathNot: "_test\\.ts$" },
+      to: { path: "^source/(tasks|programs)/" },
+    },
     {
       name: "product-does-not-know-stand-ins",
       severity: "error",
-      from: { path: "^source/", pathNot: "_test\\.ts$" },
+      from: { path: "^(source|platform)/", pathNot: "_test\\.ts$" },
       to: { path: "^(standins|benches|tests)/" },
     },
     { name: "no-cycles", severity: "error", from: {}, to: { circular: true } },
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -145,7 +145,11 @@
     ownService: () => current.service,
     ready: () => !state.stopping && inside.coordinator.fresh(),
   });
-  if (listeners.isErr) return Result.err(listeners.error);
+  if (listeners.isErr) {
+    await inside.coordinator.stop();
+    await closeOutside(outside, inside);
+    return Result.err(listeners.error);
+  }
   outside.events.record("agent-started", {
     callers: settings.callers,
     peers: settings.peers,
@@ -160,12 +164,15 @@
     inside.registration.stopServing();
     await inside.coordinator.beginStop();
     await drain({ ...inside, callers }, stopTimes(current));
-    outside.events.record("agent-stopped");
+    outside.events.record("agent-stopped", {
+      running: inside.entry.running() + inside.serve.running(),
+    });
+    callers.close();
     await inside.coordinator.stop();
     inside.registration.stop();
     inside.admission.stop();
-    callers.close();
     for (const listener of others) listener.close();
+    await closeOutside(outside, inside);
   }
 
   return Result.ok({
@@ -177,6 +184,15 @@
   });
 }
 
+async function closeOutside(outside: Outside, inside: Inside): Promise<void> {
+  await Promise.all([
+    outside.peers.close(),
+    outside.store.close(),
+    outside.forwarder.close(),
+    inside.closeTarget(),
+  ]);
+}
+
 function startInside(
   settings: PlatformSettings,
   options: {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -115,9 +115,9 @@
 }
 
 /** Two questions a second apart take a machine's callers away. */
-const announceMilliseconds = 2_300;
-/** What is left of the grace once the agent has finished. */
-const graceMarginMilliseconds = 700;
+const announceMilliseconds = 2_100;
+/** What is left of the grace for closing once the requests have ended. */
+const graceMarginMilliseconds = 1_300;
 
 /** How long a planned stop may take. */
 export function stopTimes(settings: PlatformSettings): StopTimes {
