--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -187,7 +187,7 @@
         .filter(([, held]) => !held.releasing)
         .map(([slice, { token, handover }]) => ({ slice, token, handover })),
       table: state.table,
-      leaseEndsAt: state.leaseEndsAt.monotonic,
+      leaseEndsAt: state.leaseEndsAt,
     });
   }
 
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Result } from "true-myth";
+import type { Clocks } from "../core/clocks.ts";
 import {
   type CoveringRange,
   type KeyRange,
@@ -26,14 +27,13 @@
 import { compareTokens, noToken } from "../core/ownership/token.ts";
 import type { Events } from "../ports/events.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
-import { monotonicNow, pause } from "./time.ts";
+import { monotonicNow, pause, readClocks } from "./time.ts";
 
 /** What the holder may hold just now. */
 export interface HeldView {
   readonly grants: readonly Grant[];
   readonly table: OwnershipTable;
-  /** On the monotonic clock. */
-  readonly leaseEndsAt: number;
+  readonly leaseEndsAt: Clocks;
 }
 
 /** A running task. */
@@ -109,7 +109,7 @@
     },
   ): Promise<Result<null, KeyServerFault> | null> {
     const sentAt = monotonicNow();
-    const holdMilliseconds = holdLength(context.view, sentAt);
+    const holdMilliseconds = holdLength(context.view, readClocks());
     if (holdMilliseconds < shortestHoldMilliseconds) return null;
     const { token, slices } = range;
     change(
@@ -147,9 +147,12 @@
     }
   }
 
-  function holdLength(view: HeldView, now: number): number {
-    const left = (view.leaseEndsAt - now) /
-      (1 + times.order.clockSlowShare);
+  /** One clock stands still while the host is suspended: the nearer end counts. */
+  function holdLength({ leaseEndsAt }: HeldView, now: Clocks): number {
+    const left = Math.min(
+      leaseEndsAt.monotonic - now.monotonic,
+      leaseEndsAt.wall - now.wall,
+    ) / (1 + times.order.clockSlowShare);
     return Math.floor(Math.min(left, times.longestHoldMilliseconds));
   }
 
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -5,7 +5,9 @@
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import { fenceOf } from "../core/ownership/token.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
+import { later } from "../core/clocks.ts";
 import { type KeyGrantsTask, startKeyGrants } from "./key_grants_task.ts";
+import { readClocks } from "./time.ts";
 
 const keys = { count: 64 };
 
@@ -77,7 +79,7 @@
 }
 
 function view(...grants: ReturnType<typeof grant>[]) {
-  return { grants, table, leaseEndsAt: performance.now() + 4_000 };
+  return { grants, table, leaseEndsAt: later(readClocks(), 4_000) };
 }
 
 describe("orders to a target that holds keys", () => {
@@ -96,6 +98,14 @@
       ]);
     });
 
+    it("are not sent when the lease ended while the host was suspended", () => {
+      const { orders, server } = heldServer();
+      const { leaseEndsAt, ...rest } = view(grant(0, 1));
+      const suspended = { ...leaseEndsAt, wall: leaseEndsAt.wall - 8_000 };
+      start(server).hold({ ...rest, leaseEndsAt: suspended });
+      assert.deepEqual(orders, []);
+    });
+
     it("confirm a slice only once the target has answered", async () => {
       const { orders, server } = heldServer();
       const task = start(server);
