An agent whose watch has gone silent hears of a new desired state from the others

Exchanges between agents tell the revision in force; one that is behind reads the store again (desired_state_source_test.ts, failed before as nothing was told).

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -175,11 +175,17 @@
 /** For each call between agents the shape of its message and answer. */
 export const peerSchemas = {
   exchange: {
-    message: z.strictObject({ from: name, news: records, root: count }),
+    message: z.strictObject({
+      from: name,
+      news: records,
+      root: count,
+      revision: count,
+    }),
     answer: z.strictObject({
       id: name,
       news: records,
       root: count,
+      revision: count,
       fresh: z.boolean(),
     }),
   },
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -28,6 +28,8 @@
   readonly from: AgentId;
   readonly news: readonly SharedRecord[];
   readonly root: number;
+  /** The revision of the configuration in force at the sender. */
+  readonly revision: number;
 }
 
 /** The other agent's news, and its digest after taking the caller's in. */
@@ -35,6 +37,8 @@
   readonly id: AgentId;
   readonly news: readonly SharedRecord[];
   readonly root: number;
+  /** The revision of the configuration in force at the agent that answers. */
+  readonly revision: number;
   /** Whether the agent that answers may trust its own configuration. */
   readonly fresh: boolean;
 }
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -50,6 +50,7 @@
 /** Durations of watching the desired state, in milliseconds. */
 export const desiredStateTimes: DesiredStateTimes = {
   watchMilliseconds: 20_000,
+  behindMilliseconds: 300,
   retryMilliseconds: 400,
 };
 
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -75,6 +75,8 @@
   seeds(): Promise<readonly Address[]>;
   /** What other agents have told has changed. */
   noteRecords(replica: Replica): void;
+  /** Another agent has a configuration of this revision in force. */
+  noteRevision(revision: number): void;
   /** An agent that trusts its own configuration has answered. */
   noteConfirmed(): void;
   /** Whether the configuration may be trusted. */
@@ -170,6 +172,8 @@
     random: options.random,
     onChange: (replica) => source?.noteRecords(replica),
     fresh: () => source?.fresh() ?? false,
+    revision: () => configuration.revision,
+    onRevision: (revision) => source?.noteRevision(revision),
     onConfirmed: () => source?.noteConfirmed(),
   });
 
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -25,6 +25,8 @@
 /** Durations of watching, in milliseconds. */
 export interface DesiredStateTimes {
   readonly watchMilliseconds: number;
+  /** A watch has so long to tell what another agent knows already. */
+  readonly behindMilliseconds: number;
   readonly retryMilliseconds: number;
 }
 
@@ -93,10 +95,24 @@
     const read = await desiredStates.read();
     note(read.isOk);
     if (read.isErr || read.value === null) return null;
-    context.apply(configurationOfDesired(read.value.value, options.policy));
+    const desired = read.value.value;
+    if (desired.version > context.current().revision) {
+      context.apply(configurationOfDesired(desired, options.policy));
+    }
     return read.value;
   }
 
+  let looking = false;
+
+  /** The watch should have told: its connection may have gone silent. */
+  async function lookAgain(revision: number): Promise<void> {
+    if (looking) return;
+    looking = true;
+    await pause(times.behindMilliseconds, stopped.signal);
+    if (context.current().revision < revision) await look();
+    looking = false;
+  }
+
   async function follow(): Promise<void> {
     while (!stopped.signal.aborted) {
       const found = await look();
@@ -129,6 +145,9 @@
       return options.seeds;
     },
     noteRecords: () => undefined,
+    noteRevision(revision) {
+      if (revision > context.current().revision) void lookAgain(revision);
+    },
     noteConfirmed: () => undefined,
     // The store judges and keeps it: an agent serves by the newest it has
     // seen also while the store is away.
--- /dev/null
+++ b/source/tasks/desired_state_source_test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Result } from "true-myth";
+import type { Agent } from "../core/agent.ts";
+import {
+  type Configuration,
+  emptyConfiguration,
+} from "../core/document/document.ts";
+import type { DesiredState } from "../core/routes/desired_state.ts";
+import { desiredStateSource } from "./desired_state_source.ts";
+
+const agent: Agent = {
+  id: "host-1/a",
+  host: "host-1",
+  incarnation: 1,
+  callerAddress: "127.0.0.1:1",
+  peerAddress: "127.0.0.1:2",
+  place: { dataCenter: "kol-a", region: "kolkata" },
+  service: "booking",
+  group: null,
+  slots: 1,
+  checksFencing: true,
+  phase: "leaving",
+};
+
+function desired(version: number): DesiredState {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  };
+}
+
+/** A source whose watch never tells anything. */
+function startSilent() {
+  let stored = 3;
+  let reads = 0;
+  let configuration: Configuration = emptyConfiguration;
+  const source = desiredStateSource({
+    desiredStates: {
+      read() {
+        reads += 1;
+        const version = String(stored);
+        return Promise.resolve(Result.ok({ value: desired(stored), version }));
+      },
+      awaitChange: () => new Promise(() => undefined),
+    },
+    members: {
+      list: () => Promise.resolve(Result.ok([])),
+      put: () => Promise.resolve(Result.ok(null)),
+    },
+    seeds: [],
+    policy: {
+      keys: { groups: 1, slicesPerGroup: 8 },
+      queueLength: 8,
+      lowerRankShare: 0,
+      usualDeadlineMilliseconds: 1_000,
+    },
+    times: {
+      watchMilliseconds: 60_000,
+      behindMilliseconds: 1,
+      retryMilliseconds: 1,
+    },
+    events: { record: () => undefined },
+    random: () => 0.5,
+  })({
+    agent,
+    agents: () => [],
+    publish: () => undefined,
+    apply: (next) => configuration = next,
+    current: () => configuration,
+    census: () => Promise.resolve({ applied: [], missing: [] }),
+  });
+  return {
+    source,
+    store: (version: number) => stored = version,
+    revision: () => configuration.revision,
+    reads: () => reads,
+  };
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, 30));
+}
+
+describe("a desired state whose watch has gone silent", () => {
+  describe("while another agent has a newer one in force", () => {
+    it("is read again", async () => {
+      const { source, store, revision } = startSilent();
+      await settle();
+      assert.equal(revision(), 3);
+      store(7);
+      source.noteRevision(7);
+      await settle();
+      assert.equal(revision(), 7);
+      await source.stop();
+    });
+  });
+
+  describe("while all others have the same", () => {
+    it("costs no call of the store", async () => {
+      const { source, reads } = startSilent();
+      await settle();
+      source.noteRevision(3);
+      await settle();
+      assert.equal(reads(), 1);
+      await source.stop();
+    });
+  });
+});
--- a/source/tasks/document_source.ts
+++ b/source/tasks/document_source.ts
@@ -83,6 +83,8 @@
       return stored.isOk ? stored.value?.value.addresses ?? [] : [];
     },
     noteRecords,
+    // The records of a newer revision come by themselves.
+    noteRevision: () => undefined,
     noteConfirmed: confirm,
     fresh,
     stop: () => document.stop(),
--- a/source/tasks/spread_task.ts
+++ b/source/tasks/spread_task.ts
@@ -96,6 +96,10 @@
   readonly random: () => number;
   readonly onChange: (replica: Replica) => void;
   readonly fresh: () => boolean;
+  /** The revision of the configuration in force here. */
+  readonly revision: () => number;
+  /** Hears which revision is in force at another agent. */
+  readonly onRevision: (revision: number) => void;
   /** Called when an agent that is itself fresh has answered an exchange. */
   readonly onConfirmed: () => void;
 }): SpreadTask {
@@ -171,6 +175,7 @@
         from: self.id,
         news: tellNews(),
         root: rootDigest(replica),
+        revision: options.revision(),
       },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
@@ -178,6 +183,7 @@
     const reply = result.value;
     mailbox.send({ kind: "merge", records: reply.news });
     if (reply.root !== rootDigest(replica)) await reconcile(address);
+    options.onRevision(reply.revision);
     if (reply.fresh) options.onConfirmed();
     return reply.id;
   }
@@ -299,9 +305,14 @@
     },
     exchange(message) {
       mailbox.send({ kind: "merge", records: message.news });
-      const news = tellNews();
-      const root = rootDigest(replica);
-      return { id: self.id, news, root, fresh: options.fresh() };
+      options.onRevision(message.revision);
+      return {
+        id: self.id,
+        news: tellNews(),
+        root: rootDigest(replica),
+        revision: options.revision(),
+        fresh: options.fresh(),
+      };
     },
     compare: ({ digests }) => ({
       digests: replica.digests,
