One set of common parts for both agents; one watch of the store's availability

Read over the change: agent.ts and platform_agent.ts opened clocks, metrics, events, peers and forwarder in the same lines (now outside.ts); both sources told of the store in the same lines (availability.ts). Behaviour unchanged.

--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -11,14 +11,9 @@
   type HandleRequest,
   openFront,
 } from "../adapters/http_front.ts";
-import { openLog } from "../adapters/log.ts";
-import { startLogicalClock } from "../adapters/logical_clock.ts";
-import { startMetrics } from "../adapters/metrics.ts";
-import { connectPeers } from "../adapters/peer_client.ts";
 import { servePeers } from "../adapters/peer_server.ts";
 import { openStore } from "../adapters/store_client.ts";
-import { startTimeline } from "../adapters/timeline_buffer.ts";
-import { openForwarder, openTarget } from "../adapters/upstream.ts";
+import { openTarget } from "../adapters/upstream.ts";
 import { readDocument } from "../adapters/yaml_document.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import { type Agent, agentIdOf } from "../core/agent.ts";
@@ -43,6 +38,7 @@
 import { monotonicNow } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
+import { openCommonParts } from "./outside.ts";
 import type { AgentSettings } from "./settings.ts";
 import { drain } from "./stop.ts";
 
@@ -82,24 +78,24 @@
   longestDelayMilliseconds: 200,
 };
 
-/** What every part of an agent reports to or calls through. */
+/** The common parts, and the store and target by the product's protocol. */
 function openOutside(
   settings: AgentSettings,
   options: { readonly id: string; readonly writeLog: (line: string) => void },
 ) {
-  const clock = startLogicalClock();
-  const metrics = startMetrics();
-  const log = openLog({
-    agent: options.id,
-    level: settings.logLevel,
-    write: options.writeLog,
+  const parts = openCommonParts({
+    ...options,
+    logLevel: settings.logLevel,
+    connections: {
+      connections: connectionsPerAgent,
+      connectTimeoutMilliseconds,
+      idleMilliseconds,
+    },
   });
-  const events = startTimeline({ agent: options.id, clock, log });
-  const peers = connectPeers({ clock, metrics });
   const store = openStore({
     origin: settings.store,
     timeoutMilliseconds: settings.storeTimeout,
-    metrics,
+    metrics: parts.metrics,
   });
   const target = openTarget({
     address: settings.target,
@@ -111,19 +107,7 @@
     now: monotonicNow,
     healthTimeoutMilliseconds,
   });
-  const forwarder = openForwarder({
-    settings: {
-      connections: connectionsPerAgent,
-      connectTimeoutMilliseconds,
-      idleMilliseconds,
-    },
-    now: monotonicNow,
-    clock,
-    hopPrefix: options.id,
-    onSilence: (address, request) =>
-      events.record("connection-silent", { address, request: request.id }),
-  });
-  return { clock, metrics, events, peers, store, target, forwarder };
+  return { ...parts, store, target };
 }
 
 type Outside = ReturnType<typeof openOutside>;
--- /dev/null
+++ b/source/programs/outside.ts
@@ -0,0 +1,60 @@
+/**
+ * What every part of an agent reports to or calls through, whatever platform
+ * the agent runs on.
+ *
+ * @module
+ */
+import { type LogLevel, openLog } from "../adapters/log.ts";
+import {
+  type LogicalClock,
+  startLogicalClock,
+} from "../adapters/logical_clock.ts";
+import { type MetricsRegistry, startMetrics } from "../adapters/metrics.ts";
+import { connectPeers } from "../adapters/peer_client.ts";
+import {
+  startTimeline,
+  type TimelineBuffer,
+} from "../adapters/timeline_buffer.ts";
+import {
+  type ConnectionSettings,
+  openForwarder,
+} from "../adapters/upstream.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Forwarder } from "../ports/upstream.ts";
+import { monotonicNow } from "../tasks/time.ts";
+
+/** Clocks, measurements, events, and the way to other agents. */
+export interface CommonParts {
+  readonly clock: LogicalClock;
+  readonly metrics: MetricsRegistry;
+  readonly events: TimelineBuffer;
+  readonly peers: Peers;
+  readonly forwarder: Forwarder;
+}
+
+/** Opens the parts of the agent with this id. */
+export function openCommonParts(options: {
+  readonly id: string;
+  readonly logLevel: LogLevel;
+  readonly writeLog: (line: string) => void;
+  readonly connections: ConnectionSettings;
+}): CommonParts {
+  const clock = startLogicalClock();
+  const metrics = startMetrics();
+  const log = openLog({
+    agent: options.id,
+    level: options.logLevel,
+    write: options.writeLog,
+  });
+  const events = startTimeline({ agent: options.id, clock, log });
+  const peers = connectPeers({ clock, metrics });
+  const forwarder = openForwarder({
+    settings: options.connections,
+    now: monotonicNow,
+    clock,
+    hopPrefix: options.id,
+    onSilence: (address, request) =>
+      events.record("connection-silent", { address, request: request.id }),
+  });
+  return { clock, metrics, events, peers, forwarder };
+}
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -23,13 +23,8 @@
   type HandleRequest,
   openFront,
 } from "../adapters/http_front.ts";
-import { type LogLevel, openLog } from "../adapters/log.ts";
-import { startLogicalClock } from "../adapters/logical_clock.ts";
-import { startMetrics } from "../adapters/metrics.ts";
-import { connectPeers } from "../adapters/peer_client.ts";
+import type { LogLevel } from "../adapters/log.ts";
 import { servePeers } from "../adapters/peer_server.ts";
-import { startTimeline } from "../adapters/timeline_buffer.ts";
-import { openForwarder } from "../adapters/upstream.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import { type Address, type Agent, agentIdOf } from "../core/agent.ts";
 import {
@@ -52,6 +47,7 @@
 import { monotonicNow } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
+import { openCommonParts } from "./outside.ts";
 import {
   admissionTickMilliseconds,
   connections,
@@ -84,34 +80,14 @@
   readonly writeLog: (line: string) => void;
 }
 
-/** What every part reports to or calls through. */
+/** The common parts, and the platform's store. */
 function openOutside(
   settings: PlatformSettings,
   options: PlatformAgentOptions & { readonly id: string },
 ) {
-  const clock = startLogicalClock();
-  const metrics = startMetrics();
-  const log = openLog({
-    agent: options.id,
-    level: options.logLevel,
-    write: options.writeLog,
-  });
-  const events = startTimeline({ agent: options.id, clock, log });
-  const peers = connectPeers({ clock, metrics });
-  const store = openPlatformStore({
-    address: settings.store,
-    metrics,
-    events,
-  });
-  const forwarder = openForwarder({
-    settings: connections,
-    now: monotonicNow,
-    clock,
-    hopPrefix: options.id,
-    onSilence: (address, request) =>
-      events.record("connection-silent", { address, request: request.id }),
-  });
-  return { clock, metrics, events, peers, store, forwarder };
+  const parts = openCommonParts({ ...options, connections });
+  const store = openPlatformStore({ address: settings.store, ...parts });
+  return { ...parts, store };
 }
 
 type Outside = ReturnType<typeof openOutside>;
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -20,6 +20,7 @@
   SourceContext,
   StartSource,
 } from "./coordinator.ts";
+import { watchAvailability } from "./availability.ts";
 import { pause } from "./time.ts";
 
 /** Durations of watching, in milliseconds. */
@@ -56,13 +57,7 @@
 ): ConfigurationSource {
   const { desiredStates, members, times, events } = options;
   const stopped = new AbortController();
-  let available = true;
-
-  function note(reachable: boolean): void {
-    if (reachable === available) return;
-    available = reachable;
-    events.record(reachable ? "store-available" : "store-unavailable");
-  }
+  const note = watchAvailability(events);
 
   /** A random part, so that agents do not all come back at once. */
   function rest(): Promise<void> {
--- a/source/tasks/document_task.ts
+++ b/source/tasks/document_task.ts
@@ -17,6 +17,7 @@
 import type { Events } from "../ports/events.ts";
 import type { CensusReply } from "../ports/peers.ts";
 import { mainObject, type Store } from "../ports/store.ts";
+import { watchAvailability } from "./availability.ts";
 import { pause } from "./time.ts";
 
 /** Durations of watching. */
@@ -68,13 +69,7 @@
 }): DocumentTask {
   const { store, times, events } = options;
   const stopped = new AbortController();
-  let available = true;
-
-  function note(reachable: boolean): void {
-    if (reachable === available) return;
-    available = reachable;
-    events.record(reachable ? "store-available" : "store-unavailable");
-  }
+  const note = watchAvailability(events);
 
   /** One look at the store; false when it could not be read or written. */
   async function look(): Promise<boolean> {
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -18,7 +18,7 @@
   type PlatformTargetStandIn,
   startPlatformTarget,
 } from "./platform_target.ts";
-import { freePort, until } from "./processes.ts";
+import { answers, freePort, until } from "./processes.ts";
 
 /** One target to start, and where. */
 export interface PlatformHost {
@@ -260,13 +260,3 @@
 ): number {
   return agents.filter((agent) => agent.target.holds(key)).length;
 }
-
-async function answers(url: string): Promise<boolean> {
-  try {
-    const answer = await fetch(url, { signal: AbortSignal.timeout(1_000) });
-    await answer.text();
-    return answer.ok;
-  } catch {
-    return false;
-  }
-}
--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -259,7 +259,8 @@
   await answer.text();
 }
 
-async function answers(url: string): Promise<boolean> {
+/** Whether a page answers with success. */
+export async function answers(url: string): Promise<boolean> {
   try {
     const answer = await fetch(url, { signal: AbortSignal.timeout(1_000) });
     await answer.text();
