--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -41,6 +41,7 @@
   | "request-answered"
   | "connection-silent"
   | "target-registered"
+  | "target-answer-spoilt"
   | "target-replaced"
   | "target-heartbeat-refused"
   | "target-grant-failed"
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -193,6 +193,8 @@
     identity: () => registration.target()?.id ?? null,
     now: monotonicNow,
     onRefused: () => registration.noteRefused(),
+    onSpoilt: (request, fault) =>
+      events.record("target-answer-spoilt", { request, fault }),
   });
   const keyServer = openKeyServer({
     address: settings.target,
