Small answers go on only when whole; tables are asked for four times a second at most

A small answer of another agent is now read whole first (broken_answer_test.ts failed before). Suspected: each failed keyed attempt asked two members for the whole table, up to 50 times a second from each of 18 agents.

--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { Readable } from "node:stream";
+import { Buffer } from "node:buffer";
+import { Readable } from "node:stream";
 import { Result } from "true-myth";
 import { Pool } from "undici";
 import type { Address } from "../core/agent.ts";
@@ -130,13 +131,16 @@
         replacePool(address);
         const second = await sendCopy(2) ?? lost;
         const answer = second.isOk
-          ? await readAgentAnswer(second.value)
+          ? await readAgentAnswer(second.value, { request, now: options.now })
           : second;
         return answer.mapErr(({ reason }) => unknownOutcome(reason));
       }
       const time = Number(single(result.value.headers, fields.clock));
       if (Number.isSafeInteger(time)) options.clock.observe(time);
-      return await readAgentAnswer(result.value);
+      return await readAgentAnswer(result.value, {
+        request,
+        now: options.now,
+      });
     },
     async close() {
       await Promise.all([...pools.values()].map((pool) => pool.close()));
@@ -148,9 +152,16 @@
   unknownOutcome("connection-lost"),
 );
 
-/** An agent says by a header when the answer is not its target's. */
+/** An answer up to this size is read whole before any of it goes on. */
+const keptAnswerBytes = 262_144;
+
+/**
+ * An agent says by a header when the answer is not its target's. A small
+ * answer that breaks off on the way is a failure, not a broken answer.
+ */
 async function readAgentAnswer(
   answer: ProxyAnswer,
+  attempt: Attempt,
 ): Promise<Result<ProxyAnswer, Failure>> {
   const failure = failureIn(answer.headers);
   if (failure !== null) {
@@ -158,7 +169,24 @@
     return Result.err(failure);
   }
   const load = Number(single(answer.headers, fields.load) ?? NaN);
-  return Result.ok({ ...answer, load: Number.isFinite(load) ? load : null });
+  const known = { ...answer, load: Number.isFinite(load) ? load : null };
+  const length = single(answer.headers, "content-length");
+  if (length === null || Number(length) > keptAnswerBytes) {
+    return Result.ok(known);
+  }
+  try {
+    const bytes = await readWhole(answer.body);
+    const body = Readable.from([bytes], { objectMode: false });
+    return Result.ok({ ...known, body });
+  } catch (error) {
+    return Result.err(failureOfError(error, attempt));
+  }
+}
+
+async function readWhole(body: Readable): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk as Uint8Array);
+  return Buffer.concat(chunks);
 }
 
 async function drain(body: Readable): Promise<void> {
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -64,6 +64,7 @@
 const idleMilliseconds = 4_000;
 const connectionsPerAgent = 64;
 const queueBeforeConfiguration = 64;
+const shortestTableAgeMilliseconds = 20;
 
 const documentTimes = {
   watchMilliseconds,
@@ -341,6 +342,7 @@
     place,
     random: Math.random,
     retries,
+    shortestTableAgeMilliseconds,
   });
   return { coordinator, admission, serve, entry };
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -60,6 +60,7 @@
   longestHeaderBytes,
   retrySettings,
   servicePolicy,
+  shortestTableAgeMilliseconds,
   silentHeartbeats,
   startShare,
   stopTimes,
@@ -290,6 +291,7 @@
     place,
     random: Math.random,
     retries: retrySettings(settings),
+    shortestTableAgeMilliseconds,
   });
   return {
     agent,
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -69,6 +69,12 @@
   idleMilliseconds: 10_000,
 };
 
+/**
+ * While keys change hands many requests fail at once; each asking for the
+ * table anew would cost their owners more than the requests.
+ */
+export const shortestTableAgeMilliseconds = 250;
+
 /** A target is silent after so many missed heartbeats. */
 export const silentHeartbeats = 4;
 
@@ -109,8 +115,8 @@
   return {
     earnedByRequest: settings.bounds.retryRatio * usedRatio,
     mostSaved: Math.max(1, settings.bounds.retrySlack / assumedAgents),
-    firstDelayMilliseconds: 5,
-    longestDelayMilliseconds: 100,
+    firstDelayMilliseconds: 20,
+    longestDelayMilliseconds: 150,
     longestWaitMilliseconds: 400,
   };
 }
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -84,8 +84,6 @@
 }
 
 const tableTimeoutMilliseconds = 250;
-/** A table fetched so lately is not fetched again. */
-const shortestTableAgeMilliseconds = 20;
 
 /** Starts with empty tables. */
 export function startEntry(options: {
@@ -102,6 +100,8 @@
   readonly place: PlaceKey;
   readonly random: () => number;
   readonly retries: RetrySettings;
+  /** A table fetched so lately is not fetched again, in milliseconds. */
+  readonly shortestTableAgeMilliseconds: number;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   let routing = beginRouting();
@@ -238,7 +238,7 @@
     const current = fetches.get(group);
     if (current !== undefined) return current;
     const age = monotonicNow() - (fetchedAt.get(group) ?? -Infinity);
-    if (age < shortestTableAgeMilliseconds) return Promise.resolve();
+    if (age < options.shortestTableAgeMilliseconds) return Promise.resolve();
     const started = fetchTable(group).finally(() => {
       fetches.delete(group);
       fetchedAt.set(group, monotonicNow());
