A planned stop closes idle connections once callers must have heard of it

Idle connections are now closed from the announcement on, again and again, and nothing new is read; the session 'an agent stopped whose caller goes on sending' holds it.

--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -45,6 +45,8 @@
   readonly port: number;
   /** Takes no new connections, and closes each after its next answer. */
   drain(): void;
+  /** Closes the connections on which no request is being answered. */
+  closeIdle(): void;
   close(): void;
 }
 
@@ -224,6 +226,7 @@
           // which a caller may be sending its next request.
           NetServer.prototype.close.call(server);
         },
+        closeIdle: () => server.closeIdleConnections(),
         close() {
           server.close();
           server.closeAllConnections();
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -183,6 +183,7 @@
     await drain({ ...started, callers }, {
       announceMilliseconds: 0,
       timeoutMilliseconds: settings.drainTimeout,
+      closesIdle: false,
     });
     outside.events.record("agent-stopped");
     await started.coordinator.stop();
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -124,7 +124,7 @@
 /** Two questions a second apart take a machine's callers away. */
 const announceMilliseconds = 2_100;
 /** What is left of the grace for closing once the requests have ended. */
-const graceMarginMilliseconds = 1_300;
+const graceMarginMilliseconds = 900;
 
 /** How long a planned stop may take. */
 export function stopTimes(settings: PlatformSettings): StopTimes {
@@ -132,5 +132,6 @@
     announceMilliseconds,
     timeoutMilliseconds: settings.bounds.graceMilliseconds -
       graceMarginMilliseconds,
+    closesIdle: true,
   };
 }
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -10,7 +10,12 @@
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
 import { evacuationMilliseconds } from "../tasks/target_watch_task.ts";
-import { monotonicNow, pause } from "../tasks/time.ts";
+import {
+  monotonicNow,
+  pause,
+  startTicker,
+  type Ticker,
+} from "../tasks/time.ts";
 
 /** What a planned stop goes through. */
 export interface StoppingParts {
@@ -25,11 +30,17 @@
   /** Callers are served as before until they must have heard of the stop. */
   readonly announceMilliseconds: number;
   readonly timeoutMilliseconds: number;
+  /**
+   * Whether idle connections are closed once callers must have heard: callers
+   * that go on sending would otherwise be cut off at the end.
+   */
+  readonly closesIdle: boolean;
 }
 
 /** No request for this long means that nobody sends here any more. */
 const quietMilliseconds = 700;
 const pollMilliseconds = 20;
+const closeIdleMilliseconds = 100;
 
 /** Resolves when nothing runs here any more, or the time is over. */
 export async function drain(
@@ -41,6 +52,7 @@
   const announced = pause(options.announceMilliseconds).then(() =>
     parts.callers.drain()
   );
+  const closing = closeIdleAgainAndAgain(parts.callers, options);
   await coordinator.spread.hurry();
   await Promise.all([
     announced,
@@ -48,6 +60,15 @@
     giveUpSlices(coordinator.holder(), end),
   ]);
   await untilQuiet(parts, end);
+  closing.stop();
+}
+
+/** From the announcement on, as connections become idle. */
+function closeIdleAgainAndAgain(callers: Front, options: StopTimes): Ticker {
+  const from = monotonicNow() + options.announceMilliseconds;
+  return startTicker(() => {
+    if (options.closesIdle && monotonicNow() > from) callers.closeIdle();
+  }, { intervalMilliseconds: closeIdleMilliseconds });
 }
 
 async function giveUpSlices(
--- a/tests/sessions/platform_test.ts
+++ b/tests/sessions/platform_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { request } from "node:http";
+import { Agent, request } from "node:http";
 import { after, before, describe, it } from "node:test";
 import {
   allHeld,
@@ -33,6 +33,8 @@
     readonly host?: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly id?: string;
+    /** Keeps connections; each request has its own when left out. */
+    readonly agent?: Agent;
   },
 ): Promise<Reply> {
   const [host = "", port = ""] = agent.callers.split(":");
@@ -43,7 +45,7 @@
       port: Number(port),
       path: options.path,
       method: options.method ?? "GET",
-      agent: false,
+      agent: options.agent ?? false,
       headers: {
         host: options.host ?? "studio.example",
         "request-id": options.id ?? `r-${ids}`,
@@ -220,6 +222,36 @@
     });
   });
 
+  describe("with an agent stopped whose caller goes on sending", () => {
+    it("answers every request that it has read, and ends by itself", async () => {
+      const stopped = agent(3);
+      const connection = new Agent({ keepAlive: true, maxSockets: 1 });
+      const ended = once(stopped.process(), "exit");
+      let broken = 0;
+      let over = false;
+      async function goOn(): Promise<void> {
+        while (!over) {
+          const sent = { path: "/seats/9", method: "POST", agent: connection };
+          await send(stopped, sent).catch((error: Error) => {
+            if (!/ECONNRE(FUSED|SET)|hang up/.test(error.message)) broken += 1;
+            over = error.message.includes("ECONNREFUSED");
+          });
+        }
+      }
+      const sending = goOn();
+      stopped.process().kill("SIGTERM");
+      assert.deepEqual(await ended, [0, null]);
+      over = true;
+      await sending;
+      connection.destroy();
+      const line = mesh.log().findLast((line) =>
+        line.includes("event=agent-stopped") && line.includes(stopped.host)
+      );
+      assert.match(line ?? "", /running=0/);
+      assert.equal(broken, 0);
+    });
+  });
+
   describe("with all agents killed at once", () => {
     it("serves all keys again, held by one target at most", async () => {
       let most = 0;
