--- a/source/adapters/upstream.ts
+++ b/source/adapters/upstream.ts
@@ -34,6 +34,8 @@
   readonly connectTimeoutMilliseconds: number;
   /** An idle connection is closed before the other end closes it. */
   readonly idleMilliseconds: number;
+  /** An agent that says nothing for so long is sent a second copy. */
+  readonly silenceMilliseconds?: number;
 }
 
 /** Most addresses with open connections; the oldest beyond is closed. */
@@ -57,7 +59,26 @@
  * An agent that has a request answers or acknowledges it well within this
  * time; silence means that the connection is lost without either end knowing.
  */
-const silenceMilliseconds = 400;
+const usualSilenceMilliseconds = 400;
+/**
+ * Second copies sent in one second at most. An agent that is only slow looks
+ * silent on all its connections at once, and must not be sent all work twice.
+ */
+const mostCopiesPerSecond = 4;
+
+/** Says whether one more second copy may be sent now. */
+function limitCopies(now: () => number): () => boolean {
+  let since = -Infinity;
+  let count = 0;
+  return () => {
+    if (now() - since >= 1_000) {
+      since = now();
+      count = 0;
+    }
+    count += 1;
+    return count <= mostCopiesPerSecond;
+  };
+}
 
 /** Sends requests on to other agents. */
 export function openForwarder(options: {
@@ -68,6 +89,8 @@
   readonly hopPrefix: string;
   readonly onSilence: (address: Address, request: ProxyRequest) => void;
 }): Forwarder {
+  const mayCopy = limitCopies(options.now);
+  const { silenceMilliseconds = usualSilenceMilliseconds } = options.settings;
   const pools = new Map<Address, Pool>();
   let hops = 0;
   function poolFor(address: Address): Pool {
@@ -118,8 +141,8 @@
           headers: { ...headers, [fields.hop]: formatHop({ id, copy }) },
           body,
           now: options.now,
-          silenceMilliseconds: body.kind === "kept" && copy === 1
-            ? silenceMilliseconds
+          silence: body.kind === "kept" && copy === 1
+            ? { milliseconds: silenceMilliseconds, mayCopy }
             : null,
         });
       const first = await sendCopy(1);
@@ -222,7 +245,7 @@
         headers,
         body,
         now: options.now,
-        silenceMilliseconds: null,
+        silence: null,
       });
       if (result === null || result.isErr) return result ?? lost;
       return await readTargetAnswer(result.value);
@@ -270,14 +293,14 @@
     readonly body: Body;
     readonly now: () => number;
     /** Null to wait in silence until the deadline. */
-    readonly silenceMilliseconds: number | null;
+    readonly silence: SilenceRule | null;
   },
 ): Promise<Result<ProxyAnswer, Failure> | null> {
   const { request, body } = options;
   if (request.signal.aborted) return Result.err(abortedBefore(options));
-  const watch = options.silenceMilliseconds === null
+  const watch = options.silence === null
     ? null
-    : watchSilence(request.signal, options.silenceMilliseconds);
+    : watchSilence(request.signal, options.silence);
   try {
     const response = await pool.request({
       method: request.method as "GET",
@@ -302,16 +325,24 @@
   }
 }
 
+/** When a copy is given up because nothing is heard of it. */
+interface SilenceRule {
+  readonly milliseconds: number;
+  /** Whether a second copy may take its place now. */
+  readonly mayCopy: () => boolean;
+}
+
 /** Aborts one copy of a request when nothing at all is heard of it. */
-function watchSilence(signal: AbortSignal, milliseconds: number) {
+function watchSilence(signal: AbortSignal, rule: SilenceRule) {
   const copy = new AbortController();
   let silent = false;
   const follow = () => copy.abort();
   signal.addEventListener("abort", follow, { once: true });
   const timer = setTimeout(() => {
+    if (!signal.aborted && !rule.mayCopy()) return;
     silent = !signal.aborted;
     copy.abort();
-  }, milliseconds);
+  }, rule.milliseconds);
   return {
     signal: copy.signal,
     heard: () => clearTimeout(timer),
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -67,6 +67,7 @@
   connections: 64,
   connectTimeoutMilliseconds: 300,
   idleMilliseconds: 10_000,
+  silenceMilliseconds: 700,
 };
 
 /**
