--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -77,6 +77,8 @@
   "target-refused",
   "target-unreachable",
   "connection-lost",
+  // An owner that is frozen or cut off answers nothing at all.
+  "deadline-passed",
 ]);
 
 function ownerMayHaveChanged(failure: Failure): boolean {
