--- a/source/adapters/broken_answer_test.ts
+++ b/source/adapters/broken_answer_test.ts
@@ -2,7 +2,8 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
-import type { Forwarder, ProxyRequest } from "../ports/upstream.ts";
+import type { Forwarder } from "../ports/upstream.ts";
+import { testRequest } from "../../tests/test_request.ts";
 import { startLogicalClock } from "./logical_clock.ts";
 import { openForwarder } from "./upstream.ts";
 
@@ -44,22 +45,10 @@
   describe("of a size that can be kept", () => {
     it("is a failure that leaves open whether the request ran", async () => {
       const { port } = server.address() as AddressInfo;
-      const request: ProxyRequest = {
-        id: "r-1",
-        method: "GET",
-        path: "/slots",
-        authority: "studio.example",
-        headers: {},
-        service: "booking",
-        key: null,
-        rank: 0,
-        idempotent: false,
-        longestBodyBytes: 1_000,
-        mostAttempts: null,
-        objectiveAt: null,
+      const request = testRequest({
         deadlineAt: performance.now() + 200,
         signal: AbortSignal.timeout(220),
-      };
+      });
       const result = await forwarder.forward(`127.0.0.1:${port}`, request, {
         body: { kind: "kept", bytes: new Uint8Array() },
       });
--- a/source/adapters/slow_agent_test.ts
+++ b/source/adapters/slow_agent_test.ts
@@ -2,7 +2,8 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
-import type { Forwarder, ProxyRequest } from "../ports/upstream.ts";
+import type { Forwarder } from "../ports/upstream.ts";
+import { testRequest } from "../../tests/test_request.ts";
 import { startLogicalClock } from "./logical_clock.ts";
 import { openForwarder } from "./upstream.ts";
 
@@ -53,22 +54,12 @@
       const { port } = server.address() as AddressInfo;
       const results = await Promise.all(
         Array.from({ length: requestCount }, (_, index) => {
-          const request: ProxyRequest = {
+          const request = testRequest({
             id: `r-${index}`,
-            method: "GET",
-            path: "/slots",
-            authority: "studio.example",
-            headers: {},
-            service: "booking",
-            key: null,
-            rank: 0,
             idempotent: true,
-            longestBodyBytes: 1_000,
-            mostAttempts: null,
-            objectiveAt: null,
             deadlineAt: 10_000,
             signal: AbortSignal.timeout(10_000),
-          };
+          });
           return forwarder.forward(`127.0.0.1:${port}`, request, {
             body: { kind: "kept", bytes: new Uint8Array() },
           });
