A measure of work that refuses everything is forgotten; a standstill is no work

Cause of the known red 'keys served again within 5 s, and through the return': requests that ran while their host stood still were measured at 10 s each, the mean rose above every deadline, and all later requests were refused as 'deadline-too- near': with nothing running, nothing could correct the mean.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -49,6 +49,7 @@
 export interface Running {
   readonly rank: number;
   readonly startedAt: number;
+  readonly deadlineAt: number;
 }
 
 /** The state of one target's admission. */
@@ -63,6 +64,8 @@
   readonly credits: readonly number[];
   /** Mean time in the target for each rank, in milliseconds. */
   readonly serviceMilliseconds: readonly number[];
+  /** When the target last ended a request. */
+  readonly measuredAt: number;
   readonly closed: boolean;
 }
 
@@ -109,6 +112,7 @@
 const coldShare = 0.5;
 const limitDecrease = 0.8;
 const serviceSmoothing = 0.1;
+const measureLifetimeMilliseconds = 2_000;
 /** Starts that a rank may be owed, so that an idle one can't hoard them. */
 const mostCredit = 2;
 
@@ -121,6 +125,7 @@
     waiting: settings.ranks.map(() => []),
     credits: settings.ranks.map(() => 0),
     serviceMilliseconds: settings.ranks.map(() => 0),
+    measuredAt: 0,
     closed: false,
   };
 }
@@ -206,7 +211,9 @@
   const { now, deadlineAt, objectiveAt = deadlineAt } = event;
   if (deadlineAt <= now) return refusal("deadline-passed");
   const waitMilliseconds = expectedWait(state, event);
-  const serviceMilliseconds = state.serviceMilliseconds[event.rank] ?? 0;
+  const serviceMilliseconds = isMeasureOld(state, now)
+    ? 0
+    : state.serviceMilliseconds[event.rank] ?? 0;
   if (now + waitMilliseconds + serviceMilliseconds > deadlineAt) {
     const away = waitMilliseconds > 0 ? waitMilliseconds : null;
     return refusal("deadline-too-near", away);
@@ -220,6 +227,15 @@
   return away === null ? null : refusal("queue-full", away);
 }
 
+/**
+ * Only requests that run can correct the measure: one by which all were
+ * refused for a while says nothing any more.
+ */
+function isMeasureOld(state: AdmissionState, now: number): boolean {
+  return state.running.size === 0 &&
+    now - state.measuredAt > measureLifetimeMilliseconds;
+}
+
 /**
  * The time until a slot comes free for a newcomer: the work that goes before
  * it, slowed by the starts that other ranks' shares take.
@@ -363,7 +379,8 @@
       effects.push({ kind: "refuse", id: first.id, ...refused });
       continue;
     }
-    state = start(state, { id: first.id, rank, now });
+    const { id, deadlineAt } = first;
+    state = start(state, { id, rank, now, deadlineAt });
     effects.push({ kind: "start", id: first.id });
   }
   return { state, effects };
@@ -386,11 +403,17 @@
 
 function start(
   state: AdmissionState,
-  entry: { readonly id: number; readonly rank: number; readonly now: number },
+  entry: {
+    readonly id: number;
+    readonly rank: number;
+    readonly now: number;
+    readonly deadlineAt: number;
+  },
 ): AdmissionState {
   const running = new Map(state.running).set(entry.id, {
     rank: entry.rank,
     startedAt: entry.now,
+    deadlineAt: entry.deadlineAt,
   });
   const credits = state.credits.map((credit, rank) => {
     if (rank === entry.rank) return Math.max(0, credit - 1);
@@ -427,8 +450,9 @@
   if (event.finish === "refused") {
     return { ...state, limit: Math.max(1, state.limit * limitDecrease) };
   }
-  const { rank, startedAt } = event.ended;
-  const took = event.now - startedAt;
+  const { rank, startedAt, deadlineAt } = event.ended;
+  // What ends later than its deadline was held up by something else.
+  const took = Math.min(event.now, deadlineAt) - startedAt;
   const mean = state.serviceMilliseconds[rank] ?? 0;
   const next = mean === 0 ? took : mean + (took - mean) * serviceSmoothing;
   const grown = event.finish === "answered" ? 1 / state.limit : 0;
@@ -436,6 +460,7 @@
     ...state,
     limit: Math.min(state.settings.slots, state.limit + grown),
     serviceMilliseconds: state.serviceMilliseconds.with(rank, next),
+    measuredAt: event.now,
   };
 }
 
