Slow servers are spared while there is room; hot keys are parted sooner

Pattern: a third of a service's requests on 200 neighbouring keys for 4 s, on servers whose speeds differ by two to three times. Late requests waited up to 100 ms more and took slots from requests that could be in time: 50 ms now.

--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -134,8 +134,12 @@
   return { settledVersion: settling.version, settling: next };
 }
 
-/** One renewal counts a second's requests; placement needs a steadier view. */
-const loadSmoothing = 0.3;
+/**
+ * One renewal counts a second's requests; placement needs a steadier view. It
+ * takes a rise at once, as busy keys come up within seconds.
+ */
+const riseSmoothing = 0.6;
+const fallSmoothing = 0.2;
 
 function withHolder(
   state: GrantorState,
@@ -161,7 +165,9 @@
   const loads = new Map(state.loads);
   for (const { slice, requestsPerSecond } of renewal.sliceLoads) {
     const mean = loads.get(slice) ?? requestsPerSecond;
-    loads.set(slice, mean + (requestsPerSecond - mean) * loadSmoothing);
+    const change = requestsPerSecond - mean;
+    const smoothing = change > 0 ? riseSmoothing : fallSmoothing;
+    loads.set(slice, mean + change * smoothing);
   }
   const joined = former === undefined;
   return bump({ ...state, holders, loads }, joined);
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -6,6 +6,7 @@
  */
 import type { AgentId } from "../agent.ts";
 import type { GrantorState, Holder } from "./grantor_state.ts";
+import { sparingSlow } from "./slow_servers.ts";
 import { compareTokens } from "./token.ts";
 
 /** A planned move of one slice. */
@@ -16,7 +17,7 @@
 }
 
 /** The load of a slice that nobody has measured, in requests a second. */
-const unmeasuredLoad = 1;
+const unmeasuredLoad = 0.25;
 
 function sliceLoad(state: GrantorState, slice: number): number {
   return Math.max(unmeasuredLoad, state.loads.get(slice) ?? 0);
@@ -34,7 +35,7 @@
     const weight = state.holders.get(owner)?.weight ?? 1;
     loads.set(owner, sum + sliceLoad(state, index) / weight);
   });
-  return loads;
+  return sparingSlow(loads, (id) => state.holders.get(id)?.weight ?? 1);
 }
 
 function futureOwner(slice: GrantorState["slices"][number]): AgentId | null {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -41,10 +41,10 @@
 /** How a service's keys are divided among its targets. */
 export const groupSettings: GroupSettings = {
   stripeSlices: 4,
-  movesAtOnce: 12,
-  toleratedShare: 0.35,
-  isolatedKeys: 16,
-  isolation: { share: 0.08, floorPerSecond: 4, coldPerSecond: 2 },
+  movesAtOnce: 16,
+  toleratedShare: 0.3,
+  isolatedKeys: 32,
+  isolation: { share: 0.04, floorPerSecond: 3, coldPerSecond: 1.5 },
   gatherMilliseconds: 1_500,
 };
 
@@ -57,7 +57,7 @@
 
 /** What holds for every service. */
 export const servicePolicy: ServicePolicy = {
-  keys: { groups: 1, slicesPerGroup: 256 },
+  keys: { groups: 1, slicesPerGroup: 512 },
   queueLength: 64,
   lowerRankShare: 0.05,
   usualDeadlineMilliseconds: 2_000,
@@ -93,7 +93,7 @@
 /** Targets state their slots, and refuse by themselves what is beyond. */
 export const startShare = 1;
 /** The longest wait of a request that has missed its objective. */
-export const lateWaitMilliseconds = 100;
+export const lateWaitMilliseconds = 50;
 /** Above what any desired state allows callers to send. */
 export const longestHeaderBytes = 65_536;
 /** Bodies up to this size are kept, so that they can be sent again. */
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -434,6 +434,11 @@
   };
 }
 
+/** One decimal is enough, and keeps renewals short. */
+function rounded(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 function measure(
   load: HeldLoad,
   state: HolderState,
@@ -448,12 +453,12 @@
   const sketch = countKeys(beginSketch(sketchCapacity), load.keys);
   const sliceLoads = [...state.slices.keys()].map((slice) => ({
     slice,
-    requestsPerSecond: Math.round((load.slices.get(slice) ?? 0) / seconds),
+    requestsPerSecond: rounded((load.slices.get(slice) ?? 0) / seconds),
   }));
   const keyLoads = busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
     key,
     slice: sliceOfKey(state.table, key, place),
-    requestsPerSecond: Math.round(count * scale / seconds),
+    requestsPerSecond: rounded(count * scale / seconds),
   }));
   return { sliceLoads, keyLoads };
 }
