A holder whose lease has ended claims nothing from a new grantor

A holder that is cut off while its slices are given on, and is then asked by a new grantor before it has renewed, reported all it once held; the new grantor took that for held if the agent of the real owner had been started again meanwhile. It now reports what its lease covers, and of a target without fences what still runs (holder_test.ts, failed before).

--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -148,14 +148,22 @@
 }
 
 /**
- * The grants that a holder reports: all that it has not released, even when
- * its lease has ended. Whether they may be had again is the grantor's to say.
+ * The grants that a holder reports: all that it has not released. Once its
+ * lease has ended they may have been given to others, whose agents may have
+ * forgotten them; then it reports only those on which work still runs. A
+ * target that is told what it holds runs none by then.
  */
-export function heldGrants(state: HolderState): readonly Grant[] {
-  return [...state.slices].map(([slice, held]) => ({
-    slice,
-    token: held.token,
-  }));
+export function heldGrants(
+  state: HolderState,
+  now: Clocks,
+): readonly Grant[] {
+  const all = leaseHolds(state, now);
+  const grants: Grant[] = [];
+  for (const [slice, { token, running }] of state.slices) {
+    const works = running > 0 && !state.targetSurrenders;
+    if (all || works) grants.push({ slice, token });
+  }
+  return grants;
 }
 
 function answered(
--- a/source/core/ownership/holder_test.ts
+++ b/source/core/ownership/holder_test.ts
@@ -3,6 +3,7 @@
 import {
   beginHolder,
   decideHold,
+  heldGrants,
   type HolderState,
   stepHolder,
 } from "./holder.ts";
@@ -60,6 +61,44 @@
     });
   });
 
+  /**
+   * A holder that was cut off may be asked by a new grantor after its slices
+   * were given to others whose agents have been started again since.
+   */
+  describe("report", () => {
+    const token = { epoch: 1, sequence: 1 };
+    const fenced = beginHolder({
+      id: "a/1",
+      group: "timetable.0",
+      marginMilliseconds: 100,
+      targetSurrenders: true,
+    });
+
+    it("has what the lease covers", () => {
+      const state = renewed(fenced);
+      assert.deepEqual(heldGrants(state, at(800, 800)), [{ slice: 3, token }]);
+    });
+
+    it("claims nothing for a target that is told what it holds, once the lease has ended", () => {
+      const running = stepHolder(renewed(fenced), {
+        kind: "admitted",
+        slice: 3,
+      });
+      assert.deepEqual(heldGrants(running, at(900, 900)), []);
+    });
+
+    it("has what other targets still work on, once the lease has ended", () => {
+      assert.deepEqual(heldGrants(renewed(begun), at(900, 900)), []);
+      const running = stepHolder(renewed(begun), {
+        kind: "admitted",
+        slice: 3,
+      });
+      assert.deepEqual(heldGrants(running, at(900, 900)), [
+        { slice: 3, token },
+      ]);
+    });
+  });
+
   describe("epoch", () => {
     it("takes nothing of an older epoch once a newer one is accepted", () => {
       const taken = stepHolder(begun, { kind: "epochTaken", epoch: 2 });
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -235,7 +235,7 @@
       weight: 1,
       checksFencing: false,
       leaving: server.leaving,
-      held: heldGrants(server.state),
+      held: heldGrants(server.state, this.clocks(server)),
       released: server.state.released,
       tableVersion: server.state.table.version,
       sliceLoads: [],
@@ -309,7 +309,7 @@
       server.grantor = move.grantor;
       return [{
         id: entry.id,
-        held: heldGrants(server.state),
+        held: heldGrants(server.state, this.clocks(server)),
         weight: 1,
         checksFencing: false,
         leaving: server.leaving,
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -224,7 +224,7 @@
     });
     return {
       id: agent.id,
-      held: heldGrants(state),
+      held: heldGrants(state, readClocks()),
       weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
@@ -245,7 +245,7 @@
       weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
-      held: heldGrants(state),
+      held: heldGrants(state, readClocks()),
       released: state.released,
       tableVersion: state.table.version,
       ...measured,
