Orders to a target are few at a time, and none is sent twice before its answer

One list of wanted orders now, 8 at a time, and a range under way waits for its answer (key_grants_task_test.ts, failed before). A release waits only for orders that cover its slice.

--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -61,6 +61,14 @@
   readonly longestHoldMilliseconds: number;
 }
 
+/** An order to hold that is to be sent. */
+interface WantedOrder {
+  readonly range: CoveringRange;
+  readonly handover: string | null;
+}
+
+/** Orders to hold that the target has not answered yet, at most. */
+const mostOrdersAtOnce = 8;
 /** A hold shorter than this is not worth an order. */
 const shortestHoldMilliseconds = 50;
 
@@ -79,8 +87,11 @@
   let holds: ReadonlyMap<number, TargetHold> = new Map();
   let view: HeldView | null = null;
   let round = 0;
-  /** Orders that the target has not answered yet. */
-  const inFlight = new Set<Promise<unknown>>();
+  /** Orders that are to be sent, by the view as it is now. */
+  let wanted: readonly WantedOrder[] = [];
+  /** Orders that the target has not answered yet, and what they cover. */
+  const underWay = new Map<Promise<unknown>, readonly number[]>();
+  let retry: ReturnType<typeof setTimeout> | null = null;
 
   function holdOf(grant: Grant): TargetHold {
     const known = holds.get(grant.slice);
@@ -102,25 +113,17 @@
 
   /** One order for one range; brings whether the target confirmed it. */
   async function order(
-    range: CoveringRange,
-    context: {
-      readonly view: HeldView;
-      readonly handover: string | null;
-    },
-  ): Promise<Result<null, KeyServerFault> | null> {
+    { range, handover }: WantedOrder,
+    holdMilliseconds: number,
+  ): Promise<Result<null, KeyServerFault>> {
     const sentAt = monotonicNow();
-    const holdMilliseconds = holdLength(context.view, readClocks());
-    if (holdMilliseconds < shortestHoldMilliseconds) return null;
     const { token, slices } = range;
     change(
       slices,
       (hold) =>
         holdSent(hold, { token, sentAt, holdMilliseconds }, times.order),
     );
-    const result = await track(keyServer.grant(range, {
-      holdMilliseconds,
-      handover: context.handover,
-    }));
+    const result = await keyServer.grant(range, { holdMilliseconds, handover });
     if (result.isErr) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
@@ -138,15 +141,6 @@
     return result;
   }
 
-  async function track<Answer>(order: Promise<Answer>): Promise<Answer> {
-    inFlight.add(order);
-    try {
-      return await order;
-    } finally {
-      inFlight.delete(order);
-    }
-  }
-
   /** One clock stands still while the host is suspended: the nearer end counts. */
   function holdLength({ leaseEndsAt }: HeldView, now: Clocks): number {
     const left = Math.min(
@@ -170,10 +164,7 @@
     );
   }
 
-  function ordersFor(view: HeldView): readonly {
-    readonly range: CoveringRange;
-    readonly handover: string | null;
-  }[] {
+  function ordersFor(view: HeldView): readonly WantedOrder[] {
     const { table } = view;
     // A token below one that the target was sent before would be refused.
     const grants = view.grants.map((grant) => ({
@@ -195,26 +186,69 @@
     ];
   }
 
-  async function runRound(view: HeldView, number: number): Promise<void> {
-    let left = ordersFor(view);
-    while (left.length > 0 && number === round) {
-      const results = await Promise.all(left.map(async (entry) => ({
-        entry,
-        result: await order(entry.range, { view, handover: entry.handover }),
-      })));
-      if (number !== round) return;
-      for (const { entry, result } of results) {
-        if (result?.isErr && result.error.kind === "superseded") {
-          entry.range.slices.forEach(options.onSuperseded);
-        }
+  /** The orders of an earlier view are not wanted any more. */
+  function look(next: HeldView): void {
+    view = next;
+    round += 1;
+    wanted = ordersFor(next);
+    sendWanted();
+  }
+
+  /** What an order under way covers waits for its answer. */
+  function sendWanted(): void {
+    if (view === null) return;
+    const holdMilliseconds = holdLength(view, readClocks());
+    if (holdMilliseconds < shortestHoldMilliseconds) return;
+    const busy = new Set([...underWay.values()].flat());
+    const later: WantedOrder[] = [];
+    const now: WantedOrder[] = [];
+    for (const entry of wanted) {
+      const { slices } = entry.range;
+      const full = underWay.size + now.length >= mostOrdersAtOnce;
+      if (full || slices.some((slice) => busy.has(slice))) {
+        later.push(entry);
+        continue;
+      }
+      slices.forEach((slice) => busy.add(slice));
+      now.push(entry);
+    }
+    wanted = later;
+    for (const entry of now) send(entry, holdMilliseconds);
+  }
+
+  function send(entry: WantedOrder, holdMilliseconds: number): void {
+    const number = round;
+    const sent = order(entry, holdMilliseconds).then((result) => {
+      underWay.delete(sent);
+      if (result.isErr) {
+        return afterFault(entry, { fault: result.error, number });
       }
-      left = results
-        .filter(({ result }) =>
-          result?.isErr === true && result.error.kind === "unanswered"
-        )
-        .map(({ entry }) => entry);
-      if (left.length > 0) await pause(times.retryMilliseconds);
+      wanted = wanted.filter((other) => !covers(entry, other));
+      sendWanted();
+    });
+    underWay.set(sent, entry.range.slices);
+  }
+
+  function afterFault(
+    { range }: WantedOrder,
+    failed: { readonly fault: KeyServerFault; readonly number: number },
+  ): void {
+    // A range that has changed since may have been refused for its other part.
+    const superseded = failed.fault.kind === "superseded";
+    if (superseded && failed.number === round) {
+      range.slices.forEach(options.onSuperseded);
+    } else if (failed.fault.kind !== "gone") {
+      lookAgainLater();
     }
+    sendWanted();
+  }
+
+  function lookAgainLater(): void {
+    if (retry !== null) return;
+    retry = setTimeout(() => {
+      retry = null;
+      if (view !== null) look(view);
+    }, times.retryMilliseconds);
   }
 
   /** Until the target confirms, or surely holds the slice no longer. */
@@ -224,7 +258,7 @@
   ): Promise<{ readonly handover: string | undefined }> {
     dropFromView(grant.slice);
     // A grant that is overtaken by its release would bring the slice back.
-    await Promise.allSettled([...inFlight]);
+    await Promise.allSettled(ordersOver(grant.slice));
     const { token } = holdOf(grant);
     const ranges = rangesOfGrant({ slice: grant.slice, token }, {
       table,
@@ -241,13 +275,18 @@
     return { handover };
   }
 
+  function ordersOver(slice: number): readonly Promise<unknown>[] {
+    return [...underWay]
+      .filter(([, slices]) => slices.includes(slice))
+      .map(([order]) => order);
+  }
+
   /** No order that covers the slice is sent again. */
   function dropFromView(slice: number): void {
     if (view === null) return;
     const grants = view.grants.filter((grant) => grant.slice !== slice);
     if (grants.length === view.grants.length) return;
-    view = { ...view, grants };
-    round += 1;
+    look({ ...view, grants });
   }
 
   async function releaseRange(
@@ -270,21 +309,23 @@
   }
 
   return {
-    hold(next) {
-      view = next;
-      round += 1;
-      void runRound(view, round);
-    },
+    hold: look,
     surrender,
     confirmed: (slice) =>
       (holds.get(slice)?.confirmedUntil ?? 0) > monotonicNow(),
     forget() {
       round += 1;
+      wanted = [];
       holds = new Map();
     },
   };
 }
 
+function covers(order: WantedOrder, other: WantedOrder): boolean {
+  const slices = new Set(order.range.slices);
+  return other.range.slices.every((slice) => slices.has(slice));
+}
+
 function describeFault(fault: KeyServerFault) {
   return fault.kind === "unanswered"
     ? { reason: fault.kind, detail: fault.detail }
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -20,6 +20,9 @@
   isolatedKeys: [],
 };
 
+/** So many slices that a target can't be told of all at once. */
+const longTable: OwnershipTable = { ...table, hashedSlices: 32 };
+
 type Order = {
   readonly kind: "grant" | "release";
   readonly range: KeyRange;
@@ -82,6 +85,10 @@
   return { grants, table, leaseEndsAt: later(readClocks(), 4_000) };
 }
 
+function longView(...grants: ReturnType<typeof grant>[]) {
+  return { ...view(...grants), table: longTable };
+}
+
 describe("orders to a target that holds keys", () => {
   describe("to hold", () => {
     it("join neighbours under the newest token", () => {
@@ -123,6 +130,30 @@
     });
   });
 
+  /** Many keys come at once, each view a moment after the one before. */
+  describe("to hold much, while more and more is granted", () => {
+    const handed = (count: number) =>
+      longView(
+        ...Array.from(
+          { length: count },
+          (_, slice) => grant(slice, slice + 1, `from-${slice}`),
+        ),
+      );
+
+    it("are few at a time, and none is sent twice before its answer", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      for (let count = 1; count <= 32; count += 1) task.hold(handed(count));
+      assert.equal(orders.length, 8);
+      for (let answered = 0; answered < 32; answered += 1) {
+        orders[answered]?.answer(null);
+        await settle();
+      }
+      assert.equal(orders.length, 32);
+      assert.equal(new Set(orders.map(({ range }) => range.first)).size, 32);
+    });
+  });
+
   describe("to hold again", () => {
     it("carry no number below the one of a former, longer range", async () => {
       const { orders, server } = heldServer();
