A target that sheds at random is still given most of its slots

All work of a target passes its agent: it can't be full below its slots. standstill_test.ts, failed before.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -111,6 +111,8 @@
 /** A target that nobody has seen at work yet starts with this part of it. */
 const coldShare = 0.5;
 const limitDecrease = 0.8;
+/** The part of its slots that a target is given whatever it refuses. */
+const leastLimitShare = 0.75;
 const serviceSmoothing = 0.1;
 const measureLifetimeMilliseconds = 2_000;
 /** Starts that a rank may be owed, so that an idle one can't hoard them. */
@@ -448,7 +450,7 @@
   },
 ): AdmissionState {
   if (event.finish === "refused") {
-    return { ...state, limit: Math.max(1, state.limit * limitDecrease) };
+    return { ...state, limit: lowered(state) };
   }
   const { rank, startedAt, deadlineAt } = event.ended;
   // What ends later than its deadline was held up by something else.
@@ -464,6 +466,15 @@
   };
 }
 
+/**
+ * A target that refuses at random, or all at times, is not full: it gets no
+ * less than a part of what it says it can run.
+ */
+function lowered({ limit, settings }: AdmissionState): number {
+  const least = Math.max(1, settings.slots * leastLimitShare);
+  return Math.max(Math.min(limit, least), limit * limitDecrease);
+}
+
 function withdraw(
   state: AdmissionState,
   event: AdmissionEvent & { readonly kind: "withdrawn" },
--- a/source/core/admission/standstill_test.ts
+++ b/source/core/admission/standstill_test.ts
@@ -41,7 +41,7 @@
   }));
 }
 
-function ends(from: number, now: number): readonly AdmissionEvent[] {
+function ends(from: number, now: number) {
   return Array.from({ length: 4 }, (_, index) => ({
     kind: "finished" as const,
     id: from + index,
@@ -73,6 +73,26 @@
   });
 });
 
+/** A target that refuses half of its requests, though it has room. */
+describe("a target that sheds at random", () => {
+  it("is still given most of what it can run", () => {
+    const shed = Array.from({ length: 50 }, (_, round) => round)
+      .reduce((state, round) => {
+        const now = round * 100;
+        return feed(state, [
+          ...arrivals(round * 10, now),
+          ...ends(round * 10, now + 20).map((event, index) => ({
+            ...event,
+            finish: index % 2 === 0 ? "refused" as const : "answered" as const,
+          })),
+        ]).state;
+      }, beginAdmission(settings));
+    const { effects } = feed(shed, arrivals(1_000, 10_000));
+    const started = effects.filter(({ kind }) => kind === "start");
+    assert.ok(started.length >= 3);
+  });
+});
+
 /** Refusing by a measure that only running requests can correct. */
 describe("a target whose requests once took longer than callers wait", () => {
   describe("while nothing runs", () => {
