Work without a key goes where it is answered first; budgets by service

(1) Pattern: short calls among targets whose speeds differ by two to three times. An entry used its own data centre's target up to 1.5 times its slots, however slow. It now expects the usual time of each target by its own answers, times how much it has to do; large bodies stay near (links are billed by volume), and a measure older than 3 s is forgotten (routing_test.ts). (2) One budget of repeats for all services let the work of one pay for repeats at another, above what that one allows; and it supposed 18 agents in every fleet (entry_task_test.ts). (3) A request waits for a hand-over up to half of its objective, not 400 ms: beyond it would be late, and waiting in vain is what callers pay for (retry_test.ts).

--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -38,6 +38,8 @@
   /** Whether the whole body can be sent once more. */
   readonly bodyRepeatable: boolean;
   readonly beganAt: number;
+  /** The end of its full worth; null for none. */
+  readonly objectiveAt: number | null;
   readonly now: number;
   readonly deadlineAt: number;
 }
@@ -93,6 +95,9 @@
   "target-unreachable",
 ]);
 
+/** The part of its objective that a request may wait for a hand-over. */
+const waitShareOfObjective = 0.5;
+
 /** Agents that are asked for room before the request is refused. */
 const mostAgentsAsked = 4;
 
@@ -123,8 +128,8 @@
   const delay = delayBefore(failed.attempt, options);
   if (failed.now + delay >= failed.deadlineAt) return giveUp;
   if (waiting.has(reason)) {
-    const { longestWaitMilliseconds = Infinity } = options.settings;
-    if (failed.now - failed.beganAt > longestWaitMilliseconds) return giveUp;
+    const waited = failed.now - failed.beganAt;
+    if (waited > longestWait(failed, options.settings)) return giveUp;
     return { kind: "retry", delayMilliseconds: delay, budget };
   }
   if (elsewhere.has(reason)) {
@@ -144,6 +149,17 @@
   };
 }
 
+/**
+ * How long the end of a hand-over is waited for. A request that has used most
+ * of its objective would be late: its caller is better told when to return.
+ */
+function longestWait(failed: FailedAttempt, settings: RetrySettings): number {
+  const { longestWaitMilliseconds = Infinity } = settings;
+  if (failed.objectiveAt === null) return longestWaitMilliseconds;
+  const objective = failed.objectiveAt - failed.beganAt;
+  return Math.min(longestWaitMilliseconds, objective * waitShareOfObjective);
+}
+
 function delayBefore(
   attempt: number,
   options: {
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -24,6 +24,7 @@
   keyed: false,
   bodyRepeatable: true,
   beganAt: 0,
+  objectiveAt: null as number | null,
   now: 0,
   deadlineAt: 1_000,
 };
@@ -38,6 +39,14 @@
 
 describe("retries", () => {
   describe("of a request whose key is being handed over", () => {
+    it("end while its caller can still come back in time for something", () => {
+      const objective = { objectiveAt: 250, deadlineAt: 1_200 };
+      const early = decide(notRun("moving"), { ...objective, now: 120 });
+      const late = decide(notRun("moving"), { ...objective, now: 130 });
+      assert.equal(early.kind, "retry");
+      assert.equal(late.kind, "giveUp");
+    });
+
     const failure = notRun("moving");
     const patient = { ...settings, longestWaitMilliseconds: 400 };
 
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -17,6 +17,9 @@
   /** Requests running and waiting at the target, by its last reply. */
   readonly reportedLoad: number;
   readonly reportedAt: number;
+  /** Usual time to an answer for each rank, in milliseconds. */
+  readonly usual: ReadonlyMap<number, number>;
+  readonly repliedAt: number;
   readonly consecutiveFailures: number;
   readonly ejections: number;
   readonly ejectedUntil: number;
@@ -35,6 +38,8 @@
     readonly kind: "replied";
     readonly id: AgentId;
     readonly load: number | null;
+    /** How long the answer took; left out where that says nothing. */
+    readonly took?: { readonly rank: number; readonly milliseconds: number };
     readonly now: number;
   }
   | { readonly kind: "failed"; readonly id: AgentId; readonly now: number }
@@ -44,6 +49,8 @@
 export interface RouteQuery {
   readonly from: Place;
   readonly targets: readonly Agent[];
+  readonly rank: number;
+  readonly bodyBytes: number;
   /** Targets that this request has tried in vain. */
   readonly tried: ReadonlySet<AgentId>;
   readonly now: number;
@@ -55,10 +62,16 @@
 const firstEjectionMilliseconds = 1_000;
 const longestEjectionMilliseconds = 30_000;
 const ejectableShare = 0.5;
-/** Load over slots above which a farther target is looked at. */
+/** Load over slots above which targets of other regions are looked at. */
 const fullAt = 1.5;
-/** What one step of distance costs, in load over slots. */
-const distancePenalty = 0.5;
+/** What distance adds to the time of an answer, as links are billed. */
+const distanceMilliseconds = [0, 8, 80] as const;
+/** What a kilobyte of the request adds to that, beyond the data centre. */
+const kilobyteMilliseconds = 6;
+/** The time to an answer of a target that has given none yet. */
+const unknownMilliseconds = 50;
+const usualSmoothing = 0.1;
+const usualLifetimeMilliseconds = 3_000;
 /** A newly seen target is given its full part after this time. */
 const warmUpMilliseconds = 5_000;
 /** An older report counts for nothing. */
@@ -68,6 +81,8 @@
   inFlight: 0,
   reportedLoad: 0,
   reportedAt: 0,
+  usual: new Map(),
+  repliedAt: 0,
   consecutiveFailures: 0,
   ejections: 0,
   ejectedUntil: 0,
@@ -110,6 +125,8 @@
         inFlight: Math.max(0, view.inFlight - 1),
         reportedLoad: event.load ?? view.reportedLoad,
         reportedAt: event.load === null ? view.reportedAt : event.now,
+        repliedAt: event.now,
+        usual: learnTime(view.usual, event.took ?? null),
         consecutiveFailures: 0,
         ejections: 0,
       };
@@ -118,6 +135,17 @@
   }
 }
 
+function learnTime(
+  usual: ReadonlyMap<number, number>,
+  took: { readonly rank: number; readonly milliseconds: number } | null,
+): ReadonlyMap<number, number> {
+  if (took === null) return usual;
+  const { rank, milliseconds } = took;
+  const mean = usual.get(rank) ?? milliseconds;
+  const next = mean + (milliseconds - mean) * usualSmoothing;
+  return new Map(usual).set(rank, next);
+}
+
 function afterFailure(view: TargetView, now: number): TargetView {
   const consecutiveFailures = view.consecutiveFailures + 1;
   const inFlight = Math.max(0, view.inFlight - 1);
@@ -137,21 +165,30 @@
   };
 }
 
-/** The target for a request; null when none may take it. */
+/** A target with the time in which it would probably answer. */
+interface Candidate {
+  readonly agent: Agent;
+  readonly milliseconds: number;
+  /** Requests at the target over what it carries. */
+  readonly use: number;
+}
+
+/**
+ * The target for a request, the one that would answer first; null when none
+ * may take it. Links between regions are for what nobody near has room for.
+ */
 export function chooseTarget(
   state: RoutingState,
   query: RouteQuery,
 ): Agent | null {
-  let best: { agent: Agent; score: number } | null = null;
+  let best: Candidate | null = null;
   for (const step of [0, 1, 2] as const) {
-    const tier = eligible(state, { query, step });
-    const candidate = betterOfTwo(state, { query, tier });
+    if (step === 2 && best !== null && best.use < fullAt) break;
+    const candidate = betterOfTwo(state, { query, step });
     if (candidate === null) continue;
-    const score = candidate.score + step * distancePenalty;
-    if (best === null || score < best.score) {
-      best = { agent: candidate.agent, score };
+    if (best === null || candidate.milliseconds < best.milliseconds) {
+      best = candidate;
     }
-    if (best.score < fullAt) break;
   }
   return best?.agent ?? null;
 }
@@ -176,32 +213,61 @@
 
 function betterOfTwo(
   state: RoutingState,
-  options: { readonly query: RouteQuery; readonly tier: readonly Agent[] },
-): { readonly agent: Agent; readonly score: number } | null {
-  const { query, tier } = options;
+  options: { readonly query: RouteQuery; readonly step: 0 | 1 | 2 },
+): Candidate | null {
+  const { query } = options;
+  const tier = eligible(state, options);
   if (tier.length === 0) return null;
   const first = Math.floor(query.random() * tier.length);
   const step = 1 + Math.floor(query.random() * (tier.length - 1));
   const second = (first + step) % tier.length;
-  const scored = [tier[first], tier[second]].flatMap((agent) =>
-    agent === undefined
-      ? []
-      : [{ agent, score: score(state, agent, query.now) }]
+  const candidates = [tier[first], tier[second]].flatMap((agent) =>
+    agent === undefined ? [] : [judge(state, { ...options, agent })]
   );
-  return scored.reduce((left, right) =>
-    right.score < left.score ? right : left
+  return candidates.reduce((left, right) =>
+    right.milliseconds < left.milliseconds ? right : left
   );
 }
 
-/** Requests at the target over what it carries, as far as this entry knows. */
-function score(state: RoutingState, agent: Agent, now: number): number {
+/** What this entry expects of a target, by what it has seen of it. */
+function judge(
+  state: RoutingState,
+  options: {
+    readonly query: RouteQuery;
+    readonly step: 0 | 1 | 2;
+    readonly agent: Agent;
+  },
+): Candidate {
+  const { agent, query } = options;
+  const distance = options.step === 0 ? 0 : distanceMilliseconds[options.step] +
+    kilobyteMilliseconds * query.bodyBytes / 1_000;
   const view = state.views.get(agent.id);
-  if (view === undefined) return 0;
+  if (view === undefined) {
+    return { agent, use: 0, milliseconds: unknownMilliseconds + distance };
+  }
+  const use = useOf(view, { slots: agent.slots, now: query.now });
+  const usual = usualTime(view, query);
+  return { agent, use, milliseconds: usual * (1 + use) + distance };
+}
+
+/** A target that is avoided answers nothing: its time must be forgotten. */
+function usualTime(view: TargetView, query: RouteQuery): number {
+  if (query.now - view.repliedAt > usualLifetimeMilliseconds) {
+    return unknownMilliseconds;
+  }
+  return view.usual.get(query.rank) ?? unknownMilliseconds;
+}
+
+function useOf(
+  view: TargetView,
+  options: { readonly slots: number; readonly now: number },
+): number {
+  const { slots, now } = options;
   const fresh = now - view.reportedAt < reportLifetimeMilliseconds;
   const load = Math.max(view.inFlight, fresh ? view.reportedLoad : 0);
   const warmth = Math.min(
     1,
     0.2 + (now - view.firstSeenAt) / warmUpMilliseconds,
   );
-  return (load + view.inFlight / 2) / (agent.slots * warmth);
+  return (load + view.inFlight / 2) / (slots * warmth);
 }
--- a/source/core/routing/routing_test.ts
+++ b/source/core/routing/routing_test.ts
@@ -43,13 +43,19 @@
 
 function choices(
   state: RoutingState,
-  options: { readonly among?: readonly Agent[]; readonly now?: number } = {},
+  options: {
+    readonly among?: readonly Agent[];
+    readonly now?: number;
+    readonly bodyBytes?: number;
+  } = {},
 ): ReadonlySet<string> {
   const random = seededRandom(5);
   const ids = Array.from({ length: 200 }, () =>
     chooseTarget(state, {
       from,
       targets: options.among ?? targets,
+      rank: 0,
+      bodyBytes: options.bodyBytes ?? 0,
       tried: new Set(),
       now: options.now ?? 10_000,
       random,
@@ -98,6 +104,67 @@
     });
   });
 
+  /** Most of a burst of short calls meets one slow target near by. */
+  describe("among targets of unequal speed", () => {
+    const took = (
+      id: string,
+      milliseconds: number,
+      now = 9_900,
+    ): RoutingEvent => ({
+      kind: "replied",
+      id,
+      load: 0,
+      took: { rank: 0, milliseconds },
+      now,
+    });
+    const among = [targets[0], targets[2], targets[3]].flatMap((one) =>
+      one ?? []
+    );
+
+    it("prefers the one that answers first, in its region", () => {
+      const state = apply(warm(ids), [
+        took("near-1", 40),
+        took("beside", 15),
+        took("far", 1),
+      ]);
+      assert.deepEqual(choices(state, { among }), new Set(["beside"]));
+    });
+
+    it("stays near where the difference is small", () => {
+      const state = apply(warm(ids), [
+        took("near-1", 20),
+        took("beside", 15),
+      ]);
+      assert.deepEqual(choices(state, { among }), new Set(["near-1"]));
+    });
+
+    it("keeps a large body near", () => {
+      const state = apply(warm(ids), [
+        took("near-1", 200),
+        took("beside", 15),
+      ]);
+      const large = choices(state, { among, bodyBytes: 60_000 });
+      assert.deepEqual(large, new Set(["near-1"]));
+    });
+
+    it("goes back to the near one as the other fills", () => {
+      const state = apply(warm(ids), [
+        took("near-1", 40),
+        took("beside", 15),
+        ...loaded(["beside"], 20),
+      ]);
+      assert.deepEqual(choices(state, { among }), new Set(["near-1"]));
+    });
+
+    it("tries a slow one again after a while", () => {
+      const state = apply(warm(ids), [
+        took("near-1", 400, 6_000),
+        took("beside", 100),
+      ]);
+      assert.deepEqual(choices(state, { among }), new Set(["near-1"]));
+    });
+  });
+
   describe("around failing targets", () => {
     const failed = (id: string): readonly RoutingEvent[] =>
       [1, 2, 3].map(() => ({ kind: "failed", id, now: 9_900 }));
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -342,7 +342,7 @@
     hash: hashText,
     place,
     random: Math.random,
-    retries,
+    retries: () => retries,
     shortestTableAgeMilliseconds,
   });
   return { coordinator, admission, serve, entry };
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -304,7 +304,7 @@
     hash: hashText,
     place,
     random: Math.random,
-    retries: retrySettings(settings),
+    retries: () => retrySettings(settings, coordinator.spread.agents().length),
     shortestTableAgeMilliseconds,
   });
   return {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -116,16 +116,20 @@
   };
 }
 
-/** Agents that share the budget of repeats, until their number is known. */
+/** Agents that share the budget of repeats, until more are known. */
 const assumedAgents = 18;
 /** The part of the allowed ratio that is used: other repeats count too. */
 const usedRatio = 0.6;
 
-/** The budget of repeats of one agent. */
-export function retrySettings(settings: PlatformSettings): RetrySettings {
+/** The budget of repeats of one agent, which so many share with it. */
+export function retrySettings(
+  settings: PlatformSettings,
+  knownAgents: number,
+): RetrySettings {
+  const agents = Math.max(assumedAgents, knownAgents);
   return {
     earnedByRequest: settings.bounds.retryRatio * usedRatio,
-    mostSaved: Math.max(1, settings.bounds.retrySlack / assumedAgents),
+    mostSaved: Math.max(1, settings.bounds.retrySlack / agents),
     firstDelayMilliseconds: 20,
     longestDelayMilliseconds: 150,
     longestWaitMilliseconds: 400,
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -28,6 +28,7 @@
   decideRetry,
   earnRetry,
   reachedTarget,
+  type RetryBudget,
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import {
@@ -101,13 +102,15 @@
   readonly hash: KeyHash;
   readonly place: PlaceKey;
   readonly random: () => number;
-  readonly retries: RetrySettings;
+  /** The budget of repeats, which all agents share. */
+  readonly retries: () => RetrySettings;
   /** A table fetched so lately is not fetched again, in milliseconds. */
   readonly shortestTableAgeMilliseconds: number;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   let routing = beginRouting();
-  let budget = beginBudget(options.retries);
+  /** For each service: a flood of failures at one must not use up another's. */
+  const budgets = new Map<string, RetryBudget>();
   let tables: ReadonlyMap<string, OwnershipTable> = new Map();
   const fetches = new Map<string, Promise<void>>();
   const fetchedAt = new Map<string, number>();
@@ -128,12 +131,17 @@
     return agents.filter((agent) => agent.service === service);
   }
 
+  function budgetOf(service: string): RetryBudget {
+    return budgets.get(service) ?? beginBudget(options.retries());
+  }
+
   async function handle(
     request: ProxyRequest,
     { body }: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>> {
     running += 1;
-    budget = earnRetry(budget, options.retries);
+    const budget = earnRetry(budgetOf(request.service), options.retries());
+    budgets.set(request.service, budget);
     const result = await attemptUntilDone(request, body);
     if (result.isErr) running -= 1;
     else onAnswerEnd(result.value.body, () => running -= 1);
@@ -164,10 +172,15 @@
         mostAttempts: request.mostAttempts,
         bodyRepeatable: left.kind === "kept" || !left.used,
         beganAt,
+        objectiveAt: request.objectiveAt,
         now: monotonicNow(),
         deadlineAt: request.deadlineAt,
-      }, { settings: options.retries, budget, random });
-      budget = decision.budget;
+      }, {
+        settings: options.retries(),
+        budget: budgetOf(request.service),
+        random,
+      });
+      budgets.set(request.service, decision.budget);
       if (decision.kind === "giveUp" || request.signal.aborted) {
         return Result.err(failure);
       }
@@ -277,6 +290,8 @@
     const query = {
       from: agent.place,
       targets: targetsOf(request.service),
+      rank: request.rank,
+      bodyBytes: bytesOf(request, body),
       now: monotonicNow(),
       random,
     };
@@ -284,7 +299,8 @@
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
     if (target === null) return Result.err(notRun("no-target-known"));
     tried.add(target.id);
-    mailbox.send({ kind: "sent", id: target.id, now: monotonicNow() });
+    const sentAt = monotonicNow();
+    mailbox.send({ kind: "sent", id: target.id, now: sentAt });
     const result = await sendTo(
       {
         id: target.id,
@@ -294,19 +310,25 @@
       request,
       body,
     );
-    learnFrom(target.id, result);
+    learnFrom(target.id, { result, rank: request.rank, sentAt });
     return result;
   }
 
   function learnFrom(
     id: AgentId,
-    result: Result<ProxyAnswer, Failure>,
+    attempt: {
+      readonly result: Result<ProxyAnswer, Failure>;
+      readonly rank: number;
+      readonly sentAt: number;
+    },
   ): void {
+    const { result, rank, sentAt } = attempt;
     const now = monotonicNow();
     if (result.isOk) {
       const { load, body } = result.value;
+      const took = { rank, milliseconds: now - sentAt };
       onAnswerEnd(body, () => {
-        mailbox.send({ kind: "replied", id, load, now: monotonicNow() });
+        mailbox.send({ kind: "replied", id, load, took, now: monotonicNow() });
       });
       return;
     }
@@ -339,9 +361,7 @@
   }
 
   function countRegionBytes(request: ProxyRequest, body: Body): void {
-    const bytes = body.kind === "kept"
-      ? body.bytes.length
-      : Number(request.headers["content-length"] ?? 0);
+    const bytes = bytesOf(request, body);
     const rank = String(request.rank);
     metrics.count("region_link_bytes", { rank }, bytes);
   }
@@ -349,6 +369,13 @@
   return { handle, running: () => running };
 }
 
+/** As the caller states it for a body that is still to come. */
+function bytesOf(request: ProxyRequest, body: Body): number {
+  return body.kind === "kept"
+    ? body.bytes.length
+    : Number(request.headers["content-length"] ?? 0);
+}
+
 function afterAttempt(body: Body): Body {
   if (body.kind === "kept") return body;
   const used = body.used || body.stream.readableDidRead ||
--- /dev/null
+++ b/source/tasks/entry_task_test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Result } from "true-myth";
+import type { Agent } from "../core/agent.ts";
+import { emptyConfiguration } from "../core/document/document.ts";
+import { notRun } from "../core/request/outcome.ts";
+import { testRequest } from "../../tests/test_request.ts";
+import { startEntry } from "./entry_task.ts";
+
+function target(id: string, service: string): Agent {
+  return {
+    id,
+    host: id,
+    incarnation: 1,
+    callerAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:2",
+    place: { dataCenter: "kolkata-1", region: "kolkata" },
+    service,
+    group: null,
+    slots: 10,
+    checksFencing: false,
+    phase: "serving",
+  };
+}
+
+const mostSaved = 3;
+
+/** An entry all of whose requests are refused by the targets. */
+function startRefusedEntry() {
+  const sent: string[] = [];
+  const entry = startEntry({
+    agent: target("entry", "none"),
+    agents: () => [
+      target("booking-1", "booking"),
+      target("booking-2", "booking"),
+      target("media-1", "media"),
+      target("media-2", "media"),
+    ],
+    configuration: () => emptyConfiguration,
+    localTable: () => null,
+    serve: {
+      serve: () => Promise.resolve(Result.err(notRun("not-owner"))),
+      running: () => 0,
+    },
+    forwarder: {
+      forward(_address, request) {
+        sent.push(request.service);
+        return Promise.resolve(Result.err(notRun("target-refused")));
+      },
+      close: () => Promise.resolve(),
+    },
+    peers: {
+      call: () =>
+        Promise.resolve(Result.err({ kind: "unreachable", detail: "" })),
+      close: () => Promise.resolve(),
+    },
+    events: { record: () => undefined },
+    metrics: { count: () => undefined, time: () => undefined },
+    hash: () => 0,
+    place: () => -1,
+    random: () => 0.5,
+    retries: () => ({
+      earnedByRequest: 0.1,
+      mostSaved,
+      firstDelayMilliseconds: 0,
+      longestDelayMilliseconds: 0,
+    }),
+    shortestTableAgeMilliseconds: 0,
+  });
+  async function send(service: string, count: number): Promise<number> {
+    const before = sent.length;
+    for (let index = 0; index < count; index += 1) {
+      const request = testRequest({
+        service,
+        mostAttempts: 3,
+        deadlineAt: performance.now() + 10_000,
+        signal: AbortSignal.timeout(10_000),
+      });
+      await entry.handle(request, {
+        body: { kind: "kept", bytes: new Uint8Array() },
+      });
+    }
+    return sent.length - before;
+  }
+  return { send };
+}
+
+describe("an entry whose requests are refused", () => {
+  describe("for one service in a flood", () => {
+    it("repeats no more than that service's budget allows", async () => {
+      const { send } = startRefusedEntry();
+      const attempts = await send("booking", 100);
+      assert.ok(attempts <= 100 + mostSaved + 100 * 0.1, `${attempts}`);
+    });
+
+    it("leaves the budget of another service alone", async () => {
+      const { send } = startRefusedEntry();
+      await send("booking", 100);
+      assert.ok(await send("media", 1) > 1);
+    });
+
+    it("saves up no repeats for it by work for others", async () => {
+      const { send } = startRefusedEntry();
+      await send("booking", 50);
+      await send("media", 1_000);
+      const attempts = await send("booking", 10);
+      assert.ok(attempts <= 10 + 10 * 0.1 + 1, `${attempts}`);
+    });
+  });
+});
