After a loss of all agents nothing waits for leases that no target holds

That process now takes all keys back at its target, below the first grant of the new epoch, and says so; when all hosts are accounted for, slices are granted at once (emptied_test.ts, key_grants_task_test.ts). Weighed: shorter leases, which renewals over a bad link would not keep.

--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -298,6 +298,7 @@
         leaving: false,
         held: own,
         released: [],
+        emptied: false,
         tableVersion: tableOf(state).version,
         sliceLoads: own.map((grant) => ({
           slice: grant.slice,
--- a/benches/ownership_bench.ts
+++ b/benches/ownership_bench.ts
@@ -127,6 +127,7 @@
     leaving: options.id === options.leaving,
     held: grants,
     released: moving,
+    emptied: false,
     tableVersion: table.version,
     sliceLoads: grants.map(({ slice }) => ({
       slice,
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -133,6 +133,7 @@
   leaving: z.boolean(),
   held: grants,
   released: grants,
+  emptied: z.boolean(),
   tableVersion: token,
   sliceLoads: z.array(
     z.strictObject({ slice: count, requestsPerSecond: rate }),
--- /dev/null
+++ b/source/core/ownership/emptied_test.ts
@@ -0,0 +1,117 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Clocks } from "../clocks.ts";
+import { stepGrantor } from "./grantor.ts";
+import type { GrantorEvent, GrantorState } from "./grantor_state.ts";
+import type { Renewal } from "./renewal.ts";
+import { beginGrantor } from "./takeover.ts";
+import { noToken } from "./token.ts";
+
+const settings = {
+  leaseMilliseconds: 4_000,
+  longestDeadlineMilliseconds: 1_000,
+  hashedSlices: 8,
+  stripeSlices: 1,
+  movesAtOnce: 8,
+  toleratedShare: 0.2,
+  isolatedKeys: 2,
+  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
+  gatherMilliseconds: 0,
+  delegationMilliseconds: 60_000,
+};
+
+function at(milliseconds: number): Clocks {
+  return { monotonic: milliseconds, wall: milliseconds };
+}
+
+function renewal(id: string, emptied: boolean): Renewal {
+  return {
+    group: "timetable.0",
+    epoch: 2,
+    id,
+    peerAddress: "127.0.0.1:1",
+    weight: 8,
+    checksFencing: true,
+    leaving: false,
+    held: [],
+    released: [],
+    emptied,
+    tableVersion: noToken,
+    sliceLoads: [],
+    keyLoads: [],
+  };
+}
+
+function feed(
+  state: GrantorState,
+  ...events: readonly GrantorEvent[]
+): GrantorState {
+  return events.reduce((next, event) => stepGrantor(next, event).state, state);
+}
+
+/** Joins the store's roster and renews once more. */
+function join(
+  state: GrantorState,
+  server: { readonly id: string; readonly emptied: boolean },
+): GrantorState {
+  const now = at(200);
+  const asks: GrantorEvent = {
+    kind: "renewal",
+    renewal: renewal(server.id, server.emptied),
+    now,
+  };
+  return feed(
+    state,
+    asks,
+    { kind: "tick", now },
+    { kind: "confirmed", askedAt: now },
+    asks,
+  );
+}
+
+function held(state: GrantorState): number {
+  return state.slices.filter((slice) => slice.kind === "held").length;
+}
+
+/** Every agent was killed, and started again a moment later. */
+describe("a grantor that nobody of the former agents answers", () => {
+  const begun = beginGrantor({
+    group: "timetable.0",
+    epoch: 2,
+    settings,
+    roster: [
+      { id: "host-1/a", peerAddress: "127.0.0.1:1" },
+      { id: "host-2/a", peerAddress: "127.0.0.1:2" },
+    ],
+    answers: [],
+    earlierStopped: true,
+    claimedFromOther: true,
+    formerDurationMilliseconds: 0,
+    askedAt: at(0),
+    isolatedKeys: [],
+    now: at(0),
+  });
+
+  describe("once the targets of all their hosts are known to be empty", () => {
+    it("grants all slices at once", () => {
+      const one = join(begun, { id: "host-1/b", emptied: true });
+      assert.equal(held(one), 0);
+      const both = join(one, { id: "host-2/b", emptied: true });
+      assert.equal(held(both), 8);
+    });
+  });
+
+  describe("while the target of one host may still hold something", () => {
+    it("waits for the leases to end", () => {
+      const one = join(begun, { id: "host-1/b", emptied: true });
+      const both = join(one, { id: "host-2/b", emptied: false });
+      assert.equal(held(both), 0);
+    });
+
+    it("takes no other host's word for it", () => {
+      const one = join(begun, { id: "host-1/b", emptied: true });
+      const other = join(one, { id: "host-3/b", emptied: true });
+      assert.equal(held(other), 0);
+    });
+  });
+});
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -26,7 +26,7 @@
 import { tableOf } from "./grantor_table.ts";
 import { noteBusyKeys } from "./isolation.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
-import { inheritSlices } from "./succession.ts";
+import { formerAgents, inheritSlices } from "./succession.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
 import { compareTokens, noToken } from "./token.ts";
 import { freeUnreported } from "./unreported.ts";
@@ -77,7 +77,8 @@
     return apply(state, renewal);
   }
   const known = withHolder(state, renewal, now);
-  const restored = restoreReported(known, renewal);
+  const proved = renewal.emptied ? noteEmptied(known, renewal.id) : known;
+  const restored = restoreReported(proved, renewal);
   const released = acceptReleases(restored, renewal);
   const assigned = assignFree(noteBusyKeys(released, renewal));
   const { effects } = assigned;
@@ -200,6 +201,12 @@
   return firstHeard ? noteHeard(restored, renewal.id) : restored;
 }
 
+/** Nothing needs to be heard any more of the former agents of this host. */
+function noteEmptied(state: GrantorState, id: AgentId): GrantorState {
+  const former = formerAgents([...state.unheard], id);
+  return [...former].reduce(noteHeard, state);
+}
+
 function noteHeard(state: GrantorState, id: AgentId): GrantorState {
   const unheard = new Set(state.unheard);
   unheard.delete(id);
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -237,6 +237,7 @@
       leaving: server.leaving,
       held: heldGrants(server.state, this.clocks(server)),
       released: server.state.released,
+      emptied: false,
       tableVersion: server.state.table.version,
       sliceLoads: [],
       keyLoads: busy === null ? [] : [{
--- a/source/core/ownership/renewal.ts
+++ b/source/core/ownership/renewal.ts
@@ -41,6 +41,11 @@
   readonly held: readonly Grant[];
   /** Grants that the holder has given up since its last answered renewal. */
   readonly released: readonly Grant[];
+  /**
+   * The target has given up all that former agents of its host let it hold,
+   * and has been let hold nothing since.
+   */
+  readonly emptied: boolean;
   readonly tableVersion: FencingToken;
   readonly sliceLoads: readonly SliceLoad[];
   readonly keyLoads: readonly KeyLoad[];
--- a/source/core/ownership/succession.ts
+++ b/source/core/ownership/succession.ts
@@ -15,7 +15,7 @@
   state: GrantorState,
   newcomer: AgentId,
 ): GrantorState {
-  const former = formerAgents(state, newcomer);
+  const former = formerAgents(knownAgents(state), newcomer);
   if (former.size === 0) return state;
   let { sequence } = state;
   const slices = state.slices.map((slice): Slice => {
@@ -30,15 +30,19 @@
   return { ...state, slices, holders, sequence: sequence + 1 };
 }
 
-/** Agents of the newcomer's host that own slices or hold a lease. */
-function formerAgents(
-  state: GrantorState,
-  newcomer: AgentId,
-): ReadonlySet<AgentId> {
+/** Agents that own slices or hold a lease. */
+function knownAgents(state: GrantorState): readonly AgentId[] {
   const owners = state.slices.flatMap((slice) =>
     slice.kind === "free" || slice.owner === null ? [] : [slice.owner]
   );
-  const known = [...state.holders.keys(), ...owners];
+  return [...state.holders.keys(), ...owners];
+}
+
+/** Those of the known agents that ran on the newcomer's host before it. */
+export function formerAgents(
+  known: readonly AgentId[],
+  newcomer: AgentId,
+): ReadonlySet<AgentId> {
   const host = hostOfAgent(newcomer);
   return new Set(
     known.filter((id) => id !== newcomer && hostOfAgent(id) === host),
--- a/source/core/ownership/succession_test.ts
+++ b/source/core/ownership/succession_test.ts
@@ -35,6 +35,7 @@
     leaving: false,
     held: [],
     released: [],
+    emptied: false,
     tableVersion: noToken,
     sliceLoads: [],
     keyLoads: [],
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -42,6 +42,7 @@
   | "connection-silent"
   | "target-registered"
   | "target-answer-spoilt"
+  | "target-emptied"
   | "target-replaced"
   | "target-heartbeat-refused"
   | "target-grant-failed"
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -156,6 +156,8 @@
   let { leaving } = options;
   let wake = new AbortController();
   const counting = startCounting();
+  /** What is known of the target's being empty since this process began. */
+  let emptiness: "unknown" | "asked" | "empty" | "held" = "unknown";
   let hadLease = false;
 
   function change(next: HolderState): void {
@@ -194,6 +196,7 @@
   const mailbox = openMailbox<Message>((message) => {
     switch (message.kind) {
       case "answered":
+        if (message.answer.grants.length > 0) emptiness = "held";
         change(stepHolder(state, message));
         tellTarget();
         break;
@@ -217,6 +220,7 @@
       stepHolder(state, { kind: "epochTaken", epoch: claim.epoch }),
     );
     grantor = { address: claim.grantorAddress, epoch: claim.epoch };
+    emptyOnce(claim.epoch);
     events.record("epoch-accepted", {
       group: state.group,
       epoch: claim.epoch,
@@ -231,6 +235,18 @@
     };
   }
 
+  /** A new grantor need not wait for what an emptied target once held. */
+  function emptyOnce(epoch: number): void {
+    if (keyGrants === null || emptiness !== "unknown") return;
+    emptiness = "asked";
+    void keyGrants.empty(epoch).then((empty) => {
+      if (emptiness !== "asked") return;
+      emptiness = empty ? "empty" : "unknown";
+      events.record("target-emptied", { group: state.group, epoch, empty });
+      if (empty) nudge();
+    });
+  }
+
   function nudge(): void {
     wake.abort();
   }
@@ -247,6 +263,7 @@
       leaving,
       held: heldGrants(state, readClocks()),
       released: state.released,
+      emptied: emptiness === "empty",
       tableVersion: state.table.version,
       ...measured,
     };
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -45,6 +45,11 @@
     grant: Grant,
     table: OwnershipTable,
   ): Promise<{ readonly handover: string | undefined }>;
+  /**
+   * Takes all keys back that former processes of this agent may have granted,
+   * below the first grant of this epoch; says whether the target confirmed it.
+   */
+  empty(epoch: number): Promise<boolean>;
   /** Whether the target has confirmed that it holds the slice still. */
   confirmed(slice: number): boolean;
   /** A new process has taken the target's place: it holds nothing. */
@@ -91,6 +96,8 @@
   let wanted: readonly WantedOrder[] = [];
   /** Orders that the target has not answered yet, and what they cover. */
   const underWay = new Map<Promise<unknown>, readonly number[]>();
+  /** Orders to hold wait until the target has answered that it is empty. */
+  let emptying = false;
   let retry: ReturnType<typeof setTimeout> | null = null;
 
   function holdOf(grant: Grant): TargetHold {
@@ -196,7 +203,7 @@
 
   /** What an order under way covers waits for its answer. */
   function sendWanted(): void {
-    if (view === null) return;
+    if (view === null || emptying) return;
     const holdMilliseconds = holdLength(view, readClocks());
     if (holdMilliseconds < shortestHoldMilliseconds) return;
     const busy = new Set([...underWay.values()].flat());
@@ -308,8 +315,20 @@
     }
   }
 
+  async function empty(epoch: number): Promise<boolean> {
+    emptying = true;
+    const token = { epoch, sequence: 0 };
+    const all = { first: 0, last: keys.count - 1, token };
+    const result = await keyServer.release(all);
+    emptying = false;
+    sendWanted();
+    // A target whose process has ended holds nothing either.
+    return result.isOk || result.error.kind === "gone";
+  }
+
   return {
     hold: look,
+    empty,
     surrender,
     confirmed: (slice) =>
       (holds.get(slice)?.confirmedUntil ?? 0) > monotonicNow(),
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -3,7 +3,7 @@
 import { Result } from "true-myth";
 import type { KeyRange } from "../core/ownership/key_ranges.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
-import { fenceOf } from "../core/ownership/token.ts";
+import { fenceOf, noToken } from "../core/ownership/token.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
 import { later } from "../core/clocks.ts";
 import { type KeyGrantsTask, startKeyGrants } from "./key_grants_task.ts";
@@ -154,6 +154,31 @@
     });
   });
 
+  describe("to be empty", () => {
+    it("take all keys back below the first grant of the epoch", async () => {
+      const { orders, server } = heldServer();
+      const empty = start(server).empty(2);
+      const range = orders[0]?.range;
+      assert.deepEqual([range?.first, range?.last], [0, 63]);
+      const fence = fenceOf(range?.token ?? noToken, "release");
+      assert.ok(fence > fenceOf({ epoch: 1, sequence: 2 ** 23 }, "grant"));
+      assert.ok(fence < fenceOf({ epoch: 2, sequence: 1 }, "grant"));
+      orders[0]?.answer(null);
+      assert.equal(await empty, true);
+    });
+
+    it("go before every order to hold", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      void task.empty(1);
+      task.hold(view(grant(0, 1)));
+      assert.deepEqual(orders.map(({ kind }) => kind), ["release"]);
+      orders[0]?.answer({ kind: "unanswered", detail: "timeout" });
+      await settle();
+      assert.deepEqual(orders.map(({ kind }) => kind), ["release", "grant"]);
+    });
+  });
+
   describe("to hold again", () => {
     it("carry no number below the one of a former, longer range", async () => {
       const { orders, server } = heldServer();
