--- a/source/core/admission/in_time_first.ts
+++ b/source/core/admission/in_time_first.ts
@@ -30,7 +30,7 @@
 /** Times in the target vary: half of the usual one is still likely. */
 const likelyShare = 0.5;
 /** A newcomer is let in only if a long time in the target is in time too. */
-const longShare = 1.4;
+const longShare = 1.8;
 
 /** Whether a request that starts now can be answered within its objective. */
 export function canBeInTime(
--- a/source/core/admission/in_time_first_test.ts
+++ b/source/core/admission/in_time_first_test.ts
@@ -121,9 +121,13 @@
       const request = { objectiveAt: 250, deadlineAt: 1_200 };
       const outlook = { now: 0, serviceMilliseconds, lateWaitMilliseconds: 50 };
       assert.equal(
-        stayAway(request, { ...outlook, waitMilliseconds: 100 }),
+        stayAway(request, { ...outlook, waitMilliseconds: 60 }),
         null,
       );
+      assert.equal(
+        stayAway(request, { ...outlook, waitMilliseconds: 100 }),
+        50,
+      );
       assert.equal(
         stayAway(request, { ...outlook, waitMilliseconds: 300 }),
         250,
