The log is bounded by class and second, and waits for no reader

At most 50 lines of requests that go well, 50 of failures and 100 of changes in one second now; what is left out is told (line_limit_test.ts); a line that would wait behind a megyabyte of others is left out (line_output_test.ts: a child whose output nobody reads wrote about 1,000 of 20,000 lines of 1 KB and ended by itself; in a trial of the former way all 20,000 stayed in memory and the process had not ended after 4 s).

--- a/source/adapters/log.ts
+++ b/source/adapters/log.ts
@@ -5,22 +5,47 @@
  */
 import { Writable } from "node:stream";
 import bunyan from "bunyan";
+import {
+  beginLineCount,
+  decideLine,
+  type LineBounds,
+  type LineClass,
+} from "../core/timeline/line_limit.ts";
 import type { EventDetail, EventKind } from "../ports/events.ts";
 
+/** Lines in one second, of some 200 bytes each. */
+const lineBounds: LineBounds = { progress: 50, failure: 50, change: 100 };
+/** Longer values are cut. */
+const longestValue = 400;
+
 /** How much is logged. */
 export type LogLevel = "debug" | "info" | "warn" | "error";
 
 /** Writes one event. */
 export type LogEvent = (kind: EventKind, detail: EventDetail) => void;
 
-const quietKinds: ReadonlySet<EventKind> = new Set([
+const progressKinds: ReadonlySet<EventKind> = new Set([
   "request-entered",
   "request-routed",
   "request-admitted",
   "request-answered",
+  "slice-granted",
+]);
+
+const failureKinds: ReadonlySet<EventKind> = new Set([
+  "request-failed",
+  "request-retried",
+  "request-refused",
+  "target-answer-spoilt",
+  "target-grant-failed",
+  "connection-silent",
+]);
+
+/** Seen at this level only; the agent that a caller asked says it all. */
+const debugKinds: ReadonlySet<EventKind> = new Set([
+  ...progressKinds,
   "request-retried",
   "request-refused",
-  "slice-granted",
 ]);
 
 const gravestKinds: ReadonlySet<EventKind> = new Set([
@@ -37,6 +62,8 @@
 export function openLog(options: {
   readonly agent: string;
   readonly level: LogLevel;
+  /** The monotonic clock, in milliseconds. */
+  readonly now: () => number;
   readonly write: (line: string) => void;
 }): LogEvent {
   const logger = bunyan.createLogger({
@@ -48,14 +75,32 @@
       stream: lineWriter(options.write),
     }],
   });
-  return (kind, detail) => {
+  const { now } = options;
+  const quiet = options.level !== "debug";
+  let count = beginLineCount(now());
+
+  function write(kind: EventKind, detail: EventDetail): void {
     const record = { event: kind, detail };
-    if (quietKinds.has(kind)) logger.debug(record);
+    if (debugKinds.has(kind)) logger.debug(record);
     else if (gravestKinds.has(kind)) logger.warn(record);
     else logger.info(record);
+  }
+
+  return (kind, detail) => {
+    if (quiet && debugKinds.has(kind)) return;
+    const event = { lineClass: classOf(kind), now: now() };
+    const decision = decideLine(count, event, lineBounds);
+    count = decision.count;
+    if (decision.leftOut !== null) write("log-lines-omitted", decision.leftOut);
+    if (decision.written) write(kind, detail);
   };
 }
 
+function classOf(kind: EventKind): LineClass {
+  if (progressKinds.has(kind)) return "progress";
+  return failureKinds.has(kind) ? "failure" : "change";
+}
+
 interface LogRecord {
   readonly time: Date;
   readonly level: number;
@@ -82,7 +127,9 @@
     ["event", record.event],
     ...Object.entries(record.detail),
   ];
-  return pairs.map(([name, value]) => `${name}=${quote(String(value))}`)
+  return pairs.map(([name, value]) =>
+    `${name}=${quote(String(value).slice(0, longestValue))}`
+  )
     .join(" ");
 }
 
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -51,7 +51,8 @@
   | "settings-refused"
   | "desired-state-refused"
   | "member-refused"
-  | "peer-message-refused";
+  | "peer-message-refused"
+  | "log-lines-omitted";
 
 /** What an event tells besides its kind. */
 export type EventDetail = Readonly<Record<string, string | number | boolean>>;
--- a/source/programs/main.ts
+++ b/source/programs/main.ts
@@ -15,6 +15,7 @@
 } from "./document_command.ts";
 import { ExitCode } from "./exit_code.ts";
 import { agentSettings, readSettings } from "./settings.ts";
+import { openLogOutput, stopOnSignal } from "./stop_on_signal.ts";
 import { showTimeline } from "./timeline_command.ts";
 import { version } from "./version.ts";
 
@@ -36,21 +37,14 @@
     process.exitCode = ExitCode.usage;
     return;
   }
-  const agent = await startAgent(settings.value, { writeLog: writeLine });
+  const log = openLogOutput();
+  const agent = await startAgent(settings.value, { writeLog: log.write });
   if (agent.isErr) {
     writeError(`geraniumledge agent: ${agent.error}`);
     process.exitCode = ExitCode.unavailable;
     return;
   }
-  const running = agent.value;
-  let stopping = false;
-  const stop = () => {
-    if (stopping) return;
-    stopping = true;
-    void running.stop().then(() => process.exit(ExitCode.success));
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  stopOnSignal(agent.value, log);
 }
 
 const agentCommand = program
--- a/source/programs/outside.ts
+++ b/source/programs/outside.ts
@@ -44,6 +44,7 @@
   const log = openLog({
     agent: options.id,
     level: options.logLevel,
+    now: monotonicNow,
     write: options.writeLog,
   });
   const events = startTimeline({ agent: options.id, clock, log });
--- a/source/programs/platform_command.ts
+++ b/source/programs/platform_command.ts
@@ -19,6 +19,7 @@
   type RunningPlatformAgent,
   startPlatformAgent,
 } from "./platform_agent.ts";
+import { openLogOutput, stopOnSignal } from "./stop_on_signal.ts";
 
 const logLevels: ReadonlySet<string> = new Set<LogLevel>([
   "debug",
@@ -53,9 +54,10 @@
     for (const fault of settings.error) output.writeError(`  ${fault}`);
     return ExitCode.usage;
   }
+  const log = openLogOutput();
   const agent = await startPlatformAgent(settings.value, {
     logLevel: level as LogLevel,
-    writeLog: output.writeLine,
+    writeLog: log.write,
   });
   if (agent.isErr) {
     output.writeError(`can't listen: ${agent.error}`);
@@ -63,7 +65,7 @@
     process.exit(ExitCode.unavailable);
   }
   followSettings(path, { agent: agent.value, first: settings.value, context });
-  stopOnSignal(agent.value);
+  stopOnSignal(agent.value, log);
   return null;
 }
 
@@ -110,14 +112,3 @@
   process.on("SIGHUP", () => void look());
   setInterval(() => void look(), rereadMilliseconds).unref();
 }
-
-function stopOnSignal(agent: RunningPlatformAgent): void {
-  let stopping = false;
-  const stop = () => {
-    if (stopping) return;
-    stopping = true;
-    void agent.stop().then(() => process.exit(ExitCode.success));
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
-}
