A failed request's log lines name where it went, and by which knowledge

From an id alone an on-call engineer saw a reason, not where the request had been sent nor what that choice went by. Each failed attempt now has a line with its destination, the version of the table or the number of targets known, the outcome so far, the time and what is left of the budget; the agent beside the target says why it refused, with its load and rate. Both are bounded as failures.

--- a/source/adapters/log.ts
+++ b/source/adapters/log.ts
@@ -34,6 +34,7 @@
 
 const failureKinds: ReadonlySet<EventKind> = new Set([
   "request-failed",
+  "request-given-up",
   "request-retried",
   "request-refused",
   "target-answer-spoilt",
@@ -41,13 +42,6 @@
   "connection-silent",
 ]);
 
-/** Seen at this level only; the agent that a caller asked says it all. */
-const debugKinds: ReadonlySet<EventKind> = new Set([
-  ...progressKinds,
-  "request-retried",
-  "request-refused",
-]);
-
 const gravestKinds: ReadonlySet<EventKind> = new Set([
   "store-unavailable",
   "lease-ended",
@@ -81,13 +75,13 @@
 
   function write(kind: EventKind, detail: EventDetail): void {
     const record = { event: kind, detail };
-    if (debugKinds.has(kind)) logger.debug(record);
+    if (progressKinds.has(kind)) logger.debug(record);
     else if (gravestKinds.has(kind)) logger.warn(record);
     else logger.info(record);
   }
 
   return (kind, detail) => {
-    if (quiet && debugKinds.has(kind)) return;
+    if (quiet && progressKinds.has(kind)) return;
     const event = { lineClass: classOf(kind), now: now() };
     const decision = decideLine(count, event, lineBounds);
     count = decision.count;
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -37,6 +37,7 @@
   | "request-admitted"
   | "request-refused"
   | "request-retried"
+  | "request-given-up"
   | "request-failed"
   | "request-answered"
   | "connection-silent"
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -17,6 +17,7 @@
   type PlaceKey,
   sliceOfKey,
 } from "../core/ownership/table.ts";
+import { formatToken } from "../core/ownership/token.ts";
 import {
   combineFailures,
   type Failure,
@@ -38,7 +39,7 @@
   type RoutingEvent,
   stepRouting,
 } from "../core/routing/routing.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type { Peers } from "../ports/peers.ts";
 import type {
@@ -69,6 +70,19 @@
   readonly region: string | null;
 }
 
+/** One attempt, with what there is to say of it. */
+interface Attempt {
+  readonly result: Result<ProxyAnswer, Failure>;
+  /** The agent that it was sent to; empty for none. */
+  readonly to: AgentId;
+  /** What the choice of that agent went by. */
+  readonly knew: EventDetail;
+}
+
+function unsent(failure: Failure, knew: EventDetail = {}): Attempt {
+  return { result: Result.err(failure), to: "", knew };
+}
+
 /** Failures after which another server may own the key. */
 const ownerChanges: ReadonlySet<FailureReason> = new Set([
   "not-owner",
@@ -158,7 +172,10 @@
     let reached = 0;
     const beganAt = monotonicNow();
     for (let attempt = 1;; attempt += 1) {
-      const result = await attemptOnce(request, { body: left, tried });
+      const { result, to, knew } = await attemptOnce(request, {
+        body: left,
+        tried,
+      });
       if (result.isOk) return result;
       if (reachedTarget(result.error)) reached += 1;
       left = afterAttempt(left);
@@ -181,15 +198,19 @@
         random,
       });
       budgets.set(request.service, decision.budget);
-      if (decision.kind === "giveUp" || request.signal.aborted) {
-        return Result.err(failure);
-      }
-      metrics.count("requests_retried", { reason: result.error.reason });
-      events.record("request-retried", {
+      const givesUp = decision.kind === "giveUp" || request.signal.aborted;
+      events.record(givesUp ? "request-given-up" : "request-retried", {
         request: request.id,
         attempt,
+        to,
+        ...knew,
+        outcome: failure.outcome,
         reason: result.error.reason,
+        milliseconds: Math.round(monotonicNow() - beganAt),
+        repeatsSaved: Math.floor(decision.budget.saved),
       });
+      if (decision.kind === "giveUp" || givesUp) return Result.err(failure);
+      metrics.count("requests_retried", { reason: result.error.reason });
       await pause(decision.delayMilliseconds, request.signal);
     }
   }
@@ -197,7 +218,7 @@
   async function attemptOnce(
     request: ProxyRequest,
     options: { readonly body: Body; readonly tried: Set<AgentId> },
-  ): Promise<Result<ProxyAnswer, Failure>> {
+  ): Promise<Attempt> {
     return request.key === null
       ? await attemptUnkeyed(request, options)
       : await attemptKeyed(request, { body: options.body, key: request.key });
@@ -206,20 +227,21 @@
   async function attemptKeyed(
     request: ProxyRequest,
     { body, key }: { readonly body: Body; readonly key: string },
-  ): Promise<Result<ProxyAnswer, Failure>> {
+  ): Promise<Attempt> {
     const group = groupOf(request, key);
-    if (group === null) return Result.err(notRun("no-such-service"));
+    if (group === null) return unsent(notRun("no-such-service"));
     let owner = ownerOf(group, key);
     if (owner === null) {
       await refreshTable(group);
       owner = ownerOf(group, key);
     }
-    if (owner === null) return Result.err(notRun("no-owner-known"));
+    const table = formatToken(tableOf(group).version);
+    if (owner === null) return unsent(notRun("no-owner-known"), { table });
     const result = await sendTo(owner, request, body);
     if (result.isErr && ownerMayHaveChanged(result.error)) {
       await refreshTable(group);
     }
-    return result;
+    return { result, to: owner.id, knew: { table } };
   }
 
   function groupOf(request: ProxyRequest, key: string): string | null {
@@ -286,7 +308,7 @@
   async function attemptUnkeyed(
     request: ProxyRequest,
     { body, tried }: { readonly body: Body; readonly tried: Set<AgentId> },
-  ): Promise<Result<ProxyAnswer, Failure>> {
+  ): Promise<Attempt> {
     const query = {
       from: agent.place,
       targets: targetsOf(request.service),
@@ -297,7 +319,8 @@
     };
     const target = chooseTarget(routing, { ...query, tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
-    if (target === null) return Result.err(notRun("no-target-known"));
+    const knew = { targets: query.targets.length };
+    if (target === null) return unsent(notRun("no-target-known"), knew);
     tried.add(target.id);
     const sentAt = monotonicNow();
     mailbox.send({ kind: "sent", id: target.id, now: sentAt });
@@ -311,7 +334,7 @@
       body,
     );
     learnFrom(target.id, { result, rank: request.rank, sentAt });
-    return result;
+    return { result, to: target.id, knew };
   }
 
   function learnFrom(
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -50,7 +50,7 @@
     { body }: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>> {
     const permit = permitFor(request);
-    if (permit.isErr) return Result.err(permit.error);
+    if (permit.isErr) return refuse(request, permit.error);
     running += 1;
     const release = () => {
       running -= 1;
@@ -145,6 +145,9 @@
       request: request.id,
       rank: request.rank,
       reason: failure.reason,
+      load: admission.load(),
+      runsPerSecond: admission.weight(),
+      retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
     });
     return Result.err(failure);
   }
