--- a/source/core/ownership/emptied_test.ts
+++ b/source/core/ownership/emptied_test.ts
@@ -1,46 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Clocks } from "../clocks.ts";
+import {
+  at,
+  testGrantorSettings,
+  testRenewal,
+} from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorEvent, GrantorState } from "./grantor_state.ts";
-import type { Renewal } from "./renewal.ts";
 import { beginGrantor } from "./takeover.ts";
-import { noToken } from "./token.ts";
-
-const settings = {
-  leaseMilliseconds: 4_000,
-  longestDeadlineMilliseconds: 1_000,
-  hashedSlices: 8,
-  stripeSlices: 1,
-  movesAtOnce: 8,
-  toleratedShare: 0.2,
-  isolatedKeys: 2,
-  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
-  gatherMilliseconds: 0,
-  delegationMilliseconds: 60_000,
-};
-
-function at(milliseconds: number): Clocks {
-  return { monotonic: milliseconds, wall: milliseconds };
-}
-
-function renewal(id: string, emptied: boolean): Renewal {
-  return {
-    group: "timetable.0",
-    epoch: 2,
-    id,
-    peerAddress: "127.0.0.1:1",
-    weight: 8,
-    checksFencing: true,
-    leaving: false,
-    held: [],
-    released: [],
-    emptied,
-    tableVersion: noToken,
-    sliceLoads: [],
-    keyLoads: [],
-  };
-}
 
 function feed(
   state: GrantorState,
@@ -57,7 +24,7 @@
   const now = at(200);
   const asks: GrantorEvent = {
     kind: "renewal",
-    renewal: renewal(server.id, server.emptied),
+    renewal: testRenewal(server.id, { epoch: 2, emptied: server.emptied }),
     now,
   };
   return feed(
@@ -78,7 +45,7 @@
   const begun = beginGrantor({
     group: "timetable.0",
     epoch: 2,
-    settings,
+    settings: testGrantorSettings,
     roster: [
       { id: "host-1/a", peerAddress: "127.0.0.1:1" },
       { id: "host-2/a", peerAddress: "127.0.0.1:2" },
--- a/source/core/ownership/succession_test.ts
+++ b/source/core/ownership/succession_test.ts
@@ -1,52 +1,20 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Clocks } from "../clocks.ts";
+import {
+  at,
+  testGrantorSettings,
+  testRenewal,
+} from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorState } from "./grantor_state.ts";
-import type { Renewal } from "./renewal.ts";
 import { beginGrantor } from "./takeover.ts";
-import { compareTokens, noToken } from "./token.ts";
-
-const settings = {
-  leaseMilliseconds: 4_000,
-  longestDeadlineMilliseconds: 1_000,
-  hashedSlices: 8,
-  stripeSlices: 1,
-  movesAtOnce: 8,
-  toleratedShare: 0.2,
-  isolatedKeys: 2,
-  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
-  gatherMilliseconds: 0,
-  delegationMilliseconds: 60_000,
-};
-
-function at(milliseconds: number): Clocks {
-  return { monotonic: milliseconds, wall: milliseconds };
-}
-
-function renewal(id: string): Renewal {
-  return {
-    group: "timetable.0",
-    epoch: 1,
-    id,
-    peerAddress: "127.0.0.1:1",
-    weight: 8,
-    checksFencing: true,
-    leaving: false,
-    held: [],
-    released: [],
-    emptied: false,
-    tableVersion: noToken,
-    sliceLoads: [],
-    keyLoads: [],
-  };
-}
+import { compareTokens } from "./token.ts";
 
 /** Renews until the store's roster has the server and it has its answer. */
 function join(state: GrantorState, id: string, now: number): GrantorState {
   const applied = stepGrantor(state, {
     kind: "renewal",
-    renewal: renewal(id),
+    renewal: testRenewal(id),
     now: at(now),
   }).state;
   const asked = stepGrantor(applied, { kind: "tick", now: at(now) }).state;
@@ -56,7 +24,7 @@
   }).state;
   return stepGrantor(stored, {
     kind: "renewal",
-    renewal: renewal(id),
+    renewal: testRenewal(id),
     now: at(now),
   }).state;
 }
@@ -70,7 +38,7 @@
 const begun = beginGrantor({
   group: "timetable.0",
   epoch: 1,
-  settings,
+  settings: testGrantorSettings,
   roster: [],
   answers: [],
   earlierStopped: true,
--- a/source/core/routing/routing_test.ts
+++ b/source/core/routing/routing_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { Agent } from "../agent.ts";
 import { seededRandom } from "../../../standins/load.ts";
+import { testAgent } from "../../../tests/test_agent.ts";
 import {
   beginRouting,
   chooseTarget,
@@ -11,19 +12,7 @@
 } from "./routing.ts";
 
 function target(id: string, dataCenter: string, region: string): Agent {
-  return {
-    id,
-    host: id,
-    incarnation: 1,
-    callerAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    place: { dataCenter, region },
-    service: "booking",
-    group: null,
-    slots: 10,
-    checksFencing: false,
-    phase: "serving",
-  };
+  return testAgent(id, { place: { dataCenter, region } });
 }
 
 const targets = [
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -5,17 +5,13 @@
  * @module
  */
 import { Result } from "true-myth";
-import { type Agent, type AgentId, distance } from "../core/agent.ts";
+import type { Agent, AgentId } from "../core/agent.ts";
 import type { Configuration } from "../core/document/document.ts";
 import {
-  emptyTable,
   groupOfKey,
   type KeyHash,
-  newerTable,
-  ownerOfSlice,
   type OwnershipTable,
   type PlaceKey,
-  sliceOfKey,
 } from "../core/ownership/table.ts";
 import { formatToken } from "../core/ownership/token.ts";
 import {
@@ -50,6 +46,7 @@
 } from "../ports/upstream.ts";
 import { onAnswerEnd } from "./answer_end.ts";
 import { openMailbox } from "./mailbox.ts";
+import { type Destination, startOwnerTables } from "./owner_tables.ts";
 import type { ServeTask } from "./serve_task.ts";
 import { monotonicNow, pause } from "./time.ts";
 
@@ -63,13 +60,6 @@
   running(): number;
 }
 
-/** Where one attempt goes. */
-interface Destination {
-  readonly id: AgentId;
-  readonly address: string;
-  readonly region: string | null;
-}
-
 /** One attempt, with what there is to say of it. */
 interface Attempt {
   readonly result: Result<ProxyAnswer, Failure>;
@@ -100,8 +90,6 @@
   return ownerChanges.has(failure.reason);
 }
 
-const tableTimeoutMilliseconds = 250;
-
 /** Starts with empty tables. */
 export function startEntry(options: {
   readonly agent: Agent;
@@ -125,9 +113,7 @@
   let routing = beginRouting();
   /** For each service: a flood of failures at one must not use up another's. */
   const budgets = new Map<string, RetryBudget>();
-  let tables: ReadonlyMap<string, OwnershipTable> = new Map();
-  const fetches = new Map<string, Promise<void>>();
-  const fetchedAt = new Map<string, number>();
+  const tables = startOwnerTables(options);
   let running = 0;
   let known: readonly Agent[] = [];
 
@@ -230,16 +216,16 @@
   ): Promise<Attempt> {
     const group = groupOf(request, key);
     if (group === null) return unsent(notRun("no-such-service"));
-    let owner = ownerOf(group, key);
+    let owner = tables.ownerOf(group, key);
     if (owner === null) {
-      await refreshTable(group);
-      owner = ownerOf(group, key);
+      await tables.refresh(group);
+      owner = tables.ownerOf(group, key);
     }
-    const table = formatToken(tableOf(group).version);
+    const table = formatToken(tables.version(group));
     if (owner === null) return unsent(notRun("no-owner-known"), { table });
     const result = await sendTo(owner, request, body);
     if (result.isErr && ownerMayHaveChanged(result.error)) {
-      await refreshTable(group);
+      await tables.refresh(group);
     }
     return { result, to: owner.id, knew: { table } };
   }
@@ -253,58 +239,6 @@
     return groupOfKey(key, { service: request.service, groups, hash });
   }
 
-  function ownerOf(group: string, key: string): Destination | null {
-    const table = tableOf(group);
-    const owner = ownerOfSlice(table, sliceOfKey(table, key, options.place));
-    if (owner === null) return null;
-    const known = options.agents().find((agent) => agent.id === owner.id);
-    return {
-      id: owner.id,
-      address: owner.peerAddress,
-      region: known?.place.region ?? null,
-    };
-  }
-
-  function tableOf(group: string): OwnershipTable {
-    const cached = tables.get(group) ?? emptyTable(group);
-    return newerTable(cached, options.localTable(group));
-  }
-
-  /** One fetch at a time for a group; all that wait share its result. */
-  function refreshTable(group: string): Promise<void> {
-    const current = fetches.get(group);
-    if (current !== undefined) return current;
-    const age = monotonicNow() - (fetchedAt.get(group) ?? -Infinity);
-    if (age < options.shortestTableAgeMilliseconds) return Promise.resolve();
-    const started = fetchTable(group).finally(() => {
-      fetches.delete(group);
-      fetchedAt.set(group, monotonicNow());
-    });
-    fetches.set(group, started);
-    return started;
-  }
-
-  async function fetchTable(group: string): Promise<void> {
-    const members = options.agents().filter((agent) =>
-      agent.group === group && agent.phase !== "lost"
-    );
-    const near = [...members].sort((left, right) =>
-      distance(agent.place, left.place) - distance(agent.place, right.place)
-    );
-    const first = near[0];
-    const other = near[1 + Math.floor(random() * (near.length - 1))];
-    const asked = [first, other].flatMap((agent) => agent ?? []);
-    await Promise.all(asked.map(async (member) => {
-      const result = await options.peers.call(member.peerAddress, "table", {
-        message: { group },
-        timeoutMilliseconds: tableTimeoutMilliseconds,
-      });
-      if (result.isErr) return;
-      const table = newerTable(tableOf(group), result.value);
-      tables = new Map(tables).set(group, table);
-    }));
-  }
-
   async function attemptUnkeyed(
     request: ProxyRequest,
     { body, tried }: { readonly body: Body; readonly tried: Set<AgentId> },
--- a/source/tasks/entry_task_test.ts
+++ b/source/tasks/entry_task_test.ts
@@ -1,40 +1,24 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Agent } from "../core/agent.ts";
 import { emptyConfiguration } from "../core/document/document.ts";
 import { notRun } from "../core/request/outcome.ts";
+import { testAgent } from "../../tests/test_agent.ts";
 import { testRequest } from "../../tests/test_request.ts";
 import { startEntry } from "./entry_task.ts";
 
-function target(id: string, service: string): Agent {
-  return {
-    id,
-    host: id,
-    incarnation: 1,
-    callerAddress: "127.0.0.1:1",
-    peerAddress: "127.0.0.1:2",
-    place: { dataCenter: "kolkata-1", region: "kolkata" },
-    service,
-    group: null,
-    slots: 10,
-    checksFencing: false,
-    phase: "serving",
-  };
-}
-
 const mostSaved = 3;
 
 /** An entry all of whose requests are refused by the targets. */
 function startRefusedEntry() {
   const sent: string[] = [];
   const entry = startEntry({
-    agent: target("entry", "none"),
+    agent: testAgent("entry", { service: "none" }),
     agents: () => [
-      target("booking-1", "booking"),
-      target("booking-2", "booking"),
-      target("media-1", "media"),
-      target("media-2", "media"),
+      testAgent("booking-1", { service: "booking" }),
+      testAgent("booking-2", { service: "booking" }),
+      testAgent("media-1", { service: "media" }),
+      testAgent("media-2", { service: "media" }),
     ],
     configuration: () => emptyConfiguration,
     localTable: () => null,
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -8,10 +8,8 @@
 import type { Clocks } from "../core/clocks.ts";
 import type {
   Grant,
-  KeyLoad,
   Renewal,
   RenewalAnswer,
-  SliceLoad,
   TakeoverAnswer,
 } from "../core/ownership/renewal.ts";
 import {
@@ -29,7 +27,6 @@
   sliceOfKey,
 } from "../core/ownership/table.ts";
 import type { FencingToken } from "../core/ownership/token.ts";
-import { beginSketch, busiestKeys, countKeys } from "../core/load/sketch.ts";
 import type { Events } from "../ports/events.ts";
 import type {
   EpochClaim,
@@ -37,6 +34,7 @@
   LocateEffort,
   Peers,
 } from "../ports/peers.ts";
+import { measureHeldLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
 import { pause, readClocks } from "./time.ts";
@@ -114,9 +112,6 @@
   }
   | { readonly kind: "releaseAll" };
 
-const sketchCapacity = 64;
-const reportedKeys = 16;
-
 /** Starts holding for one agent in its group. */
 export function startHolder(options: {
   readonly agent: Agent & { readonly group: string };
@@ -252,7 +247,7 @@
   }
 
   function compose(): Renewal {
-    const measured = measure(counting.load(), state, place);
+    const measured = measureHeldLoad(counting.load(), state, place);
     return {
       group: state.group,
       epoch: state.epoch,
@@ -420,62 +415,3 @@
     },
   };
 }
-
-/** What was asked for since the last answered renewal. */
-interface HeldLoad {
-  readonly since: number;
-  /** A sample: all that were asked for until it is full. */
-  readonly keys: readonly string[];
-  readonly slices: ReadonlyMap<number, number>;
-}
-
-/** Keys kept for the sketch between two renewals. */
-const mostSampledKeys = 512;
-
-/** Counts requests; kept apart since every request adds to it. */
-function startCounting() {
-  let since = performance.now();
-  let keys: string[] = [];
-  let slices = new Map<number, number>();
-  return {
-    add(key: string, slice: number): void {
-      slices.set(slice, (slices.get(slice) ?? 0) + 1);
-      if (keys.length < mostSampledKeys) keys.push(key);
-    },
-    load: (): HeldLoad => ({ since, keys, slices }),
-    restart(): void {
-      since = performance.now();
-      keys = [];
-      slices = new Map();
-    },
-  };
-}
-
-/** One decimal is enough, and keeps renewals short. */
-function rounded(value: number): number {
-  return Math.round(value * 10) / 10;
-}
-
-function measure(
-  load: HeldLoad,
-  state: HolderState,
-  place: PlaceKey,
-): {
-  readonly sliceLoads: readonly SliceLoad[];
-  readonly keyLoads: readonly KeyLoad[];
-} {
-  const seconds = Math.max(0.1, (performance.now() - load.since) / 1_000);
-  const total = [...load.slices.values()].reduce((sum, n) => sum + n, 0);
-  const scale = load.keys.length === 0 ? 0 : total / load.keys.length;
-  const sketch = countKeys(beginSketch(sketchCapacity), load.keys);
-  const sliceLoads = [...state.slices.keys()].map((slice) => ({
-    slice,
-    requestsPerSecond: rounded((load.slices.get(slice) ?? 0) / seconds),
-  }));
-  const keyLoads = busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
-    key,
-    slice: sliceOfKey(state.table, key, place),
-    requestsPerSecond: rounded(count * scale / seconds),
-  }));
-  return { sliceLoads, keyLoads };
-}
--- /dev/null
+++ b/source/tasks/owner_tables.ts
@@ -0,0 +1,108 @@
+/**
+ * Who owns which key, as an entry knows it: tables that are fetched from the
+ * members of a group when an owner refuses.
+ *
+ * @module
+ */
+import { type Agent, type AgentId, distance } from "../core/agent.ts";
+import {
+  emptyTable,
+  newerTable,
+  ownerOfSlice,
+  type OwnershipTable,
+  type PlaceKey,
+  sliceOfKey,
+} from "../core/ownership/table.ts";
+import type { FencingToken } from "../core/ownership/token.ts";
+import type { Peers } from "../ports/peers.ts";
+import { monotonicNow } from "./time.ts";
+
+/** Where one attempt goes. */
+export interface Destination {
+  readonly id: AgentId;
+  readonly address: string;
+  readonly region: string | null;
+}
+
+/** The tables of all groups that were asked for. */
+export interface OwnerTables {
+  /** Null while no owner is known. */
+  ownerOf(group: string, key: string): Destination | null;
+  /** Fetches a group's table, unless that was done a moment ago. */
+  refresh(group: string): Promise<void>;
+  /** The version of the table in use. */
+  version(group: string): FencingToken;
+}
+
+const tableTimeoutMilliseconds = 250;
+
+/** Starts with empty tables. */
+export function startOwnerTables(options: {
+  readonly agent: Agent;
+  readonly agents: () => readonly Agent[];
+  readonly localTable: (group: string) => OwnershipTable | null;
+  readonly peers: Peers;
+  readonly place: PlaceKey;
+  readonly random: () => number;
+  /** A table fetched so lately is not fetched again, in milliseconds. */
+  readonly shortestTableAgeMilliseconds: number;
+}): OwnerTables {
+  const { agent, random } = options;
+  let tables: ReadonlyMap<string, OwnershipTable> = new Map();
+  const fetches = new Map<string, Promise<void>>();
+  const fetchedAt = new Map<string, number>();
+
+  function ownerOf(group: string, key: string): Destination | null {
+    const table = tableOf(group);
+    const owner = ownerOfSlice(table, sliceOfKey(table, key, options.place));
+    if (owner === null) return null;
+    const known = options.agents().find((agent) => agent.id === owner.id);
+    return {
+      id: owner.id,
+      address: owner.peerAddress,
+      region: known?.place.region ?? null,
+    };
+  }
+
+  function tableOf(group: string): OwnershipTable {
+    const cached = tables.get(group) ?? emptyTable(group);
+    return newerTable(cached, options.localTable(group));
+  }
+
+  /** One fetch at a time for a group; all that wait share its result. */
+  function refresh(group: string): Promise<void> {
+    const current = fetches.get(group);
+    if (current !== undefined) return current;
+    const age = monotonicNow() - (fetchedAt.get(group) ?? -Infinity);
+    if (age < options.shortestTableAgeMilliseconds) return Promise.resolve();
+    const started = fetchTable(group).finally(() => {
+      fetches.delete(group);
+      fetchedAt.set(group, monotonicNow());
+    });
+    fetches.set(group, started);
+    return started;
+  }
+
+  async function fetchTable(group: string): Promise<void> {
+    const members = options.agents().filter((agent) =>
+      agent.group === group && agent.phase !== "lost"
+    );
+    const near = [...members].sort((left, right) =>
+      distance(agent.place, left.place) - distance(agent.place, right.place)
+    );
+    const first = near[0];
+    const other = near[1 + Math.floor(random() * (near.length - 1))];
+    const asked = [first, other].flatMap((agent) => agent ?? []);
+    await Promise.all(asked.map(async (member) => {
+      const result = await options.peers.call(member.peerAddress, "table", {
+        message: { group },
+        timeoutMilliseconds: tableTimeoutMilliseconds,
+      });
+      if (result.isErr) return;
+      const table = newerTable(tableOf(group), result.value);
+      tables = new Map(tables).set(group, table);
+    }));
+  }
+
+  return { ownerOf, refresh, version: (group) => tableOf(group).version };
+}
--- /dev/null
+++ b/tests/test_grantor.ts
@@ -0,0 +1,51 @@
+/**
+ * What tests feed a grantor with.
+ *
+ * @module
+ */
+import type { Clocks } from "../source/core/clocks.ts";
+import type { GrantorSettings } from "../source/core/ownership/grantor_state.ts";
+import type { Renewal } from "../source/core/ownership/renewal.ts";
+import { noToken } from "../source/core/ownership/token.ts";
+
+/** A small group that gathers nobody before it grants. */
+export const testGrantorSettings: GrantorSettings = {
+  leaseMilliseconds: 4_000,
+  longestDeadlineMilliseconds: 1_000,
+  hashedSlices: 8,
+  stripeSlices: 1,
+  movesAtOnce: 8,
+  toleratedShare: 0.2,
+  isolatedKeys: 2,
+  isolation: { share: 0.25, floorPerSecond: 50, coldPerSecond: 25 },
+  gatherMilliseconds: 0,
+  delegationMilliseconds: 60_000,
+};
+
+/** Both clocks at this time. */
+export function at(milliseconds: number): Clocks {
+  return { monotonic: milliseconds, wall: milliseconds };
+}
+
+/** A renewal of a server that holds nothing; `change` states what matters. */
+export function testRenewal(
+  id: string,
+  change: Partial<Renewal> = {},
+): Renewal {
+  return {
+    group: "timetable.0",
+    epoch: 1,
+    id,
+    peerAddress: "127.0.0.1:1",
+    weight: 8,
+    checksFencing: true,
+    leaving: false,
+    held: [],
+    released: [],
+    emptied: false,
+    tableVersion: noToken,
+    sliceLoads: [],
+    keyLoads: [],
+    ...change,
+  };
+}
