A key's own slice that is given to another key changes what its target holds

When the busiest keys changed, a key went back to the slice that it is hashed to while the target held it under the higher number of its own one, so the release of that slice had no effect on it; and the key that took the number over counted as held though nobody had told the target. Ruled out: the release of all keys by a new process (none within 10 s of either breach). Holds are divided anew with the table now, and a release waits for orders of the former division (key_grants_task_test.ts: three tests, all failed before).

--- a/source/core/ownership/target_hold.ts
+++ b/source/core/ownership/target_hold.ts
@@ -5,7 +5,8 @@
  *
  * @module
  */
-import { compareTokens, type FencingToken } from "./token.ts";
+import type { IsolatedKey } from "./table.ts";
+import { compareTokens, type FencingToken, noToken } from "./token.ts";
 
 /** The last orders that were sent for one slice. */
 export interface TargetHold {
@@ -88,3 +89,56 @@
     ? Math.max(hold.heldUntil, hold.lateUntil)
     : hold.heldUntil;
 }
+
+/** Isolated keys before and after a change of the table. */
+export interface Redivision {
+  readonly former: readonly IsolatedKey[];
+  readonly next: readonly IsolatedKey[];
+}
+
+/**
+ * The holds once the keys are divided anew. A key that gets a slice of its own
+ * is held as the slice was that it comes from; one that loses its slice is
+ * held there as before, under a number that may be above that of its new one.
+ */
+export function redivideHolds(
+  holds: ReadonlyMap<number, TargetHold>,
+  { former, next }: Redivision,
+): ReadonlyMap<number, TargetHold> {
+  const redivided = new Map(holds);
+  for (const { slice, base } of withoutEntries(former, next)) {
+    const rejoining = redivided.get(slice);
+    redivided.delete(slice);
+    if (rejoining === undefined) continue;
+    const other = redivided.get(base);
+    redivided.set(base, joinHolds(other ?? beginHold(noToken), rejoining));
+  }
+  for (const { slice, base } of withoutEntries(next, former)) {
+    const hold = redivided.get(base);
+    if (hold !== undefined) redivided.set(slice, hold);
+  }
+  return redivided;
+}
+
+function withoutEntries(
+  entries: readonly IsolatedKey[],
+  others: readonly IsolatedKey[],
+): readonly IsolatedKey[] {
+  return entries.filter((entry) =>
+    !others.some((other) =>
+      other.slice === entry.slice && other.key === entry.key
+    )
+  );
+}
+
+/** Confirmed as far as both are; held as long as either may be. */
+function joinHolds(left: TargetHold, right: TargetHold): TargetHold {
+  return {
+    token: compareTokens(left.token, right.token) > 0
+      ? left.token
+      : right.token,
+    confirmedUntil: Math.min(left.confirmedUntil, right.confirmedUntil),
+    heldUntil: Math.max(left.heldUntil, right.heldUntil),
+    lateUntil: Math.max(left.lateUntil, right.lateUntil),
+  };
+}
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -15,13 +15,14 @@
   rangesOfGrants,
 } from "../core/ownership/key_ranges.ts";
 import type { Grant } from "../core/ownership/renewal.ts";
-import type { OwnershipTable } from "../core/ownership/table.ts";
+import type { IsolatedKey, OwnershipTable } from "../core/ownership/table.ts";
 import {
   beginHold,
   holdConfirmed,
   holdSent,
   holdSurelyEnds,
   type OrderTimes,
+  redivideHolds,
   type TargetHold,
 } from "../core/ownership/target_hold.ts";
 import { compareTokens, noToken } from "../core/ownership/token.ts";
@@ -72,6 +73,13 @@
   readonly handover: string | null;
 }
 
+/** An order that the target has not answered yet. */
+interface OrderUnderWay {
+  readonly slices: readonly number[];
+  /** The isolated keys when it was sent. */
+  readonly division: readonly IsolatedKey[];
+}
+
 /** Orders to hold that the target has not answered yet, at most. */
 const mostOrdersAtOnce = 8;
 /** A hold shorter than this is not worth an order. */
@@ -92,10 +100,12 @@
   let holds: ReadonlyMap<number, TargetHold> = new Map();
   let view: HeldView | null = null;
   let round = 0;
+  /** The keys with slices of their own, by the latest table. */
+  let isolatedKeys: readonly IsolatedKey[] = [];
   /** Orders that are to be sent, by the view as it is now. */
   let wanted: readonly WantedOrder[] = [];
   /** Orders that the target has not answered yet, and what they cover. */
-  const underWay = new Map<Promise<unknown>, readonly number[]>();
+  const underWay = new Map<Promise<unknown>, OrderUnderWay>();
   /** Orders to hold wait until the target has answered that it is empty. */
   let emptying = false;
   let retry: ReturnType<typeof setTimeout> | null = null;
@@ -130,6 +140,7 @@
       (hold) =>
         holdSent(hold, { token, sentAt, holdMilliseconds }, times.order),
     );
+    const division = isolatedKeys;
     const result = await keyServer.grant(range, { holdMilliseconds, handover });
     if (result.isErr) {
       events.record("target-grant-failed", {
@@ -139,6 +150,10 @@
       return result;
     }
     const answeredAt = monotonicNow();
+    if (division !== isolatedKeys) {
+      lookAgainLater();
+      return result;
+    }
     change(slices, (hold) =>
       holdConfirmed(
         hold,
@@ -193,8 +208,17 @@
     ];
   }
 
+  /** An order under way was for the keys as they were divided before. */
+  function adoptDivision(table: OwnershipTable): void {
+    const next = table.isolatedKeys;
+    if (sameKeys(next, isolatedKeys)) return;
+    holds = redivideHolds(holds, { former: isolatedKeys, next });
+    isolatedKeys = next;
+  }
+
   /** The orders of an earlier view are not wanted any more. */
   function look(next: HeldView): void {
+    adoptDivision(next.table);
     view = next;
     round += 1;
     wanted = ordersFor(next);
@@ -206,7 +230,9 @@
     if (view === null || emptying) return;
     const holdMilliseconds = holdLength(view, readClocks());
     if (holdMilliseconds < shortestHoldMilliseconds) return;
-    const busy = new Set([...underWay.values()].flat());
+    const busy = new Set(
+      [...underWay.values()].flatMap(({ slices }) => slices),
+    );
     const later: WantedOrder[] = [];
     const now: WantedOrder[] = [];
     for (const entry of wanted) {
@@ -233,7 +259,8 @@
       wanted = wanted.filter((other) => !covers(entry, other));
       sendWanted();
     });
-    underWay.set(sent, entry.range.slices);
+    const { slices } = entry.range;
+    underWay.set(sent, { slices, division: isolatedKeys });
   }
 
   function afterFault(
@@ -263,6 +290,8 @@
     grant: Grant,
     table: OwnershipTable,
   ): Promise<{ readonly handover: string | undefined }> {
+    if (view !== null) view = { ...view, table };
+    adoptDivision(table);
     dropFromView(grant.slice);
     // A grant that is overtaken by its release would bring the slice back.
     await Promise.allSettled(ordersOver(grant.slice));
@@ -284,7 +313,9 @@
 
   function ordersOver(slice: number): readonly Promise<unknown>[] {
     return [...underWay]
-      .filter(([, slices]) => slices.includes(slice))
+      .filter(([, { slices, division }]) =>
+        slices.includes(slice) || division !== isolatedKeys
+      )
       .map(([order]) => order);
   }
 
@@ -340,6 +371,16 @@
   };
 }
 
+function sameKeys(
+  left: readonly IsolatedKey[],
+  right: readonly IsolatedKey[],
+): boolean {
+  return left.length === right.length && left.every((entry, index) => {
+    const other = right[index];
+    return other?.key === entry.key && other.slice === entry.slice;
+  });
+}
+
 function covers(order: WantedOrder, other: WantedOrder): boolean {
   const slices = new Set(order.range.slices);
   return other.range.slices.every((slice) => slices.has(slice));
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -191,6 +191,68 @@
     });
   });
 
+  /** Other keys become busy, and a key's own slice is given to one of them. */
+  describe("for a key that loses its own slice", () => {
+    const isolating = (key: string): OwnershipTable => ({
+      ...table,
+      isolatedKeys: [{ key, slice: 4, base: 0 }],
+    });
+
+    it("are above those for it when the slice that it is in is given up", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      const former = view(grant(0, 1), grant(4, 9, "handed-over"));
+      task.hold({ ...former, table: isolating("5") });
+      const alone = orders.find(({ range }) => range.first === 5);
+      for (const order of orders) order.answer(null);
+      await settle();
+      void task.surrender(grant(0, 1), isolating("7"));
+      await settle();
+      const release = orders.find(({ kind, range }) =>
+        kind === "release" && range.first <= 5 && range.last >= 5
+      );
+      assert.ok(alone !== undefined && release !== undefined);
+      assert.ok(
+        fenceOf(release.range.token, "release") >
+          fenceOf(alone.range.token, "grant"),
+      );
+    });
+
+    it("hold the other key too before it counts as held", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold({ ...view(grant(4, 9)), table: isolating("5") });
+      orders[0]?.answer(null);
+      await settle();
+      assert.ok(task.confirmed(4));
+      task.hold({ ...view(grant(4, 12)), table: isolating("7") });
+      assert.ok(!task.confirmed(4));
+    });
+  });
+
+  describe("for a key that is given a slice of its own", () => {
+    it("are above those for the slice that it comes from", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold(view(grant(0, 1), grant(1, 20)));
+      orders[0]?.answer(null);
+      await settle();
+      const isolated: OwnershipTable = {
+        ...table,
+        isolatedKeys: [{ key: "5", slice: 4, base: 0 }],
+      };
+      void task.surrender(grant(4, 12), isolated);
+      await settle();
+      const release = orders.find(({ kind }) => kind === "release");
+      assert.ok(release !== undefined && orders[0] !== undefined);
+      assert.deepEqual([release.range.first, release.range.last], [5, 5]);
+      assert.ok(
+        fenceOf(release.range.token, "release") >
+          fenceOf(orders[0].range.token, "grant"),
+      );
+    });
+  });
+
   describe("to give up", () => {
     it("wait for an order to hold that is still under way", async () => {
       const { orders, server } = heldServer();
