--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -11,7 +11,13 @@
  * @module
  */
 import type { FailureReason } from "../request/outcome.ts";
-import { nextInTime, stayAway } from "./in_time_first.ts";
+import { lateWait, nextInTime, stayAway } from "./in_time_first.ts";
+import {
+  addOfferedWork,
+  noOfferedWork,
+  type OfferedWork,
+  useOf,
+} from "./offered_work.ts";
 import type { Transition } from "../step.ts";
 
 /** A rank of work; ranks are listed with the most urgent first. */
@@ -64,6 +70,8 @@
   readonly credits: readonly number[];
   /** Mean time in the target for each rank, in milliseconds. */
   readonly serviceMilliseconds: readonly number[];
+  /** Work that has come lately, refused or not. */
+  readonly offered: OfferedWork;
   /** When the target last ended a request. */
   readonly measuredAt: number;
   readonly closed: boolean;
@@ -127,6 +135,7 @@
     waiting: settings.ranks.map(() => []),
     credits: settings.ranks.map(() => 0),
     serviceMilliseconds: settings.ranks.map(() => 0),
+    offered: noOfferedWork,
     measuredAt: 0,
     closed: false,
   };
@@ -175,10 +184,11 @@
 }
 
 function arrive(
-  state: AdmissionState,
+  before: AdmissionState,
   event: AdmissionEvent & { readonly kind: "arrived" },
 ): AdmissionTransition {
-  const refused = reasonToRefuse(state, event);
+  const refused = reasonToRefuse(before, event);
+  const state = countOffered(before, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
   const { id, deadlineAt, objectiveAt = deadlineAt } = event;
@@ -192,6 +202,15 @@
   return startWaiting(evicted, event.now);
 }
 
+function countOffered(
+  state: AdmissionState,
+  { rank, now }: AdmissionEvent & { readonly kind: "arrived" },
+): AdmissionState {
+  const milliseconds = state.serviceMilliseconds[rank] ?? 0;
+  const offered = addOfferedWork(state.offered, { milliseconds, now });
+  return { ...state, offered };
+}
+
 /** Why a request is refused, and when it may come back. */
 interface Refusal {
   readonly reason: FailureReason;
@@ -225,6 +244,7 @@
     waitMilliseconds,
     serviceMilliseconds,
     lateWaitMilliseconds: state.settings.lateWaitMilliseconds ?? Infinity,
+    use: useOf(state.offered, { slots: state.settings.slots, now }),
   });
   return away === null ? null : refusal("queue-full", away);
 }
@@ -329,12 +349,14 @@
   if (entry.deadlineAt <= now + serviceMilliseconds) {
     return "deadline-too-near";
   }
-  const { lateWaitMilliseconds = Infinity } = state.settings;
+  const { slots, lateWaitMilliseconds = Infinity } = state.settings;
+  const use = useOf(state.offered, { slots, now });
   const lateSince = Math.max(
     entry.arrivedAt,
     entry.objectiveAt - serviceMilliseconds,
   );
-  return now - lateSince > lateWaitMilliseconds ? "queue-full" : null;
+  const longest = lateWait({ use, lateWaitMilliseconds });
+  return now - lateSince > longest ? "queue-full" : null;
 }
 
 function refuseHopeless(
--- a/source/core/admission/in_time_first.ts
+++ b/source/core/admission/in_time_first.ts
@@ -5,6 +5,8 @@
  * In order of arrival such a burst makes every request late: each waits just
  * too long. Here requests that can still be in time go first, and of the
  * others only a few wait; the rest is refused at once and told when to return.
+ * While the target can run all that comes, a short queue soon ends, and more
+ * may wait in it.
  *
  * @module
  */
@@ -25,12 +27,26 @@
   readonly serviceMilliseconds: number;
   /** A request that will be late anyway waits no longer than this. */
   readonly lateWaitMilliseconds: number;
+  /** Work that comes over what the target can run; 1 when it is in full use. */
+  readonly use: number;
 }
 
 /** Times in the target vary: half of the usual one is still likely. */
 const likelyShare = 0.5;
-/** A newcomer is let in only if a long time in the target is in time too. */
+/** A newcomer is let in if this part of the usual time is in time too. */
+const usualShare = 1.4;
+/** The same where more comes than the target can run. */
 const longShare = 1.8;
+/** From this use on every slot is needed for requests that are in time. */
+const fullUse = 0.9;
+
+/** How long a request that will be late anyway may wait, in milliseconds. */
+export function lateWait(
+  view: Pick<Outlook, "use" | "lateWaitMilliseconds">,
+): number {
+  const bounded = Number.isFinite(view.lateWaitMilliseconds);
+  return bounded && view.use >= fullUse ? 0 : view.lateWaitMilliseconds;
+}
 
 /** Whether a request that starts now can be answered within its objective. */
 export function canBeInTime(
@@ -59,8 +75,9 @@
   outlook: Outlook,
 ): number | null {
   const { now, waitMilliseconds, serviceMilliseconds } = outlook;
-  const slack = request.objectiveAt - now - serviceMilliseconds * longShare;
-  const tolerated = Math.max(slack, outlook.lateWaitMilliseconds);
-  if (waitMilliseconds <= tolerated) return null;
-  return waitMilliseconds - Math.max(0, outlook.lateWaitMilliseconds);
+  const share = outlook.use >= fullUse ? longShare : usualShare;
+  const lateMilliseconds = lateWait(outlook);
+  const slack = request.objectiveAt - now - serviceMilliseconds * share;
+  if (waitMilliseconds <= Math.max(slack, lateMilliseconds)) return null;
+  return waitMilliseconds - lateMilliseconds;
 }
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -93,7 +93,7 @@
 /** Targets state their slots, and refuse by themselves what is beyond. */
 export const startShare = 1;
 /** The longest wait of a request that has missed its objective. */
-export const lateWaitMilliseconds = 0;
+export const lateWaitMilliseconds = 100;
 /** Above what any desired state allows callers to send. */
 export const longestHeaderBytes = 65_536;
 /** Bodies up to this size are kept, so that they can be sent again. */
