A caller who leaves ends the run also after its link was replaced

Found by reading: the second copy of a request had an end of its own, but the run had begun with the first copy's, so that a later cancellation ended nothing and the target worked on for a caller who had left. One end for each hop now, whichever copy came first (hop_links_test.ts, failed before).

--- a/source/adapters/hop_link_server.ts
+++ b/source/adapters/hop_link_server.ts
@@ -42,23 +42,21 @@
   options: HopLinkServerOptions,
 ): void {
   const ledger = startHopLedger();
+  const cancels = new Map<string, AbortController>();
   sockets.on("connection", (socket) => {
-    serveLink(socket, { ...options, ledger });
+    serveLink(socket, { ...options, ledger, cancels });
   });
 }
 
 interface LinkContext extends HopLinkServerOptions {
   readonly ledger: HopLedger;
+  /** For each hop that runs what ends it, whichever copy came first. */
+  readonly cancels: Map<string, AbortController>;
 }
 
-/** Requests of one link that are not answered, by the name of their hop. */
-type Running = Map<
-  string,
-  { readonly copy: number; readonly cancel: AbortController }
->;
-
 function serveLink(socket: WebSocket, context: LinkContext): void {
-  const running: Running = new Map();
+  /** For each hop that runs the copy that came over this link. */
+  const running = new Map<string, number>();
 
   socket.on("message", (data: Buffer) => {
     const received = decodeMessage<ClientMessage>(data, kinds);
@@ -68,16 +66,17 @@
     }
     const { message, bytes } = received;
     if (message.kind === "cancel") {
-      return running.get(message.hop.id)?.cancel.abort();
+      return context.cancels.get(message.hop.id)?.abort();
     }
     context.clock.observe(message.clock);
     void serveRequest(message, bytes);
   });
   socket.on("error", () => socket.terminate());
   socket.on("close", () => {
-    for (const [id, { copy, cancel }] of running) {
+    for (const [id, copy] of running) {
       // A later copy on another link has taken the place of this one.
-      if (!context.ledger.superseded({ id, copy })) cancel.abort();
+      if (context.ledger.superseded({ id, copy })) continue;
+      context.cancels.get(id)?.abort();
     }
   });
 
@@ -86,10 +85,8 @@
     bytes: Uint8Array,
   ): Promise<void> {
     const { hop } = message;
-    const cancel = new AbortController();
-    // Each step of the request listens until it has ended.
-    setMaxListeners(0, cancel.signal);
-    running.set(hop.id, { copy: hop.copy, cancel });
+    const cancel = cancelOf(hop.id);
+    running.set(hop.id, hop.copy);
     const timer = setTimeout(
       () => cancel.abort(),
       message.deadlineMilliseconds,
@@ -100,9 +97,20 @@
     });
     clearTimeout(timer);
     running.delete(hop.id);
+    if (!context.ledger.superseded(hop)) context.cancels.delete(hop.id);
     if (result !== null) await reply(message, result);
   }
 
+  function cancelOf(id: string): AbortController {
+    const known = context.cancels.get(id);
+    if (known !== undefined) return known;
+    const cancel = new AbortController();
+    // Each step of the request listens until it has ended.
+    setMaxListeners(0, cancel.signal);
+    context.cancels.set(id, cancel);
+    return cancel;
+  }
+
   function start(
     message: RequestMessage,
     held: { readonly bytes: Uint8Array; readonly cancel: AbortController },
--- a/source/adapters/hop_links_test.ts
+++ b/source/adapters/hop_links_test.ts
@@ -172,6 +172,20 @@
     });
   });
 
+  describe("one of which was replaced while a request runs", () => {
+    it("still tell the other agent that the caller has left", async () => {
+      workMilliseconds = silenceMilliseconds * 5;
+      relay.forgetConnections("answers");
+      const caller = new AbortController();
+      const sent = send("left", { signal: caller.signal });
+      setTimeout(() => caller.abort(), silenceMilliseconds * 3);
+      assert.equal(await sent, "unknown caller-left");
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      assert.equal(silences, 1);
+      assert.deepEqual(cancelled, ["left"]);
+    });
+  });
+
   describe("to an agent that takes long", () => {
     it("are kept, since the agent is heard", async () => {
       workMilliseconds = silenceMilliseconds * 3;
