A slice with a key isolated from it is held once both its parts are

Orders are compared by their ranges now, and a slice counts as held when its last part is answered, from the earliest of them (key_grants_task_test.ts, failed before).

--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -73,9 +73,15 @@
   readonly handover: string | null;
 }
 
+/** When an order went out, and for how long it lets the target hold. */
+interface OrderSent {
+  readonly sentAt: number;
+  readonly holdMilliseconds: number;
+}
+
 /** An order that the target has not answered yet. */
 interface OrderUnderWay {
-  readonly slices: readonly number[];
+  readonly range: CoveringRange;
   /** The isolated keys when it was sent. */
   readonly division: readonly IsolatedKey[];
 }
@@ -106,6 +112,8 @@
   let wanted: readonly WantedOrder[] = [];
   /** Orders that the target has not answered yet, and what they cover. */
   const underWay = new Map<Promise<unknown>, OrderUnderWay>();
+  /** For slices of several ranges the earliest order that was answered. */
+  const parts = new Map<number, OrderSent>();
   /** Orders to hold wait until the target has answered that it is empty. */
   let emptying = false;
   let retry: ReturnType<typeof setTimeout> | null = null;
@@ -140,26 +148,13 @@
       (hold) =>
         holdSent(hold, { token, sentAt, holdMilliseconds }, times.order),
     );
-    const division = isolatedKeys;
     const result = await keyServer.grant(range, { holdMilliseconds, handover });
     if (result.isErr) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
         ...describeFault(result.error),
       });
-      return result;
-    }
-    const answeredAt = monotonicNow();
-    if (division !== isolatedKeys) {
-      lookAgainLater();
-      return result;
     }
-    change(slices, (hold) =>
-      holdConfirmed(
-        hold,
-        { sentAt, answeredAt, holdMilliseconds },
-        times.order,
-      ));
     return result;
   }
 
@@ -213,6 +208,7 @@
     const next = table.isolatedKeys;
     if (sameKeys(next, isolatedKeys)) return;
     holds = redivideHolds(holds, { former: isolatedKeys, next });
+    parts.clear();
     isolatedKeys = next;
   }
 
@@ -230,19 +226,16 @@
     if (view === null || emptying) return;
     const holdMilliseconds = holdLength(view, readClocks());
     if (holdMilliseconds < shortestHoldMilliseconds) return;
-    const busy = new Set(
-      [...underWay.values()].flatMap(({ slices }) => slices),
-    );
+    const busy: KeyRange[] = [...underWay.values()].map(({ range }) => range);
     const later: WantedOrder[] = [];
     const now: WantedOrder[] = [];
     for (const entry of wanted) {
-      const { slices } = entry.range;
       const full = underWay.size + now.length >= mostOrdersAtOnce;
-      if (full || slices.some((slice) => busy.has(slice))) {
+      if (full || busy.some((range) => overlap(range, entry.range))) {
         later.push(entry);
         continue;
       }
-      slices.forEach((slice) => busy.add(slice));
+      busy.push(entry.range);
       now.push(entry);
     }
     wanted = later;
@@ -251,16 +244,42 @@
 
   function send(entry: WantedOrder, holdMilliseconds: number): void {
     const number = round;
+    const division = isolatedKeys;
+    const sentAt = monotonicNow();
     const sent = order(entry, holdMilliseconds).then((result) => {
       underWay.delete(sent);
       if (result.isErr) {
         return afterFault(entry, { fault: result.error, number });
       }
-      wanted = wanted.filter((other) => !covers(entry, other));
+      wanted = wanted.filter(({ range }) => !covers(entry.range, range));
+      if (division === isolatedKeys) {
+        entry.range.slices.forEach((slice) =>
+          confirmWhole(slice, { sentAt, holdMilliseconds })
+        );
+      } else lookAgainLater();
       sendWanted();
     });
-    const { slices } = entry.range;
-    underWay.set(sent, { slices, division: isolatedKeys });
+    underWay.set(sent, { range: entry.range, division });
+  }
+
+  /** A slice that keys were isolated from is held once all its parts are. */
+  function confirmWhole(
+    slice: number,
+    part: OrderSent,
+  ): void {
+    const answeredAt = monotonicNow();
+    const first = parts.get(slice) ?? part;
+    const earliest = first.sentAt < part.sentAt ? first : part;
+    const open = [...wanted, ...underWay.values()];
+    if (open.some(({ range }) => range.slices.includes(slice))) {
+      parts.set(slice, earliest);
+      return;
+    }
+    parts.delete(slice);
+    change(
+      [slice],
+      (hold) => holdConfirmed(hold, { ...earliest, answeredAt }, times.order),
+    );
   }
 
   function afterFault(
@@ -313,8 +332,8 @@
 
   function ordersOver(slice: number): readonly Promise<unknown>[] {
     return [...underWay]
-      .filter(([, { slices, division }]) =>
-        slices.includes(slice) || division !== isolatedKeys
+      .filter(([, { range, division }]) =>
+        range.slices.includes(slice) || division !== isolatedKeys
       )
       .map(([order]) => order);
   }
@@ -366,6 +385,7 @@
     forget() {
       round += 1;
       wanted = [];
+      parts.clear();
       holds = new Map();
     },
   };
@@ -381,9 +401,12 @@
   });
 }
 
-function covers(order: WantedOrder, other: WantedOrder): boolean {
-  const slices = new Set(order.range.slices);
-  return other.range.slices.every((slice) => slices.has(slice));
+function covers(range: KeyRange, other: KeyRange): boolean {
+  return range.first <= other.first && range.last >= other.last;
+}
+
+function overlap(range: KeyRange, other: KeyRange): boolean {
+  return range.first <= other.last && range.last >= other.first;
 }
 
 function describeFault(fault: KeyServerFault) {
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -230,6 +230,30 @@
     });
   });
 
+  describe("for a slice that a key was isolated from", () => {
+    const isolated: OwnershipTable = {
+      ...table,
+      isolatedKeys: [{ key: "5", slice: 4, base: 0 }],
+    };
+
+    it("go out for both of its parts, and count once both are answered", async () => {
+      const { orders, server } = heldServer();
+      const task = start(server);
+      task.hold({ ...view(grant(0, 1)), table: isolated });
+      assert.deepEqual(
+        orders.map(({ range }) => [range.first, range.last]),
+        [[0, 4], [6, 15]],
+      );
+      orders[0]?.answer(null);
+      await settle();
+      assert.ok(!task.confirmed(0));
+      orders[1]?.answer(null);
+      await settle();
+      assert.ok(task.confirmed(0));
+      assert.equal(orders.length, 2);
+    });
+  });
+
   describe("for a key that is given a slice of its own", () => {
     it("are above those for the slice that it comes from", async () => {
       const { orders, server } = heldServer();
