--- a/source/adapters/log.ts
+++ b/source/adapters/log.ts
@@ -34,6 +34,7 @@
 
 const failureKinds: ReadonlySet<EventKind> = new Set([
   "request-failed",
+  "request-target-failed",
   "request-given-up",
   "request-retried",
   "request-refused",
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -39,6 +39,7 @@
   | "request-retried"
   | "request-given-up"
   | "request-failed"
+  | "request-target-failed"
   | "request-answered"
   | "connection-silent"
   | "target-registered"
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -123,6 +123,12 @@
       release();
     };
     if (result.isErr) {
+      events.record("request-target-failed", {
+        request: request.id,
+        outcome: result.error.outcome,
+        reason: result.error.reason,
+        milliseconds: Math.round(monotonicNow() - startedAt),
+      });
       done(result.error.outcome === "not-run" ? "refused" : "failed");
       return result;
     }
