Agents that stopped as planned are not waited for by later grantors

Weighed: a shorter delegation, which the store's longer outages would outlast. An agent that is lost without a planned stop is waited for as before.

--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -44,6 +44,23 @@
   );
 }
 
+/**
+ * The entry that an agent leaves behind when it has stopped as planned: of a
+ * process after its own that never serves. Only one that holds and grants
+ * nothing any more may leave it.
+ */
+export function departedAgent(agent: Agent): Agent {
+  const incarnation = incarnationOf(agent.id) + 1;
+  const id = agentIdOf(agent.host, incarnation);
+  return { ...agent, id, incarnation, phase: "lost" };
+}
+
+/** Whether this process is known to have stopped as planned. */
+export function hasDeparted(id: AgentId, agents: readonly Agent[]): boolean {
+  const next = agentIdOf(hostOfAgent(id), incarnationOf(id) + 1);
+  return agents.some((agent) => agent.id === next && agent.phase === "lost");
+}
+
 /** Whether a target takes new work. */
 export type TargetPhase = "serving" | "leaving" | "lost";
 
--- a/source/core/ownership/emptied_test.ts
+++ b/source/core/ownership/emptied_test.ts
@@ -68,6 +68,14 @@
     });
   });
 
+  describe("once the others are known to have stopped as planned", () => {
+    it("grants all slices at once", () => {
+      const one = join(begun, { id: "host-1/b", emptied: true });
+      const departed = feed(one, { kind: "departed", ids: ["host-2/a"] });
+      assert.equal(held(departed), 8);
+    });
+  });
+
   describe("while the target of one host may still hold something", () => {
     it("waits for the leases to end", () => {
       const one = join(begun, { id: "host-1/b", emptied: true });
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -43,6 +43,8 @@
       return tick(state, event.now);
     case "earlierEnded":
       return { state: shortenWait(state, event.now), effects: [] };
+    case "departed":
+      return assignFree(event.ids.reduce(noteHeard, state));
     case "confirmed":
       return confirm(state, event.askedAt);
   }
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -136,6 +136,8 @@
   | { readonly kind: "tick"; readonly now: Clocks }
   /** No earlier grantor can renew a lease any more, from now on. */
   | { readonly kind: "earlierEnded"; readonly now: Clocks }
+  /** These agents stopped as planned, with nothing in their hands. */
+  | { readonly kind: "departed"; readonly ids: readonly AgentId[] }
   | {
     /** A store write at this epoch took effect. */
     readonly kind: "confirmed";
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -17,6 +17,8 @@
   | "grantor-begun"
   | "grantor-stopped"
   | "earlier-grantors-ended"
+  | "departed-agents-noted"
+  | "departure-untold"
   | "grantor-located"
   | "holder-lapsed"
   | "lease-ended"
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -27,7 +27,12 @@
 import type { LogLevel } from "../adapters/log.ts";
 import { servePeers } from "../adapters/peer_server.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
-import { type Address, type Agent, agentIdOf } from "../core/agent.ts";
+import {
+  type Address,
+  type Agent,
+  agentIdOf,
+  departedAgent,
+} from "../core/agent.ts";
 import {
   type Configuration,
   emptyConfiguration,
@@ -45,7 +50,7 @@
   startRegistration,
 } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
-import { monotonicNow } from "../tasks/time.ts";
+import { monotonicNow, pause } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
 import { openCommonParts } from "./outside.ts";
@@ -53,6 +58,7 @@
   admissionTickMilliseconds,
   connections,
   coordinatorTimes,
+  departureTimeoutMilliseconds,
   desiredStateTimes,
   groupSettings,
   keptBodyBytes,
@@ -160,6 +166,7 @@
     });
     callers.close();
     await inside.coordinator.stop();
+    await tellDeparture(outside, inside);
     inside.registration.stop();
     inside.admission.stop();
     for (const listener of others) listener.close();
@@ -175,6 +182,24 @@
   });
 }
 
+/**
+ * Leaves word in the store that this process has stopped, so that no later
+ * grantor waits for it. Only once nothing is held or granted here any more.
+ */
+async function tellDeparture(outside: Outside, inside: Inside): Promise<void> {
+  const held = inside.coordinator.holder()?.heldSlices() ?? 0;
+  if (held > 0) {
+    return outside.events.record("departure-untold", { held });
+  }
+  const told = await Promise.race([
+    outside.store.members.put(departedAgent(inside.agent)),
+    pause(departureTimeoutMilliseconds),
+  ]);
+  if (told?.isOk !== true) {
+    outside.events.record("departure-untold", { reason: "store-unavailable" });
+  }
+}
+
 async function closeOutside(outside: Outside, inside: Inside): Promise<void> {
   await Promise.all([
     outside.peers.close(),
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -141,6 +141,9 @@
 /** What is left of the grace for closing once the requests have ended. */
 const graceMarginMilliseconds = 900;
 
+/** The store has so long to take the word of a planned stop. */
+export const departureTimeoutMilliseconds = 300;
+
 /** How long a planned stop may take. */
 export function stopTimes(settings: PlatformSettings): StopTimes {
   return {
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -8,7 +8,13 @@
  *
  * @module
  */
-import { type Address, type Agent, hasEnded } from "../core/agent.ts";
+import {
+  type Address,
+  type Agent,
+  type AgentId,
+  hasDeparted,
+  hasEnded,
+} from "../core/agent.ts";
 import type { Replica, SharedRecord } from "../core/dissemination/replica.ts";
 import {
   type Configuration,
@@ -44,7 +50,7 @@
   type SpreadTimes,
   startSpread,
 } from "./spread_task.ts";
-import { startTicker } from "./time.ts";
+import { monotonicNow, startTicker } from "./time.ts";
 
 /** Durations of coordination, in milliseconds. */
 export interface CoordinatorTimes {
@@ -62,6 +68,8 @@
   readonly agent: Agent;
   agents(): readonly Agent[];
   publish(records: readonly SharedRecord[]): void;
+  /** Tells of agents that have stopped as planned. */
+  noteDepartures(departures: readonly Agent[]): void;
   /** Puts a configuration into force on this agent. */
   apply(configuration: Configuration): void;
   /** The configuration in force on this agent. */
@@ -152,12 +160,17 @@
   gatherMilliseconds: 0,
 };
 
+/** Words of planned stops are looked for again after this time. */
+const departuresAgeMilliseconds = 2_000;
+
 /** Starts taking part. */
 export function startCoordinator(options: CoordinatorOptions): Coordinator {
   const { agent, times, peers, events, hash } = options;
   let configuration: Configuration = emptyConfiguration;
   let holder: HolderTask | null = null;
   let stopping = false;
+  let departures: readonly Agent[] = [];
+  let departuresAskedAt = -Infinity;
 
   // A message may come before the source exists; nothing is known then.
   let source: ConfigurationSource | null = null;
@@ -217,6 +230,16 @@
       .map((other) => other.peerAddress);
   }
 
+  /** Asked for while a grantor waits for agents that do not answer. */
+  function knowsDeparture(id: AgentId): boolean {
+    const now = monotonicNow();
+    if (now - departuresAskedAt > departuresAgeMilliseconds) {
+      departuresAskedAt = now;
+      void source?.seeds();
+    }
+    return hasDeparted(id, departures);
+  }
+
   function candidatesFor(group: string): readonly Address[] {
     return grantorCandidates(group, { agents: spread.agents(), hash });
   }
@@ -228,7 +251,8 @@
     peers,
     events,
     newMark: options.newMark,
-    hasEnded: (id) => hasEnded(id, spread.agents()),
+    hasEnded: (id) => hasEnded(id, [...departures, ...spread.agents()]),
+    hasDeparted: knowsDeparture,
     settingsOf: (group) =>
       grantorSettings(group, { times, configuration, sizes: options.group }),
     successors: (group) =>
@@ -275,6 +299,9 @@
     agent,
     agents: () => spread.agents(),
     publish: (records) => spread.publish(records),
+    noteDepartures(noted) {
+      departures = noted;
+    },
     apply,
     current: () => configuration,
     census: () => census(null),
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -82,7 +82,11 @@
     const others = listed.value.filter((agent) =>
       agent.host !== context.agent.host
     );
-    context.publish(others.map(agentEntry));
+    const started = others.filter((agent) => agent.phase !== "lost");
+    context.publish(started.map(agentEntry));
+    context.noteDepartures(
+      others.filter((agent) => agent.phase === "lost"),
+    );
     return true;
   }
 
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -1,27 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Agent } from "../core/agent.ts";
+import { type Agent, departedAgent } from "../core/agent.ts";
 import {
   type Configuration,
   emptyConfiguration,
 } from "../core/document/document.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
+import { testAgent } from "../../tests/test_agent.ts";
 import { desiredStateSource } from "./desired_state_source.ts";
 
-const agent: Agent = {
-  id: "host-1/a",
-  host: "host-1",
-  incarnation: 1,
-  callerAddress: "127.0.0.1:1",
-  peerAddress: "127.0.0.1:2",
-  place: { dataCenter: "kol-a", region: "kolkata" },
-  service: "booking",
-  group: null,
-  slots: 1,
-  checksFencing: true,
-  phase: "leaving",
-};
+const agent = testAgent("host-1/a", { host: "host-1", phase: "leaving" });
 
 function desired(version: number): DesiredState {
   return {
@@ -38,7 +27,9 @@
 }
 
 /** A source whose watch never tells anything. */
-function startSilent() {
+function startSilent(members: readonly Agent[] = []) {
+  let departures: readonly Agent[] = [];
+  let started: readonly string[] = [];
   let stored = 3;
   let reads = 0;
   let configuration: Configuration = emptyConfiguration;
@@ -52,7 +43,7 @@
       awaitChange: () => new Promise(() => undefined),
     },
     members: {
-      list: () => Promise.resolve(Result.ok([])),
+      list: () => Promise.resolve(Result.ok(members)),
       put: () => Promise.resolve(Result.ok(null)),
     },
     seeds: [],
@@ -72,7 +63,12 @@
   })({
     agent,
     agents: () => [],
-    publish: () => undefined,
+    publish(records) {
+      started = records.map(({ key }) => key);
+    },
+    noteDepartures(noted) {
+      departures = noted;
+    },
     apply: (next) => configuration = next,
     current: () => configuration,
     census: () => Promise.resolve({ applied: [], missing: [] }),
@@ -82,6 +78,8 @@
     store: (version: number) => stored = version,
     revision: () => configuration.revision,
     reads: () => reads,
+    started: () => started,
+    departures: () => departures,
   };
 }
 
@@ -89,6 +87,20 @@
   await new Promise((resolve) => setTimeout(resolve, 30));
 }
 
+describe("the agents that the store names", () => {
+  describe("of which some have stopped as planned", () => {
+    it("are told apart", async () => {
+      const other = testAgent("host-2/a", { host: "host-2" });
+      const stopped = departedAgent(testAgent("host-3/a", { host: "host-3" }));
+      const { source, started, departures } = startSilent([other, stopped]);
+      await settle();
+      assert.equal(started().length, 1);
+      assert.deepEqual(departures(), [stopped]);
+      await source.stop();
+    });
+  });
+});
+
 describe("a desired state whose watch has gone silent", () => {
   describe("while another agent has a newer one in force", () => {
     it("is read again", async () => {
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -71,6 +71,8 @@
   readonly formerReachable: boolean;
   /** Whether this agent's process is known to have ended. */
   readonly hasEnded: (id: AgentId) => boolean;
+  /** Whether it is known to have stopped as planned, with nothing held. */
+  readonly hasDeparted: (id: AgentId) => boolean;
 }
 
 interface Claim {
@@ -363,9 +365,22 @@
     send({ kind: "earlierEnded", now: readClocks() });
   }
 
+  /** An agent that stopped as planned is not waited for. */
+  function noteDeparted(): void {
+    const ids = [...state.unheard].filter(options.hasDeparted);
+    if (ids.length === 0) return;
+    events.record("departed-agents-noted", {
+      group,
+      epoch: state.epoch,
+      agents: ids.join(","),
+    });
+    send({ kind: "departed", ids });
+  }
+
   const ticker = startTicker(() => {
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
     noteEarlierEnded();
+    noteDeparted();
     send({ kind: "tick", now: readClocks() });
   }, { intervalMilliseconds: options.times.tickMilliseconds });
 
