A link that is closed for others brings the answers still to come

Found by reading the change as a newcomer: with more than 256 agents the link used least lately was closed with all that waited on it, which then counted as unknown (hop_links_test.ts, failed before).

--- a/source/adapters/hop_links.ts
+++ b/source/adapters/hop_links.ts
@@ -146,6 +146,7 @@
     bytes: Uint8Array,
   ): Promise<Result<ProxyAnswer, Failure>>;
   waiting(): number;
+  /** Ends the link once nothing waits on it any more. */
   close(): void;
 }
 
@@ -318,7 +319,10 @@
       });
     },
     waiting: () => pending.size,
-    close: () => fail(socket),
+    close() {
+      retired = true;
+      if (pending.size === 0) fail(socket);
+    },
   };
 }
 
--- a/source/adapters/hop_links_test.ts
+++ b/source/adapters/hop_links_test.ts
@@ -153,6 +153,16 @@
     });
   });
 
+  describe("that are closed", () => {
+    it("bring the answers that are still to come", async () => {
+      workMilliseconds = 100;
+      const sent = send("last");
+      await new Promise((resolve) => setTimeout(resolve, 30));
+      await links.close();
+      assert.equal(await sent, "201 done last");
+    });
+  });
+
   describe("one of which goes silent towards the owner", () => {
     it("is replaced, and what waits on it runs once", async () => {
       relay.forgetConnections("requests");
