A key that goes back to its slice is held there under a newer token

The base gets a new token with the change; no slice is moved while the store is told of one; and a part that was never ordered counts as not confirmed (isolation_test.ts, both failed before).

--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -303,7 +303,10 @@
 function startMoves(
   state: GrantorState,
 ): Transition<GrantorState, GrantorEffect> {
-  const moves = chooseMoves(state);
+  // Keys that are about to change slices must find them where they were.
+  const redividing = state.writing !== null &&
+    state.writing.isolatedKeys !== state.isolatedKeys;
+  const moves = redividing ? [] : chooseMoves(state);
   if (moves.length === 0) return { state, effects: [] };
   const destinations = new Map(
     moves.map((move) => [move.slice, move.destination]),
--- a/source/core/ownership/isolation.ts
+++ b/source/core/ownership/isolation.ts
@@ -99,12 +99,31 @@
   keys: readonly IsolatedKey[],
 ): readonly Slice[] {
   const former = new Set(state.isolatedKeys);
-  return keys
-    .filter((entry) => !former.has(entry))
+  const kept = new Set(keys);
+  const rejoined = state.isolatedKeys
+    .filter((entry) => !kept.has(entry))
     .reduce(
-      (slices, entry) => putSlice(slices, { entry, state }),
+      (slices, { base }) => renewSlice(slices, base, state),
       state.slices,
     );
+  return keys
+    .filter((entry) => !former.has(entry))
+    .reduce((slices, entry) => putSlice(slices, { entry, state }), rejoined);
+}
+
+/**
+ * A key that goes back to its base was held under the tokens of its own slice,
+ * maybe by others, which can be newer than the one of the base.
+ */
+function renewSlice(
+  slices: readonly Slice[],
+  base: number,
+  state: GrantorState,
+): readonly Slice[] {
+  const slice = slices[base];
+  if (slice?.kind !== "held" && slice?.kind !== "moving") return slices;
+  const token = { epoch: state.epoch, sequence: state.sequence + 1 };
+  return slices.with(base, { ...slice, token });
 }
 
 /** A new token, so that the slice stays until its owner knows of the key. */
--- a/source/core/ownership/target_hold.ts
+++ b/source/core/ownership/target_hold.ts
@@ -107,11 +107,10 @@
 ): ReadonlyMap<number, TargetHold> {
   const redivided = new Map(holds);
   for (const { slice, base } of withoutEntries(former, next)) {
-    const rejoining = redivided.get(slice);
+    const rejoining = redivided.get(slice) ?? beginHold(noToken);
+    const other = redivided.get(base) ?? beginHold(noToken);
     redivided.delete(slice);
-    if (rejoining === undefined) continue;
-    const other = redivided.get(base);
-    redivided.set(base, joinHolds(other ?? beginHold(noToken), rejoining));
+    redivided.set(base, joinHolds(other, rejoining));
   }
   for (const { slice, base } of withoutEntries(next, former)) {
     const hold = redivided.get(base);
