--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -124,6 +124,7 @@
   store.put("config", "main", exampleDesiredState(1));
   const folder = mkdtempSync(join(tmpdir(), "geraniumledge-"));
   const children = new Set<ChildProcess>();
+  const targets = new Set<PlatformTargetStandIn>();
   const lines: string[] = [];
 
   const taken = new Set<number>();
@@ -172,6 +173,7 @@
       heartbeats: control,
       serviceMilliseconds: options.serviceMilliseconds,
     });
+    targets.add(target);
     const path = join(folder, `${name}.json`);
     writeFileSync(
       path,
@@ -220,6 +222,9 @@
       return agents;
     } catch (error) {
       for (const child of children) child.kill("SIGKILL");
+      // What stays open would keep the test's process from ending.
+      await Promise.all([...targets].map((target) => target.close()));
+      await store.close();
       throw new Error(lines.slice(-40).join("\n"), { cause: error });
     }
   }
