--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -43,9 +43,9 @@
   stripeSlices: 4,
   movesAtOnce: 16,
   toleratedShare: 0.3,
-  isolatedKeys: 64,
+  isolatedKeys: 16,
   // No key gives its slice up: a target that is told ranges may still hold it.
-  isolation: { share: 0.04, floorPerSecond: 3, coldPerSecond: 0 },
+  isolation: { share: 0.08, floorPerSecond: 4, coldPerSecond: 0 },
   gatherMilliseconds: 1_500,
 };
 
