Which orders a target is sent is decided in a module without a clock

key_grants_task.ts did three jobs: it chose the orders to hold, parted those that may go out, and ran them. The first two are hold_orders.ts now, with their tests; an order's time is read once instead of twice. Admission works the use of its target out once a tick instead of once a waiting request, and the two different uses have names of their own.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -15,8 +15,8 @@
 import {
   addOfferedWork,
   noOfferedWork,
+  offeredUse,
   type OfferedWork,
-  useOf,
 } from "./offered_work.ts";
 import type { Transition } from "../step.ts";
 
@@ -244,7 +244,7 @@
     waitMilliseconds,
     serviceMilliseconds,
     lateWaitMilliseconds: state.settings.lateWaitMilliseconds ?? Infinity,
-    use: useOf(state.offered, { slots: state.settings.slots, now }),
+    use: offeredUse(state.offered, { slots: state.settings.slots, now }),
   });
   return away === null ? null : refusal("queue-full", away);
 }
@@ -340,23 +340,24 @@
 
 /** Why a waiting request is refused now; null while it may wait on. */
 function reasonToGiveUp(
-  state: AdmissionState,
   entry: Waiting,
-  view: { readonly now: number; readonly serviceMilliseconds: number },
+  view: {
+    readonly now: number;
+    readonly serviceMilliseconds: number;
+    /** Longest wait of a request that has missed its objective. */
+    readonly longestLateMilliseconds: number;
+  },
 ): FailureReason | null {
-  const { now, serviceMilliseconds } = view;
+  const { now, serviceMilliseconds, longestLateMilliseconds } = view;
   if (entry.deadlineAt <= now) return "deadline-passed";
   if (entry.deadlineAt <= now + serviceMilliseconds) {
     return "deadline-too-near";
   }
-  const { slots, lateWaitMilliseconds = Infinity } = state.settings;
-  const use = useOf(state.offered, { slots, now });
   const lateSince = Math.max(
     entry.arrivedAt,
     entry.objectiveAt - serviceMilliseconds,
   );
-  const longest = lateWait({ use, lateWaitMilliseconds });
-  return now - lateSince > longest ? "queue-full" : null;
+  return now - lateSince > longestLateMilliseconds ? "queue-full" : null;
 }
 
 function refuseHopeless(
@@ -364,12 +365,15 @@
   now: number,
 ): AdmissionTransition {
   const effects: AdmissionEffect[] = [];
+  const { slots, lateWaitMilliseconds = Infinity } = state.settings;
+  const use = offeredUse(state.offered, { slots, now });
+  const longestLateMilliseconds = lateWait({ use, lateWaitMilliseconds });
   const waiting = state.waiting.map((queue, rank) => {
-    const service = state.serviceMilliseconds[rank] ?? 0;
-    const view = { now, serviceMilliseconds: service };
+    const serviceMilliseconds = state.serviceMilliseconds[rank] ?? 0;
+    const view = { now, serviceMilliseconds, longestLateMilliseconds };
     const judged = queue.map((entry) => ({
       entry,
-      reason: reasonToGiveUp(state, entry, view),
+      reason: reasonToGiveUp(entry, view),
     }));
     const hopeless = judged.filter(({ reason }) => reason !== null);
     if (hopeless.length === 0) return queue;
--- a/source/core/admission/offered_work.ts
+++ b/source/core/admission/offered_work.ts
@@ -26,7 +26,7 @@
 }
 
 /** Work that comes over what so many slots can run; 1 in full use. */
-export function useOf(
+export function offeredUse(
   offered: OfferedWork,
   view: { readonly slots: number; readonly now: number },
 ): number {
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -245,7 +245,7 @@
   if (view === undefined) {
     return { agent, use: 0, milliseconds: unknownMilliseconds + distance };
   }
-  const use = useOf(view, { slots: agent.slots, now: query.now });
+  const use = useOfTarget(view, { slots: agent.slots, now: query.now });
   const usual = usualTime(view, query);
   return { agent, use, milliseconds: usual * (1 + use) + distance };
 }
@@ -258,7 +258,7 @@
   return view.usual.get(query.rank) ?? unknownMilliseconds;
 }
 
-function useOf(
+function useOfTarget(
   view: TargetView,
   options: { readonly slots: number; readonly now: number },
 ): number {
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -7,12 +7,17 @@
  */
 import type { Result } from "true-myth";
 import type { Clocks } from "../core/clocks.ts";
+import {
+  type HoldOrder,
+  ordersToHold,
+  partOrders,
+  withoutCovered,
+} from "../core/ownership/hold_orders.ts";
 import {
   type CoveringRange,
   type KeyRange,
   type NumberedKeys,
   rangesOfGrant,
-  rangesOfGrants,
 } from "../core/ownership/key_ranges.ts";
 import type { Grant } from "../core/ownership/renewal.ts";
 import type { IsolatedKey, OwnershipTable } from "../core/ownership/table.ts";
@@ -67,12 +72,6 @@
   readonly longestHoldMilliseconds: number;
 }
 
-/** An order to hold that is to be sent. */
-interface WantedOrder {
-  readonly range: CoveringRange;
-  readonly handover: string | null;
-}
-
 /** When an order went out, and for how long it lets the target hold. */
 interface OrderSent {
   readonly sentAt: number;
@@ -109,7 +108,7 @@
   /** The keys with slices of their own, by the latest table. */
   let isolatedKeys: readonly IsolatedKey[] = [];
   /** Orders that are to be sent, by the view as it is now. */
-  let wanted: readonly WantedOrder[] = [];
+  let wanted: readonly HoldOrder[] = [];
   /** Orders that the target has not answered yet, and what they cover. */
   const underWay = new Map<Promise<unknown>, OrderUnderWay>();
   /** For slices of several ranges the earliest order that was answered. */
@@ -138,10 +137,9 @@
 
   /** One order for one range; brings whether the target confirmed it. */
   async function order(
-    { range, handover }: WantedOrder,
-    holdMilliseconds: number,
+    { range, handover }: HoldOrder,
+    { sentAt, holdMilliseconds }: OrderSent,
   ): Promise<Result<null, KeyServerFault>> {
-    const sentAt = monotonicNow();
     const { token, slices } = range;
     change(
       slices,
@@ -167,42 +165,6 @@
     return Math.floor(Math.min(left, times.longestHoldMilliseconds));
   }
 
-  /** Slices that come with something handed over are granted by themselves. */
-  function isHandedOver(grant: Grant): boolean {
-    if (grant.handover === undefined) return false;
-    return (holds.get(grant.slice)?.confirmedUntil ?? 0) <= monotonicNow();
-  }
-
-  /** A hold that lasts for long needs no renewal yet. */
-  function needsOrder(range: CoveringRange): boolean {
-    const renewedFrom = monotonicNow() + times.renewBeforeMilliseconds;
-    return range.slices.some((slice) =>
-      (holds.get(slice)?.confirmedUntil ?? 0) < renewedFrom
-    );
-  }
-
-  function ordersFor(view: HeldView): readonly WantedOrder[] {
-    const { table } = view;
-    // A token below one that the target was sent before would be refused.
-    const grants = view.grants.map((grant) => ({
-      ...grant,
-      token: holdOf(grant).token,
-    }));
-    const single = grants.filter(isHandedOver);
-    const joined = grants.filter((grant) => !isHandedOver(grant));
-    return [
-      ...single.flatMap((grant) =>
-        rangesOfGrant(grant, { table, keys }).map((range) => ({
-          range,
-          handover: grant.handover ?? null,
-        }))
-      ),
-      ...rangesOfGrants(joined, { table, keys })
-        .filter(needsOrder)
-        .map((range) => ({ range, handover: null })),
-    ];
-  }
-
   /** An order under way was for the keys as they were divided before. */
   function adoptDivision(table: OwnershipTable): void {
     const next = table.isolatedKeys;
@@ -217,7 +179,13 @@
     adoptDivision(next.table);
     view = next;
     round += 1;
-    wanted = ordersFor(next);
+    wanted = ordersToHold({
+      ...next,
+      holds,
+      keys,
+      now: monotonicNow(),
+      renewBeforeMilliseconds: times.renewBeforeMilliseconds,
+    });
     sendWanted();
   }
 
@@ -226,36 +194,26 @@
     if (view === null || emptying) return;
     const holdMilliseconds = holdLength(view, readClocks());
     if (holdMilliseconds < shortestHoldMilliseconds) return;
-    const busy: KeyRange[] = [...underWay.values()].map(({ range }) => range);
-    const later: WantedOrder[] = [];
-    const now: WantedOrder[] = [];
-    for (const entry of wanted) {
-      const full = underWay.size + now.length >= mostOrdersAtOnce;
-      if (full || busy.some((range) => overlap(range, entry.range))) {
-        later.push(entry);
-        continue;
-      }
-      busy.push(entry.range);
-      now.push(entry);
-    }
+    const { now, later } = partOrders(wanted, {
+      underWay: [...underWay.values()].map(({ range }) => range),
+      mostAtOnce: mostOrdersAtOnce,
+    });
     wanted = later;
     for (const entry of now) send(entry, holdMilliseconds);
   }
 
-  function send(entry: WantedOrder, holdMilliseconds: number): void {
+  function send(entry: HoldOrder, holdMilliseconds: number): void {
     const number = round;
     const division = isolatedKeys;
-    const sentAt = monotonicNow();
-    const sent = order(entry, holdMilliseconds).then((result) => {
+    const times = { sentAt: monotonicNow(), holdMilliseconds };
+    const sent = order(entry, times).then((result) => {
       underWay.delete(sent);
       if (result.isErr) {
         return afterFault(entry, { fault: result.error, number });
       }
-      wanted = wanted.filter(({ range }) => !covers(entry.range, range));
+      wanted = withoutCovered(wanted, entry.range);
       if (division === isolatedKeys) {
-        entry.range.slices.forEach((slice) =>
-          confirmWhole(slice, { sentAt, holdMilliseconds })
-        );
+        entry.range.slices.forEach((slice) => confirmWhole(slice, times));
       } else lookAgainLater();
       sendWanted();
     });
@@ -283,7 +241,7 @@
   }
 
   function afterFault(
-    { range }: WantedOrder,
+    { range }: HoldOrder,
     failed: { readonly fault: KeyServerFault; readonly number: number },
   ): void {
     // A range that has changed since may have been refused for its other part.
@@ -401,14 +359,6 @@
   });
 }
 
-function covers(range: KeyRange, other: KeyRange): boolean {
-  return range.first <= other.first && range.last >= other.last;
-}
-
-function overlap(range: KeyRange, other: KeyRange): boolean {
-  return range.first <= other.last && range.last >= other.first;
-}
-
 function describeFault(fault: KeyServerFault) {
   return fault.kind === "unanswered"
     ? { reason: fault.kind, detail: fault.detail }
