A server that owns a key no more names the one that does

Ruled out: retry budgets, which such refusals don't touch. The cause is how entries learn of a move: they fetch a table from members of the group that learn of it themselves with their next renewal, a second later at most, and wait for that table before they try again.

The former owner knows the new one as soon as it has given the slice up: it is in the answer to that renewal.

--- a/source/adapters/hop_links.ts
+++ b/source/adapters/hop_links.ts
@@ -183,7 +183,10 @@
     const entry = pending.get(message.hop.id);
     if (entry === undefined || entry.copy !== message.hop.copy) return;
     if (message.kind === "failure") {
-      return entry.settle(Result.err(afterCopies(entry, message.failure)));
+      // An agent of an earlier release names no owner.
+      const { owner = null } = message.failure;
+      const failure = { ...message.failure, owner };
+      return entry.settle(Result.err(afterCopies(entry, failure)));
     }
     const { status, headers, load } = message;
     const body = { kind: "whole", bytes } as const;
--- a/source/core/ownership/table.ts
+++ b/source/core/ownership/table.ts
@@ -99,6 +99,29 @@
   return table.holders[index] ?? null;
 }
 
+/** A slice's owner as a table of some version names it. */
+export interface OwnerAsOf {
+  readonly holder: TableHolder;
+  readonly version: FencingToken;
+}
+
+/** The owner of a slice by this table; null when it names none. */
+export function ownerAsOf(
+  table: OwnershipTable,
+  slice: number,
+): OwnerAsOf | null {
+  const holder = ownerOfSlice(table, slice);
+  return holder === null ? null : { holder, version: table.version };
+}
+
+/** Whether somebody knows of a later owner than this version does. */
+export function isNewerOwner(
+  offered: OwnerAsOf | null,
+  version: FencingToken,
+): offered is OwnerAsOf {
+  return offered !== null && compareTokens(offered.version, version) > 0;
+}
+
 /** The newer of two tables of one group, so that a table never goes back. */
 export function newerTable(
   current: OwnershipTable,
--- a/source/core/ownership/token.ts
+++ b/source/core/ownership/token.ts
@@ -18,6 +18,14 @@
   return left.epoch - right.epoch || left.sequence - right.sequence;
 }
 
+/** The newer of two tokens. */
+export function newerToken(
+  left: FencingToken,
+  right: FencingToken,
+): FencingToken {
+  return compareTokens(left, right) < 0 ? right : left;
+}
+
 /** Writes a token as `epoch.sequence`. */
 export function formatToken(token: FencingToken): string {
   return `${token.epoch}.${token.sequence}`;
--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -7,6 +7,8 @@
  * @module
  */
 
+import type { OwnerAsOf } from "../ownership/table.ts";
+
 /** What a caller is told of its request. */
 export type Outcome = "answered" | "not-run" | "unknown";
 
@@ -36,6 +38,8 @@
   readonly reason: FailureReason;
   /** When to come back, in milliseconds; null where nothing is known. */
   readonly retryAfterMilliseconds: number | null;
+  /** Who owns the key, as the server knows that refused; null for unknown. */
+  readonly owner: OwnerAsOf | null;
 }
 
 /** A failure with proof that nothing began. */
@@ -43,12 +47,22 @@
   reason: FailureReason,
   retryAfterMilliseconds: number | null = null,
 ): Failure {
-  return { outcome: "not-run", reason, retryAfterMilliseconds };
+  return { outcome: "not-run", reason, retryAfterMilliseconds, owner: null };
+}
+
+/** A refusal by a server that knows who owns the key instead. */
+export function ownedElsewhere(owner: OwnerAsOf | null): Failure {
+  return { ...notRun("not-owner"), owner };
 }
 
 /** A failure after which the request may have taken effect. */
 export function unknownOutcome(reason: FailureReason): Failure {
-  return { outcome: "unknown", reason, retryAfterMilliseconds: null };
+  return {
+    outcome: "unknown",
+    reason,
+    retryAfterMilliseconds: null,
+    owner: null,
+  };
 }
 
 /**
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -35,6 +35,8 @@
   readonly idempotent: boolean;
   /** Whether only the owner of a key can run it. */
   readonly keyed: boolean;
+  /** Whether the server that refused knows of a later owner of the key. */
+  readonly redirected: boolean;
   /** Whether the whole body can be sent once more. */
   readonly bodyRepeatable: boolean;
   readonly beganAt: number;
@@ -130,7 +132,8 @@
   if (waiting.has(reason)) {
     const waited = failed.now - failed.beganAt;
     if (waited > longestWait(failed, options.settings)) return giveUp;
-    return { kind: "retry", delayMilliseconds: delay, budget };
+    const delayMilliseconds = failed.redirected ? 0 : delay;
+    return { kind: "retry", delayMilliseconds, budget };
   }
   if (elsewhere.has(reason)) {
     if (failed.attempt >= mostAgentsAsked) return giveUp;
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -22,6 +22,7 @@
   mostAttempts: null,
   idempotent: false,
   keyed: false,
+  redirected: false,
   bodyRepeatable: true,
   beganAt: 0,
   objectiveAt: null as number | null,
@@ -47,6 +48,13 @@
       assert.equal(late.kind, "giveUp");
     });
 
+    it("are sent at once where the refusal names a later owner", () => {
+      const decision = decide(notRun("not-owner"), { redirected: true });
+      assert.equal(decision.kind, "retry");
+      assert.ok("delayMilliseconds" in decision);
+      assert.equal(decision.delayMilliseconds, 0);
+    });
+
     const failure = notRun("moving");
     const patient = { ...settings, longestWaitMilliseconds: 400 };
 
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -9,11 +9,13 @@
 import type { Configuration } from "../core/document/document.ts";
 import {
   groupOfKey,
+  isNewerOwner,
   type KeyHash,
+  type OwnerAsOf,
   type OwnershipTable,
   type PlaceKey,
 } from "../core/ownership/table.ts";
-import { formatToken } from "../core/ownership/token.ts";
+import { formatToken, newerToken, noToken } from "../core/ownership/token.ts";
 import {
   combineFailures,
   type Failure,
@@ -67,10 +69,12 @@
   readonly to: AgentId;
   /** What the choice of that agent went by. */
   readonly knew: EventDetail;
+  /** A later owner of the key than was known here; null for none. */
+  readonly redirect: OwnerAsOf | null;
 }
 
 function unsent(failure: Failure, knew: EventDetail = {}): Attempt {
-  return { result: Result.err(failure), to: "", knew };
+  return { result: Result.err(failure), to: "", knew, redirect: null };
 }
 
 /** Failures after which another server may own the key. */
@@ -156,14 +160,17 @@
     let left = body;
     let failure: Failure | null = null;
     let reached = 0;
+    /** The owner that the agents asked have named last. */
+    let word: OwnerAsOf | null = null;
     const beganAt = monotonicNow();
     for (let attempt = 1;; attempt += 1) {
-      const { result, to, knew } = await attemptOnce(request, {
-        body: left,
-        tried,
-      });
+      const { result, to, knew, redirect }: Attempt = await attemptOnce(
+        request,
+        { body: left, tried, word },
+      );
       if (result.isOk) return result;
       if (reachedTarget(result.error)) reached += 1;
+      word = redirect ?? word;
       left = afterAttempt(left);
       failure = combineFailures(failure, result.error);
       const decision = decideRetry({
@@ -172,6 +179,7 @@
         reached,
         idempotent: request.idempotent,
         keyed: request.key !== null,
+        redirected: redirect !== null,
         mostAttempts: request.mostAttempts,
         bodyRepeatable: left.kind === "kept" || !left.used,
         beganAt,
@@ -203,31 +211,47 @@
 
   async function attemptOnce(
     request: ProxyRequest,
-    options: { readonly body: Body; readonly tried: Set<AgentId> },
+    options: {
+      readonly body: Body;
+      readonly tried: Set<AgentId>;
+      readonly word: OwnerAsOf | null;
+    },
   ): Promise<Attempt> {
-    return request.key === null
+    const { key } = request;
+    return key === null
       ? await attemptUnkeyed(request, options)
-      : await attemptKeyed(request, { body: options.body, key: request.key });
+      : await attemptKeyed(request, { ...options, key });
   }
 
   async function attemptKeyed(
     request: ProxyRequest,
-    { body, key }: { readonly body: Body; readonly key: string },
+    { body, key, word }: {
+      readonly body: Body;
+      readonly key: string;
+      readonly word: OwnerAsOf | null;
+    },
   ): Promise<Attempt> {
     const group = groupOf(request, key);
     if (group === null) return unsent(notRun("no-such-service"));
-    let owner = tables.ownerOf(group, key);
+    let owner = tables.ownerOf(group, key, word);
     if (owner === null) {
       await tables.refresh(group);
-      owner = tables.ownerOf(group, key);
+      owner = tables.ownerOf(group, key, word);
     }
-    const table = formatToken(tables.version(group));
-    if (owner === null) return unsent(notRun("no-owner-known"), { table });
+    const version = newerToken(tables.version(group), word?.version ?? noToken);
+    const knew = { table: formatToken(version) };
+    if (owner === null) return unsent(notRun("no-owner-known"), knew);
     const result = await sendTo(owner, request, body);
-    if (result.isErr && ownerMayHaveChanged(result.error)) {
-      await tables.refresh(group);
+    const to = owner.id;
+    if (result.isOk) return { result, to, knew, redirect: null };
+    const named = result.error.owner;
+    const redirect = isNewerOwner(named, version) ? named : null;
+    if (ownerMayHaveChanged(result.error)) {
+      const refreshed = tables.refresh(group);
+      // Who has been told where the key is need not wait for the table.
+      if (redirect === null) await refreshed;
     }
-    return { result, to: owner.id, knew: { table } };
+    return { result, to, knew, redirect };
   }
 
   function groupOf(request: ProxyRequest, key: string): string | null {
@@ -268,7 +292,7 @@
       body,
     );
     learnFrom(target.id, { result, rank: request.rank, sentAt });
-    return { result, to: target.id, knew };
+    return { result, to: target.id, knew, redirect: null };
   }
 
   function learnFrom(
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -22,6 +22,8 @@
   stepHolder,
 } from "../core/ownership/holder.ts";
 import {
+  type OwnerAsOf,
+  ownerAsOf,
   type OwnershipTable,
   type PlaceKey,
   sliceOfKey,
@@ -63,6 +65,8 @@
 export interface HolderTask {
   /** Admits one request on a key, or says why not. */
   admit(key: string): Permit | HoldRefusal;
+  /** Who else owns the key, as far as is known here. */
+  otherOwner(key: string): OwnerAsOf | null;
   /** Whether a request on this key would be admitted now. */
   owns(key: string): boolean;
   takeEpoch(claim: EpochClaim): Promise<TakeoverAnswer | null>;
@@ -375,6 +379,11 @@
         },
       };
     },
+    otherOwner(key) {
+      const slice = sliceOfKey(state.table, key, place);
+      const owner = ownerAsOf(state.table, slice);
+      return owner?.holder.id === agent.id ? null : owner;
+    },
     owns(key) {
       const slice = sliceOfKey(state.table, key, place);
       return decideHold(state, slice, readClocks()).kind === "owned" &&
--- a/source/tasks/owner_tables.ts
+++ b/source/tasks/owner_tables.ts
@@ -7,7 +7,9 @@
 import { type Agent, type AgentId, distance } from "../core/agent.ts";
 import {
   emptyTable,
+  isNewerOwner,
   newerTable,
+  type OwnerAsOf,
   ownerOfSlice,
   type OwnershipTable,
   type PlaceKey,
@@ -26,8 +28,12 @@
 
 /** The tables of all groups that were asked for. */
 export interface OwnerTables {
-  /** Null while no owner is known. */
-  ownerOf(group: string, key: string): Destination | null;
+  /** Null while no owner is known. What is newer counts, table or word. */
+  ownerOf(
+    group: string,
+    key: string,
+    word: OwnerAsOf | null,
+  ): Destination | null;
   /** Fetches a group's table, unless that was done a moment ago. */
   refresh(group: string): Promise<void>;
   /** The version of the table in use. */
@@ -52,9 +58,15 @@
   const fetches = new Map<string, Promise<void>>();
   const fetchedAt = new Map<string, number>();
 
-  function ownerOf(group: string, key: string): Destination | null {
+  function ownerOf(
+    group: string,
+    key: string,
+    word: OwnerAsOf | null,
+  ): Destination | null {
     const table = tableOf(group);
-    const owner = ownerOfSlice(table, sliceOfKey(table, key, options.place));
+    const owner = isNewerOwner(word, table.version)
+      ? word.holder
+      : ownerOfSlice(table, sliceOfKey(table, key, options.place));
     if (owner === null) return null;
     const known = options.agents().find((agent) => agent.id === owner.id);
     return {
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -6,7 +6,11 @@
  */
 import { Result } from "true-myth";
 import type { FinishKind } from "../core/admission/admission.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
+import {
+  type Failure,
+  notRun,
+  ownedElsewhere,
+} from "../core/request/outcome.ts";
 import type { Events } from "../ports/events.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type {
@@ -88,6 +92,9 @@
     const holder = options.holder();
     if (holder === null) return Result.err(notRun("lease-ended"));
     const permit = holder.admit(request.key);
+    if (permit === "not-owner") {
+      return Result.err(ownedElsewhere(holder.otherOwner(request.key)));
+    }
     return typeof permit === "string"
       ? Result.err(notRun(permit))
       : Result.ok(permit);
