An agent that stops as planned tells a few others so, besides the store

Telling the store more often was ruled out: the processes end before it is back.

Now the last thing an agent does is to tell four agents that serve, by the spread of records that runs without the store; a grantor looks there too.

--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -237,7 +237,7 @@
       departuresAskedAt = now;
       void source?.seeds();
     }
-    return hasDeparted(id, departures);
+    return hasDeparted(id, [...departures, ...spread.agents()]);
   }
 
   function candidatesFor(group: string): readonly Address[] {
@@ -340,6 +340,9 @@
       await started.stop();
       await holder?.stop();
       await grantors.stop();
+      const held = holder?.heldSlices() ?? 0;
+      if (held === 0) await spread.depart();
+      else events.record("departure-untold", { held });
       await spread.stop();
     },
   };
--- a/source/tasks/spread_task.ts
+++ b/source/tasks/spread_task.ts
@@ -8,6 +8,7 @@
   type Address,
   type Agent,
   type AgentId,
+  departedAgent,
   distance,
   type TargetPhase,
 } from "../core/agent.ts";
@@ -68,9 +69,16 @@
   transfer(message: Transfer): readonly SharedRecord[];
   /** Tells others at once; resolves after a few exchanges. */
   hurry(): Promise<void>;
+  /**
+   * Tells a few others that this process has stopped as planned. To be called
+   * once nothing is held or granted here any more.
+   */
+  depart(): Promise<void>;
   stop(): Promise<void>;
 }
 
+/** Agents that are told at once when this one is in a hurry. */
+const hurriedAgents = 4;
 const failuresBeforeLoss = 2;
 /** A lost host that does not come back is forgotten after this time. */
 const forgetLostMilliseconds = 600_000;
@@ -286,6 +294,17 @@
     wake.abort();
   }
 
+  /** Others that serve come first: one that stops too soon tells nobody. */
+  async function hurry(): Promise<void> {
+    const others = agents.filter((agent) =>
+      agent.host !== self.host && agent.phase !== "lost"
+    );
+    const serving = others.filter((agent) => agent.phase === "serving");
+    const leaving = others.filter((agent) => agent.phase !== "serving");
+    const told = [...serving, ...leaving].slice(0, hurriedAgents);
+    await Promise.all(told.map((agent) => exchangeWith(agent.peerAddress)));
+  }
+
   mailbox.send({ kind: "describe", self });
   const running = run();
 
@@ -322,14 +341,10 @@
       mailbox.send({ kind: "merge", records: offered });
       return recordsOf(replica, wanted);
     },
-    async hurry() {
-      const others = agents.filter((agent) =>
-        agent.host !== self.host && agent.phase !== "lost"
-      );
-      const first = others.slice(0, 4);
-      await Promise.all(
-        first.map((agent) => exchangeWith(agent.peerAddress)),
-      );
+    hurry,
+    async depart() {
+      mailbox.send({ kind: "describe", self: departedAgent(self) });
+      await Promise.race([hurry(), pause(times.callTimeoutMilliseconds)]);
     },
     async stop() {
       stopped = true;
--- a/tests/coordination_test.ts
+++ b/tests/coordination_test.ts
@@ -300,6 +300,34 @@
     });
   });
 
+  describe("planned stops of the grantor and a server without the store", () => {
+    /** As the planned stop does it: gives up, hands over, ends. */
+    async function stopAsPlanned(host: string): Promise<void> {
+      const { coordinator } = mesh.node(host);
+      const patience = { timeoutMilliseconds: 2_000 };
+      const released = coordinator.holder()?.releaseAll(patience);
+      const handedOver = coordinator.grantors.handOver(patience);
+      await mesh.advance(4_000, oneOwnerAtMost);
+      await Promise.all([released, handedOver]);
+      const stopped = coordinator.stop();
+      await mesh.advance(3_000, oneOwnerAtMost);
+      await stopped;
+    }
+
+    it("keep no key unserved once the store is back", async () => {
+      const [grantor = ""] = mesh.grantors();
+      const server = "timetable-1";
+      mesh.store.setDown(true);
+      await stopAsPlanned(grantor);
+      await stopAsPlanned(server);
+      const gone = new Set([grantor, server]);
+      mesh.setLinks((from, to) => !gone.has(from) && !gone.has(to));
+      mesh.store.setDown(false);
+      const took = await untilOthersOwn(server);
+      assert.ok(took <= servedAgainMilliseconds, `${took} ms`);
+    });
+  });
+
   describe("the document", () => {
     const edited = document.replace("share: 0.2", "share: 0.25");
 
