Running requests are counted apart from the slices they run on

Found by a profile of an agent beside a busy keyed target: each request copied the map of all its slices twice and searched it four times. The counts are a map of their own now, of the few slices with work.

Reading it showed a fault: a slice that was lost and came back began with a count of none, so the end of its former work was taken for the end of the new, and the slice could be released while a request ran on it. The new test does just that; it failed on the former code (released at once) and passes now.

--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -26,8 +26,6 @@
   readonly token: FencingToken;
   /** No new work is admitted; running work is finished. */
   readonly releasing: boolean;
-  /** Requests admitted and not finished. */
-  readonly running: number;
   /** What the former holder handed over with this grant. */
   readonly handover: string | undefined;
   /** The target has given the slice up, with this for the next holder. */
@@ -44,6 +42,12 @@
   readonly epoch: number;
   readonly leaseEndsAt: Clocks;
   readonly slices: ReadonlyMap<number, HeldSlice>;
+  /**
+   * Requests admitted and not finished, of each slice that has any: changed by
+   * every request, and so kept apart from the slices. A slice that was lost and
+   * came back waits for its former work too.
+   */
+  readonly running: ReadonlyMap<number, number>;
   /** Released, and not yet known to the grantor. */
   readonly released: readonly Grant[];
   readonly table: OwnershipTable;
@@ -95,6 +99,7 @@
     epoch: 0,
     leaseEndsAt: beginningOfTime,
     slices: new Map(),
+    running: new Map(),
     released: [],
     table: emptyTable(options.group),
   };
@@ -115,7 +120,7 @@
     case "admitted":
       return countRunning(state, event.slice, 1);
     case "finished":
-      return settleReleases(countRunning(state, event.slice, -1));
+      return finish(state, event.slice);
     case "surrendered":
       return settleReleases(noteSurrender(state, event));
     case "lost":
@@ -159,8 +164,8 @@
 ): readonly Grant[] {
   const all = leaseHolds(state, now);
   const grants: Grant[] = [];
-  for (const [slice, { token, running }] of state.slices) {
-    const works = running > 0 && !state.targetSurrenders;
+  for (const [slice, { token }] of state.slices) {
+    const works = state.running.has(slice) && !state.targetSurrenders;
     if (all || works) grants.push({ slice, token });
   }
   return grants;
@@ -209,7 +214,6 @@
     slices.set(grant.slice, {
       token: newerToken(former?.token, grant.token),
       releasing: false,
-      running: former?.running ?? 0,
       handover: grant.handover,
       surrendered: null,
     });
@@ -296,8 +300,8 @@
 }
 
 function settleReleases(state: HolderState): HolderState {
-  const done = [...state.slices].filter(([, held]) =>
-    held.releasing && held.running === 0 &&
+  const done = [...state.slices].filter(([slice, held]) =>
+    held.releasing && !state.running.has(slice) &&
     (held.surrendered !== null || !state.targetSurrenders)
   );
   if (done.length === 0) return state;
@@ -317,11 +321,15 @@
   slice: number,
   change: 1 | -1,
 ): HolderState {
-  const held = state.slices.get(slice);
-  if (held === undefined) return state;
-  const running = held.running + change;
-  return {
-    ...state,
-    slices: new Map(state.slices).set(slice, { ...held, running }),
-  };
+  const running = new Map(state.running);
+  const count = (running.get(slice) ?? 0) + change;
+  if (count > 0) running.set(slice, count);
+  else running.delete(slice);
+  return { ...state, running };
+}
+
+function finish(state: HolderState, slice: number): HolderState {
+  const counted = countRunning(state, slice, -1);
+  const waits = state.slices.get(slice)?.releasing === true;
+  return waits ? settleReleases(counted) : counted;
 }
--- a/source/core/ownership/holder_test.ts
+++ b/source/core/ownership/holder_test.ts
@@ -128,6 +128,23 @@
       ]);
     });
 
+    it("of a slice that was lost and came back waits for all its work", () => {
+      const admitted = { kind: "admitted", slice: 3 } as const;
+      const finished = { kind: "finished", slice: 3 } as const;
+      const running = stepHolder(renewed(begun), admitted);
+      const lost = renewed(running, { grants: [] });
+      const back = renewed(lost, {
+        grants: [{ slice: 3, token: { epoch: 1, sequence: 9 } }],
+      });
+      const other = stepHolder(stepHolder(back, admitted), finished);
+      const releasing = renewed(other, {
+        grants: [{ slice: 3, token: { epoch: 1, sequence: 9 } }],
+        release: [3],
+      });
+      assert.deepEqual(releasing.released, []);
+      assert.equal(stepHolder(releasing, finished).released.length, 1);
+    });
+
     it("is not undone by an answer written before it arrived", () => {
       const released = stepHolder(renewed(begun), { kind: "releaseAll" });
       const crossed = stepHolder(released, {
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -166,6 +166,13 @@
     if (released) nudge();
   }
 
+  /** Every request comes by here twice, and rarely ends a release. */
+  function count(message: Message & { kind: "admitted" | "finished" }): void {
+    const next = stepHolder(state, message);
+    if (next.slices !== state.slices) return change(next);
+    state = next;
+  }
+
   function surrenderReleasing(target: KeyGrantsTask): void {
     for (const [slice, held] of state.slices) {
       if (!held.releasing || held.surrendered !== null) continue;
@@ -204,6 +211,8 @@
         break;
       case "admitted":
       case "finished":
+        count(message);
+        break;
       case "surrendered":
       case "lost":
       case "release":
