A new grantor does not wait for agents whose machines were replaced

Another host's process answers at the lost agent's address. One machine has an address at a time, so the old one is gone with all that ran there, and the grantor need not wait for it: it asks who answers, once a second while it waits. The test on the paused clock loses the grantor and a server for good and gives the address to another host: 12 s without an owner before, within the bound of 5 s now. A machine that is lost with the grantor and whose address nobody takes is waited for as before (docs/PLATFORM.md).

--- a/source/adapters/peer_server.ts
+++ b/source/adapters/peer_server.ts
@@ -49,6 +49,7 @@
     locateGrantor: procedure("locateGrantor"),
     takeEpoch: procedure("takeEpoch"),
     sealGrantor: procedure("sealGrantor"),
+    identify: procedure("identify"),
     nudge: procedure("nudge"),
     table: procedure("table"),
     census: procedure("census"),
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -221,6 +221,7 @@
     message: z.strictObject({ ...claim, grantor: name }),
     answer: z.boolean(),
   },
+  identify: { message: z.strictObject({}), answer: name },
   nudge: { message: group, answer: z.null() },
   table: { message: group, answer: table.nullable() },
   census: {
--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -44,6 +44,14 @@
   );
 }
 
+/**
+ * Whether the machine that an agent ran on is gone: another host's process
+ * answers at its address, which one machine has at a time.
+ */
+export function isReplacedBy(id: AgentId, answering: AgentId): boolean {
+  return hostOfAgent(id) !== hostOfAgent(answering);
+}
+
 /**
  * The entry that an agent leaves behind when it has stopped as planned: of a
  * process after its own that never serves. Only one that holds and grants
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -136,7 +136,7 @@
   | { readonly kind: "tick"; readonly now: Clocks }
   /** No earlier grantor can renew a lease any more, from now on. */
   | { readonly kind: "earlierEnded"; readonly now: Clocks }
-  /** These agents stopped as planned, with nothing in their hands. */
+  /** These agents have ended, with nothing in their targets' hands. */
   | { readonly kind: "departed"; readonly ids: readonly AgentId[] }
   | {
     /** A store write at this epoch took effect. */
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -18,6 +18,7 @@
   | "grantor-stopped"
   | "earlier-grantors-ended"
   | "departed-agents-noted"
+  | "replaced-agent-noted"
   | "departure-untold"
   | "grantor-located"
   | "holder-lapsed"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -115,6 +115,8 @@
   sealGrantor(claim: EpochClaim & { readonly grantor: AgentId }): Promise<
     boolean
   >;
+  /** Which process answers at this address. */
+  identify(question: Readonly<Record<never, never>>): Promise<AgentId>;
   /** Asks a holder to renew at once. */
   nudge(question: { readonly group: string }): Promise<null>;
   table(question: { readonly group: string }): Promise<OwnershipTable | null>;
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -4,12 +4,18 @@
  *
  * @module
  */
-import type { Address, Agent, AgentId } from "../core/agent.ts";
+import {
+  type Address,
+  type Agent,
+  type AgentId,
+  isReplacedBy,
+} from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
 import {
   type Checkpoint,
   type Delegation,
   earlierGrantorsOf,
+  type RosterEntry,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
 import { delegationEnded, stepGrantor } from "../core/ownership/grantor.ts";
@@ -31,7 +37,10 @@
 import type { Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
-import { pause, readClocks, startTicker } from "./time.ts";
+import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
+
+/** Agents that have not been heard from are asked for this often. */
+const identifyMilliseconds = 1_000;
 
 /** Durations of granting. */
 export interface GrantorTimes {
@@ -377,10 +386,38 @@
     send({ kind: "departed", ids });
   }
 
+  let identifiedAt = -Infinity;
+
+  /** A machine that was replaced never answers for itself. */
+  function noteReplaced(): void {
+    const now = monotonicNow();
+    if (now - identifiedAt < identifyMilliseconds) return;
+    identifiedAt = now;
+    for (const entry of state.roster) {
+      if (state.unheard.has(entry.id)) void identify(entry);
+    }
+  }
+
+  async function identify({ id, peerAddress }: RosterEntry): Promise<void> {
+    const result = await options.peers.call(peerAddress, "identify", {
+      message: {},
+      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+    });
+    if (stopped || result.isErr || !isReplacedBy(id, result.value)) return;
+    events.record("replaced-agent-noted", {
+      group,
+      epoch: state.epoch,
+      agent: id,
+      by: result.value,
+    });
+    send({ kind: "departed", ids: [id] });
+  }
+
   const ticker = startTicker(() => {
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
     noteEarlierEnded();
     noteDeparted();
+    noteReplaced();
     send({ kind: "tick", now: readClocks() });
   }, { intervalMilliseconds: options.times.tickMilliseconds });
 
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -54,6 +54,7 @@
     takeEpoch: (claim) =>
       holderOf(claim.group)?.takeEpoch(claim) ?? Promise.resolve(null),
     sealGrantor: (claim) => grantors.seal(claim),
+    identify: () => Promise.resolve(spread.self().id),
     nudge({ group }) {
       holderOf(group)?.nudge();
       return Promise.resolve(null);
--- a/tests/coordination_test.ts
+++ b/tests/coordination_test.ts
@@ -169,6 +169,24 @@
     });
   });
 
+  describe("loss of the grantor and a server for good", () => {
+    it("keeps no key unserved once another host has the server's address", async () => {
+      const [grantor = ""] = mesh.grantors();
+      const server = mesh.node("timetable-1");
+      mesh.lose(grantor);
+      mesh.lose(server.agent.host);
+      mesh.add({
+        host: "media-9",
+        service: "media",
+        dataCenter: "kolkata-1",
+        region: "kolkata",
+        address: server.address,
+      });
+      const took = await untilOthersOwn(server.agent.host);
+      assert.ok(took <= servedAgainMilliseconds, `${took} ms`);
+    });
+  });
+
   describe("outage of the store", () => {
     it("of a minute moves and stops no key", async () => {
       const before = ownersOfAll();
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -50,6 +50,8 @@
   readonly service: string;
   readonly dataCenter: string;
   readonly region: string;
+  /** That of a host that is gone; one of its own when left out. */
+  readonly address?: string;
 }
 
 /** A mesh of coordinators on a paused clock. */
@@ -59,6 +61,8 @@
   readonly store: FakeStore;
   add(options: NodeOptions): FakeNode;
   node(host: string): FakeNode;
+  /** Its machine is gone for good, with all that ran there. */
+  lose(host: string): void;
   /** Lets time pass; calls `each` after every step of it. */
   advance(milliseconds: number, each?: () => void): Promise<void>;
   now(): number;
@@ -125,16 +129,27 @@
   const random = seededRandom(options.seed ?? 7);
   const times = options.times ?? usualTimes;
   const nodes: FakeNode[] = [];
+  const lost = new Set<FakeNode>();
   const events: FakeEvent[] = [];
-  let reaches: (from: string, to: string) => boolean = () => true;
+  let linked: (from: string, to: string) => boolean = () => true;
   let marks = 0;
+  function isLost(host: string): boolean {
+    return [...lost].some((node) => node.agent.host === host);
+  }
+
+  function reaches(from: string, to: string): boolean {
+    return linked(from, to) && !isLost(from) && !isLost(to);
+  }
+
   const store = startFakeStore({ reaches: (from) => reaches(from, "store") });
   store.seed(options.document);
 
   function peersOf(host: string): Peers {
     return {
       async call(address, method, { message, timeoutMilliseconds }) {
-        const other = nodes.find((node) => node.address === address);
+        const other = nodes.find((node) =>
+          node.address === address && !lost.has(node)
+        );
         await sleep(latencyMilliseconds);
         if (other === undefined || !reaches(host, other.agent.host)) {
           await sleep(timeoutMilliseconds);
@@ -154,7 +169,7 @@
   }
 
   function add(node: NodeOptions): FakeNode {
-    const address = `127.0.0.1:${nodes.length + 1}`;
+    const address = node.address ?? `127.0.0.1:${nodes.length + 1}`;
     const agent: Agent = {
       id: `${node.host}/${Date.now()}`,
       host: node.host,
@@ -228,19 +243,24 @@
       if (found === undefined) throw new Error(`no node ${host}`);
       return found;
     },
+    lose(host) {
+      lost.add(this.node(host));
+    },
     advance,
     now: () => performance.now(),
     setLinks(next) {
-      reaches = next;
+      linked = next;
     },
     heal() {
-      reaches = () => true;
+      linked = () => true;
     },
     owners: (key) =>
-      nodes.filter((node) => node.coordinator.holder()?.owns(key))
+      nodes.filter((node) => !lost.has(node))
+        .filter((node) => node.coordinator.holder()?.owns(key))
         .map((node) => node.agent.host),
     grantors: () =>
-      nodes.filter((node) => node.coordinator.grantors.groups().length > 0)
+      nodes.filter((node) => !lost.has(node))
+        .filter((node) => node.coordinator.grantors.groups().length > 0)
         .map((node) => node.agent.host),
     async stop() {
       const stopping = Promise.all(
