--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -257,6 +257,7 @@
   roster: z.array(z.strictObject({ id: name, peerAddress: address })),
   earlierMayGrant: z.boolean(),
   earlierGrantors: z.array(name).max(1_000),
+  hashedSlices: count,
   isolatedKeys,
   writerMark: name,
 });
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -39,6 +39,11 @@
   readonly earlierMayGrant: boolean;
   /** Those earlier grantors, as far as they have not been proved stopped. */
   readonly earlierGrantors: readonly AgentId[];
+  /**
+   * Slices that keys are hashed to: those of the group's first grantor, for
+   * ever. Servers that divide the keys in two ways may both hold one key.
+   */
+  readonly hashedSlices: number;
   /**
    * Keys with a slice of their own. Stored before any holder hears of them, so
    * that no successor maps such a key to a slice that another server has.
@@ -56,6 +61,7 @@
   return {
     ...claim,
     epoch: (previous?.epoch ?? 0) + 1,
+    hashedSlices: previous?.hashedSlices ?? claim.hashedSlices,
     roster: previous?.roster ?? [],
     earlierMayGrant: previous !== null,
     earlierGrantors: previous === null ? [] : earlierGrantorsOf(previous),
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -293,6 +293,7 @@
       grantor: `g${move.grantor}`,
       grantorAddress: `${move.grantor}`,
       durationMilliseconds: settings.delegationMilliseconds,
+      hashedSlices: settings.hashedSlices,
       writerMark: `${this.marks}`,
     });
     const epoch = this.stored.epoch;
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -113,7 +113,10 @@
   const state = beginGrantor({
     group: options.group,
     epoch: claim.stored.value.epoch,
-    settings: options.settings,
+    settings: {
+      ...options.settings,
+      hashedSlices: claim.stored.value.hashedSlices,
+    },
     roster: claim.stored.value.roster,
     answers,
     earlierStopped,
@@ -158,6 +161,7 @@
     grantor: agent.id,
     grantorAddress: agent.peerAddress,
     durationMilliseconds: settings.delegationMilliseconds,
+    hashedSlices: settings.hashedSlices,
     writerMark: options.newMark(),
   });
   const askedAt = readClocks();
