A target's last word counts for an agent that hears nothing else of it first

Ruled out: a report of the draining state out of order, and another process in the target's place.

The farewell is kept until no report comes so late: a report of that target from a process that had started by then registers it as leaving; one that was started since serves. The new test fails on the former code. The log has a line for each last word.

--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -36,6 +36,19 @@
   /** A target that has not reported for so long counts as silent. */
   readonly silenceMilliseconds: number;
   readonly target: RegisteredTarget | null;
+  /** The last word of a target that had not reported here; null for none. */
+  readonly farewell: Farewell | null;
+}
+
+/**
+ * A target has gone whose reports went to an agent before this one: a report
+ * that it sent before may still come.
+ */
+interface Farewell {
+  readonly id: string;
+  readonly now: number;
+  /** By the clock that targets state their starts by. */
+  readonly wallNow: number;
 }
 
 /** What happens to a registration. */
@@ -46,18 +59,27 @@
     readonly now: number;
   }
   /** The target says for the last time that it goes. */
-  | { readonly kind: "left"; readonly id: string; readonly now: number }
+  | {
+    readonly kind: "left";
+    readonly id: string;
+    readonly now: number;
+    /** Milliseconds since 1970. */
+    readonly wallNow: number;
+  }
   /** A connection to the target was refused. */
   | { readonly kind: "refused" };
 
 /** What a report changed. */
 export type RegistrationChange = "none" | "begun" | "replaced" | "updated";
 
+/** No report comes so late. */
+const farewellMilliseconds = 30_000;
+
 /** Nothing has reported yet. */
 export function beginRegistration(
   silenceMilliseconds: number,
 ): RegistrationState {
-  return { silenceMilliseconds, target: null };
+  return { silenceMilliseconds, target: null, farewell: null };
 }
 
 /** Applies one event; says what it changed. */
@@ -70,7 +92,10 @@
     case "reported":
       return take(state, event);
     case "left":
-      if (target === null || target.id !== event.id) return unchanged(state);
+      if (target === null || target.id !== event.id) {
+        const { id, now, wallNow } = event;
+        return unchanged({ ...state, farewell: { id, now, wallNow } });
+      }
       return updated(state, leaving(target, event.now));
     case "refused":
       if (target === null || target.refused) return unchanged(state);
@@ -126,10 +151,24 @@
   const target: RegisteredTarget = {
     ...report,
     reportedAt: now,
-    leavingSince: report.phase === "leaving" ? now : null,
+    leavingSince: null,
     refused: false,
   };
-  return { state: { ...state, target }, change };
+  const leaves = report.phase === "leaving" ||
+    isBeforeFarewell(state, report, now);
+  const begun = leaves ? leaving(target, now) : target;
+  return { state: { ...state, target: begun }, change };
+}
+
+/** Whether the report is of a process that has said its last word since. */
+function isBeforeFarewell(
+  { farewell }: RegistrationState,
+  report: TargetReport,
+  now: number,
+): boolean {
+  return farewell !== null && farewell.id === report.id &&
+    report.startedAt <= farewell.wallNow &&
+    now - farewell.now < farewellMilliseconds;
 }
 
 function leaving(target: RegisteredTarget, now: number): RegisteredTarget {
--- a/source/core/target/registration_test.ts
+++ b/source/core/target/registration_test.ts
@@ -58,10 +58,27 @@
         kind: "left",
         id: "i-1",
         now: 5,
+        wallNow: 2_000,
       });
       assert.ok(!serves(state, 10));
     });
 
+    describe("whose last word is the first that a new agent hears of it", () => {
+      const { state } = stepRegistration(
+        beginRegistration(silenceMilliseconds),
+        { kind: "left", id: "i-1", now: 5, wallNow: 2_000 },
+      );
+
+      it("does not serve by a report that comes late", () => {
+        assert.ok(!serves(after([{}], state), 10));
+        assert.ok(!serves(after([{}, { sequence: 2 }], state), 10));
+      });
+
+      it("serves once it has been started again", () => {
+        assert.ok(serves(after([{ startedAt: 2_001 }], state), 10));
+      });
+    });
+
     it("is not alive after a refused connection, until it reports again", () => {
       const { state } = stepRegistration(after([{}]), { kind: "refused" });
       assert.ok(!isAlive(state, 10));
@@ -91,7 +108,7 @@
     it("is not ended by the former one's last word", () => {
       const { change } = stepRegistration(
         after([{ id: "i-2", startedAt: 2_000 }]),
-        { kind: "left", id: "i-1", now: 5 },
+        { kind: "left", id: "i-1", now: 5, wallNow: 2_000 },
       );
       assert.equal(change, "none");
     });
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -11,6 +11,7 @@
   | "agent-stopped"
   | "agent-lost"
   | "agent-refuted-loss"
+  | "target-left"
   | "target-phase"
   | "epoch-claimed"
   | "epoch-accepted"
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -98,7 +98,18 @@
   return {
     report: (report) =>
       mailbox.send({ kind: "reported", report, now: monotonicNow() }),
-    leave: (id) => mailbox.send({ kind: "left", id, now: monotonicNow() }),
+    leave(id) {
+      events.record("target-left", {
+        target: id,
+        known: state.target?.id === id,
+      });
+      mailbox.send({
+        kind: "left",
+        id,
+        now: monotonicNow(),
+        wallNow: Date.now(),
+      });
+    },
     noteRefused: () => mailbox.send({ kind: "refused" }),
     target: () => state.target,
     accepts({ keyed }) {
