An agent that begins to grant is not taken for one that does not

Ruled out: store replies that were lost.

A claimed epoch counts from its claim on, and renewals wait until its grantor has begun.

--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -82,6 +82,8 @@
   readonly hasEnded: (id: AgentId) => boolean;
   /** Whether it is known to have stopped as planned, with nothing held. */
   readonly hasDeparted: (id: AgentId) => boolean;
+  /** Hears of the epoch once the store has it, before anybody is asked. */
+  readonly onClaimed: (epoch: number) => void;
 }
 
 interface Claim {
@@ -99,6 +101,7 @@
 ): Promise<GrantorTask | null> {
   const claim = await claimEpoch(options);
   if (claim === null) return null;
+  options.onClaimed(claim.stored.value.epoch);
   options.events.record("epoch-claimed", {
     group: options.group,
     epoch: claim.stored.value.epoch,
--- a/source/tasks/grantor_task_test.ts
+++ b/source/tasks/grantor_task_test.ts
@@ -46,6 +46,7 @@
     formerReachable: false,
     hasEnded: () => true,
     hasDeparted: () => false,
+    onClaimed: () => undefined,
   });
 }
 
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -22,7 +22,8 @@
 
 /** The grantors that run in one agent. */
 export interface GrantorsTask {
-  renew(renewal: Renewal): RenewalAnswer | null;
+  /** Null when this agent does not grant; waits while it begins to. */
+  renew(renewal: Renewal): Promise<RenewalAnswer | null>;
   locate(question: LocateQuestion): Promise<GrantorLocation | null>;
   seal(claim: EpochClaim & { readonly grantor: AgentId }): Promise<boolean>;
   table(group: string): OwnershipTable | null;
@@ -37,10 +38,19 @@
   stop(): Promise<void>;
 }
 
+/** A grantor between its claim and its first grant. */
+interface Beginning {
+  readonly epoch: number;
+  readonly over: Promise<void>;
+}
+
 /** Starts without any group. */
 export function startGrantors(
   options:
-    & Omit<GrantorOptions, "group" | "settings" | "former" | "formerReachable">
+    & Omit<
+      GrantorOptions,
+      "group" | "settings" | "former" | "formerReachable" | "onClaimed"
+    >
     & {
       readonly agent: Agent;
       /** Null while the group's service is in no configuration. */
@@ -54,6 +64,8 @@
   /** The highest epoch that this process gave up, by group. */
   const sealed = new Map<string, number>();
   const searches = new Map<string, Promise<GrantorLocation | null>>();
+  /** Grantors that have claimed an epoch, and are asking who holds what. */
+  const beginnings = new Map<string, Beginning>();
   let closing = false;
 
   function running(group: string): GrantorTask | null {
@@ -61,10 +73,10 @@
     return grantor === undefined || grantor.stopped() ? null : grantor;
   }
 
+  /** One that begins counts: who took it for none would take over from it. */
   function here(group: string): GrantorLocation | null {
-    const grantor = running(group);
-    if (grantor === null) return null;
-    return { address: agent.peerAddress, epoch: grantor.epoch };
+    const epoch = beginnings.get(group)?.epoch ?? running(group)?.epoch;
+    return epoch === undefined ? null : { address: agent.peerAddress, epoch };
   }
 
   /** One search at a time for a group; all who ask share its answer. */
@@ -113,20 +125,34 @@
   ): Promise<GrantorLocation | null> {
     const settings = options.settingsOf(group);
     if (settings === null || closing) return null;
+    let settle = () => {};
+    const over = new Promise<void>((resolve) => settle = resolve);
     const grantor = await startGrantor({
       ...options,
+      ...claim,
       group,
       settings,
-      ...claim,
+      onClaimed: (epoch) => beginnings.set(group, { epoch, over }),
     });
-    if (grantor === null) return null;
+    const keeps = await keepBegun(group, grantor);
+    beginnings.delete(group);
+    settle();
+    return keeps ? here(group) : null;
+  }
+
+  /** A grantor that was replaced while it began never grants. */
+  async function keepBegun(
+    group: string,
+    grantor: GrantorTask | null,
+  ): Promise<boolean> {
+    if (grantor === null) return false;
     if (closing || (sealed.get(group) ?? 0) > grantor.epoch) {
       await grantor.stop();
-      return null;
+      return false;
     }
     await grantors.get(group)?.stop();
     grantors.set(group, grantor);
-    return here(group);
+    return true;
   }
 
   async function giveUp(group: string, epoch: number): Promise<void> {
@@ -164,7 +190,10 @@
   }
 
   return {
-    renew: (renewal) => running(renewal.group)?.renew(renewal) ?? null,
+    async renew(renewal) {
+      await beginnings.get(renewal.group)?.over;
+      return running(renewal.group)?.renew(renewal) ?? null;
+    },
     async locate(question) {
       const own = here(question.group);
       if (own !== null || question.effort !== "take-over" || closing) {
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -49,7 +49,7 @@
     exchange: (message) => Promise.resolve(spread.exchange(message)),
     compare: (message) => Promise.resolve(spread.compare(message)),
     transfer: (message) => Promise.resolve(spread.transfer(message)),
-    renew: (renewal) => Promise.resolve(grantors.renew(renewal)),
+    renew: (renewal) => grantors.renew(renewal),
     locateGrantor,
     takeEpoch: (claim) =>
       holderOf(claim.group)?.takeEpoch(claim) ?? Promise.resolve(null),
--- a/tests/coordination_test.ts
+++ b/tests/coordination_test.ts
@@ -169,6 +169,36 @@
     });
   });
 
+  describe("loss of all agents, of which one does not come back", () => {
+    const missing = "timetable-3";
+
+    /** Each other host's next process, at the address of the one before. */
+    function restartOthers(): void {
+      for (const { agent, address } of [...mesh.nodes]) {
+        mesh.lose(agent.host);
+        if (agent.host === missing) continue;
+        mesh.add({
+          host: agent.host,
+          service: agent.service,
+          dataCenter: agent.place.dataCenter,
+          region: agent.place.region,
+          address,
+        });
+      }
+    }
+
+    it("is followed by one claim while its grantor asks who holds what", async () => {
+      const before = mesh.events.length;
+      restartOthers();
+      // Later an agent that holds nothing takes over, as planned.
+      await mesh.advance(3_000, oneOwnerAtMost);
+      const claims = mesh.events.slice(before).filter(({ kind }) =>
+        kind === "epoch-claimed"
+      );
+      assert.equal(claims.length, 1, `${claims.map(({ host }) => host)}`);
+    });
+  });
+
   describe("loss of the grantor and a server for good", () => {
     it("keeps no key unserved once another host has the server's address", async () => {
       const [grantor = ""] = mesh.grantors();
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -134,7 +134,8 @@
   let linked: (from: string, to: string) => boolean = () => true;
   let marks = 0;
   function isLost(host: string): boolean {
-    return [...lost].some((node) => node.agent.host === host);
+    const found = nodes.findLast((node) => node.agent.host === host);
+    return found !== undefined && lost.has(found);
   }
 
   function reaches(from: string, to: string): boolean {
@@ -144,14 +145,16 @@
   const store = startFakeStore({ reaches: (from) => reaches(from, "store") });
   store.seed(options.document);
 
-  function peersOf(host: string): Peers {
+  function peersOf(host: string, isGone: () => boolean): Peers {
     return {
       async call(address, method, { message, timeoutMilliseconds }) {
         const other = nodes.find((node) =>
           node.address === address && !lost.has(node)
         );
         await sleep(latencyMilliseconds);
-        if (other === undefined || !reaches(host, other.agent.host)) {
+        const cut = other === undefined || isGone() ||
+          !reaches(host, other.agent.host);
+        if (cut) {
           await sleep(timeoutMilliseconds);
           return Result.err({ kind: "timeout", detail: method });
         }
@@ -188,13 +191,14 @@
         events.push({ at: performance.now(), host: node.host, kind, detail });
       },
     };
-    const nodeStore = store.storeOf(node.host);
+    const isGone = () => [...lost].some((other) => other.agent === agent);
+    const nodeStore = store.storeOf(node.host, isGone);
     const coordinator = startCoordinator({
       agent,
       times,
       group: usualGroupSettings,
       delegations: nodeStore.delegations,
-      peers: peersOf(node.host),
+      peers: peersOf(node.host, isGone),
       events: recorder,
       hash: hashText,
       place: placeByHash(hashText),
@@ -239,7 +243,7 @@
     store,
     add,
     node(host) {
-      const found = nodes.find((node) => node.agent.host === host);
+      const found = nodes.findLast((node) => node.agent.host === host);
       if (found === undefined) throw new Error(`no node ${host}`);
       return found;
     },
@@ -299,7 +303,8 @@
 
 /** A store in memory. */
 export interface FakeStore {
-  storeOf(host: string): Store;
+  /** What a process on this host has of it until it is gone. */
+  storeOf(host: string, isGone: () => boolean): Store;
   seed(text: string): void;
   setDown(down: boolean): void;
   /** So many of the next writes take effect and lose their reply. */
@@ -317,10 +322,13 @@
   let writes = 0;
   const storeTimeoutMilliseconds = 1_000;
 
-  function repository<Value>(host: string, kind: string): Repository<Value> {
+  function repository<Value>(
+    reaches: () => boolean,
+    kind: string,
+  ): Repository<Value> {
     async function reach(): Promise<StoreFault | null> {
       await sleep(latencyMilliseconds);
-      if (!down && options.reaches(host)) return null;
+      if (!down && reaches()) return null;
       await sleep(storeTimeoutMilliseconds);
       return { kind: "uncertain", detail: "no answer" };
     }
@@ -349,18 +357,19 @@
     };
   }
 
-  return {
-    storeOf: (host) => ({
-      documents: repository(host, "documents"),
-      acceptances: repository(host, "acceptances"),
-      delegations: repository(host, "delegations"),
-      statuses: repository(host, "statuses"),
-      seeds: repository(host, "seeds"),
+  function storeOf(host: string, isGone: () => boolean): Store {
+    const reaches = () => !isGone() && options.reaches(host);
+    return {
+      documents: repository(reaches, "documents"),
+      acceptances: repository(reaches, "acceptances"),
+      delegations: repository(reaches, "delegations"),
+      statuses: repository(reaches, "statuses"),
+      seeds: repository(reaches, "seeds"),
       async awaitChange() {
         const seen = objects.get("documents/main")?.version;
         const end = performance.now() + 30_000;
         while (performance.now() < end) {
-          if (down || !options.reaches(host)) {
+          if (down || !reaches()) {
             return Result.err({ kind: "uncertain", detail: "no answer" });
           }
           if (objects.get("documents/main")?.version !== seen) break;
@@ -368,7 +377,11 @@
         }
         return Result.ok(null);
       },
-    }),
+    };
+  }
+
+  return {
+    storeOf,
     seed(text) {
       version += 1;
       const value = { text, author: "test" };
