--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -127,17 +127,20 @@
     if (settings === null || closing) return null;
     let settle = () => {};
     const over = new Promise<void>((resolve) => settle = resolve);
-    const grantor = await startGrantor({
-      ...options,
-      ...claim,
-      group,
-      settings,
-      onClaimed: (epoch) => beginnings.set(group, { epoch, over }),
-    });
-    const keeps = await keepBegun(group, grantor);
-    beginnings.delete(group);
-    settle();
-    return keeps ? here(group) : null;
+    try {
+      const grantor = await startGrantor({
+        ...options,
+        ...claim,
+        group,
+        settings,
+        onClaimed: (epoch) => beginnings.set(group, { epoch, over }),
+      });
+      if (!await keepBegun(group, grantor)) return null;
+    } finally {
+      beginnings.delete(group);
+      settle();
+    }
+    return here(group);
   }
 
   /** A grantor that was replaced while it began never grants. */
