--- a/tests/sessions/session.ts
+++ b/tests/sessions/session.ts
@@ -182,10 +182,17 @@
   return Math.max(0, ...failed.map((result) => result.sentAt - actedAt));
 }
 
-/** How many requests did not end as answered. */
-export function failures(report: LoadReport): number {
-  return report.results.filter((result) => result.outcome !== "answered")
-    .length;
+/** Failures that are told one by one. */
+const mostReasons = 8;
+
+/** How many requests did not end as answered, and why. */
+export function failures(report: LoadReport): string {
+  const failed = report.results.filter(({ outcome }) => outcome !== "answered");
+  if (failed.length === 0) return "0";
+  const reasons = failed.map(({ outcome, reason, sentAt }) =>
+    `${outcome} ${reason} at ${new Date(sentAt).toISOString()}`
+  );
+  return `${failed.length} (${reasons.slice(0, mostReasons).join(", ")})`;
 }
 
 /** Compares lines with a golden file; UPDATE_GOLDEN=1 writes it instead. */
