--- a/standins/load.ts
+++ b/standins/load.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { build, type Histogram } from "hdr-histogram-js";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -55,6 +56,8 @@
 export interface LoadReport {
   readonly results: readonly LoadResult[];
   readonly ranks: readonly RankSummary[];
+  /** The longest time in which this program itself did not get to run. */
+  readonly longestStallMilliseconds: number;
 }
 
 /** One rank's part of a report. */
@@ -69,6 +72,8 @@
   readonly p99Milliseconds: number;
 }
 
+const nanosecondsPerMillisecond = 1_000_000;
+
 /** Sends a load and waits for every answer. */
 export async function runLoad(load: Load): Promise<LoadReport> {
   const pools = load.addresses.map((address) =>
@@ -79,6 +84,8 @@
   );
   const results: Promise<LoadResult>[] = [];
   const startedAt = performance.now();
+  const stalls = monitorEventLoopDelay({ resolution: 10 });
+  stalls.enable();
   // Each kind has numbers of its own, so that two runs send the same.
   await Promise.all(load.kinds.map((kind, index) => {
     const random = seededRandom(load.seed + index);
@@ -86,7 +93,14 @@
   }));
   const settled = await Promise.all(results);
   await Promise.all(pools.map((pool) => pool.destroy()));
-  return { results: settled, ranks: summarise(settled) };
+  stalls.disable();
+  return {
+    results: settled,
+    ranks: summarise(settled),
+    longestStallMilliseconds: Math.round(
+      stalls.max / nanosecondsPerMillisecond,
+    ),
+  };
 }
 
 /** A seeded source of numbers from 0 up to but not including 1. */
--- a/tests/sessions/session.ts
+++ b/tests/sessions/session.ts
@@ -99,6 +99,7 @@
   const actedAt = Date.now();
   await options.act();
   const report = await loading;
+  explain(report, actedAt);
   await sleep(1_500);
   return { report, actedAt, runs: await mesh.runs() };
 }
@@ -182,17 +183,31 @@
   return Math.max(0, ...failed.map((result) => result.sentAt - actedAt));
 }
 
+/** How many requests did not end as answered. */
+export function failures(report: LoadReport): number {
+  return failedOf(report).length;
+}
+
+function failedOf({ results }: LoadReport): readonly LoadResult[] {
+  return results.filter(({ outcome }) => outcome !== "answered");
+}
+
 /** Failures that are told one by one. */
-const mostReasons = 8;
-
-/** How many requests did not end as answered, and why. */
-export function failures(report: LoadReport): string {
-  const failed = report.results.filter(({ outcome }) => outcome !== "answered");
-  if (failed.length === 0) return "0";
-  const reasons = failed.map(({ outcome, reason, sentAt }) =>
-    `${outcome} ${reason} at ${new Date(sentAt).toISOString()}`
+const mostReasons = 12;
+
+/** What a session that fails is looked at for, beside its verdicts. */
+function explain(report: LoadReport, actedAt: number): void {
+  const failed = failedOf(report);
+  if (failed.length === 0) return;
+  const reasons = failed.slice(0, mostReasons).map(
+    ({ outcome, reason, sentAt }) =>
+      `${outcome} ${reason} ${sentAt - actedAt} ms`,
+  );
+  const stall = report.longestStallMilliseconds;
+  console.error(
+    `${failed.length} failed, sent after the fault by: ${reasons.join("; ")}`,
   );
-  return `${failed.length} (${reasons.slice(0, mostReasons).join(", ")})`;
+  console.error(`the load program itself stood still for ${stall} ms at most`);
 }
 
 /** Compares lines with a golden file; UPDATE_GOLDEN=1 writes it instead. */
