--- a/source/adapters/hop_links_test.ts
+++ b/source/adapters/hop_links_test.ts
@@ -12,6 +12,7 @@
 import { serveHopLinks } from "./hop_link_server.ts";
 import { linkPath, openHopLinks } from "./hop_links.ts";
 import { startLogicalClock } from "./logical_clock.ts";
+import { listen } from "../../standins/http_server.ts";
 import { acceptUpgrades } from "./upgrades.ts";
 
 const silenceMilliseconds = 200;
@@ -58,9 +59,7 @@
       clock: startLogicalClock(),
       onMalformed: () => malformed += 1,
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, "127.0.0.1", () => resolve());
-    });
+    await listen(server, 0);
   });
   after(() => {
     server.closeAllConnections();
--- a/source/adapters/peer_messages_test.ts
+++ b/source/adapters/peer_messages_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { listen } from "../../standins/http_server.ts";
 import { testRenewal } from "../../tests/test_grantor.ts";
 import type { Grant, RenewalAnswer } from "../core/ownership/renewal.ts";
 import type { PeerMethods, Peers } from "../ports/peers.ts";
@@ -42,10 +43,7 @@
 
   before(async () => {
     server.on("connection", (socket) => sockets.add(socket));
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    address = `127.0.0.1:${await listen(server, 0)}`;
     const methods: Pick<PeerMethods, "renew"> = {
       renew: () => Promise.resolve(answer),
     };
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -5,12 +5,8 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import { closeServer, listen, readText } from "./store.ts";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { closeServer, listen, readText, serverOf } from "./http_server.ts";
 
 /** Faults that a test can switch on. */
 export interface PlatformStoreFaults {
@@ -62,9 +58,7 @@
     compacted: false,
   };
 
-  const server = createServer((message, response) => {
-    void serve(message, response).catch(() => response.destroy());
-  });
+  const server = serverOf(serve);
 
   async function serve(
     message: IncomingMessage,
--- a/standins/platform_target.ts
+++ b/standins/platform_target.ts
@@ -5,12 +5,8 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import { closeServer, listen, readText } from "./store.ts";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { closeServer, listen, readText, serverOf } from "./http_server.ts";
 
 /** A span of keys that the target holds. */
 interface Hold {
@@ -65,9 +61,7 @@
   let silent = false;
   let running = 0;
 
-  const server = createServer((message, response) => {
-    void serve(message, response).catch(() => response.destroy());
-  });
+  const server = serverOf(serve);
 
   async function serve(
     message: IncomingMessage,
--- a/standins/store.ts
+++ b/standins/store.ts
@@ -7,13 +7,8 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo } from "node:net";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { closeServer, listen, readText, serverOf } from "./http_server.ts";
 
 interface StoredObject {
   readonly apiVersion: unknown;
@@ -62,9 +57,7 @@
   };
   let version = 0;
 
-  const server = createServer((message, response) => {
-    void serve(message, response).catch(() => response.destroy());
-  });
+  const server = serverOf(serve);
 
   async function serve(
     message: IncomingMessage,
@@ -196,32 +189,6 @@
   }));
 }
 
-/** Listens on the loopback address; brings the port. */
-export function listen(server: Server, port: number): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, "127.0.0.1", () => {
-      resolve((server.address() as AddressInfo).port);
-    });
-  });
-}
-
-/** Closes a server and all its connections. */
-export function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeAllConnections();
-  });
-}
-
-/** Reads a message's body as text. */
-export async function readText(message: IncomingMessage): Promise<string> {
-  const chunks: string[] = [];
-  message.setEncoding("utf8");
-  for await (const chunk of message) chunks.push(String(chunk));
-  return chunks.join("");
-}
-
 function wait(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/standins/target.ts
+++ b/standins/target.ts
@@ -5,12 +5,8 @@
  *
  * @module
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from "node:http";
-import { closeServer, listen, readText } from "./store.ts";
+import { type IncomingMessage, type ServerResponse } from "node:http";
+import { closeServer, listen, readText, serverOf } from "./http_server.ts";
 
 /** One request that began here. */
 export interface Run {
@@ -83,9 +79,7 @@
   let runs: Run[] = [];
   const newestTokens = new Map<string, string>();
 
-  const server = createServer((message, response) => {
-    void serve(message, response).catch(() => response.destroy());
-  });
+  const server = serverOf(serve);
 
   async function serve(
     message: IncomingMessage,
--- /dev/null
+++ b/tests/test_other_agent.ts
@@ -0,0 +1,50 @@
+/**
+ * Another agent that requests are sent on to over HTTP, for tests of what it
+ * does with them.
+ *
+ * @module
+ */
+import { createServer, type RequestListener } from "node:http";
+import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import {
+  type ConnectionSettings,
+  openForwarder,
+} from "../source/adapters/upstream.ts";
+import type { ProxyAnswer, ProxyRequest } from "../source/ports/upstream.ts";
+import type { Failure } from "../source/core/request/outcome.ts";
+import type { Result } from "true-myth";
+import { closeServer, listen } from "../standins/http_server.ts";
+
+/** The other agent, and the way there. */
+export interface TestOtherAgent {
+  /** Sends a request without a body on to it. */
+  send(request: ProxyRequest): Promise<Result<ProxyAnswer, Failure>>;
+  close(): Promise<void>;
+}
+
+/** Starts an agent that answers so. */
+export async function startOtherAgent(options: {
+  readonly answer: RequestListener;
+  readonly settings: ConnectionSettings;
+  readonly now: () => number;
+}): Promise<TestOtherAgent> {
+  const server = createServer(options.answer);
+  const address = `127.0.0.1:${await listen(server, 0)}`;
+  const forwarder = openForwarder({
+    settings: options.settings,
+    now: options.now,
+    clock: startLogicalClock(),
+    hopPrefix: "host-1/a",
+    onSilence: () => undefined,
+  });
+  return {
+    send: (request) =>
+      forwarder.forward(address, request, {
+        body: { kind: "kept", bytes: new Uint8Array() },
+      }),
+    async close() {
+      await closeServer(server);
+      await forwarder.close();
+    },
+  };
+}
