--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -46,6 +46,7 @@
   ProxyAnswer,
   ProxyRequest,
 } from "../ports/upstream.ts";
+import { indexAgents } from "./agent_index.ts";
 import { onAnswerEnd } from "./answer_end.ts";
 import { openMailbox } from "./mailbox.ts";
 import { type Destination, startOwnerTables } from "./owner_tables.ts";
@@ -117,24 +118,17 @@
   let routing = beginRouting();
   /** For each service: a flood of failures at one must not use up another's. */
   const budgets = new Map<string, RetryBudget>();
-  const tables = startOwnerTables(options);
   let running = 0;
-  let known: readonly Agent[] = [];
+  const index = indexAgents(options.agents, (agents) => {
+    const present = new Set(agents.map((agent) => agent.id));
+    routing = forgetTargets(routing, present);
+  });
+  const tables = startOwnerTables({ ...options, agentById: index.byId });
 
   const mailbox = openMailbox<RoutingEvent>((event) => {
     routing = stepRouting(routing, event);
   });
 
-  function targetsOf(service: string): readonly Agent[] {
-    const agents = options.agents();
-    if (agents !== known) {
-      known = agents;
-      const present = new Set(agents.map((agent) => agent.id));
-      routing = forgetTargets(routing, present);
-    }
-    return agents.filter((agent) => agent.service === service);
-  }
-
   function budgetOf(service: string): RetryBudget {
     return budgets.get(service) ?? beginBudget(options.retries());
   }
@@ -269,7 +263,7 @@
   ): Promise<Attempt> {
     const query = {
       from: agent.place,
-      targets: targetsOf(request.service),
+      targets: index.ofService(request.service),
       rank: request.rank,
       bodyBytes: bytesOf(request, body),
       now: monotonicNow(),
--- a/source/tasks/owner_tables.ts
+++ b/source/tasks/owner_tables.ts
@@ -46,6 +46,7 @@
 export function startOwnerTables(options: {
   readonly agent: Agent;
   readonly agents: () => readonly Agent[];
+  readonly agentById: (id: AgentId) => Agent | null;
   readonly localTable: (group: string) => OwnershipTable | null;
   readonly peers: Peers;
   readonly place: PlaceKey;
@@ -68,7 +69,7 @@
       ? word.holder
       : ownerOfSlice(table, sliceOfKey(table, key, options.place));
     if (owner === null) return null;
-    const known = options.agents().find((agent) => agent.id === owner.id);
+    const known = options.agentById(owner.id);
     return {
       id: owner.id,
       address: owner.peerAddress,
