Who need not be waited for is a part of its own

grantor_task.ts had grown a third job: looking for proof that agents which the grantor has not heard from hold nothing. unheard_agents.ts does that; the grantor hears of it by the same event.

--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -4,12 +4,7 @@
  *
  * @module
  */
-import {
-  type Address,
-  type Agent,
-  type AgentId,
-  isReplacedBy,
-} from "../core/agent.ts";
+import type { Address, Agent, AgentId } from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
 import {
   type Checkpoint,
@@ -37,10 +32,8 @@
 import type { Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
-import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
-
-/** Agents that have not been heard from are asked for this often. */
-const identifyMilliseconds = 1_000;
+import { pause, readClocks, startTicker } from "./time.ts";
+import { lookForProof } from "./unheard_agents.ts";
 
 /** Durations of granting. */
 export interface GrantorTimes {
@@ -381,50 +374,22 @@
     send({ kind: "earlierEnded", now: readClocks() });
   }
 
-  /** An agent that stopped as planned is not waited for. */
-  function noteDeparted(): void {
-    const ids = [...state.unheard].filter(options.hasDeparted);
-    if (ids.length === 0) return;
-    events.record("departed-agents-noted", {
-      group,
-      epoch: state.epoch,
-      agents: ids.join(","),
-    });
-    send({ kind: "departed", ids });
-  }
-
-  let identifiedAt = -Infinity;
-
-  /** A machine that was replaced never answers for itself. */
-  function noteReplaced(): void {
-    const now = monotonicNow();
-    if (now - identifiedAt < identifyMilliseconds) return;
-    identifiedAt = now;
-    for (const entry of state.roster) {
-      if (state.unheard.has(entry.id)) void identify(entry);
-    }
-  }
+  const look = lookForProof({
+    ...options,
+    grantor: { group, epoch: state.epoch },
+    callTimeoutMilliseconds: options.times.callTimeoutMilliseconds,
+    stopped: () => stopped,
+    onProved: (ids) => void send({ kind: "departed", ids }),
+  });
 
-  async function identify({ id, peerAddress }: RosterEntry): Promise<void> {
-    const result = await options.peers.call(peerAddress, "identify", {
-      message: {},
-      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
-    });
-    if (stopped || result.isErr || !isReplacedBy(id, result.value)) return;
-    events.record("replaced-agent-noted", {
-      group,
-      epoch: state.epoch,
-      agent: id,
-      by: result.value,
-    });
-    send({ kind: "departed", ids: [id] });
+  function unheard(): readonly RosterEntry[] {
+    return state.roster.filter(({ id }) => state.unheard.has(id));
   }
 
   const ticker = startTicker(() => {
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
     noteEarlierEnded();
-    noteDeparted();
-    noteReplaced();
+    if (state.unheard.size > 0) look(unheard());
     send({ kind: "tick", now: readClocks() });
   }, { intervalMilliseconds: options.times.tickMilliseconds });
 
