--- a/benches/single_agent.ts
+++ b/benches/single_agent.ts
@@ -6,6 +6,7 @@
  */
 import { type Front, openFront } from "../source/adapters/http_front.ts";
 import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { readPendingInput } from "../source/adapters/pending_input.ts";
 import { openTarget } from "../source/adapters/http_target.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
@@ -57,6 +58,7 @@
     workOf: () => null,
     accepts: () => true,
     target,
+    readPendingInput,
     events: { record: () => undefined },
     metrics: noMetrics,
   });
@@ -71,6 +73,7 @@
     now: monotonicNow,
     lateness: () => 0,
     onArrival: () => undefined,
+    onAbandoned: () => undefined,
     clock: startLogicalClock(),
     longestHeaderBytes: 16_384,
   });
--- /dev/null
+++ b/source/adapters/answer_writer.ts
@@ -0,0 +1,120 @@
+/**
+ * Writes answers to callers: each whole, or visibly broken off.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Duplex, Readable } from "node:stream";
+import type { Headers, ProxyAnswer } from "../ports/upstream.ts";
+import type { CallerDialect, FailedRequest } from "./caller_dialect.ts";
+import { fields } from "./headers.ts";
+
+/** A page for operators. */
+export interface Page {
+  readonly status: number;
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** Writes a page for operators. */
+export function writePage(response: ServerResponse, page: Page): void {
+  response.writeHead(page.status, { "content-type": page.contentType });
+  response.end(page.text);
+}
+
+/** Answers a request that has failed, unless that can't be done any more. */
+export function writeFailure(
+  response: ServerResponse,
+  failed: FailedRequest,
+  dialect: CallerDialect,
+): void {
+  onceNext(response, () => writeBacklog(response, failed, dialect));
+}
+
+/**
+ * The same for a request of a caller that sends more than it may: written even
+ * if others wait before it, so that nothing more is read for a while.
+ */
+export function writeBacklog(
+  response: ServerResponse,
+  failed: FailedRequest,
+  dialect: CallerDialect,
+): void {
+  if (response.destroyed || response.headersSent) return;
+  const { status, headers, body } = dialect.composeFailure(failed);
+  response.writeHead(status, headers as Record<string, string | string[]>);
+  response.end(body);
+}
+
+/**
+ * Calls back when the response is the next one on its connection. What is
+ * written sooner counts as a backlog, for which the HTTP server stops reading:
+ * then nothing shows any more that the caller leaves.
+ */
+function onceNext(response: ServerResponse, write: () => void): void {
+  if (response.socket !== null || response.destroyed) return write();
+  response.once("socket", write);
+}
+
+/** An answer, and what ends it. */
+export interface WrittenAnswer {
+  readonly answer: ProxyAnswer;
+  readonly headers: Headers;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+/** Writes an answer; a body that breaks off breaks the connection. */
+export function writeAnswer(
+  response: ServerResponse,
+  { answer, headers, signal }: WrittenAnswer,
+): void {
+  const { body } = answer;
+  if (body.kind === "stream") endWithCaller(body.stream, signal);
+  onceNext(response, () => {
+    if (response.destroyed) return;
+    if (signal.aborted) return void response.destroy();
+    response.writeHead(
+      answer.status,
+      headers as Record<string, string | string[]>,
+    );
+    if (body.kind === "whole") return void response.end(body.bytes);
+    pipe(body.stream, response);
+  });
+}
+function endWithCaller(stream: Readable, signal: AbortSignal): void {
+  stream.on("error", () => undefined);
+  if (signal.aborted) return void stream.destroy();
+  signal.addEventListener("abort", () => stream.destroy(), { once: true });
+}
+
+function pipe(stream: Readable, response: ServerResponse): void {
+  if (stream.destroyed) return void response.destroy();
+  stream.on("error", () => response.destroy());
+  stream.on("aborted", () => response.destroy());
+  response.on("close", () => stream.destroy());
+  stream.pipe(response);
+}
+
+/** Answers what is no HTTP request, or has fields that are too long. */
+export function refuseUnreadable(error: Error, socket: Duplex): void {
+  const code = "code" in error ? String(error.code) : "";
+  if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
+  const tooLong = code === "HPE_HEADER_OVERFLOW";
+  const status = tooLong
+    ? "431 Request Header Fields Too Large"
+    : "400 Bad Request";
+  const text = JSON.stringify({
+    outcome: "not-run",
+    reason: "malformed-request",
+    message: tooLong
+      ? "the header fields are too long; shorten or drop some of them"
+      : "this is no HTTP/1.1 request",
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
+      `content-type: application/json\r\n${fields.outcome}: not-run\r\n` +
+      `${fields.reason}: malformed-request\r\n` +
+      `content-length: ${text.length + 1}\r\n\r\n${text}\n`,
+  );
+}
--- a/source/adapters/hop_link_server.ts
+++ b/source/adapters/hop_link_server.ts
@@ -9,7 +9,11 @@
 import type { WebSocket, WebSocketServer } from "ws";
 import type { AgentId } from "../core/agent.ts";
 import { type Failure, unknownOutcome } from "../core/request/outcome.ts";
-import type { AnswerBody, ProxyAnswer } from "../ports/upstream.ts";
+import type {
+  AnswerBody,
+  ProxyAnswer,
+  ProxyRequest,
+} from "../ports/upstream.ts";
 import { type HopCancels, startHopCancels } from "./hop_cancels.ts";
 import {
   type ClientMessage,
@@ -18,10 +22,11 @@
   type RequestMessage,
   type ServerMessage,
 } from "./hop_messages.ts";
-import { takeIn } from "./hop_intake.ts";
+import { type AbandonNote, startWanted, takeIn } from "./hop_intake.ts";
 import { type HopCopy, type HopLedger, startHopLedger } from "./hop_ledger.ts";
 import type { HandleRequest } from "./http_front.ts";
 import type { LogicalClock } from "./logical_clock.ts";
+import { type Intake, startIntake } from "./pending_input.ts";
 import type { ArrivalNote, MeasureLateness } from "./transit.ts";
 import { readWhole } from "./exchange.ts";
 
@@ -34,6 +39,8 @@
   readonly lateness: MeasureLateness;
   /** Hears of each request that comes. */
   readonly onArrival: (note: ArrivalNote) => void;
+  /** Hears of each request that nobody wanted any more before it began. */
+  readonly onAbandoned: (note: AbandonNote) => void;
   readonly clock: LogicalClock;
   /** Called when a link is closed because of what came over it. */
   readonly onMalformed: () => void;
@@ -51,14 +58,16 @@
 ): void {
   const ledger = startHopLedger(options.agent);
   const cancels = startHopCancels();
+  const intake = startIntake();
   sockets.on("connection", (socket) => {
-    serveLink(socket, { ...options, ledger, cancels });
+    serveLink(socket, { ...options, ledger, cancels, intake });
   });
 }
 
 interface LinkContext extends HopLinkServerOptions {
   readonly ledger: HopLedger;
   readonly cancels: HopCancels;
+  readonly intake: Intake;
 }
 
 function serveLink(socket: WebSocket, context: LinkContext): void {
@@ -124,7 +133,7 @@
   ): Promise<Result<ProxyAnswer, Failure>> {
     const { dueAt } = held;
     const { deadlineMilliseconds, objectiveMilliseconds } = message;
-    const request = {
+    const request: ProxyRequest = {
       ...message.request,
       longestBodyBytes: held.bytes.length,
       mostAttempts: null,
@@ -135,7 +144,10 @@
       signal: held.cancel.signal,
     };
     const body = { kind: "kept", bytes: held.bytes } as const;
-    return context.handle(request, { body });
+    return startWanted(request, {
+      ...context,
+      start: () => context.handle(request, { body }),
+    });
   }
 
   async function reply(
--- a/source/adapters/hop_links_test.ts
+++ b/source/adapters/hop_links_test.ts
@@ -63,6 +63,7 @@
       now: () => performance.now(),
       lateness: startArrivals(() => performance.now()),
       onArrival: () => undefined,
+      onAbandoned: () => undefined,
       clock: startLogicalClock(),
       onMalformed: () => malformed += 1,
     });
@@ -158,6 +159,17 @@
       assert.deepEqual(cancelled, ["left"]);
     });
 
+    // Guards against work for callers that have left (GONE): a process that had
+    // not run for a while began what it read before the word that ended it.
+    it("have nothing begun that was given up before it is read", async () => {
+      const caller = new AbortController();
+      const result = send("given-up", { signal: caller.signal });
+      caller.abort();
+      assert.equal(await result, "unknown caller-left");
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      assert.deepEqual(runs, []);
+    });
+
     it("leave large bodies to another way", async () => {
       const former = large;
       await send("large", {}, "x".repeat(longestBodyBytes + 1));
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -10,23 +10,22 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
-import type { Duplex, Readable } from "node:stream";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import { Result } from "true-myth";
 import type { AgentId } from "../core/agent.ts";
 import type { Configuration } from "../core/document/document.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
-import type {
-  Body,
-  Headers,
-  ProxyAnswer,
-  ProxyRequest,
-} from "../ports/upstream.ts";
+import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
 import {
-  type CallerDialect,
-  type FailedRequest,
-  productDialect,
-} from "./caller_dialect.ts";
+  type Page,
+  refuseUnreadable,
+  writeAnswer,
+  writeBacklog,
+  writeFailure,
+  writePage,
+} from "./answer_writer.ts";
+import { type CallerDialect, productDialect } from "./caller_dialect.ts";
+import { watchCallers } from "./caller_presence.ts";
 import { fields, single } from "./headers.ts";
 import {
   formatProgress,
@@ -34,9 +33,15 @@
   startHopArrivals,
 } from "./hop_arrivals.ts";
 import { openCancel, startHopCancels } from "./hop_cancels.ts";
-import { type HopArrival, startInTime, takeIn } from "./hop_intake.ts";
+import {
+  type AbandonNote,
+  type HopArrival,
+  startWanted,
+  takeIn,
+} from "./hop_intake.ts";
 import { type HopCopy, parseHop, startHopLedger } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
+import { startIntake } from "./pending_input.ts";
 import { readBody, readForwardedRequest } from "./request_reader.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
 import {
@@ -66,11 +71,7 @@
 export type FrontKind = "callers" | "agents";
 
 /** A page for operators, by path. */
-export type OperatorPage = () => Promise<{
-  readonly status: number;
-  readonly contentType: string;
-  readonly text: string;
-}>;
+export type OperatorPage = () => Promise<Page>;
 
 /** What a listener needs. */
 export interface FrontOptions {
@@ -87,6 +88,8 @@
   readonly lateness: MeasureLateness;
   /** Hears of each whole request that another agent has sent on. */
   readonly onArrival: (note: ArrivalNote) => void;
+  /** Hears of each request that nobody wanted any more before it began. */
+  readonly onAbandoned: (note: AbandonNote) => void;
   /** Carries causes and effects between the time lines of agents. */
   readonly clock: LogicalClock;
   /** Bytes of header fields that a request may have. */
@@ -99,6 +102,8 @@
 
 /** Longer than any agent keeps an idle connection to this one. */
 const keepAliveMilliseconds = 65_000;
+/** Requests on one connection that may wait for their answers. */
+const mostPipelined = 256;
 /** After the deadline the next hop's own refusal is still awaited this long. */
 const deadlineGraceMilliseconds = 20;
 /** An answer that has begun before the deadline may end this much after it. */
@@ -115,6 +120,8 @@
   const hops = startHopLedger(options.agent);
   const cancels = startHopCancels();
   const arrivals = startHopArrivals();
+  const callers = watchCallers();
+  const intake = startIntake();
   const dialect = options.dialect ?? productDialect;
   const read = options.kind === "callers" ? dialect.read : readForwardedRequest;
   let draining = false;
@@ -148,9 +155,13 @@
       response.once("close", () => cancels.end(hop));
       cancel.signal.addEventListener("abort", () => dropUnread(message));
     }
-    onCallerLeft(response, message.socket, () => {
+    callers.onLeft({ response, socket: message.socket }, () => {
       if (hop === null || !hops.superseded(hop)) cancel.abort();
     });
+    if (callers.unanswered(message.socket) > mostPipelined) {
+      const failure = notRun("queue-full");
+      return writeBacklog(response, { failure, text: "", id: "" }, dialect);
+    }
     const configuration = options.configuration();
     const lateMilliseconds = latenessOf(message, options);
     const request = read(message, {
@@ -231,6 +242,7 @@
     writeAnswer(response, {
       answer: result.value,
       headers: dialect.answerFields(result.value, request.id),
+      signal: cancel.signal,
     });
   }
 
@@ -246,9 +258,14 @@
     context: { readonly body: Body; readonly arrival: ComingCopy | null },
   ): Promise<Result<ProxyAnswer, Failure> | null> {
     const { body, arrival } = context;
+    const start = () =>
+      startWanted(request, {
+        ...options,
+        intake,
+        start: () => options.handle(request, { body }),
+      });
+    if (arrival === null) return start();
     const expired = options.now() >= request.deadlineAt;
-    const start = () => options.handle(request, { body });
-    if (arrival === null) return startInTime(expired, start);
     return takeIn({ ...arrival, request: request.id, expired }, {
       ledger: hops,
       onArrival: options.onArrival,
@@ -309,14 +326,6 @@
   if (Number.isSafeInteger(time)) options.clock.observe(time);
 }
 
-function writePage(
-  response: ServerResponse,
-  page: Awaited<ReturnType<OperatorPage>>,
-): void {
-  response.writeHead(page.status, { "content-type": page.contentType });
-  response.end(page.text);
-}
-
 /** Nobody waits for a request whose body still comes when it is given up. */
 function dropUnread(message: IncomingMessage): void {
   if (!message.complete) message.destroy();
@@ -328,83 +337,3 @@
   const text = "the agent that sent this on is of another release";
   writeFailure(response, { failure, text, id: "" }, dialect);
 }
-
-function writeFailure(
-  response: ServerResponse,
-  failed: FailedRequest,
-  dialect: CallerDialect,
-): void {
-  if (response.destroyed || response.headersSent) return;
-  const { status, headers, body } = dialect.composeFailure(failed);
-  response.writeHead(status, headers as Record<string, string | string[]>);
-  response.end(body);
-}
-
-/** Calls back when the connection ends before the answer has been written. */
-function onCallerLeft(
-  response: ServerResponse,
-  socket: Socket,
-  leave: () => void,
-): void {
-  // A response that waits behind another on its connection has no event yet.
-  const closed = () => {
-    if (!response.writableFinished) leave();
-  };
-  socket.setMaxListeners(0);
-  socket.once("close", closed);
-  response.once("close", () => {
-    socket.off("close", closed);
-    closed();
-  });
-}
-
-/** A body that breaks off breaks the connection: never a clean end. */
-function writeAnswer(
-  response: ServerResponse,
-  options: { readonly answer: ProxyAnswer; readonly headers: Headers },
-): void {
-  const { answer, headers } = options;
-  const { body } = answer;
-  if (response.destroyed) {
-    if (body.kind === "stream") discard(body.stream);
-    return;
-  }
-  response.writeHead(
-    answer.status,
-    headers as Record<string, string | string[]>,
-  );
-  if (body.kind === "whole") return void response.end(body.bytes);
-  const { stream } = body;
-  stream.on("error", () => response.destroy());
-  stream.on("aborted", () => response.destroy());
-  response.on("close", () => stream.destroy());
-  stream.pipe(response);
-}
-
-function discard(stream: Readable): void {
-  stream.on("error", () => undefined);
-  stream.destroy();
-}
-
-/** Answers what is no HTTP request, or has fields that are too long. */
-function refuseUnreadable(error: Error, socket: Duplex): void {
-  const code = "code" in error ? String(error.code) : "";
-  if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
-  const tooLong = code === "HPE_HEADER_OVERFLOW";
-  const status = tooLong
-    ? "431 Request Header Fields Too Large"
-    : "400 Bad Request";
-  const text = JSON.stringify({
-    outcome: "not-run",
-    reason: "malformed-request",
-    message: tooLong
-      ? "the header fields are too long; shorten or drop some of them"
-      : "this is no HTTP/1.1 request",
-  });
-  socket.end(
-    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
-      `content-type: application/json\r\n${fields.outcome}: not-run\r\n` +
-      `${fields.reason}: malformed-request\r\n` +
-      `content-length: ${text.length + 1}\r\n\r\n${text}\n`,
-  );
-}
--- a/source/adapters/log.ts
+++ b/source/adapters/log.ts
@@ -36,6 +36,7 @@
   "request-failed",
   "request-target-failed",
   "request-given-up",
+  "request-abandoned",
   "request-retried",
   "request-refused",
   "target-answer-spoilt",
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -42,6 +42,7 @@
   | "request-refused"
   | "request-retried"
   | "request-given-up"
+  | "request-abandoned"
   | "request-failed"
   | "request-target-failed"
   | "request-answered"
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -12,6 +12,7 @@
   openFront,
 } from "../adapters/http_front.ts";
 import { servePeers } from "../adapters/peer_server.ts";
+import { readPendingInput } from "../adapters/pending_input.ts";
 import { openStore } from "../adapters/store_client.ts";
 import { openTarget } from "../adapters/http_target.ts";
 import { readDocument } from "../adapters/yaml_document.ts";
@@ -39,7 +40,7 @@
 import { monotonicNow } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
-import { openCommonParts, tellArrivals } from "./outside.ts";
+import { openCommonParts, tellAbandoned, tellArrivals } from "./outside.ts";
 import type { AgentSettings } from "./settings.ts";
 import { drain } from "./stop.ts";
 
@@ -228,6 +229,7 @@
     now: monotonicNow,
     lateness: outside.lateness,
     onArrival: tellArrivals(outside.events),
+    onAbandoned: tellAbandoned(outside.events),
     clock: outside.clock,
     longestHeaderBytes: settings.longestHeaders,
   };
@@ -346,6 +348,7 @@
     workOf: () => null,
     accepts: options.accepts,
     target,
+    readPendingInput,
     events,
     metrics,
   });
@@ -362,6 +365,7 @@
     hash: hashText,
     place,
     random: Math.random,
+    readPendingInput,
     retries: () => retries,
     shortestTableAgeMilliseconds,
   });
--- a/source/programs/outside.ts
+++ b/source/programs/outside.ts
@@ -18,6 +18,7 @@
 import { watchStalls } from "../adapters/stall_watch.ts";
 import type { ConnectionSettings } from "../adapters/connection_pool.ts";
 import { openForwarder } from "../adapters/forwarder.ts";
+import type { AbandonNote } from "../adapters/hop_intake.ts";
 import type { Address } from "../core/agent.ts";
 import type { SilenceNote } from "../core/request/silence.ts";
 import type { Events } from "../ports/events.ts";
@@ -67,6 +68,11 @@
   };
 }
 
+/** Tells of requests that were not begun, since their callers had left. */
+export function tellAbandoned(events: Events) {
+  return (note: AbandonNote) => events.record("request-abandoned", { ...note });
+}
+
 /** Opens the parts of the agent with this id. */
 export function openCommonParts(options: {
   readonly id: string;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -26,6 +26,7 @@
 import { openHopLinks } from "../adapters/hop_links.ts";
 import type { LogLevel } from "../adapters/log.ts";
 import { servePeers } from "../adapters/peer_server.ts";
+import { readPendingInput } from "../adapters/pending_input.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import {
   type Address,
@@ -56,7 +57,12 @@
 import { monotonicNow, pause } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
-import { openCommonParts, tellArrivals, tellSilence } from "./outside.ts";
+import {
+  openCommonParts,
+  tellAbandoned,
+  tellArrivals,
+  tellSilence,
+} from "./outside.ts";
 import {
   admissionTickMilliseconds,
   bodyRoomTickMilliseconds,
@@ -323,6 +329,7 @@
     workOf: workByRoute(coordinator.configuration),
     accepts: registration.accepts,
     target,
+    readPendingInput,
     events,
     metrics,
   });
@@ -339,6 +346,7 @@
     hash: hashText,
     place,
     random: Math.random,
+    readPendingInput,
     retries: () => retrySettings(settings, coordinator.spread.agents().length),
     shortestTableAgeMilliseconds,
   });
@@ -411,6 +419,7 @@
     now: monotonicNow,
     lateness,
     onArrival: tellArrivals(events),
+    onAbandoned: tellAbandoned(events),
     clock,
     longestHeaderBytes,
     keptBodyBytes,
@@ -461,6 +470,7 @@
       now: monotonicNow,
       lateness,
       onArrival: tellArrivals(events),
+      onAbandoned: tellAbandoned(events),
       clock,
       onMalformed: () => events.record("peer-message-refused"),
     },
--- a/tests/test_front.ts
+++ b/tests/test_front.ts
@@ -34,6 +34,7 @@
     now: () => performance.now(),
     lateness: startArrivals(() => performance.now()),
     onArrival: () => undefined,
+    onAbandoned: () => undefined,
     clock: startLogicalClock(),
   });
   assert.ok(opened.isOk);
