--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -87,8 +87,13 @@
   readonly closed: boolean;
 }
 
-/** How a run request ended, as far as the limit is concerned. */
-export type FinishKind = "answered" | "refused" | "failed";
+/** How a started request ended, as far as the limit is concerned. */
+export type FinishKind =
+  | "answered"
+  | "refused"
+  | "failed"
+  /** It was not sent to the target after all. */
+  | "unused";
 
 /** What happens to admission. */
 export type AdmissionEvent =
@@ -527,6 +532,7 @@
     readonly now: number;
   },
 ): AdmissionState {
+  if (event.finish === "unused") return state;
   if (event.finish === "refused") {
     return { ...state, limit: lowered(state) };
   }
--- a/source/tasks/body_offers_test.ts
+++ b/source/tasks/body_offers_test.ts
@@ -71,6 +71,7 @@
     hash: () => 0,
     place: () => -1,
     random: () => 0.5,
+    readPendingInput: () => Promise.resolve(),
     retries: () => ({
       earnedByRequest: 0.1,
       mostSaved: 3,
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -32,6 +32,7 @@
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import type { Events } from "../ports/events.ts";
+import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type { Peers } from "../ports/peers.ts";
 import type {
@@ -89,6 +90,7 @@
   readonly hash: KeyHash;
   readonly place: PlaceKey;
   readonly random: () => number;
+  readonly readPendingInput: ReadPendingInput;
   /** The budget of repeats, which all agents share. */
   readonly retries: () => RetrySettings;
   /** A table fetched so lately is not fetched again, in milliseconds. */
@@ -180,6 +182,8 @@
       if (decision.kind === "giveUp" || givesUp) return Result.err(failure);
       metrics.count("requests_retried", { reason: result.error.reason });
       await pause(decision.delayMilliseconds, request.signal);
+      await options.readPendingInput();
+      if (request.signal.aborted) return Result.err(failure);
     }
   }
 
@@ -214,6 +218,8 @@
     let owner = tables.ownerOf(group, key, word);
     if (owner === null) {
       await tables.refresh(group);
+      await options.readPendingInput();
+      if (request.signal.aborted) return unsent(notRun("caller-left"));
       owner = tables.ownerOf(group, key, word);
     }
     const version = newerToken(tables.version(group), word?.version ?? noToken);
--- a/source/tasks/entry_task_test.ts
+++ b/source/tasks/entry_task_test.ts
@@ -5,6 +5,7 @@
 import { notRun } from "../core/request/outcome.ts";
 import { testAgent } from "../../tests/test_agent.ts";
 import { testRequest } from "../../tests/test_request.ts";
+import type { ReadPendingInput } from "../ports/input.ts";
 import type { Forwarder } from "../ports/upstream.ts";
 import { startEntry } from "./entry_task.ts";
 import { pause } from "./time.ts";
@@ -14,7 +15,10 @@
 type Forward = Forwarder["forward"];
 
 /** An entry whose requests fare with other agents as stated. */
-function startTestEntry(forward: Forward) {
+function startTestEntry(
+  forward: Forward,
+  readPendingInput: ReadPendingInput = () => Promise.resolve(),
+) {
   const entry = startEntry({
     agent: testAgent("entry", { service: "none" }),
     agents: () =>
@@ -38,6 +42,7 @@
     hash: () => 0,
     place: () => -1,
     random: () => 0.5,
+    readPendingInput,
     retries: () => ({
       earnedByRequest: 0.1,
       mostSaved,
@@ -46,12 +51,15 @@
     }),
     shortestTableAgeMilliseconds: 0,
   });
-  return async function send(service: string): Promise<void> {
+  return async function send(
+    service: string,
+    signal = AbortSignal.timeout(10_000),
+  ): Promise<void> {
     const request = testRequest({
       service,
       mostAttempts: 3,
       deadlineAt: performance.now() + 10_000,
-      signal: AbortSignal.timeout(10_000),
+      signal,
     });
     await entry.handle(request, {
       body: { kind: "kept", bytes: new Uint8Array() },
@@ -98,6 +106,21 @@
   });
 });
 
+describe("an entry whose caller leaves while a repeat is due", () => {
+  // Guards against work for callers that have left (GONE): the pause before the
+  // repeat ended before the word of the caller was read.
+  it("sends the request no more", async () => {
+    const caller = new AbortController();
+    let sent = 0;
+    const send = startTestEntry(() => {
+      sent += 1;
+      return Promise.resolve(Result.err(notRun("target-refused")));
+    }, () => Promise.resolve(caller.abort()));
+    await send("booking", caller.signal);
+    assert.equal(sent, 1);
+  });
+});
+
 /** Each entry lost three requests to a machine that was cut off, or more. */
 describe("an entry one of whose targets can't be reached", () => {
   const sent: string[] = [];
--- a/source/tasks/redirect_test.ts
+++ b/source/tasks/redirect_test.ts
@@ -75,6 +75,7 @@
     hash: () => 0,
     place: () => 0,
     random: () => 0.5,
+    readPendingInput: () => Promise.resolve(),
     retries: () => ({
       earnedByRequest: 0,
       mostSaved: 0,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -12,6 +12,7 @@
   ownedElsewhere,
 } from "../core/request/outcome.ts";
 import type { Events } from "../ports/events.ts";
+import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type {
   Body,
@@ -34,6 +35,9 @@
   running(): number;
 }
 
+/** What waited no longer was begun on what is known now. */
+const briefWaitMilliseconds = 1;
+
 /** Starts serving. */
 export function startServing(options: {
   readonly service: string;
@@ -45,6 +49,7 @@
   /** Whether the target takes new work of this sort. */
   readonly accepts: (work: { readonly keyed: boolean }) => boolean;
   readonly target: Target;
+  readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
   readonly metrics: Metrics;
 }): ServeTask {
@@ -71,10 +76,12 @@
       release();
       return refuse(request, slot.error);
     }
-    if (permit.value !== null && !permit.value.stillHolds()) {
-      slot.value.finish("failed");
+    if (waited > briefWaitMilliseconds) await options.readPendingInput();
+    const failure = reasonNotToSend(request, permit.value);
+    if (failure !== null) {
+      slot.value.finish("unused");
       release();
-      return refuse(request, notRun("lease-ended"));
+      return refuse(request, failure);
     }
     return await send(request, {
       body,
@@ -84,6 +91,16 @@
     });
   }
 
+  /** What may have changed while the request waited for its slot. */
+  function reasonNotToSend(
+    request: ProxyRequest,
+    permit: Permit | null,
+  ): Failure | null {
+    if (permit !== null && !permit.stillHolds()) return notRun("lease-ended");
+    if (monotonicNow() >= request.deadlineAt) return notRun("deadline-passed");
+    return request.signal.aborted ? notRun("caller-left") : null;
+  }
+
   function permitFor(request: ProxyRequest): Result<Permit | null, Failure> {
     if (request.service !== options.service) {
       return Result.err(notRun("not-owner"));
