--- a/source/adapters/forwarder.ts
+++ b/source/adapters/forwarder.ts
@@ -6,8 +6,12 @@
  */
 import { Result } from "true-myth";
 import type { Pool } from "undici";
-import type { Address, AgentId } from "../core/agent.ts";
-import { type Failure, unknownOutcome } from "../core/request/outcome.ts";
+import { type Address, type AgentId, isAddress } from "../core/agent.ts";
+import {
+  type Failure,
+  notRun,
+  unknownOutcome,
+} from "../core/request/outcome.ts";
 import {
   type Inquiry,
   judgeSilence,
@@ -173,6 +177,7 @@
 
   return {
     async forward(address, request, { body, receiver }) {
+      if (!isAddress(address)) return Result.err(notRun("target-unreachable"));
       const sequence = numbers.begin();
       const context = { body, receiver, sequence };
       const result = await forward(address, request, context);
--- a/source/adapters/hop_links.ts
+++ b/source/adapters/hop_links.ts
@@ -14,7 +14,7 @@
 import type { Buffer } from "node:buffer";
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
-import type { Address, AgentId } from "../core/agent.ts";
+import { type Address, type AgentId, isAddress } from "../core/agent.ts";
 import {
   type Failure,
   notRun,
@@ -136,6 +136,7 @@
 
   return {
     async forward(address, request, { body, receiver }) {
+      if (!isAddress(address)) return Result.err(notRun("target-unreachable"));
       const large = body.kind === "stream" ||
         body.bytes.length > settings.longestBodyBytes;
       if (large) {
--- a/source/adapters/peer_client.ts
+++ b/source/adapters/peer_client.ts
@@ -14,7 +14,7 @@
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
 import { z } from "zod";
-import type { Address } from "../core/agent.ts";
+import { type Address, isAddress } from "../core/agent.ts";
 import type {
   PeerAnswer,
   PeerFault,
@@ -72,6 +72,10 @@
   return {
     async call(address, method, { message, timeoutMilliseconds }) {
       options.metrics.count("peer_calls", { method });
+      if (!isAddress(address)) {
+        options.metrics.count("peer_call_faults", { method });
+        return Result.err({ kind: "unreachable", detail: "no address" });
+      }
       const connection = connectionTo(address);
       const input = { clock: options.clock.next(), message };
       const result = await raceCall(connection, {
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { z } from "zod";
-import type { Agent } from "../core/agent.ts";
+import { type Agent, isAddress } from "../core/agent.ts";
 import type { SharedRecord } from "../core/dissemination/replica.ts";
 import type {
   Acceptance,
@@ -27,9 +27,12 @@
 
 const name = z.string().max(200);
 const count = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
-const address = z.string().max(64).regex(
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
-);
+const address = z.string().max(64).refine(isAddress, {
+  error: "must be an IP address and a port",
+});
+/** The last millisecond that a date can name. */
+const latestTime = 8_640_000_000_000_000;
+const time = z.number().int().min(0).max(latestTime);
 const rate = z.number().min(0);
 
 const token = z.strictObject({ epoch: count, sequence: count });
@@ -40,7 +43,7 @@
 const agent: z.ZodType<Agent> = z.strictObject({
   id: name,
   host: name,
-  incarnation: count,
+  incarnation: time,
   callerAddress: address,
   peerAddress: address,
   place: z.strictObject({ dataCenter: name, region: name }),
--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -13,6 +13,14 @@
 /** The address of a listener, as `ip:port`. */
 export type Address = string;
 
+const addressShape =
+  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]{2,45}\]):0*[1-9]\d{0,4}$/;
+
+/** Whether a text is an address that can be called, its numbers in range. */
+export function isAddress(text: string): boolean {
+  return addressShape.test(text) && URL.canParse(`http://${text}`);
+}
+
 /**
  * Names one run of one agent, as `host/incarnation`. A restarted agent has a
  * new identity, so that nothing promised to the old process reaches the new.
