--- /dev/null
+++ b/source/adapters/repeated_refusal_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { listen } from "../../standins/http_server.ts";
+import { testRequest } from "../../tests/test_request.ts";
+import type { Target } from "../ports/upstream.ts";
+import { openTarget } from "./http_target.ts";
+
+const refusal = "HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run\r\n" +
+  "Content-Length: 0\r\n\r\n";
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell";
+
+describe("a target by the product's protocol that writes an earlier refusal once more", () => {
+  let server: Server;
+  let target: Target;
+  let runs = 0;
+
+  function serve(socket: Socket): void {
+    let refused = false;
+    socket.on("error", () => undefined);
+    socket.on("data", () => {
+      if (refused) runs += 1;
+      socket.write(refused ? refusal + answer : refusal);
+      refused = true;
+    });
+  }
+
+  before(async () => {
+    server = createServer(serve);
+    const port = await listen(server, 0);
+    target = openTarget({
+      address: `127.0.0.1:${port}`,
+      settings: {
+        connections: 1,
+        connectTimeoutMilliseconds: 300,
+        idleMilliseconds: 4_000,
+      },
+      now: () => performance.now(),
+      healthTimeoutMilliseconds: 250,
+    });
+  });
+  after(async () => {
+    await target.close();
+    server.close();
+  });
+
+  async function send(id: string): Promise<string> {
+    const result = await target.send({
+      request: testRequest({
+        id,
+        deadlineAt: performance.now() + 2_000,
+        signal: AbortSignal.timeout(2_000),
+      }),
+      body: { kind: "kept", bytes: new Uint8Array() },
+      token: null,
+      slice: null,
+      leaseEndsAtWall: null,
+    });
+    return result.isErr ? result.error.outcome : "answered";
+  }
+
+  // Guards against requests that are said not to have run and have (REFUSED).
+  it("proves nothing of the next request", async () => {
+    assert.equal(await send("r-1"), "not-run");
+    const outcome = await send("r-2");
+    assert.equal(runs, 1);
+    assert.notEqual(outcome, "not-run");
+  });
+});
--- a/standins/platform_target.ts
+++ b/standins/platform_target.ts
@@ -133,7 +133,10 @@
       (key !== null && !holdsKey(key));
     if (misdirected || running >= options.slots) {
       message.resume();
-      response.writeHead(misdirected ? 421 : 503, { "not-executed": "1" });
+      response.writeHead(misdirected ? 421 : 503, {
+        "not-executed": "1",
+        "request-id": request,
+      });
       return void response.end();
     }
     running += 1;
