--- a/benches/single_agent.ts
+++ b/benches/single_agent.ts
@@ -6,7 +6,7 @@
  */
 import { type Front, openFront } from "../source/adapters/http_front.ts";
 import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import { readPendingInput } from "../source/adapters/pending_input.ts";
+import { startIntake } from "../source/adapters/pending_input.ts";
 import { openTarget } from "../source/adapters/http_target.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
@@ -50,6 +50,7 @@
     now: monotonicNow,
     healthTimeoutMilliseconds: 1_000,
   });
+  const intake = startIntake();
   const [service] = options.configuration.services;
   const serve = startServing({
     service: service?.name ?? "",
@@ -58,7 +59,7 @@
     workOf: () => null,
     accepts: () => true,
     target,
-    readPendingInput,
+    readPendingInput: intake.readPending,
     events: { record: () => undefined },
     metrics: noMetrics,
   });
@@ -73,6 +74,7 @@
     now: monotonicNow,
     lateness: () => 0,
     onArrival: () => undefined,
+    intake,
     onAbandoned: () => undefined,
     clock: startLogicalClock(),
     longestHeaderBytes: 16_384,
--- a/source/adapters/hop_link_server.ts
+++ b/source/adapters/hop_link_server.ts
@@ -26,7 +26,7 @@
 import { type HopCopy, type HopLedger, startHopLedger } from "./hop_ledger.ts";
 import type { HandleRequest } from "./http_front.ts";
 import type { LogicalClock } from "./logical_clock.ts";
-import { type Intake, startIntake } from "./pending_input.ts";
+import type { Intake } from "./pending_input.ts";
 import type { ArrivalNote, MeasureLateness } from "./transit.ts";
 import { readWhole } from "./exchange.ts";
 
@@ -39,6 +39,8 @@
   readonly lateness: MeasureLateness;
   /** Hears of each request that comes. */
   readonly onArrival: (note: ArrivalNote) => void;
+  /** Of this process. */
+  readonly intake: Intake;
   /** Hears of each request that nobody wanted any more before it began. */
   readonly onAbandoned: (note: AbandonNote) => void;
   readonly clock: LogicalClock;
@@ -58,16 +60,14 @@
 ): void {
   const ledger = startHopLedger(options.agent);
   const cancels = startHopCancels();
-  const intake = startIntake();
   sockets.on("connection", (socket) => {
-    serveLink(socket, { ...options, ledger, cancels, intake });
+    serveLink(socket, { ...options, ledger, cancels });
   });
 }
 
 interface LinkContext extends HopLinkServerOptions {
   readonly ledger: HopLedger;
   readonly cancels: HopCancels;
-  readonly intake: Intake;
 }
 
 function serveLink(socket: WebSocket, context: LinkContext): void {
--- a/source/adapters/hop_links_test.ts
+++ b/source/adapters/hop_links_test.ts
@@ -16,6 +16,7 @@
 import { linkPath, openHopLinks } from "./hop_links.ts";
 import { startLogicalClock } from "./logical_clock.ts";
 import { listen } from "../../standins/http_server.ts";
+import { startIntake } from "./pending_input.ts";
 import { startArrivals } from "./transit.ts";
 import { acceptUpgrades } from "./upgrades.ts";
 
@@ -63,6 +64,7 @@
       now: () => performance.now(),
       lateness: startArrivals(() => performance.now()),
       onArrival: () => undefined,
+      intake: startIntake(),
       onAbandoned: () => undefined,
       clock: startLogicalClock(),
       onMalformed: () => malformed += 1,
@@ -162,6 +164,7 @@
     // Guards against work for callers that have left (GONE): a process that had
     // not run for a while began what it read before the word that ended it.
     it("have nothing begun that was given up before it is read", async () => {
+      await new Promise((resolve) => setTimeout(resolve, 100));
       const caller = new AbortController();
       const result = send("given-up", { signal: caller.signal });
       caller.abort();
--- a/source/adapters/http_front.ts
+++ b/source/adapters/http_front.ts
@@ -41,7 +41,7 @@
 } from "./hop_intake.ts";
 import { type HopCopy, parseHop, startHopLedger } from "./hop_ledger.ts";
 import type { LogicalClock } from "./logical_clock.ts";
-import { startIntake } from "./pending_input.ts";
+import type { Intake } from "./pending_input.ts";
 import { readBody, readForwardedRequest } from "./request_reader.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
 import {
@@ -88,6 +88,8 @@
   readonly lateness: MeasureLateness;
   /** Hears of each whole request that another agent has sent on. */
   readonly onArrival: (note: ArrivalNote) => void;
+  /** Of this process. */
+  readonly intake: Intake;
   /** Hears of each request that nobody wanted any more before it began. */
   readonly onAbandoned: (note: AbandonNote) => void;
   /** Carries causes and effects between the time lines of agents. */
@@ -121,7 +123,6 @@
   const cancels = startHopCancels();
   const arrivals = startHopArrivals();
   const callers = watchCallers();
-  const intake = startIntake();
   const dialect = options.dialect ?? productDialect;
   const read = options.kind === "callers" ? dialect.read : readForwardedRequest;
   let draining = false;
@@ -261,7 +262,6 @@
     const start = () =>
       startWanted(request, {
         ...options,
-        intake,
         start: () => options.handle(request, { body }),
       });
     if (arrival === null) return start();
--- a/source/adapters/pending_input.ts
+++ b/source/adapters/pending_input.ts
@@ -1,62 +1,107 @@
 /**
- * Turns of the event loop, for work that must not begin before what came with
- * it has been read. One turn reads each socket once: what a socket holds behind
- * a request, its end too, is read in the turn after.
+ * Lets work begin only on what is known now. A process that has not run for a
+ * while finds requests and the word that they are void in the same sockets, in
+ * this order: one turn of the event loop reads each socket once, and what lies
+ * behind a request, its caller's end too, is read in the turn after.
  *
  * @module
  */
 import type { ReadPendingInput } from "../ports/input.ts";
 
-/** This turn and the next one, which reads each socket once more. */
-const turnsUntilRead = 2;
-
-/** Reads what lies in the sockets of this process. */
-export const readPendingInput: ReadPendingInput = () =>
-  new Promise((resolve) => afterTurns(turnsUntilRead, resolve));
-
-function afterTurns(turns: number, then: () => void): void {
-  setImmediate(() => turns > 1 ? afterTurns(turns - 1, then) : then());
-}
-
-/** Where work waits until it may begin. */
+/** Where the work of a process waits until it may begin. */
 export interface Intake {
-  /** Resolves when this work may begin. */
+  /**
+   * Resolves when new work may begin: at once in a process that keeps up, or
+   * else in the order in which it came, once what came behind it is read.
+   */
   enter(): Promise<void>;
+  /** The same for work that was begun already; it waits for no other. */
+  readonly readPending: ReadPendingInput;
 }
 
+/** The turn in which work came, and the one that reads what is behind it. */
+const turnsUntilRead = 2;
+/** Work begins in one turn for so long, before sockets are read again. */
+const turnMilliseconds = 10;
+/** What came in a shorter time has not changed its sender's mind. */
+const lateMilliseconds = 25;
+
 interface Waiting {
   readonly enteredInTurn: number;
   readonly begin: () => void;
 }
 
-/**
- * Lets work begin in the order in which it came, one piece in each turn, and
- * none before its sender's word that came with it has been read. So a burst
- * that takes long keeps this process from reading for one piece at most.
- */
+/** Starts with a process that may be late. */
 export function startIntake(): Intake {
   const waiting: Waiting[] = [];
   let turn = 0;
   let turning = false;
+  /** When the work in this turn began; null before the first. */
+  let beganAt: number | null = null;
+  /** The end of the last turn with work. */
+  let endedAt = -Infinity;
+  let late = true;
 
-  function turnOnce(): void {
+  /** Whether sockets were read a moment ago, and will be in a moment. */
+  function keepsUp(): boolean {
+    const now = performance.now();
+    if (beganAt === null) {
+      late = now - endedAt >= lateMilliseconds;
+      beganAt = now;
+      if (!turning) nextTurn();
+    }
+    return !late && now - beganAt < turnMilliseconds;
+  }
+
+  function nextTurn(): void {
+    turning = true;
+    setImmediate(() => void takeTurn());
+  }
+
+  async function takeTurn(): Promise<void> {
     turn += 1;
+    await beginReady();
+    beganAt = null;
+    endedAt = performance.now();
+    turning = false;
+    if (waiting.length > 0) nextTurn();
+  }
+
+  async function beginReady(): Promise<void> {
+    const endAt = performance.now() + turnMilliseconds;
+    do {
+      const ready = takeReady();
+      if (ready === null) return;
+      ready.begin();
+      // What has begun does its first steps meanwhile.
+      await Promise.resolve();
+    } while (performance.now() < endAt);
+  }
+
+  /** The first that has waited long enough; null for none. */
+  function takeReady(): Waiting | null {
     const [first] = waiting;
-    if (first !== undefined && turn - first.enteredInTurn >= turnsUntilRead) {
-      waiting.shift();
-      first.begin();
-    }
-    turning = waiting.length > 0;
-    if (turning) setImmediate(turnOnce);
+    if (first === undefined) return null;
+    if (turn - first.enteredInTurn < turnsUntilRead) return null;
+    waiting.shift();
+    return first;
   }
 
   return {
-    enter: () =>
-      new Promise((begin) => {
+    enter() {
+      if (keepsUp() && waiting.length === 0) return Promise.resolve();
+      return new Promise((begin) => {
         waiting.push({ enteredInTurn: turn, begin });
-        if (turning) return;
-        turning = true;
-        setImmediate(turnOnce);
-      }),
+        if (!turning) nextTurn();
+      });
+    },
+    readPending: () =>
+      keepsUp()
+        ? Promise.resolve()
+        : new Promise((resolve) => afterTurns(turnsUntilRead, resolve)),
   };
 }
+
+function afterTurns(turns: number, then: () => void): void {
+  setImmediate(() => turns > 1 ? afterTurns(turns - 1, then) : then());
+}
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -12,7 +12,6 @@
   openFront,
 } from "../adapters/http_front.ts";
 import { servePeers } from "../adapters/peer_server.ts";
-import { readPendingInput } from "../adapters/pending_input.ts";
 import { openStore } from "../adapters/store_client.ts";
 import { openTarget } from "../adapters/http_target.ts";
 import { readDocument } from "../adapters/yaml_document.ts";
@@ -229,6 +228,7 @@
     now: monotonicNow,
     lateness: outside.lateness,
     onArrival: tellArrivals(outside.events),
+    intake: outside.intake,
     onAbandoned: tellAbandoned(outside.events),
     clock: outside.clock,
     longestHeaderBytes: settings.longestHeaders,
@@ -348,7 +348,7 @@
     workOf: () => null,
     accepts: options.accepts,
     target,
-    readPendingInput,
+    readPendingInput: outside.intake.readPending,
     events,
     metrics,
   });
@@ -365,7 +365,7 @@
     hash: hashText,
     place,
     random: Math.random,
-    readPendingInput,
+    readPendingInput: outside.intake.readPending,
     retries: () => retries,
     shortestTableAgeMilliseconds,
   });
--- a/source/programs/outside.ts
+++ b/source/programs/outside.ts
@@ -15,6 +15,7 @@
   startTimeline,
   type TimelineBuffer,
 } from "../adapters/timeline_buffer.ts";
+import { type Intake, startIntake } from "../adapters/pending_input.ts";
 import { watchStalls } from "../adapters/stall_watch.ts";
 import type { ConnectionSettings } from "../adapters/connection_pool.ts";
 import { openForwarder } from "../adapters/forwarder.ts";
@@ -40,6 +41,8 @@
   readonly events: TimelineBuffer;
   readonly peers: Peers;
   readonly forwarder: Forwarder;
+  /** Where this process's work waits until it may begin. */
+  readonly intake: Intake;
   /** When what this process sends departs. */
   readonly depart: Depart;
   /** How late what others send arrives here. */
@@ -101,5 +104,15 @@
     depart,
     onSilence: tellSilence(events),
   });
-  return { clock, metrics, events, peers, forwarder, depart, lateness };
+  const intake = startIntake();
+  return {
+    clock,
+    metrics,
+    events,
+    peers,
+    forwarder,
+    intake,
+    depart,
+    lateness,
+  };
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -26,7 +26,6 @@
 import { openHopLinks } from "../adapters/hop_links.ts";
 import type { LogLevel } from "../adapters/log.ts";
 import { servePeers } from "../adapters/peer_server.ts";
-import { readPendingInput } from "../adapters/pending_input.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import {
   type Address,
@@ -329,7 +328,7 @@
     workOf: workByRoute(coordinator.configuration),
     accepts: registration.accepts,
     target,
-    readPendingInput,
+    readPendingInput: outside.intake.readPending,
     events,
     metrics,
   });
@@ -346,7 +345,7 @@
     hash: hashText,
     place,
     random: Math.random,
-    readPendingInput,
+    readPendingInput: outside.intake.readPending,
     retries: () => retrySettings(settings, coordinator.spread.agents().length),
     shortestTableAgeMilliseconds,
   });
@@ -419,6 +418,7 @@
     now: monotonicNow,
     lateness,
     onArrival: tellArrivals(events),
+    intake: outside.intake,
     onAbandoned: tellAbandoned(events),
     clock,
     longestHeaderBytes,
@@ -470,6 +470,7 @@
       now: monotonicNow,
       lateness,
       onArrival: tellArrivals(events),
+      intake: outside.intake,
       onAbandoned: tellAbandoned(events),
       clock,
       onMalformed: () => events.record("peer-message-refused"),
--- a/tests/test_front.ts
+++ b/tests/test_front.ts
@@ -11,6 +11,7 @@
   openFront,
 } from "../source/adapters/http_front.ts";
 import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import { startIntake } from "../source/adapters/pending_input.ts";
 import { startArrivals } from "../source/adapters/transit.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 
@@ -34,6 +35,7 @@
     now: () => performance.now(),
     lateness: startArrivals(() => performance.now()),
     onArrival: () => undefined,
+    intake: startIntake(),
     onAbandoned: () => undefined,
     clock: startLogicalClock(),
   });
