--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -7,8 +7,8 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { hashText } from "../source/adapters/hashing.ts";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import { startTimeline } from "../source/adapters/timeline_buffer.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import { startTimeline } from "../source/adapters/logs/timeline_buffer.ts";
 import type { Agent } from "../source/core/agent.ts";
 import {
   agentKey,
--- a/benches/coordinator_mesh.ts
+++ b/benches/coordinator_mesh.ts
@@ -5,7 +5,7 @@
  */
 import { type ChildProcess, fork } from "node:child_process";
 import { fileURLToPath } from "node:url";
-import { openStore } from "../source/adapters/store_client.ts";
+import { openStore } from "../source/adapters/store/store_client.ts";
 import { startStoreStandIn } from "../standins/store.ts";
 
 /** What all coordinators together have used so far. */
--- a/benches/coordinators.ts
+++ b/benches/coordinators.ts
@@ -7,11 +7,11 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { hashText } from "../source/adapters/hashing.ts";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import { connectPeers } from "../source/adapters/peer_client.ts";
-import { servePeers } from "../source/adapters/peer_server.ts";
-import { openStore } from "../source/adapters/store_client.ts";
-import { readDocument } from "../source/adapters/yaml_document.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import { connectPeers } from "../source/adapters/hops/peer_client.ts";
+import { servePeers } from "../source/adapters/hops/peer_server.ts";
+import { openStore } from "../source/adapters/store/store_client.ts";
+import { readDocument } from "../source/adapters/document/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
 import { placeByHash } from "../source/core/ownership/table.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
--- a/benches/single_agent.ts
+++ b/benches/single_agent.ts
@@ -4,10 +4,13 @@
  *
  * @module
  */
-import { type Front, openFront } from "../source/adapters/http_front.ts";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import { startIntake } from "../source/adapters/pending_input.ts";
-import { openTarget } from "../source/adapters/http_target.ts";
+import {
+  type Front,
+  openFront,
+} from "../source/adapters/callers/http_front.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import { startIntake } from "../source/adapters/callers/pending_input.ts";
+import { openTarget } from "../source/adapters/targets/http_target.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 import type { Metrics } from "../source/ports/metrics.ts";
 import type { AdmissionTask } from "../source/tasks/admission_task.ts";
--- a/source/adapters/answer_writer.ts
+++ b/source/adapters/callers/answer_writer.ts
@@ -5,9 +5,9 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Duplex, Readable } from "node:stream";
-import type { Headers, ProxyAnswer } from "../ports/upstream.ts";
+import type { Headers, ProxyAnswer } from "../../ports/upstream.ts";
 import type { CallerDialect, FailedRequest } from "./caller_dialect.ts";
-import { fields } from "./headers.ts";
+import { fields } from "../headers.ts";
 
 /** A page for operators. */
 export interface Page {
--- a/source/adapters/caller_dialect.ts
+++ b/source/adapters/callers/caller_dialect.ts
@@ -7,9 +7,13 @@
  */
 import type { IncomingMessage } from "node:http";
 import type { Result } from "true-myth";
-import { type Failure, statusOf } from "../core/request/outcome.ts";
-import type { Headers, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
-import { fields, passableHeaders } from "./headers.ts";
+import { type Failure, statusOf } from "../../core/request/outcome.ts";
+import type {
+  Headers,
+  ProxyAnswer,
+  ProxyRequest,
+} from "../../ports/upstream.ts";
+import { fields, passableHeaders } from "../headers.ts";
 import {
   readCallerRequest,
   type ReadOptions,
--- a/source/adapters/callers_that_left_test.ts
+++ b/source/adapters/callers/callers_that_left_test.ts
@@ -2,9 +2,9 @@
 import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
-import { openTestFront } from "../../tests/test_front.ts";
-import type { Configuration } from "../core/document/document.ts";
-import type { ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+import { openTestFront } from "../../../tests/test_front.ts";
+import type { Configuration } from "../../core/document/document.ts";
+import type { ProxyAnswer, ProxyRequest } from "../../ports/upstream.ts";
 import type { Front } from "./http_front.ts";
 
 const deadlineMilliseconds = 5_000;
--- a/source/adapters/http_front.ts
+++ b/source/adapters/callers/http_front.ts
@@ -12,10 +12,10 @@
 } from "node:http";
 import { type AddressInfo, Server as NetServer } from "node:net";
 import { Result } from "true-myth";
-import type { AgentId } from "../core/agent.ts";
-import type { Configuration } from "../core/document/document.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
-import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+import type { AgentId } from "../../core/agent.ts";
+import type { Configuration } from "../../core/document/document.ts";
+import { type Failure, notRun } from "../../core/request/outcome.ts";
+import type { Body, ProxyAnswer, ProxyRequest } from "../../ports/upstream.ts";
 import {
   type Page,
   refuseUnreadable,
@@ -26,21 +26,21 @@
 } from "./answer_writer.ts";
 import { type CallerDialect, productDialect } from "./caller_dialect.ts";
 import { watchCallers } from "./caller_presence.ts";
-import { fields, single } from "./headers.ts";
+import { fields, single } from "../headers.ts";
 import {
   formatProgress,
   progressPath,
   startHopArrivals,
-} from "./hop_arrivals.ts";
-import { openCancel, startHopCancels } from "./hop_cancels.ts";
+} from "../hops/hop_arrivals.ts";
+import { openCancel, startHopCancels } from "../hops/hop_cancels.ts";
 import {
   type AbandonNote,
   type HopArrival,
   startWanted,
   takeIn,
-} from "./hop_intake.ts";
-import { type HopCopy, parseHop, startHopLedger } from "./hop_ledger.ts";
-import type { LogicalClock } from "./logical_clock.ts";
+} from "../hops/hop_intake.ts";
+import { type HopCopy, parseHop, startHopLedger } from "../hops/hop_ledger.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
 import type { Intake } from "./pending_input.ts";
 import { readBody, readForwardedRequest } from "./request_reader.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
@@ -48,7 +48,7 @@
   type ArrivalNote,
   type MeasureLateness,
   parseDeparture,
-} from "./transit.ts";
+} from "../hops/transit.ts";
 
 /** Takes a request to its end. */
 export type HandleRequest = (
--- a/source/adapters/http_front_test.ts
+++ b/source/adapters/callers/http_front_test.ts
@@ -2,9 +2,9 @@
 import { Readable } from "node:stream";
 import { after, before, describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Configuration } from "../core/document/document.ts";
+import type { Configuration } from "../../core/document/document.ts";
 import type { Front } from "./http_front.ts";
-import { openTestFront } from "../../tests/test_front.ts";
+import { openTestFront } from "../../../tests/test_front.ts";
 
 const configuration: Configuration = {
   revision: 1,
--- a/source/adapters/pending_input.ts
+++ b/source/adapters/callers/pending_input.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { ReadPendingInput } from "../ports/input.ts";
+import type { ReadPendingInput } from "../../ports/input.ts";
 
 /** Where the work of a process waits until it may begin. */
 export interface Intake {
--- a/source/adapters/request_reader.ts
+++ b/source/adapters/callers/request_reader.ts
@@ -9,10 +9,10 @@
 import type { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
 import { Result } from "true-myth";
-import type { Configuration, Service } from "../core/document/document.ts";
-import { type FailureReason } from "../core/request/outcome.ts";
-import type { Body, ProxyRequest } from "../ports/upstream.ts";
-import { decodeText, fields, passableHeaders, single } from "./headers.ts";
+import type { Configuration, Service } from "../../core/document/document.ts";
+import { type FailureReason } from "../../core/request/outcome.ts";
+import type { Body, ProxyRequest } from "../../ports/upstream.ts";
+import { decodeText, fields, passableHeaders, single } from "../headers.ts";
 import type { MatchRoute } from "./route_matcher.ts";
 
 /** A request that is not sent on, with the reason in plain words. */
--- a/source/adapters/route_matcher.ts
+++ b/source/adapters/callers/route_matcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import FindMyWay from "find-my-way";
-import type { Service } from "../core/document/document.ts";
+import type { Service } from "../../core/document/document.ts";
 
 /** What a path stands for. */
 export interface RouteMatch {
--- a/source/adapters/yaml_document.ts
+++ b/source/adapters/document/yaml_document.ts
@@ -12,7 +12,7 @@
   type SectionContent,
   type SectionFault,
   wholeDocument,
-} from "../core/document/document.ts";
+} from "../../core/document/document.ts";
 
 const name = z.string().regex(
   /^[a-z][a-z0-9-]{0,62}$/,
--- a/source/adapters/yaml_document_test.ts
+++ b/source/adapters/document/yaml_document_test.ts
@@ -6,13 +6,13 @@
   type Acceptance,
   judge,
   nothingAccepted,
-} from "../core/document/document.ts";
+} from "../../core/document/document.ts";
 import { readDocument } from "./yaml_document.ts";
 import { mergeSections } from "./yaml_sections.ts";
 
 function example(name: string): string {
   return readFileSync(
-    new URL(`../../examples/${name}.yaml`, import.meta.url),
+    new URL(`../../../examples/${name}.yaml`, import.meta.url),
     "utf8",
   );
 }
--- a/source/adapters/broken_answer_test.ts
+++ b/source/adapters/hops/broken_answer_test.ts
@@ -3,8 +3,8 @@
 import {
   startOtherAgent,
   type TestOtherAgent,
-} from "../../tests/test_other_agent.ts";
-import { testRequest } from "../../tests/test_request.ts";
+} from "../../../tests/test_other_agent.ts";
+import { testRequest } from "../../../tests/test_request.ts";
 
 /** What the other agent sends of its answer before it stops for good. */
 describe("an answer of another agent that stops halfway", () => {
--- a/source/adapters/copy_left_test.ts
+++ b/source/adapters/hops/copy_left_test.ts
@@ -2,12 +2,12 @@
 import { connect, type Socket } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
-import { openTestFront, testAgent } from "../../tests/test_front.ts";
-import type { Configuration } from "../core/document/document.ts";
-import { unknownOutcome } from "../core/request/outcome.ts";
-import { fields } from "./headers.ts";
+import { openTestFront, testAgent } from "../../../tests/test_front.ts";
+import type { Configuration } from "../../core/document/document.ts";
+import { unknownOutcome } from "../../core/request/outcome.ts";
+import { fields } from "../headers.ts";
 import { formatHop } from "./hop_ledger.ts";
-import type { Front } from "./http_front.ts";
+import type { Front } from "../callers/http_front.ts";
 
 const deadlineMilliseconds = 1_000;
 
--- a/source/adapters/forwarder.ts
+++ b/source/adapters/hops/forwarder.ts
@@ -6,31 +6,39 @@
  */
 import { Result } from "true-myth";
 import type { Pool } from "undici";
-import { type Address, type AgentId, isAddress } from "../core/agent.ts";
+import { type Address, type AgentId, isAddress } from "../../core/agent.ts";
 import {
   type Failure,
   notRun,
   unknownOutcome,
-} from "../core/request/outcome.ts";
+} from "../../core/request/outcome.ts";
 import {
   type Inquiry,
   judgeSilence,
   type SilenceDecision,
   type SilenceNote,
-} from "../core/request/silence.ts";
+} from "../../core/request/silence.ts";
 import type {
   Body,
   Forwarder,
   Headers,
   ProxyAnswer,
   ProxyRequest,
-} from "../ports/upstream.ts";
-import { type ConnectionSettings, openPool } from "./connection_pool.ts";
-import { type Attempt, drain, failureOfError, readWhole } from "./exchange.ts";
-import { failureIn, fields, single } from "./headers.ts";
+} from "../../ports/upstream.ts";
+import {
+  type ConnectionSettings,
+  openPool,
+} from "../targets/connection_pool.ts";
+import {
+  type Attempt,
+  drain,
+  failureOfError,
+  readWhole,
+} from "../targets/exchange.ts";
+import { failureIn, fields, single } from "../headers.ts";
 import { openHopInquiries } from "./hop_inquiries.ts";
 import { formatHop, type HopCopy, startHopNumbers } from "./hop_ledger.ts";
-import type { LogicalClock } from "./logical_clock.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
 import { timeLeft } from "./time_left.ts";
 import { type Depart, formatDeparture } from "./transit.ts";
 import { sendWatched, type Silenced } from "./watched_copy.ts";
--- a/source/adapters/full_link_test.ts
+++ b/source/adapters/hops/full_link_test.ts
@@ -4,7 +4,7 @@
   startUploads,
   type TestUploads,
   uploadBytes,
-} from "../../tests/test_uploads.ts";
+} from "../../../tests/test_uploads.ts";
 
 const bytesPerSecond = 300_000;
 /** Two seconds of the link, twenty times the silence. */
--- a/source/adapters/hop_arrivals.ts
+++ b/source/adapters/hops/hop_arrivals.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HopProgress } from "../core/request/silence.ts";
+import type { HopProgress } from "../../core/request/silence.ts";
 import type { HopCopy } from "./hop_ledger.ts";
 
 /** What is on its way, or waits for its answer. */
--- a/source/adapters/hop_inquiries.ts
+++ b/source/adapters/hops/hop_inquiries.ts
@@ -5,10 +5,10 @@
  * @module
  */
 import { Client } from "undici";
-import type { Address } from "../core/agent.ts";
-import type { Inquiry } from "../core/request/silence.ts";
-import { wasUnreachable } from "./connection_errors.ts";
-import { fields } from "./headers.ts";
+import type { Address } from "../../core/agent.ts";
+import type { Inquiry } from "../../core/request/silence.ts";
+import { wasUnreachable } from "../targets/connection_errors.ts";
+import { fields } from "../headers.ts";
 import { parseProgress, progressPath } from "./hop_arrivals.ts";
 import { formatHop, type HopCopy } from "./hop_ledger.ts";
 
--- a/source/adapters/hop_intake.ts
+++ b/source/adapters/hops/hop_intake.ts
@@ -9,10 +9,10 @@
   type Failure,
   type FailureReason,
   notRun,
-} from "../core/request/outcome.ts";
-import type { ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
+} from "../../core/request/outcome.ts";
+import type { ProxyAnswer, ProxyRequest } from "../../ports/upstream.ts";
 import type { HopCopy, HopLedger } from "./hop_ledger.ts";
-import type { Intake } from "./pending_input.ts";
+import type { Intake } from "../callers/pending_input.ts";
 import type { ArrivalNote } from "./transit.ts";
 
 /** A request that has come whole from another agent. */
--- a/source/adapters/hop_ledger.ts
+++ b/source/adapters/hops/hop_ledger.ts
@@ -10,10 +10,10 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { AgentId } from "../core/agent.ts";
-import { type Failure, unknownOutcome } from "../core/request/outcome.ts";
-import type { ProxyAnswer } from "../ports/upstream.ts";
-import { decodeText } from "./headers.ts";
+import type { AgentId } from "../../core/agent.ts";
+import { type Failure, unknownOutcome } from "../../core/request/outcome.ts";
+import type { ProxyAnswer } from "../../ports/upstream.ts";
+import { decodeText } from "../headers.ts";
 
 /** Names one copy of a forwarded request. */
 export interface HopCopy {
--- a/source/adapters/hop_ledger_test.ts
+++ b/source/adapters/hops/hop_ledger_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Failure } from "../core/request/outcome.ts";
-import type { ProxyAnswer } from "../ports/upstream.ts";
+import type { Failure } from "../../core/request/outcome.ts";
+import type { ProxyAnswer } from "../../ports/upstream.ts";
 import {
   formatHop,
   type HopCopy,
--- a/source/adapters/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -7,13 +7,13 @@
 import type { Buffer } from "node:buffer";
 import type { Result } from "true-myth";
 import type { WebSocket, WebSocketServer } from "ws";
-import type { AgentId } from "../core/agent.ts";
-import { type Failure, unknownOutcome } from "../core/request/outcome.ts";
+import type { AgentId } from "../../core/agent.ts";
+import { type Failure, unknownOutcome } from "../../core/request/outcome.ts";
 import type {
   AnswerBody,
   ProxyAnswer,
   ProxyRequest,
-} from "../ports/upstream.ts";
+} from "../../ports/upstream.ts";
 import { type HopCancels, startHopCancels } from "./hop_cancels.ts";
 import {
   type ClientMessage,
@@ -24,11 +24,11 @@
 } from "./hop_messages.ts";
 import { type AbandonNote, startWanted, takeIn } from "./hop_intake.ts";
 import { type HopCopy, type HopLedger, startHopLedger } from "./hop_ledger.ts";
-import type { HandleRequest } from "./http_front.ts";
-import type { LogicalClock } from "./logical_clock.ts";
-import type { Intake } from "./pending_input.ts";
+import type { HandleRequest } from "../callers/http_front.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
+import type { Intake } from "../callers/pending_input.ts";
 import type { ArrivalNote, MeasureLateness } from "./transit.ts";
-import { readWhole } from "./exchange.ts";
+import { readWhole } from "../targets/exchange.ts";
 
 /** What serving needs. */
 export interface HopLinkServerOptions {
--- a/source/adapters/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -14,18 +14,18 @@
 import type { Buffer } from "node:buffer";
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
-import { type Address, type AgentId, isAddress } from "../core/agent.ts";
+import { type Address, type AgentId, isAddress } from "../../core/agent.ts";
 import {
   type Failure,
   notRun,
   unknownOutcome,
-} from "../core/request/outcome.ts";
-import type { SilenceNote } from "../core/request/silence.ts";
+} from "../../core/request/outcome.ts";
+import type { SilenceNote } from "../../core/request/silence.ts";
 import type {
   Forwarder,
   ProxyAnswer,
   ProxyRequest,
-} from "../ports/upstream.ts";
+} from "../../ports/upstream.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -37,7 +37,7 @@
   type HopNumbers,
   startHopNumbers,
 } from "./hop_ledger.ts";
-import type { LogicalClock } from "./logical_clock.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
 import { timeLeft } from "./time_left.ts";
 import type { Depart } from "./transit.ts";
 
--- a/source/adapters/hop_messages.ts
+++ b/source/adapters/hops/hop_messages.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import type { Failure } from "../core/request/outcome.ts";
-import type { Departure } from "../core/request/transit.ts";
-import type { Headers, ProxyRequest } from "../ports/upstream.ts";
+import type { Failure } from "../../core/request/outcome.ts";
+import type { Departure } from "../../core/request/transit.ts";
+import type { Headers, ProxyRequest } from "../../ports/upstream.ts";
 import type { HopCopy } from "./hop_ledger.ts";
 
 /** A request on its way to another agent. */
--- a/source/adapters/late_copy_test.ts
+++ b/source/adapters/hops/late_copy_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { Client } from "undici";
-import { testAgent } from "../../tests/test_front.ts";
+import { testAgent } from "../../../tests/test_front.ts";
 import {
   startUploads,
   type TestUploads,
   uploadBytes,
-} from "../../tests/test_uploads.ts";
-import { fields } from "./headers.ts";
+} from "../../../tests/test_uploads.ts";
+import { fields } from "../headers.ts";
 import { formatHop } from "./hop_ledger.ts";
 
 const deadlineMilliseconds = 300;
--- a/source/adapters/peer_client.ts
+++ b/source/adapters/hops/peer_client.ts
@@ -14,19 +14,19 @@
 import { Result } from "true-myth";
 import { WebSocket } from "ws";
 import { z } from "zod";
-import { type Address, isAddress } from "../core/agent.ts";
+import { type Address, isAddress } from "../../core/agent.ts";
 import type {
   PeerAnswer,
   PeerFault,
   PeerMethod,
   Peers,
-} from "../ports/peers.ts";
-import type { Metrics } from "../ports/metrics.ts";
+} from "../../ports/peers.ts";
+import type { Metrics } from "../../ports/metrics.ts";
 import { compression } from "./compression.ts";
-import type { LogicalClock } from "./logical_clock.ts";
-import { startPatientTimer } from "./patient_timer.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
+import { startPatientTimer } from "../patient_timer.ts";
 import type { PeerRouter } from "./peer_server.ts";
-import { peerSchemas } from "./schemas.ts";
+import { peerSchemas } from "../schemas.ts";
 
 interface Connection {
   readonly client: TRPCClient<PeerRouter>;
--- a/source/adapters/peer_messages_test.ts
+++ b/source/adapters/hops/peer_messages_test.ts
@@ -2,11 +2,11 @@
 import { createServer } from "node:http";
 import type { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
-import { listen } from "../../standins/http_server.ts";
-import { testRenewal } from "../../tests/test_grantor.ts";
-import type { Grant, RenewalAnswer } from "../core/ownership/renewal.ts";
-import type { PeerMethods, Peers } from "../ports/peers.ts";
-import { startLogicalClock } from "./logical_clock.ts";
+import { listen } from "../../../standins/http_server.ts";
+import { testRenewal } from "../../../tests/test_grantor.ts";
+import type { Grant, RenewalAnswer } from "../../core/ownership/renewal.ts";
+import type { PeerMethods, Peers } from "../../ports/peers.ts";
+import { startLogicalClock } from "../logs/logical_clock.ts";
 import { connectPeers } from "./peer_client.ts";
 import { servePeers } from "./peer_server.ts";
 
--- a/source/adapters/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -8,11 +8,11 @@
 import { initTRPC } from "@trpc/server";
 import { applyWSSHandler } from "@trpc/server/adapters/ws";
 import { z } from "zod";
-import type { PeerMethod, PeerMethods } from "../ports/peers.ts";
+import type { PeerMethod, PeerMethods } from "../../ports/peers.ts";
 import { type HopLinkServerOptions, serveHopLinks } from "./hop_link_server.ts";
 import { linkPath } from "./hop_links.ts";
-import type { LogicalClock } from "./logical_clock.ts";
-import { peerSchemas } from "./schemas.ts";
+import type { LogicalClock } from "../logs/logical_clock.ts";
+import { peerSchemas } from "../schemas.ts";
 import { acceptUpgrades, closeSockets } from "./upgrades.ts";
 
 const trpc = initTRPC.create();
--- a/source/adapters/queued_request_test.ts
+++ b/source/adapters/hops/queued_request_test.ts
@@ -3,8 +3,8 @@
 import {
   startOtherAgent,
   type TestOtherAgent,
-} from "../../tests/test_other_agent.ts";
-import { testRequest } from "../../tests/test_request.ts";
+} from "../../../tests/test_other_agent.ts";
+import { testRequest } from "../../../tests/test_request.ts";
 
 const workMilliseconds = 800;
 const deadlineMilliseconds = 200;
--- a/source/adapters/silence_test.ts
+++ b/source/adapters/hops/silence_test.ts
@@ -2,14 +2,14 @@
 import { Readable } from "node:stream";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Configuration } from "../core/document/document.ts";
-import type { Forwarder, ProxyRequest } from "../ports/upstream.ts";
-import type { Front } from "./http_front.ts";
-import { textOf } from "../../tests/test_answer.ts";
-import { testDepartures } from "../../tests/test_departures.ts";
-import { type Relay, startRelay } from "../../tests/relay.ts";
-import { openTestFront, testAgent } from "../../tests/test_front.ts";
-import { startLogicalClock } from "./logical_clock.ts";
+import type { Configuration } from "../../core/document/document.ts";
+import type { Forwarder, ProxyRequest } from "../../ports/upstream.ts";
+import type { Front } from "../callers/http_front.ts";
+import { textOf } from "../../../tests/test_answer.ts";
+import { testDepartures } from "../../../tests/test_departures.ts";
+import { type Relay, startRelay } from "../../../tests/relay.ts";
+import { openTestFront, testAgent } from "../../../tests/test_front.ts";
+import { startLogicalClock } from "../logs/logical_clock.ts";
 import { openForwarder } from "./forwarder.ts";
 
 const configuration: Configuration = {
--- a/source/adapters/time_left.ts
+++ b/source/adapters/hops/time_left.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ProxyRequest } from "../ports/upstream.ts";
+import type { ProxyRequest } from "../../ports/upstream.ts";
 
 /** The next agent answers this much before this one gives up. */
 const hopMarginMilliseconds = 5;
--- a/source/adapters/transit.ts
+++ b/source/adapters/hops/transit.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clocks } from "../core/clocks.ts";
+import type { Clocks } from "../../core/clocks.ts";
 import {
   beginDepartureClock,
   type Departure,
@@ -11,8 +11,8 @@
   type LeastDifference,
   noteArrival,
   stepDepartureClock,
-} from "../core/request/transit.ts";
-import { decodeText } from "./headers.ts";
+} from "../../core/request/transit.ts";
+import { decodeText } from "../headers.ts";
 import type { CopyFate } from "./hop_ledger.ts";
 
 /** Says when a message leaves that is being written now. */
--- a/source/adapters/watched_copy.ts
+++ b/source/adapters/hops/watched_copy.ts
@@ -6,10 +6,10 @@
  */
 import type { Result } from "true-myth";
 import type { Dispatcher } from "undici";
-import type { SilenceDecision } from "../core/request/silence.ts";
-import type { Failure } from "../core/request/outcome.ts";
-import type { ProxyAnswer } from "../ports/upstream.ts";
-import { type Exchange, exchange } from "./exchange.ts";
+import type { SilenceDecision } from "../../core/request/silence.ts";
+import type { Failure } from "../../core/request/outcome.ts";
+import type { ProxyAnswer } from "../../ports/upstream.ts";
+import { type Exchange, exchange } from "../targets/exchange.ts";
 
 /** A copy of which nothing was heard; it stays open until it is let go. */
 export interface Silenced {
--- a/source/adapters/line_output_test.ts
+++ b/source/adapters/logs/line_output_test.ts
@@ -6,7 +6,7 @@
 import { fileURLToPath } from "node:url";
 
 const program = fileURLToPath(
-  new URL("../../tests/stalled_log.ts", import.meta.url),
+  new URL("../../../tests/stalled_log.ts", import.meta.url),
 );
 
 describe("lines to a pipe", () => {
--- a/source/adapters/log.ts
+++ b/source/adapters/logs/log.ts
@@ -10,8 +10,8 @@
   decideLine,
   type LineBounds,
   type LineClass,
-} from "../core/timeline/line_limit.ts";
-import type { EventDetail, EventKind } from "../ports/events.ts";
+} from "../../core/timeline/line_limit.ts";
+import type { EventDetail, EventKind } from "../../ports/events.ts";
 
 /** Lines in one second, of some 200 bytes each. */
 const lineBounds: LineBounds = { progress: 50, failure: 50, change: 100 };
--- a/source/adapters/metrics.ts
+++ b/source/adapters/logs/metrics.ts
@@ -12,7 +12,7 @@
   DurationName,
   Labels,
   Metrics,
-} from "../ports/metrics.ts";
+} from "../../ports/metrics.ts";
 
 /** Metrics that can be scraped. */
 export interface MetricsRegistry extends Metrics {
--- a/source/adapters/stall_watch.ts
+++ b/source/adapters/logs/stall_watch.ts
@@ -6,7 +6,7 @@
  */
 import { monitorEventLoopDelay, PerformanceObserver } from "node:perf_hooks";
 import process from "node:process";
-import type { Events } from "../ports/events.ts";
+import type { Events } from "../../ports/events.ts";
 
 /** Shorter delays are not told, in milliseconds. */
 const noticeMilliseconds = 200;
--- a/source/adapters/stall_watch_test.ts
+++ b/source/adapters/logs/stall_watch_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import type { EventDetail, EventKind } from "../ports/events.ts";
+import type { EventDetail, EventKind } from "../../ports/events.ts";
 import { type StallWatch, watchStalls } from "./stall_watch.ts";
 
 const stallMilliseconds = 400;
--- a/source/adapters/timeline_buffer.ts
+++ b/source/adapters/logs/timeline_buffer.ts
@@ -9,7 +9,7 @@
   EventKind,
   Events,
   TimelineEvent,
-} from "../ports/events.ts";
+} from "../../ports/events.ts";
 import type { LogicalClock } from "./logical_clock.ts";
 
 /** The events of one agent. */
--- a/source/adapters/timeline_page.ts
+++ b/source/adapters/logs/timeline_page.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { TimelineEvent } from "../ports/events.ts";
+import type { TimelineEvent } from "../../ports/events.ts";
 
 const laneHeight = 26;
 const labelWidth = 220;
--- a/source/adapters/store_client.ts
+++ b/source/adapters/store/store_client.ts
@@ -8,23 +8,23 @@
 import { Result } from "true-myth";
 import { Pool } from "undici";
 import { z } from "zod";
-import type { Metrics } from "../ports/metrics.ts";
+import type { Metrics } from "../../ports/metrics.ts";
 import {
   mainObject,
   type Repository,
   type Store,
   type StoreFault,
   type Versioned,
-} from "../ports/store.ts";
-import { codeOfError, wasUnreachable } from "./connection_errors.ts";
+} from "../../ports/store.ts";
+import { codeOfError, wasUnreachable } from "../targets/connection_errors.ts";
 import {
   acceptance,
   delegation,
   storedDocument,
   storedSeeds,
   storedStatus,
-} from "./schemas.ts";
-import { exchangeWhole } from "./whole_exchange.ts";
+} from "../schemas.ts";
+import { exchangeWhole } from "../targets/whole_exchange.ts";
 
 const apiVersion = "geraniumledge.example/v1";
 const namespace = "geraniumledge";
--- a/source/adapters/connection_pool.ts
+++ b/source/adapters/targets/connection_pool.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Pool } from "undici";
-import type { Address } from "../core/agent.ts";
+import type { Address } from "../../core/agent.ts";
 
 /** Settings of the connections to one kind of hop. */
 export interface ConnectionSettings {
--- a/source/adapters/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -12,13 +12,13 @@
   type Failure,
   notRun,
   unknownOutcome,
-} from "../core/request/outcome.ts";
+} from "../../core/request/outcome.ts";
 import type {
   Body,
   Headers,
   ProxyAnswer,
   ProxyRequest,
-} from "../ports/upstream.ts";
+} from "../../ports/upstream.ts";
 import { codeOfError, wasUnreachable } from "./connection_errors.ts";
 
 /** A request as it goes out. */
--- a/source/adapters/http_target.ts
+++ b/source/adapters/targets/http_target.ts
@@ -5,13 +5,17 @@
  */
 import { Result } from "true-myth";
 import type { Pool } from "undici";
-import type { Address } from "../core/agent.ts";
-import { formatToken } from "../core/ownership/token.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
-import type { ProxyAnswer, Target, TargetHealth } from "../ports/upstream.ts";
+import type { Address } from "../../core/agent.ts";
+import { formatToken } from "../../core/ownership/token.ts";
+import { type Failure, notRun } from "../../core/request/outcome.ts";
+import type {
+  ProxyAnswer,
+  Target,
+  TargetHealth,
+} from "../../ports/upstream.ts";
 import { type ConnectionSettings, openPool } from "./connection_pool.ts";
 import { drain, exchange } from "./exchange.ts";
-import { failureIn, fields } from "./headers.ts";
+import { failureIn, fields } from "../headers.ts";
 import { exchangeWhole } from "./whole_exchange.ts";
 
 /** Sends requests to the target beside this agent. */
--- a/source/adapters/repeated_refusal_test.ts
+++ b/source/adapters/targets/repeated_refusal_test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { createServer, type Server, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
-import { listen } from "../../standins/http_server.ts";
-import { testRequest } from "../../tests/test_request.ts";
-import type { Target } from "../ports/upstream.ts";
+import { listen } from "../../../standins/http_server.ts";
+import { testRequest } from "../../../tests/test_request.ts";
+import type { Target } from "../../ports/upstream.ts";
 import { openTarget } from "./http_target.ts";
 
 const refusal = "HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run\r\n" +
--- a/source/adapters/target_health_test.ts
+++ b/source/adapters/targets/target_health_test.ts
@@ -3,9 +3,9 @@
 import {
   startTargetStandIn,
   type TargetStandIn,
-} from "../../standins/target.ts";
-import { testRequest } from "../../tests/test_request.ts";
-import type { Target } from "../ports/upstream.ts";
+} from "../../../standins/target.ts";
+import { testRequest } from "../../../tests/test_request.ts";
+import type { Target } from "../../ports/upstream.ts";
 import { openTarget } from "./http_target.ts";
 
 const slots = 2;
--- a/source/adapters/whole_exchange.ts
+++ b/source/adapters/targets/whole_exchange.ts
@@ -7,8 +7,8 @@
 import { Buffer } from "node:buffer";
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
-import type { Headers } from "../ports/upstream.ts";
-import { single } from "./headers.ts";
+import type { Headers } from "../../ports/upstream.ts";
+import { single } from "../headers.ts";
 
 /** A request as it goes out on one connection. */
 export interface OutgoingRequest {
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -10,11 +10,11 @@
   type Front,
   type HandleRequest,
   openFront,
-} from "../adapters/http_front.ts";
-import { servePeers } from "../adapters/peer_server.ts";
-import { openStore } from "../adapters/store_client.ts";
-import { openTarget } from "../adapters/http_target.ts";
-import { readDocument } from "../adapters/yaml_document.ts";
+} from "../adapters/callers/http_front.ts";
+import { servePeers } from "../adapters/hops/peer_server.ts";
+import { openStore } from "../adapters/store/store_client.ts";
+import { openTarget } from "../adapters/targets/http_target.ts";
+import { readDocument } from "../adapters/document/yaml_document.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import { type Agent, agentIdOf } from "../core/agent.ts";
 import {
--- a/source/programs/document_command.ts
+++ b/source/programs/document_command.ts
@@ -5,16 +5,16 @@
  */
 import { readFile } from "node:fs/promises";
 import { Result } from "true-myth";
-import { startLogicalClock } from "../adapters/logical_clock.ts";
-import { startMetrics } from "../adapters/metrics.ts";
-import { connectPeers } from "../adapters/peer_client.ts";
-import { openStore, type StoreClient } from "../adapters/store_client.ts";
-import { readDocument } from "../adapters/yaml_document.ts";
+import { startLogicalClock } from "../adapters/logs/logical_clock.ts";
+import { startMetrics } from "../adapters/logs/metrics.ts";
+import { connectPeers } from "../adapters/hops/peer_client.ts";
+import { openStore, type StoreClient } from "../adapters/store/store_client.ts";
+import { readDocument } from "../adapters/document/yaml_document.ts";
 import {
   compareSections,
   mergeSections,
   type SectionChange,
-} from "../adapters/yaml_sections.ts";
+} from "../adapters/document/yaml_sections.ts";
 import type { SectionFault } from "../core/document/document.ts";
 import { mainObject, type StoreFault } from "../ports/store.ts";
 import { ExitCode } from "./exit_code.ts";
--- a/source/programs/operator_pages.ts
+++ b/source/programs/operator_pages.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { OperatorPage } from "../adapters/http_front.ts";
-import type { MetricsRegistry } from "../adapters/metrics.ts";
+import type { OperatorPage } from "../adapters/callers/http_front.ts";
+import type { MetricsRegistry } from "../adapters/logs/metrics.ts";
 
 /** What the pages show. */
 export interface AgentDescription {
--- a/source/programs/outside.ts
+++ b/source/programs/outside.ts
@@ -4,22 +4,25 @@
  *
  * @module
  */
-import { type LogLevel, openLog } from "../adapters/log.ts";
+import { type LogLevel, openLog } from "../adapters/logs/log.ts";
 import {
   type LogicalClock,
   startLogicalClock,
-} from "../adapters/logical_clock.ts";
-import { type MetricsRegistry, startMetrics } from "../adapters/metrics.ts";
-import { connectPeers } from "../adapters/peer_client.ts";
+} from "../adapters/logs/logical_clock.ts";
+import {
+  type MetricsRegistry,
+  startMetrics,
+} from "../adapters/logs/metrics.ts";
+import { connectPeers } from "../adapters/hops/peer_client.ts";
 import {
   startTimeline,
   type TimelineBuffer,
-} from "../adapters/timeline_buffer.ts";
-import { type Intake, startIntake } from "../adapters/pending_input.ts";
-import { watchStalls } from "../adapters/stall_watch.ts";
-import type { ConnectionSettings } from "../adapters/connection_pool.ts";
-import { openForwarder } from "../adapters/forwarder.ts";
-import type { AbandonNote } from "../adapters/hop_intake.ts";
+} from "../adapters/logs/timeline_buffer.ts";
+import { type Intake, startIntake } from "../adapters/callers/pending_input.ts";
+import { watchStalls } from "../adapters/logs/stall_watch.ts";
+import type { ConnectionSettings } from "../adapters/targets/connection_pool.ts";
+import { openForwarder } from "../adapters/hops/forwarder.ts";
+import type { AbandonNote } from "../adapters/hops/hop_intake.ts";
 import type { Address } from "../core/agent.ts";
 import type { SilenceNote } from "../core/request/silence.ts";
 import type { Events } from "../ports/events.ts";
@@ -31,7 +34,7 @@
   type MeasureLateness,
   startArrivals,
   startDepartures,
-} from "../adapters/transit.ts";
+} from "../adapters/hops/transit.ts";
 import { monotonicNow, readClocks } from "../tasks/time.ts";
 
 /** Clocks, measurements, events, and the way to other agents. */
--- a/source/programs/outside_test.ts
+++ b/source/programs/outside_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
-import type { ArrivalNote } from "../adapters/transit.ts";
+import type { ArrivalNote } from "../adapters/hops/transit.ts";
 import type { EventDetail, EventKind, Events } from "../ports/events.ts";
 import { tellArrivals, tellSilence } from "./outside.ts";
 
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -22,10 +22,10 @@
   type Front,
   type HandleRequest,
   openFront,
-} from "../adapters/http_front.ts";
-import { openHopLinks } from "../adapters/hop_links.ts";
-import type { LogLevel } from "../adapters/log.ts";
-import { servePeers } from "../adapters/peer_server.ts";
+} from "../adapters/callers/http_front.ts";
+import { openHopLinks } from "../adapters/hops/hop_links.ts";
+import type { LogLevel } from "../adapters/logs/log.ts";
+import { servePeers } from "../adapters/hops/peer_server.ts";
 import type { AdmissionSettings } from "../core/admission/admission.ts";
 import {
   type Address,
--- a/source/programs/platform_command.ts
+++ b/source/programs/platform_command.ts
@@ -12,7 +12,7 @@
   type PlatformSettings,
   readPlatformSettings,
 } from "../../platform/settings.ts";
-import type { LogLevel } from "../adapters/log.ts";
+import type { LogLevel } from "../adapters/logs/log.ts";
 import type { DocumentCall } from "./document_command.ts";
 import { ExitCode } from "./exit_code.ts";
 import {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import type { PlatformSettings } from "../../platform/settings.ts";
-import type { HopLinkSettings } from "../adapters/hop_links.ts";
-import type { ConnectionSettings } from "../adapters/connection_pool.ts";
+import type { HopLinkSettings } from "../adapters/hops/hop_links.ts";
+import type { ConnectionSettings } from "../adapters/targets/connection_pool.ts";
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
 import type { RetrySettings } from "../core/retry/retry.ts";
 import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Front } from "../adapters/http_front.ts";
+import type { Front } from "../adapters/callers/http_front.ts";
 import type { Coordinator } from "../tasks/coordinator.ts";
 import type { EntryTask } from "../tasks/entry_task.ts";
 import type { HolderTask } from "../tasks/holder_task.ts";
--- a/source/programs/stop_on_signal.ts
+++ b/source/programs/stop_on_signal.ts
@@ -4,7 +4,10 @@
  * @module
  */
 import process from "node:process";
-import { type LineOutput, openLineOutput } from "../adapters/line_output.ts";
+import {
+  type LineOutput,
+  openLineOutput,
+} from "../adapters/logs/line_output.ts";
 import { ExitCode } from "./exit_code.ts";
 
 const standardOutput = 1;
--- a/source/programs/timeline_command.ts
+++ b/source/programs/timeline_command.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { startLogicalClock } from "../adapters/logical_clock.ts";
-import { startMetrics } from "../adapters/metrics.ts";
-import { connectPeers } from "../adapters/peer_client.ts";
-import { timelinePage } from "../adapters/timeline_page.ts";
+import { startLogicalClock } from "../adapters/logs/logical_clock.ts";
+import { startMetrics } from "../adapters/logs/metrics.ts";
+import { connectPeers } from "../adapters/hops/peer_client.ts";
+import { timelinePage } from "../adapters/logs/timeline_page.ts";
 import { orderEvents } from "../core/timeline/order.ts";
 import type { TimelineEvent } from "../ports/events.ts";
 import type { Peers } from "../ports/peers.ts";
--- a/standins/run.ts
+++ b/standins/run.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import process from "node:process";
-import { watchStalls } from "../source/adapters/stall_watch.ts";
+import { watchStalls } from "../source/adapters/logs/stall_watch.ts";
 import { startStoreStandIn } from "./store.ts";
 import { startTargetStandIn } from "./target.ts";
 
--- a/tests/cut_heads_test.ts
+++ b/tests/cut_heads_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { openPlatformTarget } from "../platform/target.ts";
-import { openTarget } from "../source/adapters/http_target.ts";
+import { openTarget } from "../source/adapters/targets/http_target.ts";
 import type { Target } from "../source/ports/upstream.ts";
 import { listen } from "../standins/http_server.ts";
 import { textOf } from "./test_answer.ts";
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -8,7 +8,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { Result } from "true-myth";
 import { hashText } from "../source/adapters/hashing.ts";
-import { readDocument } from "../source/adapters/yaml_document.ts";
+import { readDocument } from "../source/adapters/document/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
 import type { EventKind, Events } from "../source/ports/events.ts";
 import type { PeerMethod, PeerMethods, Peers } from "../source/ports/peers.ts";
--- a/tests/stalled_log.ts
+++ b/tests/stalled_log.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import process from "node:process";
-import { openLineOutput } from "../source/adapters/line_output.ts";
+import { openLineOutput } from "../source/adapters/logs/line_output.ts";
 
 const line = "x".repeat(999);
 const lines = 20_000;
--- a/tests/test_departures.ts
+++ b/tests/test_departures.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import { type Depart, startDepartures } from "../source/adapters/transit.ts";
+import {
+  type Depart,
+  startDepartures,
+} from "../source/adapters/hops/transit.ts";
 import { readClocks } from "../source/tasks/time.ts";
 
 /** Starts the departures of a process with this name. */
--- a/tests/test_front.ts
+++ b/tests/test_front.ts
@@ -9,10 +9,10 @@
   type FrontKind,
   type HandleRequest,
   openFront,
-} from "../source/adapters/http_front.ts";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import { startIntake } from "../source/adapters/pending_input.ts";
-import { startArrivals } from "../source/adapters/transit.ts";
+} from "../source/adapters/callers/http_front.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import { startIntake } from "../source/adapters/callers/pending_input.ts";
+import { startArrivals } from "../source/adapters/hops/transit.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 
 /** The process that test listeners belong to. */
--- a/tests/test_other_agent.ts
+++ b/tests/test_other_agent.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import { createServer, type RequestListener } from "node:http";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
-import type { ConnectionSettings } from "../source/adapters/connection_pool.ts";
-import { openForwarder } from "../source/adapters/forwarder.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import type { ConnectionSettings } from "../source/adapters/targets/connection_pool.ts";
+import { openForwarder } from "../source/adapters/hops/forwarder.ts";
 import type { ProxyAnswer, ProxyRequest } from "../source/ports/upstream.ts";
 import type { Failure } from "../source/core/request/outcome.ts";
 import type { Result } from "true-myth";
--- a/tests/test_uploads.ts
+++ b/tests/test_uploads.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { ConnectionSettings } from "../source/adapters/connection_pool.ts";
-import { openForwarder } from "../source/adapters/forwarder.ts";
-import { startLogicalClock } from "../source/adapters/logical_clock.ts";
+import type { ConnectionSettings } from "../source/adapters/targets/connection_pool.ts";
+import { openForwarder } from "../source/adapters/hops/forwarder.ts";
+import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
 import type { Configuration } from "../source/core/document/document.ts";
 import { type Relay, startRelay } from "./relay.ts";
 import { testDepartures } from "./test_departures.ts";
