--- a/source/adapters/callers/http_front.ts
+++ b/source/adapters/callers/http_front.ts
@@ -304,7 +304,7 @@
 
 /** Only agents say when their requests departed. */
 function latenessOf(message: IncomingMessage, options: FrontOptions): number {
-  if (options.kind !== "agents") return 0;
+  if (options.kind !== "agents") return options.intake.unreadMilliseconds();
   const departure = single(message.headers, fields.departure);
   return options.lateness(parseDeparture(departure));
 }
--- a/source/adapters/callers/pending_input.ts
+++ b/source/adapters/callers/pending_input.ts
@@ -17,6 +17,11 @@
   enter(): Promise<void>;
   /** The same for work that was begun already; it waits for no other. */
   readonly readPending: ReadPendingInput;
+  /**
+   * For how many milliseconds what is read now has lain unread, as far as that
+   * can be told: half of the time for which nothing was read.
+   */
+  unreadMilliseconds(): number;
 }
 
 /** The turn in which work came, and the one that reads what is behind it. */
@@ -25,6 +30,8 @@
 const turnMilliseconds = 10;
 /** What came in a shorter time has not changed its sender's mind. */
 const lateMilliseconds = 25;
+/** A process looks this often whether it still reads. */
+const lookMilliseconds = 50;
 
 interface Waiting {
   readonly enteredInTurn: number;
@@ -39,14 +46,19 @@
   /** When the work in this turn began; null before the first. */
   let beganAt: number | null = null;
   /** The end of the last turn with work. */
-  let endedAt = -Infinity;
+  let workedAt = -Infinity;
+  /** When sockets had last been read, as far as that was looked at. */
+  let readAt = performance.now();
   let late = true;
+  let unread = 0;
 
   /** Whether sockets were read a moment ago, and will be in a moment. */
   function keepsUp(): boolean {
     const now = performance.now();
     if (beganAt === null) {
-      late = now - endedAt >= lateMilliseconds;
+      late = now - workedAt >= lateMilliseconds;
+      const gap = now - readAt;
+      unread = gap >= lookMilliseconds + lateMilliseconds ? gap / 2 : 0;
       beganAt = now;
       if (!turning) nextTurn();
     }
@@ -62,7 +74,8 @@
     turn += 1;
     await beginReady();
     beganAt = null;
-    endedAt = performance.now();
+    workedAt = performance.now();
+    readAt = workedAt;
     turning = false;
     if (waiting.length > 0) nextTurn();
   }
@@ -87,6 +100,13 @@
     return first;
   }
 
+  /** A timer comes before the sockets are read, and this after it. */
+  const look = () =>
+    setImmediate(() => {
+      if (beganAt === null) readAt = performance.now();
+    });
+  setInterval(look, lookMilliseconds).unref();
+
   return {
     enter() {
       if (keepsUp() && waiting.length === 0) return Promise.resolve();
@@ -99,6 +119,10 @@
       keepsUp()
         ? Promise.resolve()
         : new Promise((resolve) => afterTurns(turnsUntilRead, resolve)),
+    unreadMilliseconds() {
+      keepsUp();
+      return unread;
+    },
   };
 }
 
