--- a/source/adapters/callers/pending_input.ts
+++ b/source/adapters/callers/pending_input.ts
@@ -31,7 +31,7 @@
 /** What came in a shorter time has not changed its sender's mind. */
 const lateMilliseconds = 25;
 /** A process looks this often whether it still reads. */
-const lookMilliseconds = 50;
+const lookMilliseconds = 100;
 
 interface Waiting {
   readonly enteredInTurn: number;
