--- a/source/adapters/callers/http_front_test.ts
+++ b/source/adapters/callers/http_front_test.ts
@@ -2,26 +2,14 @@
 import { Readable } from "node:stream";
 import { after, before, describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Configuration } from "../../core/document/document.ts";
+import { testConfiguration } from "../../../tests/test_configuration.ts";
 import type { Front } from "./http_front.ts";
 import { openTestFront } from "../../../tests/test_front.ts";
 
-const configuration: Configuration = {
-  revision: 1,
-  ranks: [{ name: "view", share: 0, defaultDeadlineMilliseconds: 200 }],
-  regions: [],
-  hostRoutes: [],
-  limits: null,
-  services: [{
-    name: "media",
-    routes: ["/media"],
-    keys: null,
-    defaultRank: "view",
-    longestDeadlineMilliseconds: 200,
-    queueLength: 8,
-    longestBodyBytes: 1_000,
-  }],
-};
+const configuration = testConfiguration({
+  service: "media",
+  usualDeadlineMilliseconds: 200,
+});
 
 /** A body whose second half comes a while after the first. */
 async function* halves(signal: AbortSignal): AsyncGenerator<string> {
--- a/source/adapters/callers/unread_requests_test.ts
+++ b/source/adapters/callers/unread_requests_test.ts
@@ -2,34 +2,18 @@
 import { connect, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { Result } from "true-myth";
+import { testConfiguration } from "../../../tests/test_configuration.ts";
 import { openTestFront } from "../../../tests/test_front.ts";
-import type { Configuration } from "../../core/document/document.ts";
 import type { ProxyRequest } from "../../ports/upstream.ts";
 import type { Front } from "./http_front.ts";
 
 const deadlineMilliseconds = 200;
 const standstillMilliseconds = 600;
 
-const configuration: Configuration = {
-  revision: 1,
-  ranks: [{
-    name: "view",
-    share: 0,
-    defaultDeadlineMilliseconds: deadlineMilliseconds,
-  }],
-  regions: [],
-  hostRoutes: [],
-  limits: null,
-  services: [{
-    name: "media",
-    routes: ["/media"],
-    keys: null,
-    defaultRank: "view",
-    longestDeadlineMilliseconds: deadlineMilliseconds,
-    queueLength: 8,
-    longestBodyBytes: 1_000,
-  }],
-};
+const configuration = testConfiguration({
+  service: "media",
+  usualDeadlineMilliseconds: deadlineMilliseconds,
+});
 
 function rest(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
--- a/source/adapters/hops/copy_left_test.ts
+++ b/source/adapters/hops/copy_left_test.ts
@@ -2,8 +2,8 @@
 import { connect, type Socket } from "node:net";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
+import { testConfiguration } from "../../../tests/test_configuration.ts";
 import { openTestFront, testAgent } from "../../../tests/test_front.ts";
-import type { Configuration } from "../../core/document/document.ts";
 import { unknownOutcome } from "../../core/request/outcome.ts";
 import { fields } from "../headers.ts";
 import { formatHop } from "./hop_ledger.ts";
@@ -11,22 +11,12 @@
 
 const deadlineMilliseconds = 1_000;
 
-const configuration: Configuration = {
-  revision: 1,
-  ranks: [{ name: "upload", share: 0, defaultDeadlineMilliseconds: 2_000 }],
-  regions: [],
-  hostRoutes: [],
-  limits: null,
-  services: [{
-    name: "booking",
-    routes: ["/booking"],
-    keys: null,
-    defaultRank: "upload",
-    longestDeadlineMilliseconds: 5_000,
-    queueLength: 10,
-    longestBodyBytes: 100_000,
-  }],
-};
+const configuration = testConfiguration({
+  service: "booking",
+  usualDeadlineMilliseconds: 2_000,
+  longestDeadlineMilliseconds: 5_000,
+  longestBodyBytes: 100_000,
+});
 
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
--- a/source/adapters/hops/silence_test.ts
+++ b/source/adapters/hops/silence_test.ts
@@ -2,7 +2,7 @@
 import { Readable } from "node:stream";
 import { after, before, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
-import type { Configuration } from "../../core/document/document.ts";
+import { testConfiguration } from "../../../tests/test_configuration.ts";
 import type { Forwarder, ProxyRequest } from "../../ports/upstream.ts";
 import type { Front } from "../callers/http_front.ts";
 import { textOf } from "../../../tests/test_answer.ts";
@@ -12,22 +12,11 @@
 import { startLogicalClock } from "../logs/logical_clock.ts";
 import { openForwarder } from "./forwarder.ts";
 
-const configuration: Configuration = {
-  revision: 1,
-  ranks: [{ name: "booking", share: 0, defaultDeadlineMilliseconds: 2_000 }],
-  regions: [],
-  hostRoutes: [],
-  limits: null,
-  services: [{
-    name: "booking",
-    routes: ["/booking"],
-    keys: null,
-    defaultRank: "booking",
-    longestDeadlineMilliseconds: 5_000,
-    queueLength: 10,
-    longestBodyBytes: 1_000,
-  }],
-};
+const configuration = testConfiguration({
+  service: "booking",
+  usualDeadlineMilliseconds: 2_000,
+  longestDeadlineMilliseconds: 5_000,
+});
 
 describe("a connection between agents that goes silent", () => {
   let front: Front;
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -14,7 +14,6 @@
 import { startMetrics } from "../source/adapters/logs/metrics.ts";
 import { openStore } from "../source/adapters/store/store_client.ts";
 import { openTarget } from "../source/adapters/targets/http_target.ts";
-import type { Configuration } from "../source/core/document/document.ts";
 import type { Target } from "../source/ports/upstream.ts";
 import { until } from "../standins/children.ts";
 import {
@@ -26,6 +25,7 @@
 } from "../standins/endless_server.ts";
 import { freePort } from "../standins/ports.ts";
 import { textOf } from "./test_answer.ts";
+import { testConfiguration } from "./test_configuration.ts";
 import { openTestFront } from "./test_front.ts";
 import { testRequest } from "./test_request.ts";
 
@@ -213,27 +213,10 @@
   });
 
   describe("that a listener passes on to a caller", () => {
-    const longestDeadlineMilliseconds = deadlineMilliseconds;
-    const configuration: Configuration = {
-      revision: 1,
-      ranks: [{
-        name: "view",
-        share: 0,
-        defaultDeadlineMilliseconds: longestDeadlineMilliseconds,
-      }],
-      regions: [],
-      hostRoutes: [],
-      limits: null,
-      services: [{
-        name: "media",
-        routes: ["/media"],
-        keys: null,
-        defaultRank: "view",
-        longestDeadlineMilliseconds,
-        queueLength: 8,
-        longestBodyBytes: 1_000,
-      }],
-    };
+    const configuration = testConfiguration({
+      service: "media",
+      usualDeadlineMilliseconds: deadlineMilliseconds,
+    });
 
     /** After the deadline an answer that has begun may still end so long. */
     const answerGraceMilliseconds = 250;
--- a/tests/test_uploads.ts
+++ b/tests/test_uploads.ts
@@ -5,10 +5,10 @@
  * @module
  */
 import { Result } from "true-myth";
+import { testConfiguration } from "./test_configuration.ts";
 import type { ConnectionSettings } from "../source/adapters/targets/connection_pool.ts";
 import { openForwarder } from "../source/adapters/hops/forwarder.ts";
 import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
-import type { Configuration } from "../source/core/document/document.ts";
 import { type Relay, startRelay } from "./relay.ts";
 import { testDepartures } from "./test_departures.ts";
 import { openTestFront, testAgent } from "./test_front.ts";
@@ -31,22 +31,12 @@
   close(): Promise<void>;
 }
 
-const configuration: Configuration = {
-  revision: 1,
-  ranks: [{ name: "upload", share: 0, defaultDeadlineMilliseconds: 2_000 }],
-  regions: [],
-  hostRoutes: [],
-  limits: null,
-  services: [{
-    name: "booking",
-    routes: ["/booking"],
-    keys: null,
-    defaultRank: "upload",
-    longestDeadlineMilliseconds: 10_000,
-    queueLength: 10,
-    longestBodyBytes,
-  }],
-};
+const configuration = testConfiguration({
+  service: "booking",
+  usualDeadlineMilliseconds: 2_000,
+  longestDeadlineMilliseconds: 10_000,
+  longestBodyBytes,
+});
 
 /** Starts the other agent. */
 export async function startUploads(options: {
