--- a/source/adapters/callers/answer_writer.ts
+++ b/source/adapters/callers/answer_writer.ts
@@ -60,7 +60,7 @@
 export interface WrittenAnswer {
   readonly answer: ProxyAnswer;
   readonly headers: Headers;
-  /** Aborted when the caller leaves. */
+  /** Ends a body that is still to come: its caller has left, or its time. */
   readonly signal: AbortSignal;
 }
 
@@ -73,7 +73,10 @@
   if (body.kind === "stream") endWithCaller(body.stream, signal);
   onceNext(response, () => {
     if (response.destroyed) return;
-    if (signal.aborted) return void response.destroy();
+    // An answer of which nothing has gone out yet can still break off.
+    if (body.kind === "stream" && body.stream.destroyed) {
+      return void response.destroy();
+    }
     response.writeHead(
       answer.status,
       headers as Record<string, string | string[]>,
@@ -89,7 +92,6 @@
 }
 
 function pipe(stream: Readable, response: ServerResponse): void {
-  if (stream.destroyed) return void response.destroy();
   stream.on("error", () => response.destroy());
   stream.on("aborted", () => response.destroy());
   response.on("close", () => stream.destroy());
--- a/source/adapters/callers/http_front_test.ts
+++ b/source/adapters/callers/http_front_test.ts
@@ -82,3 +82,31 @@
     assert.equal(await answer.text(), "first second");
   });
 });
+
+describe("an answer that comes just after its deadline", () => {
+  let front: Front;
+
+  before(async () => {
+    front = await openTestFront({
+      kind: "callers",
+      configuration,
+      longestHeaderBytes: 4_096,
+      async handle(request) {
+        await new Promise((resolve) =>
+          request.signal.addEventListener("abort", resolve)
+        );
+        const bytes = new TextEncoder().encode("late");
+        const body = { kind: "whole", bytes } as const;
+        return Result.ok({ status: 200, headers: {}, body, load: null });
+      },
+    });
+  });
+  after(() => front.close());
+
+  // Guards against connections that are closed on callers who still wait: a
+  // request whose time was over was taken for one whose caller had left.
+  it("is still written", async () => {
+    const answer = await fetch(`http://127.0.0.1:${front.port}/media`);
+    assert.equal(await answer.text(), "late");
+  });
+});
