--- a/source/tasks/body_offers_test.ts
+++ b/source/tasks/body_offers_test.ts
@@ -29,8 +29,14 @@
 /** An entry whose targets' agents answer an offer in the stated way. */
 function startOffering(
   answer: (name: string) => Result<BodyReply, PeerFault>,
-  answerMilliseconds = 0,
+  options: {
+    readonly answerMilliseconds?: number;
+    /** Whether its caller leaves, as an unread message says. */
+    readonly leaves?: boolean;
+  } = {},
 ) {
+  const { answerMilliseconds = 0, leaves = false } = options;
+  const caller = new AbortController();
   const asked: string[] = [];
   const sent: string[] = [];
   const peers = {
@@ -71,7 +77,8 @@
     hash: () => 0,
     place: () => -1,
     random: () => 0.5,
-    readPendingInput: () => Promise.resolve(),
+    readPendingInput: () =>
+      Promise.resolve(leaves ? caller.abort() : undefined),
     retries: () => ({
       earnedByRequest: 0.1,
       mostSaved: 3,
@@ -87,7 +94,7 @@
         mostAttempts: 3,
         objectiveAt: performance.now() + objectiveMilliseconds,
         deadlineAt: performance.now() + 10_000,
-        signal: AbortSignal.timeout(10_000),
+        signal: caller.signal,
       }),
       { body: { kind: "kept", bytes: new Uint8Array(bytes) } },
     );
@@ -123,12 +130,28 @@
     });
   });
 
+  describe("whose caller leaves while it is offered", () => {
+    // Guards against work for callers that have left (GONE): the offer was
+    // taken before the word of the caller was read, and the body was sent.
+    it("is not sent", async () => {
+      const { send, asked, sent } = startOffering(() => Result.ok(come), {
+        leaves: true,
+      });
+      const result = await send(largeBytes);
+      assert.equal(result.isErr && result.error.reason, "caller-left");
+      assert.equal(asked.length, 1);
+      assert.deepEqual(sent, []);
+    });
+  });
+
   describe("whose target's agents answer slowly", () => {
     /** Callers were held while one agent after the other was asked. */
     it("asks no other once an eighth of the objective has gone", async () => {
       const refuse = () => Result.ok<BodyReply, PeerFault>(full(500));
       const milliseconds = objectiveMilliseconds / 6;
-      const { send, asked } = startOffering(refuse, milliseconds);
+      const { send, asked } = startOffering(refuse, {
+        answerMilliseconds: milliseconds,
+      });
       const result = await send(largeBytes);
       assert.ok(result.isErr);
       assert.deepEqual(asked, ["near-1"]);
@@ -164,7 +187,7 @@
     it("asks another one however long the silence was", async () => {
       const { send, sent } = startOffering(
         (name) => name === "near-1" ? Result.err(unreachable) : Result.ok(come),
-        objectiveMilliseconds / 6,
+        { answerMilliseconds: objectiveMilliseconds / 6 },
       );
       await send(largeBytes);
       assert.deepEqual(sent, ["beside-1"]);
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -128,6 +128,7 @@
     targetsOf: index.ofService,
     peers: options.peers,
     random,
+    readPendingInput: options.readPendingInput,
     sendTo,
   });
 
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -15,6 +15,7 @@
   stepRouting,
 } from "../core/routing/routing.ts";
 import type { EventDetail } from "../ports/events.ts";
+import type { ReadPendingInput } from "../ports/input.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
 import { onAnswerEnd } from "./answer_end.ts";
@@ -73,6 +74,7 @@
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
+  readonly readPendingInput: ReadPendingInput;
   readonly sendTo: (
     destination: Destination,
     request: ProxyRequest,
@@ -103,7 +105,8 @@
       tried.add(target.id);
       const sentAt = monotonicNow();
       mailbox.send({ kind: "sent", id: target.id, now: sentAt });
-      const failure = await offerFirst(target, request, bytes);
+      const failure = await offerFirst(target, request, bytes) ??
+        await reasonNotToSend(request, bytes);
       const to = target.id;
       if (failure === null) {
         const result = await options.sendTo(
@@ -167,6 +170,15 @@
     return await offerBody(target, { request, bytes, peers: options.peers });
   }
 
+  /** The caller may have left while its body was offered. */
+  async function reasonNotToSend(
+    request: ProxyRequest,
+    bytes: number,
+  ): Promise<Failure | null> {
+    if (isOffered(bytes)) await options.readPendingInput();
+    return request.signal.aborted ? notRun("caller-left") : null;
+  }
+
   function learnFrom(
     id: AgentId,
     attempt: {
