--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -31,14 +31,6 @@
   type RetryDecision,
   type RetrySettings,
 } from "../core/retry/retry.ts";
-import {
-  decideSending,
-  type FullOwners,
-  noFullOwners,
-  noteReply,
-  type OwnerDecision,
-  type OwnerRank,
-} from "../core/routing/full_owners.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -52,6 +44,7 @@
 import { indexAgents } from "./agent_index.ts";
 import { onAnswerEnd } from "./answer_end.ts";
 import { type Attempt, bytesOf, unsent } from "./attempt.ts";
+import { startOwnerRoom } from "./owner_room.ts";
 import { type Destination, startOwnerTables } from "./owner_tables.ts";
 import type { ServeTask } from "./serve_task.ts";
 import { monotonicNow, pause } from "./time.ts";
@@ -80,15 +73,6 @@
   "deadline-passed",
 ]);
 
-/** Failures that say nothing of how full the owner is. */
-const ownersElsewhere: ReadonlySet<FailureReason> = new Set([
-  "not-owner",
-  "moving",
-  "lease-ended",
-  "caller-left",
-  "target-unreachable",
-]);
-
 function ownerMayHaveChanged(failure: Failure): boolean {
   return ownerChanges.has(failure.reason);
 }
@@ -116,7 +100,7 @@
   const { agent, events, metrics, hash, random } = options;
   /** For each service: a flood of failures at one must not use up another's. */
   const budgets = new Map<string, RetryBudget>();
-  let fullOwners: FullOwners = noFullOwners;
+  const room = startOwnerRoom({ self: agent.id, random });
   let running = 0;
   const index = indexAgents(options.agents, (agents) => {
     unkeyed.forgetAllBut(agents);
@@ -246,13 +230,13 @@
     if (owner === null) return unsent(notRun("no-owner-known"), knew);
     const to = owner.id;
     const asked = { owner: to, rank: request.rank };
-    const decision = mayAsk(asked);
+    const decision = room.decide(asked);
     if (decision.kind === "refuse") {
       const failure = notRun("queue-full", decision.retryAfterMilliseconds);
       return unsent(failure, { ...knew, knownFull: to });
     }
     const result = await sendTo(owner, request, body);
-    learnOfOwner(asked, result);
+    room.learn(asked, result);
     if (result.isOk) return { result, to, knew, redirect: null };
     const named = result.error.owner;
     const redirect = isNewerOwner(named, version) ? named : null;
@@ -264,30 +248,6 @@
     return { result, to, knew, redirect };
   }
 
-  /** The target beside this agent costs nobody anything to ask. */
-  function mayAsk(asked: OwnerRank): OwnerDecision {
-    if (asked.owner === agent.id) return { kind: "send" };
-    const now = monotonicNow();
-    const next = decideSending(fullOwners, { ...asked, now }, random);
-    fullOwners = next.owners;
-    return next.decision;
-  }
-
-  function learnOfOwner(
-    asked: OwnerRank,
-    result: Result<ProxyAnswer, Failure>,
-  ): void {
-    if (asked.owner === agent.id) return;
-    if (result.isErr && ownersElsewhere.has(result.error.reason)) return;
-    const full = result.isErr && result.error.reason === "queue-full";
-    fullOwners = noteReply(fullOwners, {
-      ...asked,
-      full,
-      retryAfterMilliseconds: full ? result.error.retryAfterMilliseconds : null,
-      now: monotonicNow(),
-    });
-  }
-
   function groupOf(request: ProxyRequest, key: string): string | null {
     const service = options.configuration().services.find((service) =>
       service.name === request.service
