--- a/source/adapters/callers/callers_that_left_test.ts
+++ b/source/adapters/callers/callers_that_left_test.ts
@@ -19,6 +19,9 @@
 /** A process that is not busy reads what has come well within this time. */
 const readMilliseconds = 100;
 
+/** A process that has begun nothing for so long may have stood still. */
+const idleMilliseconds = 200;
+
 type Leave = (socket: Socket) => unknown;
 
 /** The ways in which a caller goes. */
@@ -32,6 +35,12 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/** Keeps this process from reading anything. */
+function standStill(milliseconds: number): void {
+  const endAt = performance.now() + milliseconds;
+  while (performance.now() < endAt) continue;
+}
+
 function textOfRequest(path: string): string {
   return `GET ${path} HTTP/1.1\r\nHost: studio.example\r\n\r\n`;
 }
@@ -49,8 +58,12 @@
   let caller: Socket;
 
   /** The path `/media/long` is answered only when its caller has left. */
+  let duringTurn: (() => void) | null = null;
+
   async function handle(request: ProxyRequest) {
     begun = [...begun, request];
+    duringTurn?.();
+    duringTurn = null;
     if (request.path !== "/media/long") return Result.ok(answer);
     await new Promise((resolve) =>
       request.signal.addEventListener("abort", resolve)
@@ -69,8 +82,8 @@
     caller = connect(front.port, "127.0.0.1");
     caller.on("error", () => undefined);
     await new Promise((resolve) => caller.once("connect", resolve));
-    // The listener has taken the connection, and waits for its bytes.
-    await rest(readMilliseconds);
+    // The listener has taken the connection, and has nothing to do for a while.
+    await rest(idleMilliseconds);
   });
   afterEach(() => {
     caller.destroy();
@@ -105,6 +118,24 @@
     });
   }
 
+  describe("and leaves while this process takes long over another's request", () => {
+    // Guards against work for callers that have left (GONE): the turn after a
+    // long one was taken for one that follows at once.
+    it("has none begun", async () => {
+      const other = connect(front.port, "127.0.0.1");
+      await new Promise((resolve) => other.once("connect", resolve));
+      duringTurn = () => {
+        standStill(idleMilliseconds);
+        caller.write(textOfRequest("/media/short").repeat(pipelined));
+        caller.destroy();
+      };
+      other.write(textOfRequest("/media/short"));
+      await rest(idleMilliseconds + readMilliseconds);
+      assert.equal(begun.length, 1);
+      other.destroy();
+    });
+  });
+
   describe("and stays", () => {
     it("gets all answers in the order of its requests", async () => {
       let received = 0;
--- a/source/adapters/callers/pending_input.ts
+++ b/source/adapters/callers/pending_input.ts
@@ -28,8 +28,8 @@
 const turnsUntilRead = 2;
 /** Work begins in one turn for so long, before sockets are read again. */
 const turnMilliseconds = 10;
-/** What came in a shorter time has not changed its sender's mind. */
-const lateMilliseconds = 25;
+/** Work is begun on what is known if that is not older. */
+const lateMilliseconds = 100;
 /** A process looks this often whether it still reads. */
 const lookMilliseconds = 100;
 
@@ -45,24 +45,29 @@
   let turning = false;
   /** When the work in this turn began; null before the first. */
   let beganAt: number | null = null;
-  /** The end of the last turn with work. */
+  /** The beginning of the last turn with work, before which sockets were read. */
   let workedAt = -Infinity;
   /** When sockets had last been read, as far as that was looked at. */
   let readAt = performance.now();
   let late = true;
   let unread = 0;
 
+  /** Judges, with the first work of a turn, how late this process is. */
+  function beginTurn(now: number): number {
+    if (beganAt !== null) return beganAt;
+    late = now - workedAt >= lateMilliseconds;
+    const gap = now - readAt;
+    unread = gap >= lookMilliseconds + lateMilliseconds ? gap / 2 : 0;
+    beganAt = now;
+    if (!turning) nextTurn();
+    return now;
+  }
+
   /** Whether sockets were read a moment ago, and will be in a moment. */
   function keepsUp(): boolean {
     const now = performance.now();
-    if (beganAt === null) {
-      late = now - workedAt >= lateMilliseconds;
-      const gap = now - readAt;
-      unread = gap >= lookMilliseconds + lateMilliseconds ? gap / 2 : 0;
-      beganAt = now;
-      if (!turning) nextTurn();
-    }
-    return !late && now - beganAt < turnMilliseconds;
+    const worked = now - beginTurn(now);
+    return !late && worked < turnMilliseconds;
   }
 
   function nextTurn(): void {
@@ -72,10 +77,10 @@
 
   async function takeTurn(): Promise<void> {
     turn += 1;
+    workedAt = beganAt ?? performance.now();
+    readAt = workedAt;
     await beginReady();
     beganAt = null;
-    workedAt = performance.now();
-    readAt = workedAt;
     turning = false;
     if (waiting.length > 0) nextTurn();
   }
@@ -120,7 +125,7 @@
         ? Promise.resolve()
         : new Promise((resolve) => afterTurns(turnsUntilRead, resolve)),
     unreadMilliseconds() {
-      keepsUp();
+      beginTurn(performance.now());
       return unread;
     },
   };
--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -164,7 +164,7 @@
     // Guards against work for callers that have left (GONE): a process that had
     // not run for a while began what it read before the word that ended it.
     it("have nothing begun that was given up before it is read", async () => {
-      await new Promise((resolve) => setTimeout(resolve, 100));
+      await new Promise((resolve) => setTimeout(resolve, 200));
       const caller = new AbortController();
       const result = send("given-up", { signal: caller.signal });
       caller.abort();
