--- a/source/core/routing/full_owners.ts
+++ b/source/core/routing/full_owners.ts
@@ -45,8 +45,6 @@
 const sentForTaken = 2;
 /** In this time the counts fade to a third. */
 const fadeMilliseconds = 3_000;
-/** A few refusals in a row are chance. */
-const leastRefused = 4;
 /** Some go to every owner: only they show that it has room again. */
 const mostRefusedShare = 0.8;
 /** Owners and ranks that are remembered. */
@@ -103,7 +101,8 @@
 
 /**
  * Whether a request goes to its owner. Refused requests count as sent, so that
- * the share that goes is steady.
+ * the share that goes is steady. Counts vary by chance: one standard deviation
+ * of an owner that takes every second request is left out of account.
  *
  * `random` returns a number from 0 up to but not including 1.
  */
@@ -117,11 +116,10 @@
   if (known === undefined) return { owners, decision: send };
   const exchange = faded(known, asked.now);
   const { sent, taken, retryAfterMilliseconds } = exchange;
-  const beyond = (sent - taken * sentForTaken) / (sent + 1);
-  const share = Math.min(beyond, mostRefusedShare);
-  if (sent - taken < leastRefused || random() >= share) {
-    return { owners, decision: send };
-  }
+  const chance = Math.sqrt(sent) / 2;
+  const excess = sent - taken * sentForTaken - chance;
+  const share = Math.min(excess / (sent + 1), mostRefusedShare);
+  if (random() >= share) return { owners, decision: send };
   return {
     owners: new Map(owners).set(name, { ...exchange, sent: sent + 1 }),
     decision: { kind: "refuse", retryAfterMilliseconds },
