--- a/source/adapters/targets/repeated_refusal_test.ts
+++ b/source/adapters/targets/repeated_refusal_test.ts
@@ -4,7 +4,7 @@
 import { listen } from "../../../standins/http_server.ts";
 import { testRequest } from "../../../tests/test_request.ts";
 import type { Target } from "../../ports/upstream.ts";
-import { openTarget } from "./http_target.ts";
+import { openTestTarget } from "../../../tests/test_target.ts";
 
 const refusal = "HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run\r\n" +
   "Content-Length: 0\r\n\r\n";
@@ -28,16 +28,7 @@
   before(async () => {
     server = createServer(serve);
     const port = await listen(server, 0);
-    target = openTarget({
-      address: `127.0.0.1:${port}`,
-      settings: {
-        connections: 1,
-        connectTimeoutMilliseconds: 300,
-        idleMilliseconds: 4_000,
-      },
-      now: () => performance.now(),
-      healthTimeoutMilliseconds: 250,
-    });
+    target = openTestTarget(`127.0.0.1:${port}`);
   });
   after(async () => {
     await target.close();
--- a/tests/cut_heads_test.ts
+++ b/tests/cut_heads_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { openPlatformTarget } from "../platform/target.ts";
-import { openTarget } from "../source/adapters/targets/http_target.ts";
+import { openTestTarget } from "./test_target.ts";
 import type { Target } from "../source/ports/upstream.ts";
 import { listen } from "../standins/http_server.ts";
 import { textOf } from "./test_answer.ts";
@@ -39,17 +39,7 @@
       onRefused: () => undefined,
       onSpoilt: () => undefined,
     }),
-  "the product's protocol": (address) =>
-    openTarget({
-      address,
-      settings: {
-        connections: 1,
-        connectTimeoutMilliseconds: 300,
-        idleMilliseconds: 4_000,
-      },
-      now: () => performance.now(),
-      healthTimeoutMilliseconds: 250,
-    }),
+  "the product's protocol": openTestTarget,
 };
 
 async function outcomeOf(target: Target): Promise<string> {
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -13,7 +13,7 @@
 import { openPlatformTarget } from "../platform/target.ts";
 import { startMetrics } from "../source/adapters/logs/metrics.ts";
 import { openStore } from "../source/adapters/store/store_client.ts";
-import { openTarget } from "../source/adapters/targets/http_target.ts";
+import { openTestTarget } from "./test_target.ts";
 import type { Target } from "../source/ports/upstream.ts";
 import { until } from "../standins/children.ts";
 import {
@@ -153,16 +153,7 @@
     let target: Target;
 
     before(() => {
-      target = openTarget({
-        address: server.address,
-        settings: {
-          connections: 1,
-          connectTimeoutMilliseconds: 300,
-          idleMilliseconds: 4_000,
-        },
-        now: () => performance.now(),
-        healthTimeoutMilliseconds: 250,
-      });
+      target = openTestTarget(server.address);
     });
     after(() => target.close());
 
@@ -223,16 +214,7 @@
 
     for (const [name, bytes] of Object.entries(endlessBodies)) {
       it(`never look complete: ${name}`, async () => {
-        const target = openTarget({
-          address: server.address,
-          settings: {
-            connections: 1,
-            connectTimeoutMilliseconds: 300,
-            idleMilliseconds: 4_000,
-          },
-          now: () => performance.now(),
-          healthTimeoutMilliseconds: 250,
-        });
+        const target = openTestTarget(server.address);
         const front = await openTestFront({
           kind: "callers",
           configuration,
