--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -21,6 +21,7 @@
 import {
   type Coordinator,
   type CoordinatorTimes,
+  type GroupSettings,
   startCoordinator,
   usualGroupSettings,
 } from "../source/tasks/coordinator.ts";
@@ -113,6 +114,9 @@
   readonly document: string;
   readonly nodes: readonly NodeOptions[];
   readonly times?: CoordinatorTimes;
+  readonly group?: GroupSettings;
+  /** Whether the targets refuse work by the tokens of others' grants. */
+  readonly checksFencing?: boolean;
   readonly seed?: number;
 }): FakeMesh {
   const clock = FakeTimers.install({
@@ -183,7 +187,7 @@
       service: node.service,
       group: null,
       slots: 8,
-      checksFencing: false,
+      checksFencing: options.checksFencing ?? false,
       phase: "serving",
     };
     const recorder: Events = {
@@ -196,7 +200,7 @@
     const coordinator = startCoordinator({
       agent,
       times,
-      group: usualGroupSettings,
+      group: options.group ?? usualGroupSettings,
       delegations: nodeStore.delegations,
       peers: peersOf(node.host, isGone),
       events: recorder,
