A takeover hands on what servers had and what a grantor knew

Cause: a wait that each newcomer begins anew, since what was known is thrown away. A server whose lease had ended reported nothing, so that its slices counted as held by whoever was not heard, and waited for former delegation, lease and longest deadline. A grantor that was asked to stop told only that it had.

Now a server also tells what it had when its lease ended, and the stored roster says since which token a server has been in it. A slice leaves a server of the roster only by its release, or after a store write that drops the server, so what it has had since it was let in is nobody else's. And a grantor that stops tells its successor who holds what and what is left of each wait.

--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -49,6 +49,7 @@
     locateGrantor: procedure("locateGrantor"),
     takeEpoch: procedure("takeEpoch"),
     sealGrantor: procedure("sealGrantor"),
+    handover: procedure("handover"),
     identify: procedure("identify"),
     nudge: procedure("nudge"),
     table: procedure("table"),
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -13,6 +13,7 @@
   SectionContent,
 } from "../core/document/document.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
+import type { Handover } from "../core/ownership/handover.ts";
 import type {
   Renewal,
   RenewalAnswer,
@@ -135,6 +136,7 @@
   checksFencing: z.boolean(),
   leaving: z.boolean(),
   held: grants,
+  lapsed: grants.optional(),
   released: grants,
   emptied: z.boolean(),
   tableVersion: token,
@@ -159,11 +161,24 @@
 const takeoverAnswer: z.ZodType<TakeoverAnswer> = z.strictObject({
   id: name,
   held: grants,
+  lapsed: grants.optional(),
   weight: z.number().int().min(1).max(1_000_000),
   checksFencing: z.boolean(),
   leaving: z.boolean(),
 });
 
+const sliceNumbers = z.array(count).max(100_000);
+
+const handoverAnswer: z.ZodType<Handover> = z.strictObject({
+  epoch: count,
+  sliceCount: count.max(100_000),
+  waiting: z.array(z.strictObject({
+    owner: name.nullable(),
+    slices: sliceNumbers,
+    milliseconds: rate,
+  })),
+});
+
 const location = z.strictObject({ address, epoch: count });
 const claim = { group: name, epoch: count, grantorAddress: address };
 const group = z.strictObject({ group: name });
@@ -224,6 +239,10 @@
     message: z.strictObject({ ...claim, grantor: name }),
     answer: z.boolean(),
   },
+  handover: {
+    message: z.strictObject({ group: name, epoch: count }),
+    answer: handoverAnswer.nullable(),
+  },
   identify: { message: z.strictObject({}), answer: name },
   nudge: { message: group, answer: z.null() },
   table: {
@@ -277,7 +296,11 @@
   grantorAddress: address,
   epoch: count,
   durationMilliseconds: rate,
-  roster: z.array(z.strictObject({ id: name, peerAddress: address })),
+  roster: z.array(z.strictObject({
+    id: name,
+    peerAddress: address,
+    since: token.optional(),
+  })),
   earlierMayGrant: z.boolean(),
   earlierGrantors: z.array(name).max(1_000),
   hashedSlices: count,
--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -65,7 +65,9 @@
     else for (const id of state.unheard) needed.add(id);
   }
   const kept = state.roster.filter((entry) => needed.has(entry.id));
-  return [...kept, ...state.applicants];
+  const since = { epoch: state.epoch, sequence: state.sequence };
+  const joining = state.applicants.map((entry) => ({ ...entry, since }));
+  return [...kept, ...joining];
 }
 
 /** Whether a write that drops these servers makes the slice free. */
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -5,11 +5,17 @@
  */
 import type { Address, AgentId } from "../agent.ts";
 import type { IsolatedKey } from "./table.ts";
+import type { FencingToken } from "./token.ts";
 
 /** A server that the grantor may grant to. */
 export interface RosterEntry {
   readonly id: AgentId;
   readonly peerAddress: Address;
+  /**
+   * No grant up to this token binds anybody to the server any more: the newest
+   * token as it was let in. Left out by grantors of an earlier release.
+   */
+  readonly since?: FencingToken | undefined;
 }
 
 /** What a grantor writes to the store while its epoch lasts. */
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -15,16 +15,18 @@
 import type { Transition } from "../step.ts";
 import { afterCheckpoint, wantCheckpoint } from "./checkpoint.ts";
 import { inRoster } from "./delegation.ts";
-import type {
-  GrantorEffect,
-  GrantorEvent,
-  GrantorSettings,
-  GrantorState,
-  Holder,
-  Slice,
+import {
+  type GrantorEffect,
+  type GrantorEvent,
+  type GrantorSettings,
+  type GrantorState,
+  type Holder,
+  lastWorkEndsAt,
+  type Slice,
 } from "./grantor_state.ts";
 import { tableOf } from "./grantor_table.ts";
 import { noteBusyKeys } from "./isolation.ts";
+import { stillItsOwn } from "./last_held.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
 import { formerAgents, inheritSlices } from "./succession.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
@@ -195,7 +197,10 @@
  * the same process, so its own work is all that the reservation waits for.
  */
 function restoreReported(state: GrantorState, renewal: Renewal): GrantorState {
-  const reported = new Set(renewal.held.map((grant) => grant.slice));
+  const reported = new Set(
+    [...renewal.held, ...stillItsOwn(renewal, state.roster)]
+      .map((grant) => grant.slice),
+  );
   const firstHeard = state.unheard.has(renewal.id);
   let sequence = state.sequence;
   const slices = state.slices.map((slice, index): Slice => {
@@ -304,12 +309,6 @@
   };
 }
 
-/** A target that checks tokens stops with the lease; others run to the end. */
-function lastWorkEndsAt(holder: Holder, settings: GrantorSettings): number {
-  if (holder.checksFencing) return holder.leaseEndsAt;
-  return holder.leaseEndsAt + settings.longestDeadlineMilliseconds;
-}
-
 function startMoves(
   state: GrantorState,
 ): Transition<GrantorState, GrantorEffect> {
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -62,6 +62,15 @@
   };
 }
 
+/** A target that checks tokens stops with the lease; others run to the end. */
+export function lastWorkEndsAt(
+  holder: Pick<Holder, "checksFencing" | "leaseEndsAt">,
+  settings: GrantorSettings,
+): number {
+  if (holder.checksFencing) return holder.leaseEndsAt;
+  return holder.leaseEndsAt + settings.longestDeadlineMilliseconds;
+}
+
 /** What the grantor knows of one slice. */
 export type Slice =
   | { readonly kind: "free"; readonly handover?: string | undefined }
--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -152,23 +152,39 @@
   return { kind: "owned", token: held.token };
 }
 
+/** The grants that a holder reports: all that it has not released. */
+export interface ReportedGrants {
+  /** Those that it serves, or on which its work still runs. */
+  readonly held: readonly Grant[];
+  /**
+   * Those that it had when its lease ended; left out for none. They may have
+   * been given to others since, which the grantor has to judge.
+   */
+  readonly lapsed?: readonly Grant[];
+}
+
 /**
- * The grants that a holder reports: all that it has not released. Once its
- * lease has ended they may have been given to others, whose agents may have
- * forgotten them; then it reports only those on which work still runs. A
- * target that is told what it holds runs none by then.
+ * What a holder says of its grants now. Under an ended lease it holds only
+ * those on which work still runs; a target that is told what it holds runs
+ * none by then.
  */
-export function heldGrants(
-  state: HolderState,
-  now: Clocks,
-): readonly Grant[] {
+export function reportGrants(state: HolderState, now: Clocks): ReportedGrants {
   const all = leaseHolds(state, now);
-  const grants: Grant[] = [];
+  const held: Grant[] = [];
+  const lapsed: Grant[] = [];
   for (const [slice, { token }] of state.slices) {
     const works = state.running.has(slice) && !state.targetSurrenders;
-    if (all || works) grants.push({ slice, token });
+    (all || works ? held : lapsed).push({ slice, token });
   }
-  return grants;
+  return lapsed.length === 0 ? { held } : { held, lapsed };
+}
+
+/** The grants that a holder still serves, or on which its work runs. */
+export function heldGrants(
+  state: HolderState,
+  now: Clocks,
+): readonly Grant[] {
+  return reportGrants(state, now).held;
 }
 
 function answered(
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -10,6 +10,7 @@
 import fc from "fast-check";
 import type { Clocks } from "../clocks.ts";
 import { type Delegation, successorDelegation } from "./delegation.ts";
+import { type Handover, handoverOf } from "./handover.ts";
 import { delegationEnded, stepGrantor } from "./grantor.ts";
 import type {
   GrantorEvent,
@@ -19,8 +20,8 @@
 import {
   beginHolder,
   decideHold,
-  heldGrants,
   type HolderState,
+  reportGrants,
   stepHolder,
 } from "./holder.ts";
 import type { Renewal, RenewalAnswer } from "./renewal.ts";
@@ -235,7 +236,7 @@
       weight: 1,
       checksFencing: false,
       leaving: server.leaving,
-      held: heldGrants(server.state, this.clocks(server)),
+      ...reportGrants(server.state, this.clocks(server)),
       released: server.state.released,
       emptied: false,
       tableVersion: server.state.table.version,
@@ -300,9 +301,9 @@
     const formerIndex = former === null ? null : Number(former.grantorAddress);
     const formerStopped = formerIndex === null ||
       formerIndex === move.grantor || move.formerReached;
-    if (formerIndex !== null && formerStopped) {
-      this.grantors[formerIndex] = null;
-    }
+    const handover = formerIndex !== null && formerStopped
+      ? this.stopGrantor(formerIndex, former?.epoch)
+      : undefined;
     const answers = this.stored.roster.flatMap((entry) => {
       const index = Number(entry.id.slice(1));
       const server = this.servers[index]!;
@@ -311,7 +312,7 @@
       server.grantor = move.grantor;
       return [{
         id: entry.id,
-        held: heldGrants(server.state, this.clocks(server)),
+        ...reportGrants(server.state, this.clocks(server)),
         weight: 1,
         checksFencing: false,
         leaving: server.leaving,
@@ -328,11 +329,20 @@
       formerDurationMilliseconds: former?.durationMilliseconds ?? 0,
       askedAt: this.grantorClocks(),
       isolatedKeys: this.stored.isolatedKeys,
+      handover,
       now: this.grantorClocks(),
     });
     for (const server of this.servers) server.grantor ??= move.grantor;
   }
 
+  /** What the grantor here tells its successor, if it is the one meant. */
+  stopGrantor(index: number, epoch?: number): Handover | undefined {
+    const state = this.grantors[index] ?? null;
+    this.grantors[index] = null;
+    if (state === null || state.epoch !== epoch) return undefined;
+    return handoverOf(state, this.now);
+  }
+
   admit(move: Move & { readonly kind: "admit" }): void {
     const server = this.servers[move.holder]!;
     if (server.frozen) return;
--- a/source/core/ownership/renewal.ts
+++ b/source/core/ownership/renewal.ts
@@ -39,6 +39,8 @@
   readonly leaving: boolean;
   /** Grants under an unexpired lease, those being released included. */
   readonly held: readonly Grant[];
+  /** Grants that it had when its lease ended; left out for none. */
+  readonly lapsed?: readonly Grant[] | undefined;
   /** Grants that the holder has given up since its last answered renewal. */
   readonly released: readonly Grant[];
   /**
@@ -67,6 +69,8 @@
 export interface TakeoverAnswer {
   readonly id: AgentId;
   readonly held: readonly Grant[];
+  /** Grants that it had when its lease ended; left out for none. */
+  readonly lapsed?: readonly Grant[] | undefined;
   readonly weight: number;
   readonly checksFencing: boolean;
   readonly leaving: boolean;
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -7,6 +7,8 @@
 import type { AgentId } from "../agent.ts";
 import type { Clocks } from "../clocks.ts";
 import type { RosterEntry } from "./delegation.ts";
+import { type Handover, readHandover } from "./handover.ts";
+import { stillItsOwn } from "./last_held.ts";
 import {
   delegationEnd,
   type GrantorSettings,
@@ -14,8 +16,8 @@
   type Holder,
   type Slice,
 } from "./grantor_state.ts";
-import { freeUnreported } from "./unreported.ts";
-import type { TakeoverAnswer } from "./renewal.ts";
+import { followBase, freeUnreported } from "./unreported.ts";
+import type { Grant, TakeoverAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import { compareTokens, type FencingToken, noToken } from "./token.ts";
 
@@ -31,6 +33,8 @@
   /** Whether there has been an earlier grantor. */
   readonly claimedFromOther: boolean;
   readonly formerDurationMilliseconds: number;
+  /** What the former grantor told when it stopped; left out for nothing. */
+  readonly handover?: Handover | undefined;
   /** When the epoch was asked of the store. */
   readonly askedAt: Clocks;
   readonly isolatedKeys: readonly IsolatedKey[];
@@ -44,19 +48,16 @@
       answer,
     ) => [answer.id, reportedHolder(answer, takeover)]),
   );
-  const sliceCount = countSlices(takeover);
-  const slices = Array.from(
-    { length: sliceCount },
-    (_, slice) => reportedSlice(slice, takeover),
-  );
+  const slices = beginSlices(takeover);
   const state: GrantorState = {
     group: takeover.group,
     epoch: takeover.epoch,
     settings: takeover.settings,
     delegationEndsAt: delegationEnd(takeover.askedAt, takeover.settings),
-    sequence: 0,
+    sequence: returnSequence,
     assignsFrom: takeover.now.monotonic + takeover.settings.gatherMilliseconds,
-    assigns: takeover.settings.gatherMilliseconds === 0,
+    assigns: takeover.settings.gatherMilliseconds === 0 ||
+      mostAnswered(takeover),
     roster: takeover.roster,
     applicants: [],
     holders,
@@ -71,6 +72,14 @@
   return state.unheard.size === 0 ? freeUnreported(state) : state;
 }
 
+/** What is given back under ended leases has this place in the new epoch. */
+const returnSequence = 1;
+
+/** Then the servers are known, and none need be waited for with free slices. */
+function mostAnswered({ answers, roster }: Takeover): boolean {
+  return answers.length * 2 > roster.length;
+}
+
 function countSlices(takeover: Takeover): number {
   const isolated = takeover.isolatedKeys.map((entry) => entry.slice + 1);
   return Math.max(takeover.settings.hashedSlices, ...isolated);
@@ -92,23 +101,65 @@
   };
 }
 
-function reportedSlice(slice: number, takeover: Takeover): Slice {
-  let newest: { owner: AgentId; token: FencingToken } | null = null;
+/** The newest of the reports of each slice, by slice. */
+function reportedSlices(takeover: Takeover): ReadonlyMap<number, Slice> {
+  const newest = new Map<number, FencingToken>();
+  const slices = new Map<number, Slice>();
+  function note(
+    owner: AgentId,
+    grant: Grant,
+    token: FencingToken = grant.token,
+  ): void {
+    const known = newest.get(grant.slice);
+    if (known !== undefined && compareTokens(grant.token, known) < 0) return;
+    newest.set(grant.slice, grant.token);
+    slices.set(grant.slice, { kind: "held", owner, token });
+  }
+  const returned = { epoch: takeover.epoch, sequence: returnSequence };
   for (const answer of takeover.answers) {
-    const grant = answer.held.find((grant) => grant.slice === slice);
-    if (grant === undefined) continue;
-    if (newest !== null && compareTokens(grant.token, newest.token) < 0) {
-      continue;
+    for (const grant of answer.held) note(answer.id, grant);
+    for (const grant of stillItsOwn(answer, takeover.roster)) {
+      note(answer.id, grant, returned);
     }
-    newest = { owner: answer.id, token: grant.token };
   }
-  if (newest !== null) return { kind: "held", ...newest };
-  return {
+  return slices;
+}
+
+function beginSlices(takeover: Takeover): readonly Slice[] {
+  const reported = reportedSlices(takeover);
+  const left = leftSlices(takeover);
+  return Array.from(
+    { length: countSlices(takeover) },
+    (_, slice) => reported.get(slice) ?? left(slice, reported),
+  );
+}
+
+/** What the former grantor left of slices that nobody reported. */
+function leftSlices(
+  takeover: Takeover,
+): (slice: number, reported: ReadonlyMap<number, Slice>) => Slice {
+  const { handover, now } = takeover;
+  const unknown: Slice = {
     kind: "reserved",
     owner: null,
     token: noToken,
     availableAt: unheardGrantsEndAt(takeover),
   };
+  if (handover === undefined) return () => unknown;
+  const answered = new Set(takeover.answers.map(({ id }) => id));
+  const known = readHandover(handover, {
+    now: now.monotonic,
+    hasAnswered: (id) => answered.has(id),
+  });
+  const token = { epoch: takeover.epoch, sequence: returnSequence };
+  return (slice, reported) => {
+    const found = known[slice] ?? null;
+    if (found !== null) return found;
+    // The holder of the base may serve the key, and not know of its own slice.
+    const base = takeover.isolatedKeys.find((key) => key.slice === slice)?.base;
+    if (base === undefined) return { kind: "free" };
+    return followBase(reported.get(base) ?? known[base] ?? undefined, token);
+  };
 }
 
 function unheardOf(takeover: Takeover): ReadonlySet<AgentId> {
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -9,6 +9,7 @@
   RecordVersion,
   SharedRecord,
 } from "../core/dissemination/replica.ts";
+import type { Handover } from "../core/ownership/handover.ts";
 import type {
   Renewal,
   RenewalAnswer,
@@ -143,6 +144,11 @@
   sealGrantor(claim: EpochClaim & { readonly grantor: AgentId }): Promise<
     boolean
   >;
+  /** What a grantor of this agent left behind; null where none has stopped. */
+  handover(question: {
+    readonly group: string;
+    readonly epoch: number;
+  }): Promise<Handover | null>;
   /** Which process answers at this address. */
   identify(question: Readonly<Record<never, never>>): Promise<AgentId>;
   /** Asks a holder to renew at once. */
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -6,6 +6,7 @@
  */
 import type { Address, Agent, AgentId } from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
+import { type Handover, handoverOf } from "../core/ownership/handover.ts";
 import {
   type Checkpoint,
   type Delegation,
@@ -32,7 +33,7 @@
 import type { Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
-import { pause, readClocks, startTicker } from "./time.ts";
+import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
 import { lookForProof } from "./unheard_agents.ts";
 
 /** Durations of granting. */
@@ -48,6 +49,8 @@
   readonly epoch: number;
   /** Null once the grantor has stopped. */
   renew(renewal: Renewal): RenewalAnswer | null;
+  /** What the grantor leaves to its successor; null while it grants. */
+  handover(): Handover | null;
   table(): OwnershipTable;
   stopped(): boolean;
   /** Whether it has heard from every server that may hold slices. */
@@ -71,6 +74,8 @@
   readonly former: Versioned<Delegation> | null;
   /** False when its grantor did not answer a moment ago. */
   readonly formerReachable: boolean;
+  /** What a grantor of this agent that had this epoch left behind. */
+  readonly ownHandover: (epoch: number) => Handover | null;
   /** Whether this agent's process is known to have ended. */
   readonly hasEnded: (id: AgentId) => boolean;
   /** Whether it is known to have stopped as planned, with nothing held. */
@@ -100,11 +105,11 @@
     epoch: claim.stored.value.epoch,
     former: claim.former?.grantor ?? "none",
   });
-  const [formerStopped, answers] = await Promise.all([
+  const [former, answers] = await Promise.all([
     sealFormer(options, claim),
     askRoster(options, claim),
   ]);
-  const sealed = formerStopped ? claim.former?.grantor : undefined;
+  const sealed = former.stopped ? claim.former?.grantor : undefined;
   const earlierStopped = earlierEnded(options, claim, sealed);
   const state = beginGrantor({
     group: options.group,
@@ -120,6 +125,7 @@
     formerDurationMilliseconds: claim.former?.durationMilliseconds ?? 0,
     askedAt: claim.askedAt,
     isolatedKeys: claim.stored.value.isolatedKeys,
+    handover: former.handover ?? undefined,
     now: readClocks(),
   });
   options.events.record("grantor-begun", {
@@ -128,6 +134,7 @@
     answered: answers.length,
     asked: state.roster.length,
     earlierStopped,
+    handedOver: former.handover !== null,
     unheard: state.slices.filter((slice) => slice.kind === "reserved").length,
   });
   return runGrantor(options, {
@@ -180,27 +187,41 @@
   return read.value.value.writerMark === mark ? read.value : null;
 }
 
+/** What became of the former grantor. */
+interface FormerGrantor {
+  /** Whether it has surely stopped granting. */
+  readonly stopped: boolean;
+  /** Null where it could not tell what it leaves. */
+  readonly handover: Handover | null;
+}
+
 async function sealFormer(
   options: GrantorOptions,
   claim: Claim,
-): Promise<boolean> {
+): Promise<FormerGrantor> {
   const { former } = claim;
-  if (former === null || former.grantor === options.agent.id) return true;
-  if (!options.formerReachable) return false;
-  const result = await options.peers.call(
-    former.grantorAddress,
-    "sealGrantor",
-    {
-      message: {
-        group: options.group,
-        epoch: claim.stored.value.epoch,
-        grantorAddress: options.agent.peerAddress,
-        grantor: former.grantor,
-      },
-      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+  if (former === null) return { stopped: true, handover: null };
+  if (former.grantor === options.agent.id) {
+    return { stopped: true, handover: options.ownHandover(former.epoch) };
+  }
+  if (!options.formerReachable) return { stopped: false, handover: null };
+  const { peers, group, times } = options;
+  const timeoutMilliseconds = times.callTimeoutMilliseconds;
+  const sealed = await peers.call(former.grantorAddress, "sealGrantor", {
+    message: {
+      group,
+      epoch: claim.stored.value.epoch,
+      grantorAddress: options.agent.peerAddress,
+      grantor: former.grantor,
     },
-  );
-  return result.isOk && result.value;
+    timeoutMilliseconds,
+  });
+  if (sealed.isErr || !sealed.value) return { stopped: false, handover: null };
+  const told = await peers.call(former.grantorAddress, "handover", {
+    message: { group, epoch: former.epoch },
+    timeoutMilliseconds,
+  });
+  return { stopped: true, handover: told.isOk ? told.value : null };
 }
 
 async function askRoster(
@@ -398,6 +419,7 @@
     epoch: state.epoch,
     renew: (renewal) =>
       stopped ? null : send({ kind: "renewal", renewal, now: readClocks() }),
+    handover: () => stopped ? handoverOf(state, monotonicNow()) : null,
     table: () => tableOf(state),
     stopped: () => stopped,
     heardAll: () => state.unheard.size === 0,
--- a/source/tasks/grantor_task_test.ts
+++ b/source/tasks/grantor_task_test.ts
@@ -44,6 +44,7 @@
     newMark: () => "mark-2",
     former: { value: former, version: "1" },
     formerReachable: false,
+    ownHandover: () => null,
     hasEnded: () => true,
     hasDeparted: () => false,
     onClaimed: () => undefined,
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -6,6 +6,7 @@
  */
 import { type Agent, type AgentId, hostOfAgent } from "../core/agent.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import type { Handover } from "../core/ownership/handover.ts";
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type {
@@ -26,6 +27,11 @@
   renew(renewal: Renewal): Promise<RenewalAnswer | null>;
   locate(question: LocateQuestion): Promise<GrantorLocation | null>;
   seal(claim: EpochClaim & { readonly grantor: AgentId }): Promise<boolean>;
+  /** What the grantor of this epoch left behind; null while it grants. */
+  handover(question: {
+    readonly group: string;
+    readonly epoch: number;
+  }): Handover | null;
   table(group: string): OwnershipTable | null;
   groups(): readonly string[];
   /** Lets a better placed agent take a group over, if there is one. */
@@ -49,7 +55,12 @@
   options:
     & Omit<
       GrantorOptions,
-      "group" | "settings" | "former" | "formerReachable" | "onClaimed"
+      | "group"
+      | "settings"
+      | "former"
+      | "formerReachable"
+      | "ownHandover"
+      | "onClaimed"
     >
     & {
       readonly agent: Agent;
@@ -133,6 +144,7 @@
         ...claim,
         group,
         settings,
+        ownHandover: (epoch) => leftBehind(group, epoch),
         onClaimed: (epoch) => beginnings.set(group, { epoch, over }),
       });
       if (!await keepBegun(group, grantor)) return null;
@@ -163,7 +175,12 @@
     const grantor = grantors.get(group);
     if (grantor === undefined || grantor.epoch >= epoch) return;
     await grantor.stop();
-    grantors.delete(group);
+  }
+
+  /** A grantor that has stopped is kept for what it knows. */
+  function leftBehind(group: string, epoch: number): Handover | null {
+    const grantor = grantors.get(group);
+    return grantor?.epoch === epoch ? grantor.handover() : null;
   }
 
   /**
@@ -210,6 +227,7 @@
       await giveUp(claim.group, claim.epoch);
       return true;
     },
+    handover: ({ group, epoch }) => leftBehind(group, epoch),
     table: (group) => running(group)?.table() ?? null,
     groups: () => [...grantors.keys()].filter((group) => running(group)),
     async relocate(group) {
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -15,10 +15,10 @@
 import {
   beginHolder,
   decideHold,
-  heldGrants,
   type HolderState,
   type HoldRefusal,
   leaseHolds,
+  reportGrants,
   stepHolder,
 } from "../core/ownership/holder.ts";
 import {
@@ -236,7 +236,7 @@
     });
     return {
       id: agent.id,
-      held: heldGrants(state, readClocks()),
+      ...reportGrants(state, readClocks()),
       weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
@@ -269,7 +269,7 @@
       weight: options.weight(),
       checksFencing: agent.checksFencing,
       leaving,
-      held: heldGrants(state, readClocks()),
+      ...reportGrants(state, readClocks()),
       released: state.released,
       emptied: emptiness === "empty",
       tableVersion: state.table.version,
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -58,6 +58,7 @@
     takeEpoch: (claim) =>
       holderOf(claim.group)?.takeEpoch(claim) ?? Promise.resolve(null),
     sealGrantor: (claim) => grantors.seal(claim),
+    handover: (question) => Promise.resolve(grantors.handover(question)),
     identify: () => Promise.resolve(spread.self().id),
     nudge({ group }) {
       holderOf(group)?.nudge();
