A group is taken only from a grantor that most of its servers don't hear

Cause: an agent that could not reach a grantor itself, asked by one holder that could not either, claimed the next epoch for all. The claim ended the grantor for those that still heard it. And a grantor that had been replaced, and did not know it, was still named to holders of the later epoch.

Now an agent that would claim first asks the servers of the stored roster whether they hear their grantor; each asks it before it answers. It claims only if most of the roster answers and less than half of that hears it; in a smaller part only once the store shows that nobody renews the delegation. A grantor that hears of a later epoch stops, and holders name the epoch that they have accepted when they ask for their grantor.

--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -50,6 +50,7 @@
     takeEpoch: procedure("takeEpoch"),
     sealGrantor: procedure("sealGrantor"),
     handover: procedure("handover"),
+    hearsGrantor: procedure("hearsGrantor"),
     identify: procedure("identify"),
     nudge: procedure("nudge"),
     table: procedure("table"),
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -243,6 +243,10 @@
     message: z.strictObject({ group: name, epoch: count }),
     answer: handoverAnswer.nullable(),
   },
+  hearsGrantor: {
+    message: group,
+    answer: z.strictObject({ id: name, epoch: count, hears: z.boolean() }),
+  },
   identify: { message: z.strictObject({}), answer: name },
   nudge: { message: group, answer: z.null() },
   table: {
--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -19,6 +19,20 @@
 /** A write is wanted again after this share of the delegation has passed. */
 const renewalShare = 0.25;
 
+/** A delegation that was not written for this share of it has been left. */
+const leftShare = 0.4;
+
+/**
+ * Whether a delegation that was last seen to change so long ago may still be
+ * renewed by its grantor; both durations in milliseconds.
+ */
+export function isRenewedInTime(
+  unchangedMilliseconds: number,
+  durationMilliseconds: number,
+): boolean {
+  return unchangedMilliseconds < durationMilliseconds * leftShare;
+}
+
 /** Asks for a store write when one is needed and none is under way. */
 export function wantCheckpoint(
   state: GrantorState,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -14,6 +14,7 @@
   | "target-left"
   | "target-phase"
   | "epoch-claimed"
+  | "takeover-declined"
   | "epoch-accepted"
   | "grantor-begun"
   | "grantor-stopped"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -77,7 +77,10 @@
 /** A holder's question for its group's grantor. */
 export interface LocateQuestion {
   readonly group: string;
-  /** The grantor that the asker could not reach; null when it knows none. */
+  /**
+   * The grantor that the asker could not reach, with the highest epoch that it
+   * has accepted: no earlier grantor is of use. Null when it knows none.
+   */
   readonly unreachable: GrantorLocation | null;
   readonly effort: LocateEffort;
 }
@@ -89,6 +92,16 @@
   readonly grantorAddress: Address;
 }
 
+/** What an agent says of the grantor of its group. */
+export interface GrantorHearing {
+  /** The process that answers. */
+  readonly id: AgentId;
+  /** The highest epoch that it has accepted; 0 outside of the group. */
+  readonly epoch: number;
+  /** Whether that grantor has answered it just now. */
+  readonly hears: boolean;
+}
+
 /** An entry's question for a group's table. */
 export interface TableQuestion {
   readonly group: string;
@@ -149,6 +162,8 @@
     readonly group: string;
     readonly epoch: number;
   }): Promise<Handover | null>;
+  /** Answered once the holder knows, not later than a renewal's timeout. */
+  hearsGrantor(question: { readonly group: string }): Promise<GrantorHearing>;
   /** Which process answers at this address. */
   identify(question: Readonly<Record<never, never>>): Promise<AgentId>;
   /** Asks a holder to renew at once. */
--- /dev/null
+++ b/source/tasks/canvass_task.ts
@@ -0,0 +1,56 @@
+/**
+ * Asks the servers of a group whether they hear their grantor, until no
+ * further answer can change the verdict.
+ *
+ * @module
+ */
+import {
+  type ClaimVerdict,
+  isDecided,
+  judgeClaim,
+  type RosterWord,
+} from "../core/ownership/canvass.ts";
+import type { Delegation, RosterEntry } from "../core/ownership/delegation.ts";
+import type { Peers } from "../ports/peers.ts";
+
+/** What a canvass found. */
+export interface Canvass {
+  readonly verdict: ClaimVerdict;
+  readonly words: readonly RosterWord[];
+}
+
+/** Asks once; brings the verdict after the timeout at the latest. */
+export async function canvassRoster(
+  delegation: Delegation,
+  options: {
+    readonly peers: Peers;
+    readonly timeoutMilliseconds: number;
+    /** Whether the grantor may still renew its delegation at the store. */
+    readonly renewed: boolean;
+  },
+): Promise<Canvass> {
+  const { roster, group, epoch } = delegation;
+  const words: RosterWord[] = roster.map(() => ({ kind: "silent" }));
+
+  async function ask(entry: RosterEntry): Promise<RosterWord> {
+    const result = await options.peers.call(entry.peerAddress, "hearsGrantor", {
+      message: { group },
+      timeoutMilliseconds: options.timeoutMilliseconds,
+    });
+    if (result.isErr) return { kind: "silent" };
+    const { id, epoch, hears } = result.value;
+    if (id !== entry.id) return { kind: "ended" };
+    return { kind: "answered", epoch, hears };
+  }
+
+  await new Promise<void>((resolve) => {
+    const decided = () => isDecided(words, { servers: roster.length, epoch });
+    const all = roster.map(async (entry, place) => {
+      words[place] = await ask(entry);
+      if (decided()) resolve();
+    });
+    void Promise.all(all).then(() => resolve());
+  });
+  const verdict = judgeClaim(words, { epoch, renewed: options.renewed });
+  return { verdict, words: [...words] };
+}
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -49,6 +49,8 @@
   readonly epoch: number;
   /** Null once the grantor has stopped. */
   renew(renewal: Renewal): RenewalAnswer | null;
+  /** A later epoch is known: this grantor stops if its own is earlier. */
+  noteEpoch(epoch: number): void;
   /** What the grantor leaves to its successor; null while it grants. */
   handover(): Handover | null;
   table(): OwnershipTable;
@@ -385,6 +387,10 @@
     events.record("grantor-stopped", { group, epoch: state.epoch, reason });
   }
 
+  function noteEpoch(epoch: number): void {
+    if (epoch > state.epoch) halt("replaced");
+  }
+
   let waitsForEarlier = !begun.earlierStopped();
 
   /** An earlier grantor may be proved ended only after this one has begun. */
@@ -417,8 +423,12 @@
   return {
     group,
     epoch: state.epoch,
-    renew: (renewal) =>
-      stopped ? null : send({ kind: "renewal", renewal, now: readClocks() }),
+    renew(renewal) {
+      noteEpoch(renewal.epoch);
+      if (stopped) return null;
+      return send({ kind: "renewal", renewal, now: readClocks() });
+    },
+    noteEpoch,
     handover: () => stopped ? handoverOf(state, monotonicNow()) : null,
     table: () => tableOf(state),
     stopped: () => stopped,
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -5,6 +5,8 @@
  * @module
  */
 import { type Agent, type AgentId, hostOfAgent } from "../core/agent.ts";
+import { isRenewedInTime } from "../core/ownership/checkpoint.ts";
+import type { Delegation } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import type { Handover } from "../core/ownership/handover.ts";
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
@@ -14,6 +16,8 @@
   GrantorLocation,
   LocateQuestion,
 } from "../ports/peers.ts";
+import type { Versioned } from "../ports/store.ts";
+import { type Canvass, canvassRoster } from "./canvass_task.ts";
 import {
   type GrantorOptions,
   type GrantorTask,
@@ -50,6 +54,19 @@
   readonly over: Promise<void>;
 }
 
+/** What an agent that is asked for its grantor says of it. */
+type GrantorState = "grants" | "stopped" | "unreachable";
+
+/** A version of a delegation, and when it was first seen here. */
+interface SeenVersion {
+  readonly version: string;
+  /** On the monotonic clock. */
+  readonly since: number;
+}
+
+/** A grantor that can be reached has mostly answered after this time. */
+const usualAnswerMilliseconds = 100;
+
 /** Starts without any group. */
 export function startGrantors(
   options:
@@ -77,6 +94,7 @@
   const searches = new Map<string, Promise<GrantorLocation | null>>();
   /** Grantors that have claimed an epoch, and are asking who holds what. */
   const beginnings = new Map<string, Beginning>();
+  const seen = new Map<string, SeenVersion>();
   let closing = false;
 
   function running(group: string): GrantorTask | null {
@@ -105,23 +123,79 @@
     const read = await delegations.read(question.group);
     if (read.isErr) return null;
     const former = read.value;
-    const stored = former?.value ?? null;
-    if (stored !== null && stored.grantor !== agent.id) {
-      const location = { address: stored.grantorAddress, epoch: stored.epoch };
-      const state = await askGrantor(question.group, location);
-      if (state === "grants") return location;
-      return await takeOver(question.group, {
-        former,
-        formerReachable: state === "stopped",
-      });
+    if (former === null || former.value.grantor === agent.id) {
+      return await takeOver(question.group, { former, formerReachable: true });
+    }
+    return await replaceUnlessHeard(former);
+  }
+
+  async function replaceUnlessHeard(
+    former: Versioned<Delegation>,
+  ): Promise<GrantorLocation | null> {
+    const { group, epoch, grantorAddress } = former.value;
+    const location = { address: grantorAddress, epoch };
+    const asked = askGrantor(group, location);
+    const canvass = canvassUnless(asked, former);
+    const state = await asked;
+    if (state === "grants") return location;
+    const formerReachable = state === "stopped";
+    if (!formerReachable && !await mayReplace(former.value, canvass)) {
+      return null;
     }
-    return await takeOver(question.group, { former, formerReachable: true });
+    return await takeOver(group, { former, formerReachable });
+  }
+
+  /** Asks the group's servers, but for when its grantor answers as usual. */
+  async function canvassUnless(
+    answered: Promise<GrantorState>,
+    former: Versioned<Delegation>,
+  ): Promise<Canvass | null> {
+    const renewed = seemsRenewed(former);
+    const state = await Promise.race([
+      answered,
+      pause(usualAnswerMilliseconds),
+    ]);
+    if (state === "grants" || state === "stopped") return null;
+    return await canvassRoster(former.value, {
+      peers,
+      timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
+      renewed,
+    });
+  }
+
+  /** Whether a grantor that does not answer here is lost for its servers too. */
+  async function mayReplace(
+    { group, epoch, grantor }: Delegation,
+    canvassed: Promise<Canvass | null>,
+  ): Promise<boolean> {
+    if (options.hasEnded(grantor) || options.hasDeparted(grantor)) return true;
+    const canvass = await canvassed;
+    if (canvass === null || canvass.verdict === "may-claim") return true;
+    const answers = canvass.words.filter((word) => word.kind === "answered");
+    options.events.record("takeover-declined", {
+      group,
+      epoch,
+      reason: canvass.verdict,
+      asked: canvass.words.length,
+      answered: answers.length,
+      hearing: answers.filter(({ hears }) => hears).length,
+    });
+    return false;
+  }
+
+  /** Whether the grantor may have written its delegation lately. */
+  function seemsRenewed({ version, value }: Versioned<Delegation>): boolean {
+    const now = monotonicNow();
+    const former = seen.get(value.group);
+    const since = former?.version === version ? former.since : now;
+    seen.set(value.group, { version, since });
+    return isRenewedInTime(now - since, value.durationMilliseconds);
   }
 
   async function askGrantor(
     group: string,
     location: GrantorLocation,
-  ): Promise<"grants" | "stopped" | "unreachable"> {
+  ): Promise<GrantorState> {
     const result = await peers.call(location.address, "locateGrantor", {
       message: { group, unreachable: null, effort: "own" },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
@@ -215,6 +289,8 @@
       return running(renewal.group)?.renew(renewal) ?? null;
     },
     async locate(question) {
+      const epoch = question.unreachable?.epoch ?? 0;
+      running(question.group)?.noteEpoch(epoch);
       const own = here(question.group);
       if (own !== null || question.effort !== "take-over" || closing) {
         return own;
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -32,6 +32,7 @@
 import type { Events } from "../ports/events.ts";
 import type {
   EpochClaim,
+  GrantorHearing,
   GrantorLocation,
   LocateEffort,
   Peers,
@@ -39,7 +40,7 @@
 import { measureHeldLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
-import { pause, readClocks } from "./time.ts";
+import { monotonicNow, pause, readClocks } from "./time.ts";
 
 /** Durations of holding. */
 export interface HolderTimes {
@@ -70,6 +71,8 @@
   /** Whether a request on this key would be admitted now. */
   owns(key: string): boolean;
   takeEpoch(claim: EpochClaim): Promise<TakeoverAnswer | null>;
+  /** Whether the grantor answers, asking it unless it has just answered. */
+  hearsGrantor(): Promise<GrantorHearing>;
   nudge(): void;
   table(): OwnershipTable;
   grantor(): GrantorLocation | null;
@@ -152,6 +155,10 @@
   /** The grantor that was given up last, until another has answered. */
   let unreachable: GrantorLocation | null = null;
   let failures = 0;
+  /** When a grantor was last heard, on the monotonic clock. */
+  let heardAt = -Infinity;
+  /** Wait for the end of the renewal under way, or of the next one. */
+  const listeners = new Set<(hears: boolean) => void>();
   let { leaving } = options;
   let wake = new AbortController();
   const counting = startCounting();
@@ -228,6 +235,9 @@
       stepHolder(state, { kind: "epochTaken", epoch: claim.epoch }),
     );
     grantor = { address: claim.grantorAddress, epoch: claim.epoch };
+    failures = 0;
+    heardAt = monotonicNow();
+    tellListeners(true);
     emptyOnce(claim.epoch);
     events.record("epoch-accepted", {
       group: state.group,
@@ -259,6 +269,22 @@
     wake.abort();
   }
 
+  function tellListeners(hears: boolean): void {
+    for (const listener of listeners) listener(hears);
+    listeners.clear();
+  }
+
+  /** Asks the grantor, unless it has answered within the last call's time. */
+  async function hearsGrantor(): Promise<GrantorHearing> {
+    const silent = monotonicNow() - heardAt >= times.callTimeoutMilliseconds;
+    let hears = grantor !== null;
+    if (hears && silent) {
+      nudge();
+      hears = await new Promise((resolve) => listeners.add(resolve));
+    }
+    return { id: agent.id, epoch: state.epoch, hears };
+  }
+
   function compose(): Renewal {
     const measured = measureHeldLoad(counting.load(), state, place);
     return {
@@ -298,6 +324,11 @@
 
   async function locate(): Promise<GrantorLocation | null> {
     const { members, grantors } = options.candidates();
+    // An earlier grantor than the one accepted grants nothing here any more.
+    unreachable &&= {
+      ...unreachable,
+      epoch: Math.max(unreachable.epoch, state.epoch),
+    };
     const others = grantors.filter((address) =>
       address !== unreachable?.address
     );
@@ -331,15 +362,19 @@
     grantor ??= await locate();
     if (grantor === null) return times.retryMilliseconds;
     const asked = grantor;
-    if (await renewOnce(asked)) {
+    const renewed = await renewOnce(asked);
+    noteLease();
+    // Another grantor has come meanwhile, and has to be asked itself.
+    if (!renewed && grantor !== asked) return 0;
+    tellListeners(renewed);
+    if (renewed) {
       failures = 0;
+      heardAt = monotonicNow();
       unreachable = null;
-      noteLease();
       return times.renewalMilliseconds;
     }
     failures += 1;
-    noteLease();
-    if (failures >= 2 && grantor === asked) {
+    if (failures >= 2) {
       unreachable = asked;
       grantor = null;
     }
@@ -403,6 +438,7 @@
         mailbox,
         (answer) => ({ kind: "takeEpoch", claim, answer }),
       ),
+    hearsGrantor,
     nudge,
     table: () => state.table,
     grantor: () => leaseHolds(state, readClocks()) ? grantor : null,
@@ -429,6 +465,7 @@
       stopped.abort();
       wake.abort();
       mailbox.close();
+      tellListeners(false);
       await running;
     },
   };
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -59,6 +59,9 @@
       holderOf(claim.group)?.takeEpoch(claim) ?? Promise.resolve(null),
     sealGrantor: (claim) => grantors.seal(claim),
     handover: (question) => Promise.resolve(grantors.handover(question)),
+    hearsGrantor: ({ group }) =>
+      holderOf(group)?.hearsGrantor() ??
+        Promise.resolve({ id: spread.self().id, epoch: 0, hears: false }),
     identify: () => Promise.resolve(spread.self().id),
     nudge({ group }) {
       holderOf(group)?.nudge();
