A replaced grantor tells the store that it has stopped

Cause: the grantor in the smaller part learnt by its next routine write that it had been replaced, and stopped, but its successor could not know and waited for the whole delegation: a bound on time where another's word is to be had.

Now a grantor one of whose holders lapsed asks the store at once whether its epoch stands, and one that was replaced takes itself out of the earlier grantors of its successor's delegation. The successor looks there once a second while it waits for that grantor, and then waits for leases and no longer for the delegation.

--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -47,12 +47,13 @@
     isolatedKeys: nextIsolatedKeys(state),
   };
   return {
-    state: { ...state, writing: checkpoint },
+    state: { ...state, doubted: false, writing: checkpoint },
     effects: [{ kind: "writeCheckpoint", checkpoint }],
   };
 }
 
 function needsCheckpoint(state: GrantorState, now: Clocks): boolean {
+  if (state.doubted) return true;
   if (state.applicants.length + state.busyKeys.length > 0) return true;
   if (state.earlierMayGrant && state.unheard.size === 0) return true;
   const surelyEnded = state.slices.some((slice) =>
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -304,7 +304,13 @@
       ).length,
   }));
   return {
-    state: { ...state, holders, slices, sequence: state.sequence + 1 },
+    state: {
+      ...state,
+      holders,
+      slices,
+      doubted: true,
+      sequence: state.sequence + 1,
+    },
     effects,
   };
 }
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -119,6 +119,11 @@
   readonly earlierMayGrant: boolean;
   /** Busy keys that wait for a store write to get slices of their own. */
   readonly busyKeys: readonly KeyLoad[];
+  /**
+   * Whether a holder's lease has ended since the last store write: this
+   * grantor may have been replaced, which the store would tell.
+   */
+  readonly doubted: boolean;
   /** What a store write not yet settled carries; null for none. */
   readonly writing: Checkpoint | null;
 }
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -67,6 +67,7 @@
     busyKeys: [],
     loads: new Map(),
     earlierMayGrant: takeover.claimedFromOther,
+    doubted: false,
     writing: null,
   };
   return state.unheard.size === 0 ? freeUnreported(state) : state;
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -33,6 +33,7 @@
 import type { Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
+import { tellStopped } from "./replaced_grantor.ts";
 import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
 import { lookForProof } from "./unheard_agents.ts";
 
@@ -86,6 +87,9 @@
   readonly onClaimed: (epoch: number) => void;
 }
 
+/** A successor looks so often whether earlier grantors have stopped. */
+const lookMilliseconds = 1_000;
+
 interface Claim {
   readonly stored: Versioned<Delegation>;
   readonly askedAt: Clocks;
@@ -112,7 +116,7 @@
     askRoster(options, claim),
   ]);
   const sealed = former.stopped ? claim.former?.grantor : undefined;
-  const earlierStopped = earlierEnded(options, claim, sealed);
+  const earlierStopped = earlierUnended(options, claim, sealed).length === 0;
   const state = beginGrantor({
     group: options.group,
     epoch: claim.stored.value.epoch,
@@ -142,19 +146,19 @@
   return runGrantor(options, {
     state,
     stored: claim.stored,
-    earlierStopped: () => earlierEnded(options, claim, sealed),
+    earlier: () => earlierUnended(options, claim, sealed),
   });
 }
 
-/** Whether each earlier grantor has ended, or has stopped when asked to. */
-function earlierEnded(
+/** Earlier grantors that have neither ended nor stopped when asked to. */
+function earlierUnended(
   options: GrantorOptions,
   claim: Claim,
   sealed: AgentId | undefined,
-): boolean {
-  if (claim.former === null) return true;
-  return earlierGrantorsOf(claim.former).every((id) =>
-    id === sealed || options.hasEnded(id)
+): readonly AgentId[] {
+  if (claim.former === null) return [];
+  return earlierGrantorsOf(claim.former).filter((id) =>
+    id !== sealed && !options.hasEnded(id)
   );
 }
 
@@ -251,12 +255,16 @@
   begun: {
     readonly state: ReturnType<typeof beginGrantor>;
     readonly stored: Versioned<Delegation>;
-    readonly earlierStopped: () => boolean;
+    readonly earlier: () => readonly AgentId[];
   },
 ): GrantorTask {
   const { events, group } = options;
   let { state, stored } = begun;
   let stopped = false;
+  /** Whether this task does nothing more at all. */
+  let over = false;
+  /** Earlier grantors that have told the store that they stopped. */
+  let toldStopped: readonly AgentId[] = [];
   let writing: Promise<void> = Promise.resolve();
 
   const mailbox = openMailbox<
@@ -345,6 +353,9 @@
     const value: Delegation = {
       ...stored.value,
       ...checkpoint,
+      earlierGrantors: stored.value.earlierGrantors.filter((id) =>
+        !toldStopped.includes(id)
+      ),
       writerMark: options.newMark(),
     };
     const firstAskedAt = readClocks();
@@ -363,13 +374,23 @@
           stored = found.value;
           return confirmed(firstAskedAt);
         }
-        if (found.value.value.epoch > state.epoch) return halt("replaced");
-        stored = found.value;
+        if (!noteStored(found.value)) return;
       }
       await pause(options.times.storeRetryMilliseconds);
     }
   }
 
+  /** Takes in what others wrote; false when this grantor was replaced. */
+  function noteStored(found: Versioned<Delegation>): boolean {
+    noteEpoch(found.value.epoch);
+    if (stopped) return false;
+    const still = new Set(found.value.earlierGrantors);
+    const gone = stored.value.earlierGrantors.filter((id) => !still.has(id));
+    toldStopped = [...toldStopped, ...gone];
+    stored = found;
+    return true;
+  }
+
   function confirmed(askedAt: Clocks): void {
     events.record("checkpoint-written", {
       group,
@@ -388,14 +409,40 @@
   }
 
   function noteEpoch(epoch: number): void {
-    if (epoch > state.epoch) halt("replaced");
+    if (stopped || epoch <= state.epoch) return;
+    halt("replaced");
+    void tellStopped({
+      ...options,
+      grantor: options.agent.id,
+      retryMilliseconds: options.times.storeRetryMilliseconds,
+      timeoutMilliseconds: state.settings.delegationMilliseconds,
+      isOver: () => over,
+    });
   }
 
-  let waitsForEarlier = !begun.earlierStopped();
+  function waitsForEarlierGrantors(): boolean {
+    return begun.earlier().some((id) => !toldStopped.includes(id));
+  }
+
+  let waitsForEarlier = waitsForEarlierGrantors();
+  let lookedAt = monotonicNow();
+
+  /** Out of each other's reach, grantors hear of each other by the store. */
+  async function lookAtStore(): Promise<void> {
+    const now = monotonicNow();
+    if (now - lookedAt < lookMilliseconds || state.writing !== null) return;
+    lookedAt = now;
+    const found = await options.delegations.read(group);
+    // A write that has begun meanwhile reads for itself if it must.
+    if (stopped || state.writing !== null || found.isErr) return;
+    if (found.value !== null) noteStored(found.value);
+  }
 
   /** An earlier grantor may be proved ended only after this one has begun. */
   function noteEarlierEnded(): void {
-    if (!waitsForEarlier || !begun.earlierStopped()) return;
+    if (!waitsForEarlier) return;
+    if (state.unheard.size > 0) void lookAtStore();
+    if (waitsForEarlierGrantors()) return;
     waitsForEarlier = false;
     events.record("earlier-grantors-ended", { group, epoch: state.epoch });
     send({ kind: "earlierEnded", now: readClocks() });
@@ -434,6 +481,7 @@
     stopped: () => stopped,
     heardAll: () => state.unheard.size === 0,
     async stop() {
+      over = true;
       halt("stopped");
       await writing;
     },
