A draining listener closes behind the last answer, not behind the first

Callers that pipeline saw requests that had been passed on, and run, end without an answer when their agent stopped as planned (LOST). Callers on a kept connection whose request was running when the drain began got no word of the close and could send the next request into it; callers whose upload was refused meanwhile saw a reset connection in place of the 503.

Cause: `connection: close` was added when a request was read. Node closes the connection after the answer that bears it, whatever has been read behind it, and whatever of its own body is still unread.

The word is now added when the head of an answer is written, and only to the answer of the last request that was read on its connection, once that request was read whole. What is read behind such an answer is not begun.

--- a/source/adapters/callers/answer_writer.ts
+++ b/source/adapters/callers/answer_writer.ts
@@ -9,6 +9,13 @@
 import type { CallerDialect, FailedRequest } from "./caller_dialect.ts";
 import { fields } from "../headers.ts";
 
+/** How a listener writes what it answers. */
+export interface Writing {
+  readonly dialect: CallerDialect;
+  /** Called just before the head of an answer is written. */
+  readonly beforeHead: (response: ServerResponse) => void;
+}
+
 /** A page for operators. */
 export interface Page {
   readonly status: number;
@@ -26,9 +33,9 @@
 export function writeFailure(
   response: ServerResponse,
   failed: FailedRequest,
-  dialect: CallerDialect,
+  writing: Writing,
 ): void {
-  onceNext(response, () => writeBacklog(response, failed, dialect));
+  onceNext(response, () => writeBacklog(response, failed, writing));
 }
 
 /**
@@ -38,10 +45,11 @@
 export function writeBacklog(
   response: ServerResponse,
   failed: FailedRequest,
-  dialect: CallerDialect,
+  { dialect, beforeHead }: Writing,
 ): void {
   if (response.destroyed || response.headersSent) return;
   const { status, headers, body } = dialect.composeFailure(failed);
+  beforeHead(response);
   response.writeHead(status, headers as Record<string, string | string[]>);
   response.end(body);
 }
@@ -68,6 +76,7 @@
 export function writeAnswer(
   response: ServerResponse,
   { answer, headers, signal }: WrittenAnswer,
+  { beforeHead }: Writing,
 ): void {
   const { body } = answer;
   if (body.kind === "stream") endWithCaller(body.stream, signal);
@@ -77,6 +86,7 @@
     if (body.kind === "stream" && body.stream.destroyed) {
       return void response.destroy();
     }
+    beforeHead(response);
     response.writeHead(
       answer.status,
       headers as Record<string, string | string[]>,
@@ -85,6 +95,7 @@
     pipe(body.stream, response);
   });
 }
+
 function endWithCaller(stream: Readable, signal: AbortSignal): void {
   stream.on("error", () => undefined);
   if (signal.aborted) return void stream.destroy();
--- a/source/adapters/callers/caller_presence.ts
+++ b/source/adapters/callers/caller_presence.ts
@@ -19,19 +19,24 @@
   ): void;
   /** Requests on a connection that have not been answered. */
   unanswered(socket: Socket): number;
+  /** Whether this answers the last request that was read on its connection. */
+  isLast(response: ServerResponse): boolean;
 }
 
+/** The requests on a connection, in order, with what to do if it is lost. */
+type Waiting = Map<ServerResponse, () => void>;
+
 /**
  * Starts without connections. A response that waits behind another on its
  * connection has no event yet, so connections are watched.
  */
 export function watchCallers(): CallerPresence {
-  const connections = new WeakMap<Socket, Set<() => void>>();
+  const connections = new WeakMap<Socket, Waiting>();
 
-  function watch(socket: Socket): Set<() => void> {
-    const waiting = new Set<() => void>();
+  function watch(socket: Socket): Waiting {
+    const waiting: Waiting = new Map();
     const leave = () => {
-      for (const callback of [...waiting]) callback();
+      for (const callback of [...waiting.values()]) callback();
       waiting.clear();
     };
     // The end and an error are known a turn of the event loop before the close.
@@ -49,11 +54,15 @@
       const left = () => {
         if (!response.writableFinished) leave();
       };
-      waiting.add(left);
+      waiting.set(response, left);
       response.once("close", () => {
-        if (waiting.delete(left)) left();
+        if (waiting.delete(response)) left();
       });
     },
     unanswered: (socket) => connections.get(socket)?.size ?? 0,
+    isLast(response) {
+      const waiting = connections.get(response.req.socket);
+      return [...waiting?.keys() ?? []].at(-1) === response;
+    },
   };
 }
--- a/source/adapters/callers/http_front.ts
+++ b/source/adapters/callers/http_front.ts
@@ -10,7 +10,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { Result } from "true-myth";
 import type { AgentId } from "../../core/agent.ts";
 import type { Configuration } from "../../core/document/document.ts";
@@ -23,6 +23,7 @@
   writeBacklog,
   writeFailure,
   writePage,
+  type Writing,
 } from "./answer_writer.ts";
 import { type CallerDialect, productDialect } from "./caller_dialect.ts";
 import { watchCallers } from "./caller_presence.ts";
@@ -60,7 +61,10 @@
 export interface Front {
   readonly server: Server;
   readonly port: number;
-  /** Takes no new connections, and closes each after its next answer. */
+  /**
+   * Takes no new connections, and closes each after the answer to the last
+   * request that was read on it.
+   */
   drain(): void;
   /** Closes the connections on which no request is being answered. */
   closeIdle(): void;
@@ -125,11 +129,14 @@
   const callers = watchCallers();
   const dialect = options.dialect ?? productDialect;
   const read = options.kind === "callers" ? dialect.read : readForwardedRequest;
+  const closing = new WeakSet<Socket>();
+  const writing: Writing = { dialect, beforeHead: closeAfterLast };
   let draining = false;
   const server = createServer(
     { maxHeaderSize: options.longestHeaderBytes },
     (message, response) => {
-      if (draining) response.setHeader("connection", "close");
+      // Its answer could not be written any more.
+      if (closing.has(message.socket)) return;
       void answer(message, response);
     },
   );
@@ -137,6 +144,19 @@
   server.requestTimeout = 0;
   server.on("clientError", refuseUnreadable);
 
+  /**
+   * Tells the caller that this answer is the last on its connection, unless
+   * others have to follow, or the rest of a body: closing on unread bytes would
+   * drop the answer on its way.
+   */
+  function closeAfterLast(response: ServerResponse): void {
+    if (!draining) return;
+    const { req: message } = response;
+    if (!message.complete || !callers.isLast(response)) return;
+    closing.add(message.socket);
+    response.setHeader("connection", "close");
+  }
+
   async function answer(
     message: IncomingMessage,
     response: ServerResponse,
@@ -147,7 +167,7 @@
       ? single(message.headers, fields.hop)
       : null;
     const hop = parseHop(name);
-    if (hop === null && name !== null) return refuseHop(response, dialect);
+    if (hop === null && name !== null) return refuseHop(response, writing);
     if (hop !== null && message.url === progressPath) {
       return tellProgress(response, hop);
     }
@@ -161,7 +181,7 @@
     });
     if (callers.unanswered(message.socket) > mostPipelined) {
       const failure = notRun("queue-full");
-      return writeBacklog(response, { failure, text: "", id: "" }, dialect);
+      return writeBacklog(response, { failure, text: "", id: "" }, writing);
     }
     const configuration = options.configuration();
     const lateMilliseconds = latenessOf(message, options);
@@ -178,7 +198,7 @@
         failure: notRun(reason),
         text,
         id: "",
-      }, dialect);
+      }, writing);
     }
     const arrival = hop === null ? null : { hop, lateMilliseconds };
     await handle(message, {
@@ -228,7 +248,7 @@
       return writeFailure(
         response,
         { failure: result.error, id, text: "" },
-        dialect,
+        writing,
       );
     }
     clearTimeout(timer);
@@ -244,7 +264,7 @@
       answer: result.value,
       headers: dialect.answerFields(result.value, request.id),
       signal: cancel.signal,
-    });
+    }, writing);
   }
 
   function tellProgress(response: ServerResponse, hop: HopCopy): void {
@@ -332,8 +352,8 @@
 }
 
 /** Copies whose names can't be read could run twice. */
-function refuseHop(response: ServerResponse, dialect: CallerDialect): void {
+function refuseHop(response: ServerResponse, writing: Writing): void {
   const failure = notRun("configuration-stale");
   const text = "the agent that sent this on is of another release";
-  writeFailure(response, { failure, text, id: "" }, dialect);
+  writeFailure(response, { failure, text, id: "" }, writing);
 }
