A planned stop leaves answers time to go out

Callers that read slowly saw a large answer break off when their agent stopped as planned: of 16 MB, 3.9 MB came.

Cause: Node takes a connection for idle once its answer was composed, though most of it still waits to be written, and closing it drops the rest. The wait for the last requests likewise ended when their targets had answered.

Idle connections are now closed only while no answer goes out, and a stop waits, up to its end, for answers that are not written.

Evidence: draining_test.ts, "leaves open what a slow caller still reads", which got 3,919,872 of 16,000,000 bytes before and gets all of them now.

--- a/source/adapters/callers/caller_presence.ts
+++ b/source/adapters/callers/caller_presence.ts
@@ -21,6 +21,10 @@
   unanswered(socket: Socket): number;
   /** Whether this answers the last request that was read on its connection. */
   isLast(response: ServerResponse): boolean;
+  /** Requests on all connections whose answers have not gone out. */
+  all(): number;
+  /** Whether some answer has been composed and is still going out. */
+  writing(): boolean;
 }
 
 /** The requests on a connection, in order, with what to do if it is lost. */
@@ -32,11 +36,15 @@
  */
 export function watchCallers(): CallerPresence {
   const connections = new WeakMap<Socket, Waiting>();
+  const unanswered = new Set<ServerResponse>();
 
   function watch(socket: Socket): Waiting {
     const waiting: Waiting = new Map();
     const leave = () => {
-      for (const callback of [...waiting.values()]) callback();
+      for (const [response, callback] of [...waiting]) {
+        unanswered.delete(response);
+        callback();
+      }
       waiting.clear();
     };
     // The end and an error are known a turn of the event loop before the close.
@@ -55,10 +63,17 @@
         if (!response.writableFinished) leave();
       };
       waiting.set(response, left);
+      unanswered.add(response);
       response.once("close", () => {
+        unanswered.delete(response);
         if (waiting.delete(response)) left();
       });
     },
+    all: () => unanswered.size,
+    writing: () =>
+      [...unanswered].some(({ writableEnded, writableFinished }) =>
+        writableEnded && !writableFinished
+      ),
     unanswered: (socket) => connections.get(socket)?.size ?? 0,
     isLast(response) {
       const waiting = connections.get(response.req.socket);
--- a/source/adapters/callers/draining_test.ts
+++ b/source/adapters/callers/draining_test.ts
@@ -15,6 +15,7 @@
   longestBodyBytes: 10_000_000,
 });
 
+const largeAnswerBytes = 16_000_000;
 const closeIdleMilliseconds = 20;
 const patienceMilliseconds = 3_000;
 
@@ -139,6 +140,31 @@
       await untilClosed();
       assert.match(received, /connection: close/i);
     });
+
+    // Guards against large answers that are broken off: what was still on its
+    // way to a slow caller counted as written.
+    it("leaves open what a slow caller still reads", async () => {
+      const body: AnswerBody = {
+        kind: "whole",
+        bytes: new Uint8Array(largeAnswerBytes).fill(120),
+      };
+      handle = () => Promise.resolve(answered(body));
+      caller.pause();
+      send("/media?wait=0");
+      await rest(100);
+      front.drain();
+      const closing = setInterval(
+        () => front.closeIdle(),
+        closeIdleMilliseconds,
+      );
+      await rest(200);
+      assert.equal(front.unanswered(), 1);
+      caller.resume();
+      await untilClosed();
+      clearInterval(closing);
+      assert.ok(received.length > largeAnswerBytes, `${received.length}`);
+      assert.equal(front.unanswered(), 0);
+    });
   });
 
   describe("when it refuses a body that still comes", () => {
--- a/source/adapters/callers/http_front.ts
+++ b/source/adapters/callers/http_front.ts
@@ -66,8 +66,13 @@
    * request that was read on it.
    */
   drain(): void;
-  /** Closes the connections on which no request is being answered. */
+  /**
+   * Closes the connections on which no request is being answered, or none
+   * while an answer still goes out.
+   */
   closeIdle(): void;
+  /** Requests that were read, and whose answers have not gone out. */
+  unanswered(): number;
   close(): void;
 }
 
@@ -312,7 +317,11 @@
           // which a caller may be sending its next request.
           NetServer.prototype.close.call(server);
         },
-        closeIdle: () => server.closeIdleConnections(),
+        closeIdle() {
+          // The server takes an answer that still goes out for done.
+          if (!callers.writing()) server.closeIdleConnections();
+        },
+        unanswered: callers.all,
         close() {
           server.close();
           server.closeAllConnections();
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -87,7 +87,8 @@
 async function untilQuiet(parts: StoppingParts, end: number): Promise<void> {
   let quietSince = monotonicNow();
   while (monotonicNow() < end) {
-    const running = parts.serve.running() + parts.entry.running();
+    const running = parts.serve.running() + parts.entry.running() +
+      parts.callers.unanswered();
     if (running > 0) quietSince = monotonicNow();
     if (monotonicNow() - quietSince >= quietMilliseconds) return;
     await pause(pollMilliseconds);
