A planned stop refuses at once what might not end before it

Callers that went on sending to an agent that stops as planned had requests passed on as late as a moment before its end, and cut there without an answer, among them requests that may not be repeated (LOST).

Cause: a stop served everything until its end; nothing compared the time that a request still has with the time that the agent still has.

From the moment at which callers must have heard of the stop, a request begins only if its deadline, and an answer just after it, come before the end. Any other is refused as not run (503, agent-stopping), once for each attempt, so also one that waited for a key to move. Before that moment callers can't know, and most requests end far below their time limit: all are served. What still waits for a slot of the target has the same check, and is refused before the end while an answer can be written. A request that is refused so is never counted as sent, so the promise of 503 holds; what runs is waited for.

Targets beside the agent call through the same listener.

--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -21,6 +21,7 @@
   | "deadline-too-near"
   | "deadline-passed"
   | "target-leaving"
+  | "agent-stopping"
   | "target-refused"
   | "target-unreachable"
   | "not-owner"
@@ -86,6 +87,7 @@
   "deadline-too-near": 503,
   "deadline-passed": 504,
   "target-leaving": 503,
+  "agent-stopping": 503,
   "target-refused": 503,
   "target-unreachable": 503,
   "not-owner": 503,
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -79,6 +79,7 @@
   "body-too-large",
   "deadline-passed",
   "deadline-too-near",
+  "agent-stopping",
   "configuration-stale",
   "caller-left",
 ]);
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -36,6 +36,7 @@
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startTargetWatch } from "../tasks/target_watch_task.ts";
+import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
 import { monotonicNow } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
@@ -122,6 +123,7 @@
   readonly bodyRoom: BodyRoomTask;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
+  readonly gate: StopGate;
 }
 
 /** Starts an agent; fails with a fault in plain words. */
@@ -341,7 +343,9 @@
     events,
     tickMilliseconds: bodyRoomTickMilliseconds,
   });
+  const gate = startStopGate();
   const serve = startServing({
+    mayBegin: gate.mayBegin,
     service: settings.service,
     holder: coordinator.holder,
     admission,
@@ -353,6 +357,7 @@
     metrics,
   });
   const entry = startEntry({
+    mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.spread.agents(),
     configuration: coordinator.configuration,
@@ -369,7 +374,7 @@
     retries: () => retries,
     shortestTableAgeMilliseconds,
   });
-  return { coordinator, admission, bodyRoom, serve, entry };
+  return { coordinator, admission, bodyRoom, serve, entry, gate };
 }
 
 async function closeOutside(outside: Outside): Promise<void> {
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -53,6 +53,7 @@
   startRegistration,
 } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
 import { monotonicNow, pause } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
@@ -128,6 +129,7 @@
   readonly bodyRoom: BodyRoomTask;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
+  readonly gate: StopGate;
   /** Closes the connections to the target. */
   readonly closeTarget: () => Promise<void>;
 }
@@ -321,7 +323,9 @@
     events,
     tickMilliseconds: bodyRoomTickMilliseconds,
   });
+  const gate = startStopGate();
   const serve = startServing({
+    mayBegin: gate.mayBegin,
     service: settings.service,
     holder: coordinator.holder,
     admission,
@@ -333,6 +337,7 @@
     metrics,
   });
   const entry = startEntry({
+    mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.spread.agents(),
     configuration: coordinator.configuration,
@@ -357,6 +362,7 @@
     bodyRoom,
     serve,
     entry,
+    gate,
     closeTarget: async () => {
       await Promise.all([target.close(), keyServer.close()]);
     },
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -5,10 +5,12 @@
  * @module
  */
 import type { Front } from "../adapters/callers/http_front.ts";
+import type { AdmissionTask } from "../tasks/admission_task.ts";
 import type { Coordinator } from "../tasks/coordinator.ts";
 import type { EntryTask } from "../tasks/entry_task.ts";
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
+import type { StopGate } from "../tasks/stop_gate.ts";
 import { evacuationMilliseconds } from "../tasks/target_watch_task.ts";
 import {
   monotonicNow,
@@ -19,10 +21,16 @@
 
 /** What a planned stop goes through. */
 export interface StoppingParts {
-  readonly coordinator: Coordinator;
-  readonly serve: ServeTask;
-  readonly entry: EntryTask;
-  readonly callers: Front;
+  readonly coordinator: {
+    readonly spread: Pick<Coordinator["spread"], "hurry">;
+    readonly grantors: Pick<Coordinator["grantors"], "handOver">;
+    holder(): Pick<HolderTask, "heldSlices" | "releaseAll"> | null;
+  };
+  readonly admission: Pick<AdmissionTask, "close">;
+  readonly gate: Pick<StopGate, "begin">;
+  readonly serve: Pick<ServeTask, "running">;
+  readonly entry: Pick<EntryTask, "running">;
+  readonly callers: Pick<Front, "drain" | "closeIdle" | "unanswered">;
 }
 
 /** Durations of a planned stop, in milliseconds. */
@@ -41,14 +49,20 @@
 const quietMilliseconds = 700;
 const pollMilliseconds = 20;
 const closeIdleMilliseconds = 100;
+/** An answer may come this much after the deadline of its request. */
+const lateAnswerMilliseconds = 300;
 
 /** Resolves when nothing runs here any more, or the time is over. */
 export async function drain(
   parts: StoppingParts,
   options: StopTimes,
 ): Promise<void> {
-  const end = monotonicNow() + options.timeoutMilliseconds;
-  const { coordinator } = parts;
+  const now = monotonicNow();
+  const end = now + options.timeoutMilliseconds;
+  const { coordinator, admission, gate } = parts;
+  const endsAt = end - lateAnswerMilliseconds;
+  gate.begin({ announcedAt: now + options.announceMilliseconds, endsAt });
+  const refusing = setTimeout(() => admission.close(), endsAt - now);
   const announced = pause(options.announceMilliseconds).then(() =>
     parts.callers.drain()
   );
@@ -60,11 +74,15 @@
     giveUpSlices(coordinator.holder(), end),
   ]);
   await untilQuiet(parts, end);
+  clearTimeout(refusing);
   closing.stop();
 }
 
 /** From the announcement on, as connections become idle. */
-function closeIdleAgainAndAgain(callers: Front, options: StopTimes): Ticker {
+function closeIdleAgainAndAgain(
+  callers: Pick<Front, "closeIdle">,
+  options: StopTimes,
+): Ticker {
   const from = monotonicNow() + options.announceMilliseconds;
   return startTicker(() => {
     if (options.closesIdle && monotonicNow() > from) callers.closeIdle();
@@ -72,7 +90,7 @@
 }
 
 async function giveUpSlices(
-  holder: HolderTask | null,
+  holder: ReturnType<StoppingParts["coordinator"]["holder"]>,
   end: number,
 ): Promise<void> {
   if (holder === null) return;
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -47,6 +47,7 @@
 import { startOwnerRoom } from "./owner_room.ts";
 import { type Destination, startOwnerTables } from "./owner_tables.ts";
 import type { ServeTask } from "./serve_task.ts";
+import type { MayBegin } from "./stop_gate.ts";
 import { monotonicNow, pause } from "./time.ts";
 import { startUnkeyedAttempts } from "./unkeyed_attempts.ts";
 
@@ -96,8 +97,11 @@
   readonly retries: () => RetrySettings;
   /** A table fetched so lately is not fetched again, in milliseconds. */
   readonly shortestTableAgeMilliseconds: number;
+  /** Everything may begin when left out. */
+  readonly mayBegin?: MayBegin;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
+  const { mayBegin = () => true } = options;
   /** For each service: a flood of failures at one must not use up another's. */
   const budgets = new Map<string, RetryBudget>();
   const room = startOwnerRoom({ self: agent.id, random });
@@ -203,6 +207,7 @@
     },
   ): Promise<Attempt> {
     const { key } = request;
+    if (!mayBegin(request)) return unsent(notRun("agent-stopping"));
     return key === null
       ? await unkeyed.attempt(request, options)
       : await attemptKeyed(request, { ...options, key });
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -23,6 +23,7 @@
 import type { AdmissionTask, Slot } from "./admission_task.ts";
 import { onAnswerEnd } from "./answer_end.ts";
 import type { HolderTask, Permit } from "./holder_task.ts";
+import type { MayBegin } from "./stop_gate.ts";
 import { monotonicNow } from "./time.ts";
 
 /** Serves requests at this agent's target. */
@@ -52,8 +53,11 @@
   readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
   readonly metrics: Metrics;
+  /** Everything may begin when left out. */
+  readonly mayBegin?: MayBegin;
 }): ServeTask {
   const { admission, target, events, metrics } = options;
+  const { mayBegin = () => true } = options;
   let running = 0;
 
   async function serve(
@@ -98,6 +102,7 @@
   ): Failure | null {
     if (permit !== null && !permit.stillHolds()) return notRun("lease-ended");
     if (monotonicNow() >= request.deadlineAt) return notRun("deadline-passed");
+    if (!mayBegin(request)) return notRun("target-leaving");
     return request.signal.aborted ? notRun("caller-left") : null;
   }
 
--- a/source/tasks/waiting_for_slot_test.ts
+++ b/source/tasks/waiting_for_slot_test.ts
@@ -5,6 +5,7 @@
 import type { ProxyAnswer } from "../ports/upstream.ts";
 import { startAdmission } from "./admission_task.ts";
 import { startServing } from "./serve_task.ts";
+import type { MayBegin } from "./stop_gate.ts";
 
 const deadlineMilliseconds = 2_000;
 const body = { kind: "kept", bytes: new Uint8Array() } as const;
@@ -19,6 +20,7 @@
 function startOneSlot(options: {
   /** What is read before work that has waited is begun. */
   readonly read: () => void;
+  readonly mayBegin?: MayBegin;
 }) {
   const ends: (() => void)[] = [];
   const sent: string[] = [];
@@ -53,6 +55,7 @@
     },
     events: { record: () => undefined },
     metrics: { count: () => undefined, time: () => undefined },
+    ...(options.mayBegin === undefined ? {} : { mayBegin: options.mayBegin }),
   });
   return {
     sent,
@@ -97,4 +100,29 @@
       slot.stop();
     });
   });
+
+  describe("of an agent that stops before the request's time ends", () => {
+    // Guards against requests that are cut off at the end of a planned stop
+    // (LOST): one that had waited was sent though the rest was too short.
+    it("is refused once its slot is free, for the sender to go elsewhere", async () => {
+      let stopping = false;
+      const slot = startOneSlot({
+        read: () => undefined,
+        mayBegin: () => !stopping,
+      });
+      const stays = new AbortController().signal;
+      const first = slot.send("first", stays);
+      await rest();
+      const second = slot.send("second", stays);
+      await rest();
+      stopping = true;
+      slot.endFirst();
+      const result = await second;
+      assert.equal(result.isErr && result.error.reason, "target-leaving");
+      assert.equal(result.isErr && result.error.outcome, "not-run");
+      assert.deepEqual(slot.sent, ["first"]);
+      assert.ok((await first).isOk);
+      slot.stop();
+    });
+  });
 });
