A planned stop waits for what runs while it leaves the coordination

Requests that still ran 0.9 s before the end of the grace were cut off there, though the agent went on for that time: it was kept for handing over the last leases and for the word of the stop in the store.

Callers are now cut off only once nothing runs, or 0.3 s before the end of the grace, and the agent leaves the coordination meanwhile. So a request may also begin 0.6 s later than before and still end in time.

Evidence: stop_test.ts, "waits for what runs": with callers cut off before the agent leaves, the second of two answers is missing.

--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -42,7 +42,7 @@
 import { operatorPages } from "./operator_pages.ts";
 import { openCommonParts, tellAbandoned, tellArrivals } from "./outside.ts";
 import type { AgentSettings } from "./settings.ts";
-import { drain } from "./stop.ts";
+import { stopServing } from "./stop.ts";
 
 /** A running agent. */
 export interface RunningAgent {
@@ -188,16 +188,19 @@
     outside.events.record("agent-stopping");
     watch.leave();
     await started.coordinator.beginStop();
-    await drain({ ...started, callers }, {
+    await stopServing({
+      ...started,
+      callers,
+      leave: () => started.coordinator.stop(),
+    }, {
       announceMilliseconds: 0,
       timeoutMilliseconds: settings.drainTimeout,
+      answersMilliseconds: settings.drainTimeout,
       closesIdle: false,
     });
     outside.events.record("agent-stopped");
-    await started.coordinator.stop();
     started.admission.stop();
     started.bodyRoom.stop();
-    callers.close();
     peerServer.close();
     agents.close();
     await closeOutside(outside);
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -83,7 +83,7 @@
   startShare,
   stopTimes,
 } from "./platform_policy.ts";
-import { drain } from "./stop.ts";
+import { stopServing } from "./stop.ts";
 
 /** A running agent. */
 export interface RunningPlatformAgent {
@@ -169,13 +169,14 @@
     outside.events.record("agent-stopping");
     inside.registration.stopServing();
     await inside.coordinator.beginStop();
-    await drain({ ...inside, callers }, stopTimes(current));
+    await stopServing({
+      ...inside,
+      callers,
+      leave: () => leave(outside, inside),
+    }, stopTimes(current));
     outside.events.record("agent-stopped", {
       running: inside.entry.running() + inside.serve.running(),
     });
-    callers.close();
-    await inside.coordinator.stop();
-    await tellDeparture(outside, inside);
     inside.registration.stop();
     inside.admission.stop();
     inside.bodyRoom.stop();
@@ -192,6 +193,11 @@
   });
 }
 
+async function leave(outside: Outside, inside: Inside): Promise<void> {
+  await inside.coordinator.stop();
+  await tellDeparture(outside, inside);
+}
+
 /**
  * Leaves word in the store that this process has stopped, so that no later
  * grantor waits for it. Only once nothing is held or granted here any more.
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -140,18 +140,21 @@
 
 /** Two questions a second apart take a machine's callers away. */
 const announceMilliseconds = 2_100;
-/** What is left of the grace for closing once the requests have ended. */
-const graceMarginMilliseconds = 900;
+/** What is left of the grace for leaving the coordination. */
+const leavingMilliseconds = 900;
+/** What is left of the grace for closing connections and ending. */
+const closingMilliseconds = 300;
 
 /** The store has so long to take the word of a planned stop. */
 export const departureTimeoutMilliseconds = 300;
 
 /** How long a planned stop may take. */
 export function stopTimes(settings: PlatformSettings): StopTimes {
+  const { graceMilliseconds } = settings.bounds;
   return {
     announceMilliseconds,
-    timeoutMilliseconds: settings.bounds.graceMilliseconds -
-      graceMarginMilliseconds,
+    timeoutMilliseconds: graceMilliseconds - leavingMilliseconds,
+    answersMilliseconds: graceMilliseconds - closingMilliseconds,
     closesIdle: true,
   };
 }
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -30,14 +30,17 @@
   readonly gate: Pick<StopGate, "begin">;
   readonly serve: Pick<ServeTask, "running">;
   readonly entry: Pick<EntryTask, "running">;
-  readonly callers: Pick<Front, "drain" | "closeIdle" | "unanswered">;
+  readonly callers: Pick<Front, "drain" | "closeIdle" | "unanswered" | "close">;
 }
 
 /** Durations of a planned stop, in milliseconds. */
 export interface StopTimes {
   /** Callers are served as before until they must have heard of the stop. */
   readonly announceMilliseconds: number;
+  /** The agent takes part in coordination for so long at most. */
   readonly timeoutMilliseconds: number;
+  /** What runs is waited for so long at most; not less than the timeout. */
+  readonly answersMilliseconds: number;
   /**
    * Whether idle connections are closed once callers must have heard: callers
    * that go on sending would otherwise be cut off at the end.
@@ -52,17 +55,37 @@
 /** An answer may come this much after the deadline of its request. */
 const lateAnswerMilliseconds = 300;
 
+/**
+ * Goes through a planned stop until callers are cut off. `leave` ends the
+ * agent's part in coordination, while what still runs is waited for.
+ */
+export async function stopServing(
+  parts: StoppingParts & { readonly leave: () => Promise<void> },
+  options: StopTimes,
+): Promise<void> {
+  const now = monotonicNow();
+  const answersEndAt = now + options.answersMilliseconds;
+  const announcedAt = now + options.announceMilliseconds;
+  const endsAt = answersEndAt - lateAnswerMilliseconds;
+  parts.gate.begin({ announcedAt, endsAt });
+  const refusing = setTimeout(() => parts.admission.close(), endsAt - now);
+  await drain(parts, options);
+  const left = parts.leave();
+  while (countRunning(parts) > 0 && monotonicNow() < answersEndAt) {
+    await pause(pollMilliseconds);
+  }
+  clearTimeout(refusing);
+  parts.callers.close();
+  await left;
+}
+
 /** Resolves when nothing runs here any more, or the time is over. */
-export async function drain(
+async function drain(
   parts: StoppingParts,
   options: StopTimes,
 ): Promise<void> {
-  const now = monotonicNow();
-  const end = now + options.timeoutMilliseconds;
-  const { coordinator, admission, gate } = parts;
-  const endsAt = end - lateAnswerMilliseconds;
-  gate.begin({ announcedAt: now + options.announceMilliseconds, endsAt });
-  const refusing = setTimeout(() => admission.close(), endsAt - now);
+  const end = monotonicNow() + options.timeoutMilliseconds;
+  const { coordinator } = parts;
   const announced = pause(options.announceMilliseconds).then(() =>
     parts.callers.drain()
   );
@@ -74,10 +97,14 @@
     giveUpSlices(coordinator.holder(), end),
   ]);
   await untilQuiet(parts, end);
-  clearTimeout(refusing);
   closing.stop();
 }
 
+function countRunning(parts: StoppingParts): number {
+  const { serve, entry, callers } = parts;
+  return serve.running() + entry.running() + callers.unanswered();
+}
+
 /** From the announcement on, as connections become idle. */
 function closeIdleAgainAndAgain(
   callers: Pick<Front, "closeIdle">,
@@ -105,9 +132,7 @@
 async function untilQuiet(parts: StoppingParts, end: number): Promise<void> {
   let quietSince = monotonicNow();
   while (monotonicNow() < end) {
-    const running = parts.serve.running() + parts.entry.running() +
-      parts.callers.unanswered();
-    if (running > 0) quietSince = monotonicNow();
+    if (countRunning(parts) > 0) quietSince = monotonicNow();
     if (monotonicNow() - quietSince >= quietMilliseconds) return;
     await pause(pollMilliseconds);
   }
