--- a/source/adapters/callers/caller_presence.ts
+++ b/source/adapters/callers/caller_presence.ts
@@ -19,19 +19,32 @@
   ): void;
   /** Requests on a connection that have not been answered. */
   unanswered(socket: Socket): number;
+  /** Whether this answers the last request that was read on its connection. */
+  isLast(response: ServerResponse): boolean;
+  /** Requests on all connections whose answers have not gone out. */
+  all(): number;
+  /** Whether some answer has been composed and is still going out. */
+  writing(): boolean;
 }
 
+/** The requests on a connection, in order, with what to do if it is lost. */
+type Waiting = Map<ServerResponse, () => void>;
+
 /**
  * Starts without connections. A response that waits behind another on its
  * connection has no event yet, so connections are watched.
  */
 export function watchCallers(): CallerPresence {
-  const connections = new WeakMap<Socket, Set<() => void>>();
+  const connections = new WeakMap<Socket, Waiting>();
+  const unanswered = new Set<ServerResponse>();
 
-  function watch(socket: Socket): Set<() => void> {
-    const waiting = new Set<() => void>();
+  function watch(socket: Socket): Waiting {
+    const waiting: Waiting = new Map();
     const leave = () => {
-      for (const callback of [...waiting]) callback();
+      for (const [response, callback] of [...waiting]) {
+        unanswered.delete(response);
+        callback();
+      }
       waiting.clear();
     };
     // The end and an error are known a turn of the event loop before the close.
@@ -49,11 +62,22 @@
       const left = () => {
         if (!response.writableFinished) leave();
       };
-      waiting.add(left);
+      waiting.set(response, left);
+      unanswered.add(response);
       response.once("close", () => {
-        if (waiting.delete(left)) left();
+        unanswered.delete(response);
+        if (waiting.delete(response)) left();
       });
     },
+    all: () => unanswered.size,
+    writing: () =>
+      [...unanswered].some(({ writableEnded, writableFinished }) =>
+        writableEnded && !writableFinished
+      ),
     unanswered: (socket) => connections.get(socket)?.size ?? 0,
+    isLast(response) {
+      const waiting = connections.get(response.req.socket);
+      return [...waiting?.keys() ?? []].at(-1) === response;
+    },
   };
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -53,6 +53,7 @@
   startRegistration,
 } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
 import { monotonicNow, pause } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
@@ -82,7 +83,7 @@
   startShare,
   stopTimes,
 } from "./platform_policy.ts";
-import { drain } from "./stop.ts";
+import { stopServing } from "./stop.ts";
 
 /** A running agent. */
 export interface RunningPlatformAgent {
@@ -128,6 +129,7 @@
   readonly bodyRoom: BodyRoomTask;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
+  readonly gate: StopGate;
   /** Closes the connections to the target. */
   readonly closeTarget: () => Promise<void>;
 }
@@ -167,13 +169,14 @@
     outside.events.record("agent-stopping");
     inside.registration.stopServing();
     await inside.coordinator.beginStop();
-    await drain({ ...inside, callers }, stopTimes(current));
+    await stopServing({
+      ...inside,
+      callers,
+      leave: () => leave(outside, inside),
+    }, stopTimes(current));
     outside.events.record("agent-stopped", {
       running: inside.entry.running() + inside.serve.running(),
     });
-    callers.close();
-    await inside.coordinator.stop();
-    await tellDeparture(outside, inside);
     inside.registration.stop();
     inside.admission.stop();
     inside.bodyRoom.stop();
@@ -190,6 +193,11 @@
   });
 }
 
+async function leave(outside: Outside, inside: Inside): Promise<void> {
+  await inside.coordinator.stop();
+  await tellDeparture(outside, inside);
+}
+
 /**
  * Leaves word in the store that this process has stopped, so that no later
  * grantor waits for it. Only once nothing is held or granted here any more.
@@ -321,7 +329,9 @@
     events,
     tickMilliseconds: bodyRoomTickMilliseconds,
   });
+  const gate = startStopGate();
   const serve = startServing({
+    mayBegin: gate.mayBegin,
     service: settings.service,
     holder: coordinator.holder,
     admission,
@@ -333,6 +343,7 @@
     metrics,
   });
   const entry = startEntry({
+    mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.spread.agents(),
     configuration: coordinator.configuration,
@@ -357,6 +368,7 @@
     bodyRoom,
     serve,
     entry,
+    gate,
     closeTarget: async () => {
       await Promise.all([target.close(), keyServer.close()]);
     },
--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -5,10 +5,12 @@
  * @module
  */
 import type { Front } from "../adapters/callers/http_front.ts";
+import type { AdmissionTask } from "../tasks/admission_task.ts";
 import type { Coordinator } from "../tasks/coordinator.ts";
 import type { EntryTask } from "../tasks/entry_task.ts";
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
+import type { StopGate } from "../tasks/stop_gate.ts";
 import { evacuationMilliseconds } from "../tasks/target_watch_task.ts";
 import {
   monotonicNow,
@@ -19,17 +21,26 @@
 
 /** What a planned stop goes through. */
 export interface StoppingParts {
-  readonly coordinator: Coordinator;
-  readonly serve: ServeTask;
-  readonly entry: EntryTask;
-  readonly callers: Front;
+  readonly coordinator: {
+    readonly spread: Pick<Coordinator["spread"], "hurry">;
+    readonly grantors: Pick<Coordinator["grantors"], "handOver">;
+    holder(): Pick<HolderTask, "heldSlices" | "releaseAll"> | null;
+  };
+  readonly admission: Pick<AdmissionTask, "close">;
+  readonly gate: Pick<StopGate, "begin">;
+  readonly serve: Pick<ServeTask, "running">;
+  readonly entry: Pick<EntryTask, "running">;
+  readonly callers: Pick<Front, "drain" | "closeIdle" | "unanswered" | "close">;
 }
 
 /** Durations of a planned stop, in milliseconds. */
 export interface StopTimes {
   /** Callers are served as before until they must have heard of the stop. */
   readonly announceMilliseconds: number;
+  /** The agent takes part in coordination for so long at most. */
   readonly timeoutMilliseconds: number;
+  /** What runs is waited for so long at most; not less than the timeout. */
+  readonly answersMilliseconds: number;
   /**
    * Whether idle connections are closed once callers must have heard: callers
    * that go on sending would otherwise be cut off at the end.
@@ -41,9 +52,35 @@
 const quietMilliseconds = 700;
 const pollMilliseconds = 20;
 const closeIdleMilliseconds = 100;
+/** An answer may come this much after the deadline of its request. */
+const lateAnswerMilliseconds = 300;
+
+/**
+ * Goes through a planned stop until callers are cut off. `leave` ends the
+ * agent's part in coordination, while what still runs is waited for.
+ */
+export async function stopServing(
+  parts: StoppingParts & { readonly leave: () => Promise<void> },
+  options: StopTimes,
+): Promise<void> {
+  const now = monotonicNow();
+  const answersEndAt = now + options.answersMilliseconds;
+  const announcedAt = now + options.announceMilliseconds;
+  const endsAt = answersEndAt - lateAnswerMilliseconds;
+  parts.gate.begin({ announcedAt, endsAt });
+  const refusing = setTimeout(() => parts.admission.close(), endsAt - now);
+  await drain(parts, options);
+  const left = parts.leave();
+  while (countRunning(parts) > 0 && monotonicNow() < answersEndAt) {
+    await pause(pollMilliseconds);
+  }
+  clearTimeout(refusing);
+  parts.callers.close();
+  await left;
+}
 
 /** Resolves when nothing runs here any more, or the time is over. */
-export async function drain(
+async function drain(
   parts: StoppingParts,
   options: StopTimes,
 ): Promise<void> {
@@ -63,8 +100,16 @@
   closing.stop();
 }
 
+function countRunning(parts: StoppingParts): number {
+  const { serve, entry, callers } = parts;
+  return serve.running() + entry.running() + callers.unanswered();
+}
+
 /** From the announcement on, as connections become idle. */
-function closeIdleAgainAndAgain(callers: Front, options: StopTimes): Ticker {
+function closeIdleAgainAndAgain(
+  callers: Pick<Front, "closeIdle">,
+  options: StopTimes,
+): Ticker {
   const from = monotonicNow() + options.announceMilliseconds;
   return startTicker(() => {
     if (options.closesIdle && monotonicNow() > from) callers.closeIdle();
@@ -72,7 +117,7 @@
 }
 
 async function giveUpSlices(
-  holder: HolderTask | null,
+  holder: ReturnType<StoppingParts["coordinator"]["holder"]>,
   end: number,
 ): Promise<void> {
   if (holder === null) return;
@@ -87,8 +132,7 @@
 async function untilQuiet(parts: StoppingParts, end: number): Promise<void> {
   let quietSince = monotonicNow();
   while (monotonicNow() < end) {
-    const running = parts.serve.running() + parts.entry.running();
-    if (running > 0) quietSince = monotonicNow();
+    if (countRunning(parts) > 0) quietSince = monotonicNow();
     if (monotonicNow() - quietSince >= quietMilliseconds) return;
     await pause(pollMilliseconds);
   }
