A link is full only when even the quickest body is held up

What callers saw: an agent refused large bodies for want of room on its link while the link stood nearly empty, for as long as its senders were slow.

Cause: what a link carries was measured from the word to come until the body was whole. With senders that take 300 ms the measure was what the few bodies let come bring, and that measure then let no more come.

Now a link counts as full only while bodies take longer than the quickest one, beyond the time of their own bytes; what arrives meanwhile is what it carries. Before that was seen nothing is refused at once, and more may come as quick bodies arrive. A link that has held all bodies up for 10 s runs empty once, so that senders that have become slower are not taken for a queue.

Bodies from senders of 460 to 640 ms are still refused in the first second when 20 to 50 a second begin at once over a link of which nothing is known.

--- a/source/core/bodies/link_room.ts
+++ b/source/core/bodies/link_room.ts
@@ -7,6 +7,11 @@
  * messages find the link short. An offer whose body could not arrive in time
  * is refused before any byte of the body was sent.
  *
+ * A body that takes long proves nothing: its sender may be slow. A link is in
+ * full use when even the quickest body takes longer than one that found the
+ * link empty. What arrives meanwhile is what the link carries; before that has
+ * been seen no offer is refused for it.
+ *
  * Invariants:
  * - every offer is let come or refused, exactly once;
  * - an idle link takes any body, so that a wrong measure corrects itself.
@@ -35,14 +40,32 @@
   readonly expectedBy: number;
 }
 
+/** What one body took from the word to come until it was whole. */
+interface Passage {
+  readonly milliseconds: number;
+  readonly bytes: number;
+}
+
 /** What is known of the link to one agent. */
 export interface LinkRoomState {
-  /** What the link carries when it is in use; null while not known. */
+  /** What the link carries in full use; null while that was not seen. */
   readonly bytesPerSecond: number | null;
   readonly coming: ReadonlyMap<string, ComingBody>;
+  /** When each of them was let come. */
+  readonly begunAt: ReadonlyMap<string, number>;
   /** In order of arrival. */
   readonly waiting: readonly WaitingOffer[];
-  /** Bytes that have arrived since the measurement in progress began. */
+  /** The body that was let come last when the link had run empty. */
+  readonly alone: string | null;
+  /** When a body came last that found no queue. */
+  readonly quickAt: number;
+  /** The body that was held up least; null before the first. */
+  readonly quickest: Passage | null;
+  /** Bodies that may come at one time while the rate is not known. */
+  readonly unmeasuredBodies: number;
+  /** Whether an offer was refused since a body last found no queue. */
+  readonly refused: boolean;
+  /** Bytes that have arrived behind a queue, since it was first seen. */
   readonly measured: { readonly bytes: number; readonly since: number };
 }
 
@@ -70,13 +93,19 @@
 
 /** Bytes that come at one time, as time on the link. */
 const comingMilliseconds = 150;
+/** A body that is held up for longer has found a queue. */
+const queueMilliseconds = comingMilliseconds / 2;
+/** Over a link of unknown rate more may come only after quicker ones. */
+const quickMilliseconds = 25;
+/** Bytes that come at one time however slow the link seems. */
+const leastComingBytes = 196_608;
+/** Bodies that come at first over a link that has not been measured. */
+const firstBodies = 4;
 /**
- * Bytes that come at one time however slow the link seems: with one body at a
- * time, senders that are late themselves can't be told from a slow link.
+ * A body that takes longer over such a link waits for its sender: that many
+ * bodies, and no more, fill no link for so long.
  */
-const leastComingBytes = 196_608;
-/** Bodies that come at one time over a link that has not been measured. */
-const unmeasuredBodies = 4;
+const slowSenderMilliseconds = 650;
 /** A body must arrive within this part of its objective; the rest is work. */
 const arrivalShare = 0.5;
 /** An offer waits if it is likely to wait no longer than this. */
@@ -87,13 +116,23 @@
 const patienceFactor = 3;
 const leastPatienceMilliseconds = 1_000;
 const leastMeasureMilliseconds = 300;
-const rateSmoothing = 0.25;
+/** Of a link of unknown rate, so that a first burst makes no long queue. */
+const firstMeasureMilliseconds = 150;
+const smoothing = 0.25;
+/** A link that holds all bodies up for so long is let run empty once. */
+const emptyAgainMilliseconds = 10_000;
 
 /** A link of which nothing is known. */
 export const unknownLink: LinkRoomState = {
   bytesPerSecond: null,
   coming: new Map(),
+  begunAt: new Map(),
   waiting: [],
+  alone: null,
+  quickAt: 0,
+  quickest: null,
+  unmeasuredBodies: firstBodies,
+  refused: false,
   measured: { bytes: 0, since: 0 },
 };
 
@@ -118,10 +157,15 @@
   { offer, now }: LinkRoomEvent & { readonly kind: "offered" },
 ): LinkRoomTransition {
   if (isIdle(state)) return letCome(withWaiting(state, offer, now), now);
+  const delay = emptyDelay(state);
   const ahead = bytesOnTheWay(state);
-  const wait = milliseconds(state, ahead) - comingMilliseconds;
-  const excess = Math.max(
-    now + milliseconds(state, ahead + offer.bytes) - latestArrival(offer, now),
+  const queue = milliseconds(state, ahead);
+  const wait = queue - comingMilliseconds - delay;
+  // What comes before the empty delay is over was never on the link at once.
+  const arrives = now + Math.max(queue, delay) +
+    milliseconds(state, offer.bytes);
+  const excess = state.bytesPerSecond === null ? 0 : Math.max(
+    arrives - latestArrival(offer, now),
     wait - likelyWaitMilliseconds,
   );
   if (excess > 0) {
@@ -158,7 +202,7 @@
   retryAfterMilliseconds: number,
 ): LinkRoomTransition {
   return {
-    state,
+    state: { ...state, refused: true },
     effects: [{ kind: "refuse", id, retryAfterMilliseconds }],
   };
 }
@@ -176,7 +220,7 @@
         id: offer.id,
         retryAfterMilliseconds: wait,
       });
-    } else if (hasRoom(state)) {
+    } else if (hasRoom(state, now)) {
       state = begin(state, offer, now);
       effects.push({ kind: "come", id: offer.id });
     }
@@ -184,12 +228,31 @@
   return { state, effects };
 }
 
-function hasRoom(state: LinkRoomState): boolean {
+function hasRoom(state: LinkRoomState, now: number): boolean {
   const { coming, bytesPerSecond } = state;
-  if (bytesPerSecond === null) return coming.size < unmeasuredBodies;
+  if (coming.size === 0) return true;
+  if (isLongQueued(state, now)) return false;
+  if (bytesPerSecond === null) {
+    const slow = slowSenders(state, now);
+    return coming.size - slow < state.unmeasuredBodies + slow;
+  }
   const bytes = comingBytes(state);
   return bytes < leastComingBytes ||
-    milliseconds(state, bytes) < comingMilliseconds;
+    milliseconds(state, bytes) < comingMilliseconds + emptyDelay(state);
+}
+
+/** Senders may be slower than before, so that all bodies seem queued. */
+function isLongQueued({ quickAt }: LinkRoomState, now: number): boolean {
+  return now - quickAt >= emptyAgainMilliseconds;
+}
+
+/** How many bodies that come are held up by their senders. */
+function slowSenders({ begunAt }: LinkRoomState, now: number): number {
+  let slow = 0;
+  for (const at of begunAt.values()) {
+    if (now - at >= slowSenderMilliseconds) slow += 1;
+  }
+  return slow;
 }
 
 function begin(
@@ -197,16 +260,21 @@
   offer: WaitingOffer,
   now: number,
 ): LinkRoomState {
-  const usual = milliseconds(state, comingBytes(state) + offer.bytes);
+  const { id, bytes } = offer;
+  const usual = milliseconds(state, comingBytes(state) + bytes) +
+    emptyDelay(state);
   const patience = Math.max(leastPatienceMilliseconds, usual * patienceFactor);
-  const body = { bytes: offer.bytes, expectedBy: now + patience };
+  const empty = state.coming.size === 0;
   return {
     ...state,
     waiting: without(state.waiting, offer),
-    coming: new Map(state.coming).set(offer.id, body),
-    measured: state.coming.size === 0
-      ? { bytes: 0, since: now }
-      : state.measured,
+    coming: new Map(state.coming).set(id, {
+      bytes,
+      expectedBy: now + patience,
+    }),
+    begunAt: new Map(state.begunAt).set(id, now),
+    ...(empty && isLongQueued(state, now) ? { alone: id, quickAt: now } : {}),
+    measured: empty ? { bytes: 0, since: now } : state.measured,
   };
 }
 
@@ -224,30 +292,93 @@
   const body = state.coming.get(id);
   if (body === undefined) return state;
   const coming = new Map(state.coming);
+  const begunAt = new Map(state.begunAt);
   coming.delete(id);
-  const { since } = state.measured;
-  const bytes = state.measured.bytes + body.bytes;
-  const took = now - since;
-  const enough = took >= leastMeasureMilliseconds || coming.size === 0;
-  if (!enough || took <= 0) {
-    return { ...state, coming, measured: { bytes, since } };
-  }
-  return {
+  begunAt.delete(id);
+  const { bytes } = body;
+  const took = now - (state.begunAt.get(id) ?? now);
+  const passage = { milliseconds: took, bytes };
+  const known = {
     ...state,
     coming,
-    bytesPerSecond: learnRate(state, bytes * 1_000 / took),
-    measured: { bytes: 0, since: now },
+    begunAt,
+    bytesPerSecond: atLeast(state.bytesPerSecond, bytes * 1_000 / took),
   };
+  const quickest = state.alone === id && state.bytesPerSecond !== null
+    ? passage
+    : quicker(known, passage);
+  const next = { ...known, quickest };
+  const heldUp = delayOf(next, passage) - emptyDelay(next);
+  if (heldUp >= queueMilliseconds) return arrivedLate(next, body, now);
+  const quick = state.quickest !== null && heldUp < quickMilliseconds;
+  const more = state.waiting.length === 0
+    ? 0
+    : (quick ? 1 : 0) + (took >= slowSenderMilliseconds ? 1 : 0);
+  const unmeasuredBodies = state.unmeasuredBodies + more;
+  return arrivedInTime({ ...next, unmeasuredBodies, quickAt: now }, body, now);
 }
 
-/**
- * A link that is not in full use seems slower than it is, never faster: only
- * while offers wait for it can it prove to be slow.
- */
-function learnRate(state: LinkRoomState, sample: number): number {
-  const mean = state.bytesPerSecond ?? sample;
-  if (sample < mean && state.waiting.length === 0) return mean;
-  return mean + (sample - mean) * rateSmoothing;
+/** What a body took beyond the time of its bytes on the link. */
+function delayOf(state: LinkRoomState, passage: Passage): number {
+  const own = milliseconds(state, passage.bytes);
+  return Math.max(0, passage.milliseconds - own);
+}
+
+/** The delay of a body that finds the link empty; 0 while not known. */
+function emptyDelay(state: LinkRoomState): number {
+  return state.quickest === null ? 0 : delayOf(state, state.quickest);
+}
+
+function quicker(state: LinkRoomState, passage: Passage): Passage {
+  const { quickest } = state;
+  return quickest === null || delayOf(state, passage) <= emptyDelay(state)
+    ? passage
+    : quickest;
+}
+
+/** No body is quicker than its link. */
+function atLeast(rate: number | null, proved: number): number | null {
+  if (rate === null || !Number.isFinite(proved)) return rate;
+  return Math.max(rate, proved);
+}
+
+/** A link that holds nothing up may carry more, if more waits for it. */
+function arrivedInTime(
+  state: LinkRoomState,
+  { bytes }: ComingBody,
+  now: number,
+): LinkRoomState {
+  const { bytesPerSecond: rate, waiting } = state;
+  const wanted = state.refused || waiting.length > 0;
+  const next = { ...state, refused: false, measured: { bytes: 0, since: now } };
+  if (rate === null || !wanted) return next;
+  const usual = comingMilliseconds + emptyDelay(state);
+  const bytesPerSecond = rate + bytes * 1_000 / usual * smoothing;
+  return { ...next, bytesPerSecond };
+}
+
+/** What arrives while a queue stands is what the link carries. */
+function arrivedLate(
+  state: LinkRoomState,
+  body: ComingBody,
+  now: number,
+): LinkRoomState {
+  const { bytesPerSecond: rate } = state;
+  const { since } = state.measured;
+  const bytes = state.measured.bytes + body.bytes;
+  const unmeasuredBodies = Math.max(firstBodies, state.unmeasuredBodies - 1);
+  const known = { ...state, unmeasuredBodies };
+  const least = rate === null
+    ? firstMeasureMilliseconds
+    : leastMeasureMilliseconds;
+  if (now - since < least) return { ...known, measured: { bytes, since } };
+  const sample = bytes * 1_000 / (now - since);
+  const mean = rate ?? sample;
+  return {
+    ...known,
+    bytesPerSecond: mean + (sample - mean) * smoothing,
+    measured: { bytes: 0, since: now },
+  };
 }
 
 function dropUnsent(state: LinkRoomState, now: number): LinkRoomState {
@@ -255,8 +386,13 @@
     body.expectedBy <= now
   );
   if (!lost) return state;
-  const coming = [...state.coming].filter(([, body]) => body.expectedBy > now);
-  return { ...state, coming: new Map(coming) };
+  const coming = new Map(
+    [...state.coming].filter(([, body]) => body.expectedBy > now),
+  );
+  const begunAt = new Map(
+    [...state.begunAt].filter(([id]) => coming.has(id)),
+  );
+  return { ...state, coming, begunAt };
 }
 
 function comingBytes(state: LinkRoomState): number {
