A clock that stood still no longer makes a process look late for minutes

What callers saw: after a machine stood still for five seconds, its wall clock too, other agents refused its sound requests as late. What is usual between two processes was kept for good, and only drift, ten milliseconds a second, made up for the five seconds.

Once ten messages or more in a row, over 20 s, have all been late, the least of them is the usual one. A queue that empties now and then shows a quick message before that. One that never does is no longer seen after 20 s: this only changes how much of a request's time is taken off, since that it runs once at most rests on the hop ledger and on no time.

--- a/source/core/request/transit.ts
+++ b/source/core/request/transit.ts
@@ -5,7 +5,8 @@
  * The steady clocks of two processes have no common beginning: the difference
  * between a departure on one and the arrival on the other says nothing by
  * itself. The least difference seen is that of a quick message; what a message
- * has above it was spent waiting on the way.
+ * has above it was spent waiting on the way. Where no message is quick any more
+ * for long, a clock has stood still: what is usual is learned anew.
  *
  * @module
  */
@@ -24,6 +25,16 @@
   readonly milliseconds: number;
   /** On the receiver's steady clock. */
   readonly seenAt: number;
+  /** The messages since then, each of them late; null without any. */
+  readonly lateOnes: LateMessages | null;
+}
+
+interface LateMessages {
+  /** The least difference among them. */
+  readonly milliseconds: number;
+  readonly count: number;
+  /** When the first of them came, on the receiver's steady clock. */
+  readonly since: number;
 }
 
 /** What one arrival tells. */
@@ -36,6 +47,14 @@
 /** Clocks run apart by one part in a hundred at most. */
 const mostClockDrift = 0.01;
 
+/**
+ * When all messages of a process have been late for so long, its clock or this
+ * one has stood still. A queue that never ran empty meanwhile looks the same.
+ */
+const relearnMilliseconds = 20_000;
+/** Fewer messages may all have met a queue by chance. */
+const leastLateMessages = 10;
+
 /** Compares an arrival with the quickest one known; null for the first. */
 export function noteArrival(
   known: LeastDifference | null,
@@ -43,13 +62,35 @@
 ): Arrival {
   const { departedAt, arrivedAt } = times;
   const milliseconds = arrivedAt - departedAt;
-  const late = known === null
-    ? 0
-    : milliseconds - usualDifference(known, arrivedAt);
-  if (known === null || late <= 0) {
-    return { least: { milliseconds, seenAt: arrivedAt }, lateMilliseconds: 0 };
-  }
-  return { least: known, lateMilliseconds: late };
+  const quick = { milliseconds, seenAt: arrivedAt, lateOnes: null };
+  if (known === null) return { least: quick, lateMilliseconds: 0 };
+  const late = milliseconds - usualDifference(known, arrivedAt);
+  if (late <= 0) return { least: quick, lateMilliseconds: 0 };
+  const lateOnes = addLate(known.lateOnes, { milliseconds, arrivedAt });
+  const least = haveReplaced(lateOnes, arrivedAt)
+    ? { ...quick, milliseconds: lateOnes.milliseconds }
+    : { ...known, lateOnes };
+  return { least, lateMilliseconds: late };
+}
+
+function addLate(
+  former: LateMessages | null,
+  { milliseconds, arrivedAt }: {
+    readonly milliseconds: number;
+    readonly arrivedAt: number;
+  },
+): LateMessages {
+  if (former === null) return { milliseconds, count: 1, since: arrivedAt };
+  return {
+    milliseconds: Math.min(former.milliseconds, milliseconds),
+    count: former.count + 1,
+    since: former.since,
+  };
+}
+
+function haveReplaced(lateOnes: LateMessages, now: number): boolean {
+  return lateOnes.count >= leastLateMessages &&
+    now - lateOnes.since >= relearnMilliseconds;
 }
 
 /** What has grown since by drift alone is no lateness. */
--- a/source/core/request/transit_test.ts
+++ b/source/core/request/transit_test.ts
@@ -50,6 +50,18 @@
     });
   });
 
+  describe("on a link that is seldom used", () => {
+    // Guards against a queue that two messages met being taken for the usual.
+    it("is not forgotten for a few that were late, far apart", () => {
+      let { least } = arrive(null, { at: 0, milliseconds: 10 });
+      for (const at of [10_000, 35_000, 60_000]) {
+        const arrival = arrive(least, { at, milliseconds: 1_510 });
+        least = arrival.least;
+        assert.ok(arrival.lateMilliseconds > 800);
+      }
+    });
+  });
+
   describe("from a machine that stood still for five seconds, clocks and all", () => {
     // Guards against sound requests that are refused as late for minutes: the
     // sender's clock had stood still, and the difference was taken for a queue.
