A process runs no request that was meant for another one

What callers would see: a request that may run once at most runs twice, while a former and a later process of an agent can both be reached at one address. The first copy came over an old connection to the former one and ran there; the second came to the later one, which it was meant for.

Cause: each copy names the process that it is meant for, but only later copies were held against that name.

Now no copy runs in another process than the one it names. A first copy is answered as not run, for a target that can't be reached, so its sender refreshes what it knows and tries again; a later copy stays unknown, since the process that it was meant for may have run the first.

--- a/source/adapters/callers/http_front.ts
+++ b/source/adapters/callers/http_front.ts
@@ -248,8 +248,9 @@
   }
 
   function tellProgress(response: ServerResponse, hop: HopCopy): void {
-    const begins = hops.fateOf(hop) === "begins";
-    const known = { kind: begins ? "unseen" : "answered" } as const;
+    const fate = hops.fateOf(hop);
+    const begun = fate === "joins" || fate === "settled";
+    const known = { kind: begun ? "answered" : "unseen" } as const;
     response.setHeader("content-type", "text/plain");
     response.end(formatProgress(arrivals.find(hop) ?? known));
   }
--- a/source/adapters/hops/hop_ledger.ts
+++ b/source/adapters/hops/hop_ledger.ts
@@ -7,11 +7,18 @@
  * remembered until the sender itself has said that it waits for it no longer,
  * and whatever comes of that request afterwards is not run.
  *
+ * Two processes may answer at one address, a former and a later one. So no copy
+ * is run by another process than the one that all of them are meant for.
+ *
  * @module
  */
 import { Result } from "true-myth";
 import type { AgentId } from "../../core/agent.ts";
-import { type Failure, unknownOutcome } from "../../core/request/outcome.ts";
+import {
+  type Failure,
+  notRun,
+  unknownOutcome,
+} from "../../core/request/outcome.ts";
 import type { ProxyAnswer } from "../../ports/upstream.ts";
 import { decodeText } from "../headers.ts";
 
@@ -25,7 +32,7 @@
   readonly copy: number;
   /** The sender waits for no request with a lower number any more. */
   readonly settledBelow: number;
-  /** The process that the first copy was meant for. */
+  /** The process that all copies are meant for. */
   readonly receiver: AgentId;
 }
 
@@ -37,7 +44,7 @@
   | "joins"
   /** Its sender no longer waits for it: nothing is run. */
   | "settled"
-  /** A former process may have run the first copy: nothing is run. */
+  /** It was meant for another process: nothing is run. */
   | "refused";
 
 /** What a hop ledger does with a copy. */
@@ -91,16 +98,11 @@
     return memory;
   }
 
-  /** The process before this one may have run the first copy. */
-  function mayHaveRunElsewhere(hop: HopCopy): boolean {
-    return hop.copy > 1 && hop.receiver !== self;
-  }
-
   function fateOf(hop: HopCopy): CopyFate {
     const { entries, settledBelow } = memoryOf(hop);
     if (entries.has(hop.sequence)) return "joins";
     if (hop.sequence < settledBelow) return "settled";
-    return mayHaveRunElsewhere(hop) ? "refused" : "begins";
+    return hop.receiver === self ? "begins" : "refused";
   }
 
   return {
@@ -108,7 +110,7 @@
     async run(hop, start) {
       const fate = fateOf(hop);
       if (fate === "settled") return null;
-      if (fate === "refused") return mayHaveRun;
+      if (fate === "refused") return hop.copy === 1 ? hasNotRun : mayHaveRun;
       const { entries } = memoryOf(hop);
       const entry = entries.get(hop.sequence) ??
         { result: start(), latest: hop.copy };
@@ -131,6 +133,10 @@
   };
 }
 
+const hasNotRun = Result.err<ProxyAnswer, Failure>(
+  notRun("target-unreachable"),
+);
+/** The process that it was meant for may have run an earlier copy. */
 const mayHaveRun = Result.err<ProxyAnswer, Failure>(
   unknownOutcome("connection-lost"),
 );
--- a/source/adapters/hops/hop_ledger_test.ts
+++ b/source/adapters/hops/hop_ledger_test.ts
@@ -94,6 +94,14 @@
       await ledger.run(hop({ copy: 2 }), start);
       assert.equal(runs, 1);
     });
+
+    // Guards against requests that end unknown, or are held for answered, after
+    // an agent was started again, though nothing has run.
+    it("says that it has not run", async () => {
+      const result = await ledger.run(hop({ receiver: "host-1/0" }), start);
+      assert.equal(result?.isErr && result.error.outcome, "not-run");
+      assert.equal(runs, 0);
+    });
   });
 
   describe("when the sender has given a request up", () => {
