The link that tests send over keeps the order in which it was sent

There the question "how far is this request" had the answer "unseen" 7 ms before the request itself came, so a copy was sent.

Cause: in the test's relay each message had a timer of its own. Timers of equal length run one after the other, so in a process that stood still later messages passed earlier ones; a body of 60,360 bytes was overtaken in one of 14 runs. No link that carries messages in turn does that. Now the first of the queue has the only timer. The test is stricter for it: nothing that it checks has changed.

--- a/tests/relay.ts
+++ b/tests/relay.ts
@@ -87,20 +87,36 @@
   });
 }
 
-interface SharedLink {
+/** A link that brings everything in the order in which it was sent. */
+export interface SharedLink {
   /** Calls back when what was sent before has passed, and then these bytes. */
   pass(bytes: number, passed: () => void): void;
   queueMilliseconds(): number;
 }
 
-function shareLink(bytesPerSecond: number): SharedLink {
+/** Starts empty. */
+export function shareLink(bytesPerSecond: number): SharedLink {
+  /** In order; a timer runs for the first. */
+  const queue: { readonly at: number; readonly passed: () => void }[] = [];
   let freeAt = 0;
   const queueMilliseconds = () => Math.max(0, freeAt - performance.now());
+
+  function passNext(): void {
+    const [next] = queue;
+    if (next === undefined) return;
+    setTimeout(() => {
+      queue.shift();
+      next.passed();
+      passNext();
+    }, Math.max(0, next.at - performance.now()));
+  }
+
   return {
     pass(bytes, passed) {
       const takes = bytes / bytesPerSecond * 1_000;
       freeAt = performance.now() + queueMilliseconds() + takes;
-      setTimeout(passed, freeAt - performance.now());
+      queue.push({ at: freeAt, passed });
+      if (queue.length === 1) passNext();
     },
     queueMilliseconds,
   };
