Holders report the load of whole seconds only

Cause: a holder reported the rate since its last answered renewal. While slices move, the grantor asks holders to renew at once, so that two renewals lie a tenth of a second apart: one request then looked like ten a second. The grantor takes a rise at once, moved such slices, asked for more renewals by that, and gave the slices meant for busy keys, which are never given back, to keys that had one request.

Now a period lasts 0.8 s at least, a renewal within it reports no load, and a slice that came or goes during the period is left out, of which only a part was counted.

holder_task_test.ts fails on the code before: "reports no rate of so short a time" gets 10 a second for one request, and "reports the whole second with the next renewal" 0 for 0.9.

--- a/source/tasks/held_load.ts
+++ b/source/tasks/held_load.ts
@@ -1,43 +1,102 @@
 /**
  * What a holder's slices and busiest keys are asked for, as it tells the
- * grantor with each renewal.
+ * grantor with its renewals.
+ *
+ * Renewals follow each other closely while slices move. A rate counted between
+ * two of them is chance: one request within a tenth of a second would look like
+ * ten a second. So requests are counted on until a whole period is over, and a
+ * renewal before that reports no load.
  *
  * @module
  */
-import type { KeyLoad, SliceLoad } from "../core/ownership/renewal.ts";
 import type { HolderState } from "../core/ownership/holder.ts";
+import type { KeyLoad, SliceLoad } from "../core/ownership/renewal.ts";
 import { type PlaceKey, sliceOfKey } from "../core/ownership/table.ts";
 import { beginSketch, busiestKeys, countKeys } from "../core/load/sketch.ts";
 
 const sketchCapacity = 64;
 const reportedKeys = 16;
 
-/** What was asked for since the last answered renewal. */
-export interface HeldLoad {
-  readonly since: number;
-  /** A sample: all that were asked for until it is full. */
-  readonly keys: readonly string[];
-  readonly slices: ReadonlyMap<number, number>;
+/** What is asked for, in requests a second. */
+export interface MeasuredLoad {
+  readonly sliceLoads: readonly SliceLoad[];
+  readonly keyLoads: readonly KeyLoad[];
+}
+
+/** A running count. */
+export interface LoadCount {
+  add(key: string, slice: number): void;
+  /** The rates of the period that has ended; null while it lasts. */
+  measure(held: HeldSlices, now: number): MeasuredLoad | null;
+  /** Begins a period, once the grantor knows of the former one. */
+  restart(held: HeldSlices, now: number): void;
 }
 
-/** Keys kept for the sketch between two renewals. */
+/** The part of a holder's state that its load is measured by. */
+export type HeldSlices = Pick<HolderState, "slices" | "table">;
+
+/** Keys kept for the sketch in one period. */
 const mostSampledKeys = 512;
+/** Somewhat less than the time between two renewals that nothing hurries. */
+const shortestPeriodMilliseconds = 800;
 
-/** Counts requests; kept apart since every request adds to it. */
-export function startCounting() {
-  let since = performance.now();
+/** Starts counting; `now` is on the monotonic clock, in milliseconds. */
+export function startCounting(options: {
+  readonly place: PlaceKey;
+  readonly now: number;
+}): LoadCount {
+  let since = options.now;
+  /** A sample: all that were asked for until it is full. */
   let keys: string[] = [];
-  let slices = new Map<number, number>();
+  let requests = new Map<number, number>();
+  /** Slices held since the period began: of others only a part is counted. */
+  let heldThroughout: ReadonlySet<number> = new Set();
+
+  function measureSlices(
+    { slices }: HeldSlices,
+    seconds: number,
+  ): readonly SliceLoad[] {
+    const whole = [...slices].filter(([slice, { releasing }]) =>
+      !releasing && heldThroughout.has(slice)
+    );
+    return whole.map(([slice]) => ({
+      slice,
+      requestsPerSecond: rounded((requests.get(slice) ?? 0) / seconds),
+    }));
+  }
+
+  function measureKeys(
+    { table }: HeldSlices,
+    seconds: number,
+  ): readonly KeyLoad[] {
+    const total = [...requests.values()].reduce((sum, n) => sum + n, 0);
+    const scale = keys.length === 0 ? 0 : total / keys.length;
+    const sketch = countKeys(beginSketch(sketchCapacity), keys);
+    return busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
+      key,
+      slice: sliceOfKey(table, key, options.place),
+      requestsPerSecond: rounded(count * scale / seconds),
+    }));
+  }
+
   return {
-    add(key: string, slice: number): void {
-      slices.set(slice, (slices.get(slice) ?? 0) + 1);
+    add(key, slice) {
+      requests.set(slice, (requests.get(slice) ?? 0) + 1);
       if (keys.length < mostSampledKeys) keys.push(key);
     },
-    load: (): HeldLoad => ({ since, keys, slices }),
-    restart(): void {
-      since = performance.now();
+    measure(held, now) {
+      if (now - since < shortestPeriodMilliseconds) return null;
+      const seconds = (now - since) / 1_000;
+      return {
+        sliceLoads: measureSlices(held, seconds),
+        keyLoads: measureKeys(held, seconds),
+      };
+    },
+    restart({ slices }, now) {
+      since = now;
       keys = [];
-      slices = new Map();
+      requests = new Map();
+      heldThroughout = new Set(slices.keys());
     },
   };
 }
@@ -46,28 +105,3 @@
 function rounded(value: number): number {
   return Math.round(value * 10) / 10;
 }
-
-/** The load of each slice and of the busiest keys, by the second. */
-export function measureHeldLoad(
-  load: HeldLoad,
-  state: HolderState,
-  place: PlaceKey,
-): {
-  readonly sliceLoads: readonly SliceLoad[];
-  readonly keyLoads: readonly KeyLoad[];
-} {
-  const seconds = Math.max(0.1, (performance.now() - load.since) / 1_000);
-  const total = [...load.slices.values()].reduce((sum, n) => sum + n, 0);
-  const scale = load.keys.length === 0 ? 0 : total / load.keys.length;
-  const sketch = countKeys(beginSketch(sketchCapacity), load.keys);
-  const sliceLoads = [...state.slices.keys()].map((slice) => ({
-    slice,
-    requestsPerSecond: rounded((load.slices.get(slice) ?? 0) / seconds),
-  }));
-  const keyLoads = busiestKeys(sketch, reportedKeys).map(({ key, count }) => ({
-    key,
-    slice: sliceOfKey(state.table, key, place),
-    requestsPerSecond: rounded(count * scale / seconds),
-  }));
-  return { sliceLoads, keyLoads };
-}
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -36,10 +36,10 @@
   LocateEffort,
   Peers,
 } from "../ports/peers.ts";
-import { measureHeldLoad, startCounting } from "./held_load.ts";
+import { type MeasuredLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
-import { pause, readClocks } from "./time.ts";
+import { monotonicNow, pause, readClocks } from "./time.ts";
 
 /** Durations of holding. */
 export interface HolderTimes {
@@ -154,7 +154,7 @@
   let failures = 0;
   let { leaving } = options;
   let wake = new AbortController();
-  const counting = startCounting();
+  const counting = startCounting({ place, now: monotonicNow() });
   /** What is known of the target's being empty since this process began. */
   let emptiness: "unknown" | "asked" | "empty" | "held" = "unknown";
   let hadLease = false;
@@ -259,8 +259,7 @@
     wake.abort();
   }
 
-  function compose(): Renewal {
-    const measured = measureHeldLoad(counting.load(), state, place);
+  function compose(measured: MeasuredLoad | null): Renewal {
     return {
       group: state.group,
       epoch: state.epoch,
@@ -273,13 +272,15 @@
       released: state.released,
       emptied: emptiness === "empty",
       tableVersion: state.table.version,
-      ...measured,
+      sliceLoads: measured?.sliceLoads ?? [],
+      keyLoads: measured?.keyLoads ?? [],
     };
   }
 
   async function renewOnce(location: GrantorLocation): Promise<boolean> {
     const askedAt = readClocks();
-    const renewal = compose();
+    const measured = counting.measure(state, askedAt.monotonic);
+    const renewal = compose(measured);
     const result = await peers.call(location.address, "renew", {
       message: renewal,
       timeoutMilliseconds: times.callTimeoutMilliseconds,
@@ -292,7 +293,7 @@
       answer: result.value,
       reported: renewal.released,
     });
-    counting.restart();
+    if (measured !== null) counting.restart(state, monotonicNow());
     return true;
   }
 
--- /dev/null
+++ b/source/tasks/holder_task_test.ts
@@ -0,0 +1,113 @@
+import FakeTimers from "@sinonjs/fake-timers";
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { Result } from "true-myth";
+import { testAgent } from "../../tests/test_agent.ts";
+import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
+import { emptyTable } from "../core/ownership/table.ts";
+import type { Peers } from "../ports/peers.ts";
+import { type HolderTask, startHolder } from "./holder_task.ts";
+
+const group = "timetable.0";
+const grantorAddress = "127.0.0.1:9";
+const slice = 5;
+const token = { epoch: 1, sequence: 1 };
+
+const answer: RenewalAnswer = {
+  epoch: 1,
+  leaseMilliseconds: 4_000,
+  grants: [{ slice, token }],
+  release: [],
+  table: {
+    ...emptyTable(group),
+    version: token,
+    holders: [{ id: "holder", peerAddress: "127.0.0.1:2" }],
+    owners: Array.from({ length: 8 }, () => 0),
+    hashedSlices: 8,
+  },
+};
+
+/** A holder of one slice, and what it tells its grantor. */
+function startTestHolder() {
+  const renewals: Renewal[] = [];
+  function call(
+    _address: string,
+    method: string,
+    { message }: { readonly message: Renewal },
+  ) {
+    if (method === "locateGrantor") {
+      return Promise.resolve(Result.ok({ address: grantorAddress, epoch: 1 }));
+    }
+    renewals.push(message);
+    return Promise.resolve(Result.ok(answer));
+  }
+  const holder = startHolder({
+    agent: { ...testAgent("holder"), group },
+    times: {
+      renewalMilliseconds: 1_000,
+      retryMilliseconds: 200,
+      callTimeoutMilliseconds: 400,
+      marginMilliseconds: 200,
+    },
+    peers: { call: call as Peers["call"], close: () => Promise.resolve() },
+    events: { record: () => {} },
+    place: () => slice,
+    weight: () => 1,
+    startKeyGrants: null,
+    leaving: false,
+    candidates: () => ({ members: [grantorAddress], grantors: [] }),
+  });
+  return { holder, renewals };
+}
+
+describe("a holder whose grantor asks it to renew at once", () => {
+  let clock: ReturnType<typeof FakeTimers.install>;
+  let holder: HolderTask;
+  let renewals: Renewal[];
+
+  beforeEach(async () => {
+    clock = FakeTimers.install({ now: 1_000_000 });
+    ({ holder, renewals } = startTestHolder());
+    await clock.tickAsync(2_050);
+  });
+
+  afterEach(async () => {
+    const stopped = holder.stop();
+    await clock.runAllAsync();
+    await stopped;
+    clock.uninstall();
+  });
+
+  /** One request, and a renewal a tenth of a second after the last one. */
+  async function admitAndNudge(): Promise<Renewal | undefined> {
+    const permit = holder.admit("57330");
+    if (typeof permit === "string") assert.fail(permit);
+    permit.finish();
+    await clock.tickAsync(50);
+    const before = renewals.length;
+    holder.nudge();
+    await clock.tickAsync(10);
+    return renewals[before];
+  }
+
+  // Guards against too little being served (SHORT): while slices moved, one
+  // request between two renewals a tenth of a second apart was reported as ten
+  // a second, which moved more slices and took the slices for busy keys.
+  it("reports no rate of so short a time", async () => {
+    const renewal = await admitAndNudge();
+    const rates = renewal?.sliceLoads.map((load) => load.requestsPerSecond);
+    assert.deepEqual({ rates, keys: renewal?.keyLoads }, {
+      rates: [],
+      keys: [],
+    });
+  });
+
+  it("reports the whole second with the next renewal", async () => {
+    await admitAndNudge();
+    await clock.tickAsync(1_000);
+    const rates = renewals.at(-1)?.sliceLoads.map((load) =>
+      load.requestsPerSecond
+    );
+    assert.deepEqual(rates, [0.9]);
+  });
+});
