A grantor takes what few requests show neither for load nor for speed

Callers of keyed services were refused at full owners for the first seconds of traffic, and again whenever keys moved to the wrong owner.

Cause, in what the grantor remembers of a report: - A slice's rate took 0.6 of each rise and 0.2 of each fall. At 0.6 requests a second that is a mean of 1.72 times what comes, and the less the busier a slice is: servers of many quiet slices seemed fuller than servers of few busy ones, and all seemed in full use, so that slow servers were not spared (slow_servers.ts gives them less only while there is room). - A server's weight began with the usual one of a server that has run nothing, and took 0.2 of each measure: in a model of six servers it was up to 1.36 times the true one after 4 s of requests. - Both were smoothed for each renewal, though renewals that follow each other at once measure nothing.

Now a rate follows slowly both ways, and at once where a slice, or all that a server holds, changes by more than three standard deviations; the weight is that of the first second of requests, then the mean of the first five, and only reports with requests count. A module without network for this load: few_requests.ts.

few_requests_test.ts fails on the code before: "is no more than comes" gets 1.716, and "is its speed after the first second of requests" is not the measured weight.

--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -23,6 +23,7 @@
   Holder,
   Slice,
 } from "./grantor_state.ts";
+import { steadyRates, steadyWeight } from "./few_requests.ts";
 import { tableOf } from "./grantor_table.ts";
 import { noteBusyKeys } from "./isolation.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
@@ -137,14 +138,6 @@
   return { settledVersion: settling.version, settling: next };
 }
 
-/**
- * One renewal counts a second's requests; placement needs a steadier view. It
- * takes a rise at once, as busy keys come up within seconds.
- */
-const riseSmoothing = 0.6;
-const fallSmoothing = 0.2;
-const weightSmoothing = 0.2;
-
 function withHolder(
   state: GrantorState,
   renewal: Renewal,
@@ -154,7 +147,7 @@
   const holder: Holder = {
     id: renewal.id,
     peerAddress: renewal.peerAddress,
-    weight: steadyWeight(former, renewal),
+    ...steadyWeight(former, renewal),
     checksFencing: renewal.checksFencing,
     leaving: renewal.leaving,
     leaseEndsAt: now.monotonic + state.settings.leaseMilliseconds,
@@ -166,26 +159,11 @@
     }),
   };
   const holders = new Map(state.holders).set(renewal.id, holder);
-  const loads = new Map(state.loads);
-  for (const { slice, requestsPerSecond } of renewal.sliceLoads) {
-    const mean = loads.get(slice) ?? requestsPerSecond;
-    const change = requestsPerSecond - mean;
-    const smoothing = change > 0 ? riseSmoothing : fallSmoothing;
-    loads.set(slice, mean + change * smoothing);
-  }
+  const loads = steadyRates(state.loads, renewal.sliceLoads);
   const joined = former === undefined;
   return bump({ ...state, holders, loads }, joined);
 }
 
-/**
- * A server measures its speed by the few requests that it ran lately. Keys that
- * followed each measurement would never rest, so the grantor takes a mean.
- */
-function steadyWeight(former: Holder | undefined, renewal: Renewal): number {
-  if (former === undefined) return renewal.weight;
-  return former.weight + (renewal.weight - former.weight) * weightSmoothing;
-}
-
 function bump(state: GrantorState, changed: boolean): GrantorState {
   return changed ? { ...state, sequence: state.sequence + 1 } : state;
 }
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -45,6 +45,8 @@
   readonly id: AgentId;
   readonly peerAddress: Address;
   readonly weight: number;
+  /** Reports of requests by which the weight was measured. */
+  readonly weighings: number;
   readonly checksFencing: boolean;
   readonly leaving: boolean;
   /** On the grantor's monotonic clock. */
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -82,6 +82,7 @@
     id: answer.id,
     peerAddress: entry?.peerAddress ?? "",
     weight: answer.weight,
+    weighings: 0,
     checksFencing: answer.checksFencing,
     leaving: answer.leaving,
     leaseEndsAt: takeover.now.monotonic +
