Entries send again to an owner of keys that has room again

Cause: what an entry counted for an owner faded within 3 s, but an entry that refuses learns little: it sends a fifth, each tells of itself only, and the share rises step by step. Besides, the record of an owner began with its first refusal as if it had taken nothing before, so that one refusal turned away a quarter of the next requests.

Now the counts fade within a second, and an owner that was never heard to be full is taken to have run one before.

--- a/source/core/routing/full_owners.ts
+++ b/source/core/routing/full_owners.ts
@@ -44,7 +44,9 @@
 /** An owner is sent this multiple of what it runs. */
 const sentForTaken = 2;
 /** In this time the counts fade to a third. */
-const fadeMilliseconds = 3_000;
+const fadeMilliseconds = 1_000;
+/** What an owner that was never heard to be full is taken to have run lately. */
+const takenBefore = 1;
 /** Some go to every owner: only they show that it has room again. */
 const mostRefusedShare = 0.8;
 /** Owners and ranks that are remembered. */
@@ -72,7 +74,12 @@
   // Most owners are never full, and need no record.
   if (former === undefined && !full) return owners;
   const known = former === undefined
-    ? { sent: 0, taken: 0, countedAt: now, retryAfterMilliseconds }
+    ? {
+      sent: takenBefore,
+      taken: takenBefore,
+      countedAt: now,
+      retryAfterMilliseconds,
+    }
     : faded(former, now);
   const next = new Map(owners);
   next.delete(name);
--- a/source/core/routing/owners_sent_more_than_they_run_test.ts
+++ b/source/core/routing/owners_sent_more_than_they_run_test.ts
@@ -93,6 +93,33 @@
     });
   });
 
+  // Guards against requests that are refused while slots stand empty (SHORT):
+  // entries went on refusing for four seconds what the owner had room for.
+  for (const seconds of [2, 10]) {
+    describe(`in the four seconds after a burst of ${seconds}`, () => {
+      it("is sent nine in ten of what it can run", () => {
+        const burstEnd = seconds * 1_000;
+        const outcome = play((now) => {
+          if (now < burstEnd) return 3;
+          return now < burstEnd + 4_000 ? 0.7 : 0;
+        }, burstEnd);
+        assert.ok(outcome.kept <= outcome.offered / 10, `${outcome.kept}`);
+      });
+    });
+  }
+
+  describe("that was full once", () => {
+    // Guards against the same: the first refusal that an entry heard looked as
+    // if the owner took nothing at all.
+    it("is sent the next request", () => {
+      const asked = { owner: "host-1/a", rank: 0, now: 0 };
+      const refused = { ...asked, full: true, retryAfterMilliseconds: 100 };
+      const known = noteReply(noFullOwners, refused);
+      const { decision } = decideSending(known, asked, () => 0);
+      assert.equal(decision.kind, "send");
+    });
+  });
+
   describe("after a burst", () => {
     it("is sent all of it again within seconds", () => {
       const outcome = play((now) => now < 10_000 ? 3 : 0.5, 15_000);
