Only a target's own word lowers the limit of its slots

Callers were refused while slots stood empty: an owner whose limit had been lowered refuses from three quarters of its slots on.

Cause: the agent beside the target took every request that surely did not run for one that the target refused, and lowered the limit by a fifth: also where the caller had left or the deadline had passed before it was sent, and where no connection could be opened. Only a word of the target says that it has no room; the others are "unused", as admission already calls what was not sent after all.

Evidence: by reading.

target_not_asked_test.ts fails on the code before for "caller-left", "deadline-passed" and "target-unreachable": they were "refused".

--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -156,7 +156,7 @@
         reason: result.error.reason,
         milliseconds: Math.round(monotonicNow() - startedAt),
       });
-      done(result.error.outcome === "not-run" ? "refused" : "failed");
+      done(finishOf(result.error));
       return result;
     }
     const answer = result.value;
@@ -188,6 +188,12 @@
   return { serve, running: () => running };
 }
 
+/** Only the target's own word says that it has no room. */
+function finishOf({ outcome, reason }: Failure): FinishKind {
+  if (outcome !== "not-run") return "failed";
+  return reason === "target-refused" ? "refused" : "unused";
+}
+
 function rankLabel(request: ProxyRequest): { readonly rank: string } {
   return { rank: String(request.rank) };
 }
--- /dev/null
+++ b/source/tasks/target_not_asked_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Result } from "true-myth";
+import { testRequest } from "../../tests/test_request.ts";
+import type { FinishKind } from "../core/admission/admission.ts";
+import {
+  type Failure,
+  type FailureReason,
+  notRun,
+  unknownOutcome,
+} from "../core/request/outcome.ts";
+import { startServing } from "./serve_task.ts";
+
+const body = { kind: "kept", bytes: new Uint8Array() } as const;
+
+/** What admission hears of a request that ended at the target like this. */
+async function finishAfter(failure: Failure): Promise<readonly FinishKind[]> {
+  const finishes: FinishKind[] = [];
+  const slot = { finish: (kind: FinishKind) => void finishes.push(kind) };
+  const { serve } = startServing({
+    service: "booking",
+    holder: () => null,
+    admission: {
+      enter: () => Promise.resolve(Result.ok(slot)),
+      load: () => 1,
+      weight: () => 1,
+      configure: () => undefined,
+      close: () => undefined,
+      stop: () => undefined,
+    },
+    workOf: () => null,
+    accepts: () => true,
+    target: {
+      send: () => Promise.resolve(Result.err(failure)),
+      health: () => Promise.resolve(null),
+      close: () => Promise.resolve(),
+    },
+    readPendingInput: () => Promise.resolve(),
+    events: { record: () => undefined },
+    metrics: { count: () => undefined, time: () => undefined },
+  });
+  const request = testRequest({
+    deadlineAt: performance.now() + 1_000,
+    signal: new AbortController().signal,
+  });
+  const result = await serve(request, { body });
+  assert.ok(result.isErr);
+  return finishes;
+}
+
+describe("a request that was given a slot", () => {
+  describe("and never reached its target", () => {
+    const reasons: readonly FailureReason[] = [
+      "caller-left",
+      "deadline-passed",
+      "target-unreachable",
+    ];
+    for (const reason of reasons) {
+      // Guards against requests that are refused while slots stand empty
+      // (SHORT): each caller that left before its request was sent counted as
+      // a refusal of the target, and took a fifth of its slots away.
+      it(`says nothing of the target's room: ${reason}`, async () => {
+        assert.deepEqual(await finishAfter(notRun(reason)), ["unused"]);
+      });
+    }
+  });
+
+  describe("and was refused by its target", () => {
+    it("says that the target has no room", async () => {
+      const failure = notRun("target-refused");
+      assert.deepEqual(await finishAfter(failure), ["refused"]);
+    });
+  });
+
+  describe("and may have run", () => {
+    it("has failed", async () => {
+      const failure = unknownOutcome("deadline-passed");
+      assert.deepEqual(await finishAfter(failure), ["failed"]);
+    });
+  });
+});
