A new grantor moves nothing before it has been told of the load

Callers were refused as "moving" and "not-owner" after each takeover, and then at owners that had been given too much.

Cause: a grantor begins without loads. Until the first reports all slices count alike, so that a server of few busy slices looks idle beside one of many quiet ones; the first tick, 0.1 s after the claim, moves up to 16 at a time from where the former grantor had placed them well, and each tick more as they arrive.

Now slices move to even out the load only while each server has told of half of its slices at least. Free slices are given and leaving servers emptied as before.

loads_not_told_test.ts fails on the code before: "moves nothing" and "moves nothing while one of them has not". isolation_test.ts ("no slice is moved") told of three of nine slices and expected a move; it now tells of all nine, the other six idle, and checks the same.

--- a/source/core/ownership/isolation_test.ts
+++ b/source/core/ownership/isolation_test.ts
@@ -67,8 +67,11 @@
 describe("while the store is told of keys that change slices", () => {
   it("no slice is moved", () => {
     const state = held();
+    const loads = state.slices.map((_, slice): [number, number] =>
+      slice >= 1 && slice <= 3 ? [slice, 50] : [slice, 0]
+    );
     const lone = feed(
-      { ...state, loads: new Map([[1, 50], [2, 50], [3, 50]]) },
+      { ...state, loads: new Map(loads) },
       { kind: "renewal", renewal: testRenewal("host-2/a"), now: at(10) },
       { kind: "tick", now: at(10) },
       { kind: "confirmed", askedAt: at(10) },
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -78,10 +78,25 @@
   const moving = state.slices.filter((slice) => slice.kind === "moving").length;
   const evacuations = chooseEvacuations(state);
   if (evacuations.length > 0) return evacuations;
+  if (!loadsTold(state)) return [];
   const room = state.settings.movesAtOnce - moving;
   return chooseRebalancing(state, room);
 }
 
+/**
+ * Whether each server has told of the load of half of its slices at least. To a
+ * new grantor all slices look alike, and servers of few busy ones look idle.
+ */
+function loadsTold(state: GrantorState): boolean {
+  const untold = new Map<AgentId, number>();
+  state.slices.forEach((slice, index) => {
+    if (slice.kind !== "held") return;
+    const change = state.loads.has(index) ? -1 : 1;
+    untold.set(slice.owner, (untold.get(slice.owner) ?? 0) + change);
+  });
+  return [...untold.values()].every((excess) => excess <= 0);
+}
+
 function chooseEvacuations(state: GrantorState): readonly Move[] {
   const loads = loadsByHolder(state);
   const moves: Move[] = [];
