--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -37,7 +37,7 @@
   LocateEffort,
   Peers,
 } from "../ports/peers.ts";
-import { measureHeldLoad, startCounting } from "./held_load.ts";
+import { type MeasuredLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
 import { monotonicNow, pause, readClocks } from "./time.ts";
@@ -161,7 +161,7 @@
   const listeners = new Set<(hears: boolean) => void>();
   let { leaving } = options;
   let wake = new AbortController();
-  const counting = startCounting();
+  const counting = startCounting({ place, now: monotonicNow() });
   /** What is known of the target's being empty since this process began. */
   let emptiness: "unknown" | "asked" | "empty" | "held" = "unknown";
   let hadLease = false;
@@ -285,8 +285,7 @@
     return { id: agent.id, epoch: state.epoch, hears };
   }
 
-  function compose(): Renewal {
-    const measured = measureHeldLoad(counting.load(), state, place);
+  function compose(measured: MeasuredLoad | null): Renewal {
     return {
       group: state.group,
       epoch: state.epoch,
@@ -299,13 +298,15 @@
       released: state.released,
       emptied: emptiness === "empty",
       tableVersion: state.table.version,
-      ...measured,
+      sliceLoads: measured?.sliceLoads ?? [],
+      keyLoads: measured?.keyLoads ?? [],
     };
   }
 
   async function renewOnce(location: GrantorLocation): Promise<boolean> {
     const askedAt = readClocks();
-    const renewal = compose();
+    const measured = counting.measure(state, askedAt.monotonic);
+    const renewal = compose(measured);
     const result = await peers.call(location.address, "renew", {
       message: renewal,
       timeoutMilliseconds: times.callTimeoutMilliseconds,
@@ -318,7 +319,7 @@
       answer: result.value,
       reported: renewal.released,
     });
-    counting.restart();
+    if (measured !== null) counting.restart(state, monotonicNow());
     return true;
   }
 
