--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -69,6 +69,9 @@
   now(): number;
   /** Whether two ends can reach each other; the store is the end "store". */
   setLinks(reaches: (from: string, to: string) => boolean): void;
+  /** Messages from one host to another take so much longer. */
+  setDelays(milliseconds: (from: string, to: string) => number): void;
+  /** All links as they were at first. */
   heal(): void;
   /** Hosts that may serve this key now. */
   owners(key: string): readonly string[];
@@ -136,6 +139,7 @@
   const lost = new Set<FakeNode>();
   const events: FakeEvent[] = [];
   let linked: (from: string, to: string) => boolean = () => true;
+  let delay: (from: string, to: string) => number = () => 0;
   let marks = 0;
   function isLost(host: string): boolean {
     const found = nodes.findLast((node) => node.agent.host === host);
@@ -162,8 +166,17 @@
           await sleep(timeoutMilliseconds);
           return Result.err({ kind: "timeout", detail: method });
         }
+        const there = delay(host, other.agent.host);
+        const back = delay(other.agent.host, host);
+        if (there + back > timeoutMilliseconds) {
+          // The other agent does what it is asked, for a caller that has left.
+          void sleep(there).then(() => serve(other, { method, message }));
+          await sleep(timeoutMilliseconds);
+          return Result.err({ kind: "timeout", detail: method });
+        }
+        if (there > 0) await sleep(there);
         const answer = await serve(other, { method, message });
-        await sleep(latencyMilliseconds);
+        await sleep(latencyMilliseconds + back);
         if (!reaches(other.agent.host, host)) {
           await sleep(timeoutMilliseconds);
           return Result.err({ kind: "timeout", detail: method });
@@ -259,8 +272,12 @@
     setLinks(next) {
       linked = next;
     },
+    setDelays(milliseconds) {
+      delay = milliseconds;
+    },
     heal() {
       linked = () => true;
+      delay = () => 0;
     },
     owners: (key) =>
       nodes.filter((node) => !lost.has(node))
