Test, failing: a given-up connection's end drops the next one

What callers see: keys without an owner, and takeovers of a grantor that lives (SHORT). An agent that waited 400 ms for one late answer fails its next call to that agent too, whatever that one's time.

Cause: a timeout drops the connection to an address and closes it. When the old connection's close is done, 90 to 260 ms later under load, its handler drops by address whatever connection is there by then: the next one, with all its calls.

--- a/source/adapters/hops/late_call_test.ts
+++ b/source/adapters/hops/late_call_test.ts
@@ -75,4 +75,22 @@
       assert.equal(fault, null, `ended by another's time: ${fault?.detail}`);
     });
   });
+
+  // Guards against a second try that ends with the connection of the first
+  // (SHORT: every holder that waited once too short lost its grantor).
+  describe("after one that gave up", () => {
+    it("have a connection of their own, which the old one's end leaves open", async () => {
+      const first = await peers.call(address, "renew", {
+        message: testRenewal("host-1/a", {}),
+        timeoutMilliseconds: impatientMilliseconds,
+      });
+      assert.ok(first.isErr);
+      const second = await peers.call(address, "renew", {
+        message: testRenewal("host-1/a", {}),
+        timeoutMilliseconds: patientMilliseconds,
+      });
+      const fault = second.isErr ? second.error : null;
+      assert.equal(fault, null, `ended with the first: ${fault?.detail}`);
+    });
+  });
 });
