The test of late calls doesn't depend on how fast its own process runs

Once, beside a play, the impatient call was answered: the test's process stood still, and time in which the caller does not run isn't counted. What is to get no answer gets none now.

--- a/source/adapters/hops/late_call_test.ts
+++ b/source/adapters/hops/late_call_test.ts
@@ -20,9 +20,15 @@
 
 /** The other agent lives, and takes this long for each answer. */
 const answerMilliseconds = 400;
+/** Renewals of this one get no answer at all. */
+const unanswered = "host-0/a";
 const impatientMilliseconds = 100;
 const patientMilliseconds = 3_000;
 
+function never(): Promise<null> {
+  return new Promise(() => undefined);
+}
+
 // Guards against answers that are lost since another call to the same agent
 // had less time (SHORT: renewals that a late answer to a table ended).
 describe("calls to an agent that answers late", () => {
@@ -34,8 +40,9 @@
   before(async () => {
     address = `127.0.0.1:${await listen(server, 0)}`;
     const methods: Pick<PeerMethods, "renew" | "table" | "identify"> = {
-      renew: () => pause(answerMilliseconds, answer),
-      table: () => pause(answerMilliseconds, null),
+      renew: ({ id }) =>
+        id === unanswered ? never() : pause(answerMilliseconds, answer),
+      table: () => never(),
       identify: () => Promise.resolve("host-1/a"),
     };
     serving = servePeers({
@@ -81,7 +88,7 @@
   describe("after one that gave up", () => {
     it("have a connection of their own, which the old one's end leaves open", async () => {
       const first = await peers.call(address, "renew", {
-        message: testRenewal("host-1/a", {}),
+        message: testRenewal(unanswered, {}),
         timeoutMilliseconds: impatientMilliseconds,
       });
       assert.ok(first.isErr);
