A call that gives up leaves other calls to its agent alone

Cause: a call's timeout closed the connection to that agent, which ended all other calls on it; and once that connection had closed, its handler dropped whatever connection to the address was in use by then, with its calls. A holder that waited 400 ms for one late answer so failed its next call too, and gave its grantor up; and each opened a new connection to an agent that was late already.

Now a connection is left for a new one only after it has said nothing for 1.2 s while calls waited, and what waits on it keeps its own time.

--- a/source/adapters/hops/peer_client.ts
+++ b/source/adapters/hops/peer_client.ts
@@ -1,7 +1,7 @@
 /**
- * Calls to other agents: one tRPC connection for each peer. A call that times
- * out closes its connection, since that may have gone silent for good; the
- * next call opens a new one.
+ * Calls to other agents: one tRPC connection for each peer. A connection that
+ * has said nothing for long, though calls wait on it, may have gone silent for
+ * good: the next call opens a new one, and those that wait keep their time.
  *
  * @module
  */
@@ -28,13 +28,25 @@
 import type { PeerRouter } from "./peer_server.ts";
 import { peerSchemas } from "../schemas.ts";
 
+type EndCall = (fault: PeerFault) => void;
+
 interface Connection {
   readonly client: TRPCClient<PeerRouter>;
-  /** Ends of the calls in progress, for when the connection fails. */
-  readonly pending: Set<(fault: PeerFault) => void>;
-  readonly close: () => void;
+  /** A call is in progress; its end is for when the connection fails. */
+  readonly begin: (end: EndCall) => void;
+  readonly finish: (end: EndCall) => void;
+  readonly endAll: (fault: PeerFault) => void;
+  /** It has answered a call. */
+  readonly noteAnswer: () => void;
+  /** Since it last answered, or was opened. */
+  readonly silentMilliseconds: () => number;
+  /** Closes once no call waits on it; no other call may begin. */
+  readonly retire: () => void;
 }
 
+/** An agent that lives says something within this, however busy it is. */
+const silenceMilliseconds = 1_200;
+
 /** Connections kept; the least recently used one beyond is closed. */
 const mostConnections = 96;
 
@@ -52,21 +64,28 @@
       connections.set(address, existing);
       return existing;
     }
-    const opened = open(address, drop);
+    const opened = open(address, end);
     connections.set(address, opened);
     const [oldest] = connections.keys();
     if (connections.size > mostConnections && oldest !== undefined) {
-      drop(oldest, { kind: "unreachable", detail: "closed for others" });
+      retire(oldest, connections.get(oldest) ?? opened);
     }
     return opened;
   }
 
-  function drop(address: Address, fault: PeerFault): void {
-    const connection = connections.get(address);
-    if (connection === undefined) return;
-    connections.delete(address);
-    for (const end of [...connection.pending]) end(fault);
-    connection.close();
+  /** Takes a connection out of use; what waits on it goes on. */
+  function retire(address: Address, connection: Connection): void {
+    if (connections.get(address) === connection) connections.delete(address);
+    connection.retire();
+  }
+
+  function end(
+    address: Address,
+    connection: Connection,
+    fault: PeerFault,
+  ): void {
+    connection.endAll(fault);
+    retire(address, connection);
   }
 
   return {
@@ -85,18 +104,18 @@
       });
       if (result.isErr) {
         options.metrics.count("peer_call_faults", { method });
-        if (result.error.kind === "timeout") {
-          if (connections.get(address) === connection) {
-            drop(address, result.error);
-          }
+        const silent = connection.silentMilliseconds() >= silenceMilliseconds;
+        if (silent && result.error.kind === "timeout") {
+          retire(address, connection);
         }
         return Result.err(result.error);
       }
+      connection.noteAnswer();
       return readAnswer(method, { reply: result.value, clock: options.clock });
     },
     close() {
-      for (const address of [...connections.keys()]) {
-        drop(address, { kind: "unreachable", detail: "closing" });
+      for (const [address, connection] of [...connections]) {
+        end(address, connection, { kind: "unreachable", detail: "closing" });
       }
       return Promise.resolve();
     },
@@ -112,25 +131,50 @@
 
 function open(
   address: Address,
-  drop: (address: Address, fault: PeerFault) => void,
+  end: (address: Address, connection: Connection, fault: PeerFault) => void,
 ): Connection {
+  function fail(detail: string): void {
+    end(address, connection, { kind: "unreachable", detail });
+  }
   const socket = createWSClient({
     url: `ws://${address}`,
     WebSocket: PeerSocket as unknown as typeof globalThis.WebSocket,
     retryDelayMs: () => 60_000,
-    onError: () =>
-      drop(address, { kind: "unreachable", detail: "connection failed" }),
-    onClose: () =>
-      drop(address, { kind: "unreachable", detail: "connection closed" }),
+    onError: () => fail("connection failed"),
+    onClose: () => fail("connection closed"),
   });
   const client = createTRPCClient<PeerRouter>({
     links: [wsLink({ client: socket })],
   });
-  return {
+  const pending = new Set<EndCall>();
+  let heardAt = performance.now();
+  let retired = false;
+  let closed = false;
+  function closeUnused(): void {
+    if (closed || !retired || pending.size > 0) return;
+    closed = true;
+    void socket.close().catch(() => undefined);
+  }
+  const connection: Connection = {
     client,
-    pending: new Set(),
-    close: () => void socket.close().catch(() => undefined),
+    begin: (end) => void pending.add(end),
+    finish(end) {
+      pending.delete(end);
+      closeUnused();
+    },
+    endAll(fault) {
+      for (const end of [...pending]) end(fault);
+    },
+    noteAnswer() {
+      heardAt = performance.now();
+    },
+    silentMilliseconds: () => performance.now() - heardAt,
+    retire() {
+      retired = true;
+      closeUnused();
+    },
   };
+  return connection;
 }
 
 function raceCall(
@@ -145,7 +189,7 @@
   return new Promise((resolve) => {
     function settle(result: Result<unknown, PeerFault>): void {
       timer.stop();
-      connection.pending.delete(end);
+      connection.finish(end);
       resolve(result);
     }
     function end(fault: PeerFault): void {
@@ -156,7 +200,7 @@
       () => end({ kind: "timeout", detail: call.method }),
       call.timeoutMilliseconds,
     );
-    connection.pending.add(end);
+    connection.begin(end);
     void invoke(connection, { ...call, signal: stop.signal }).then(settle);
   });
 }
