A late answer to a renewal gives the lease as well

Cause: a holder threw an answer away that came after 400 ms, and asked anew, though the lease counts from its question and had seconds left. The grantor took the renewals for leases, so that nothing was given on. A grantor that is busy for a while so lost all its servers at once.

Now a renewal is waited for four times as long. When it is late the grantor is doubted as before, and another is looked for meanwhile.

--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -40,7 +40,7 @@
 import { type MeasuredLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
 import { ask, openMailbox } from "./mailbox.ts";
-import { monotonicNow, pause, readClocks } from "./time.ts";
+import { aborted, monotonicNow, pause, readClocks } from "./time.ts";
 
 /** Durations of holding. */
 export interface HolderTimes {
@@ -119,6 +119,11 @@
   }
   | { readonly kind: "releaseAll" };
 
+/** Calls' times after which a renewal without an answer is late. */
+const doubtedCalls = 2;
+/** Calls' times for which a renewal is waited for. */
+const patientCalls = 4;
+
 /** Starts holding for one agent in its group. */
 export function startHolder(options: {
   readonly agent: Agent & { readonly group: string };
@@ -155,6 +160,10 @@
   /** The grantor that was given up last, until another has answered. */
   let unreachable: GrantorLocation | null = null;
   let failures = 0;
+  /** Whether the grantor's answer to a renewal is late. */
+  let doubted = false;
+  /** Ends the wait for a renewal once another grantor has come. */
+  let replaced = new AbortController();
   /** When a grantor was last heard, on the monotonic clock. */
   let heardAt = -Infinity;
   /** Wait for the end of the renewal under way, or of the next one. */
@@ -234,8 +243,7 @@
     change(
       stepHolder(state, { kind: "epochTaken", epoch: claim.epoch }),
     );
-    grantor = { address: claim.grantorAddress, epoch: claim.epoch };
-    failures = 0;
+    follow({ address: claim.grantorAddress, epoch: claim.epoch });
     heardAt = monotonicNow();
     tellListeners(true);
     emptyOnce(claim.epoch);
@@ -277,10 +285,13 @@
   /** Asks the grantor, unless it has answered within the last call's time. */
   async function hearsGrantor(): Promise<GrantorHearing> {
     const silent = monotonicNow() - heardAt >= times.callTimeoutMilliseconds;
-    let hears = grantor !== null;
+    let hears = grantor !== null && !doubted;
     if (hears && silent) {
       nudge();
-      hears = await new Promise((resolve) => listeners.add(resolve));
+      hears = await Promise.race([
+        new Promise<boolean>((resolve) => listeners.add(resolve)),
+        pause(times.callTimeoutMilliseconds).then(() => false),
+      ]);
     }
     return { id: agent.id, epoch: state.epoch, hears };
   }
@@ -303,15 +314,25 @@
     };
   }
 
-  async function renewOnce(location: GrantorLocation): Promise<boolean> {
+  function follow(location: GrantorLocation): void {
+    grantor = location;
+    failures = 0;
+    doubted = false;
+    replaced.abort();
+  }
+
+  async function renewOnce(
+    location: GrantorLocation,
+    given: AbortSignal,
+  ): Promise<boolean> {
     const askedAt = readClocks();
     const measured = counting.measure(state, askedAt.monotonic);
     const renewal = compose(measured);
     const result = await peers.call(location.address, "renew", {
       message: renewal,
-      timeoutMilliseconds: times.callTimeoutMilliseconds,
+      timeoutMilliseconds: times.callTimeoutMilliseconds * patientCalls,
     });
-    if (result.isErr || result.value === null) return false;
+    if (given.aborted || result.isErr || result.value === null) return false;
     if (result.value.epoch < state.epoch) return false;
     mailbox.send({
       kind: "answered",
@@ -358,18 +379,55 @@
     return null;
   }
 
+  /**
+   * Renews with one call at a time. A grantor whose answer is late is doubted,
+   * and another looked for, but a late answer gives the lease as well.
+   */
+  async function renewPatiently(asked: GrantorLocation): Promise<boolean> {
+    replaced = new AbortController();
+    const given = replaced.signal;
+    const renewal = renewOnce(asked, given);
+    const doubt = times.callTimeoutMilliseconds * doubtedCalls;
+    const ended = await Promise.race([
+      renewal.then(() => true),
+      pause(doubt, given).then(() => false),
+    ]);
+    if (!ended && !given.aborted) {
+      doubted = true;
+      tellListeners(false);
+      void lookForAnother(asked, given);
+    }
+    const renewed = await Promise.race([
+      renewal,
+      aborted(given).then(() => false),
+    ]);
+    replaced.abort();
+    return renewed;
+  }
+
+  async function lookForAnother(
+    asked: GrantorLocation,
+    given: AbortSignal,
+  ): Promise<void> {
+    unreachable = asked;
+    const found = await locate();
+    if (found === null || given.aborted || stopped.signal.aborted) return;
+    if (found.epoch > asked.epoch && grantor === asked) follow(found);
+  }
+
   /** One round; brings the time until the next. */
   async function round(): Promise<number> {
     grantor ??= await locate();
     if (grantor === null) return times.retryMilliseconds;
     const asked = grantor;
-    const renewed = await renewOnce(asked);
+    const renewed = await renewPatiently(asked);
     noteLease();
     // Another grantor has come meanwhile, and has to be asked itself.
     if (!renewed && grantor !== asked) return 0;
     tellListeners(renewed);
     if (renewed) {
       failures = 0;
+      doubted = false;
       heardAt = monotonicNow();
       unreachable = null;
       return times.renewalMilliseconds;
@@ -465,6 +523,7 @@
     async stop() {
       stopped.abort();
       wake.abort();
+      replaced.abort();
       mailbox.close();
       tellListeners(false);
       await running;
--- a/source/tasks/time.ts
+++ b/source/tasks/time.ts
@@ -32,6 +32,14 @@
   });
 }
 
+/** Resolves once the signal is aborted. */
+export function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve();
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
+
 /** A timer that can be stopped. */
 export interface Ticker {
   stop(): void;
