Sessions tell which hop a caller without an answer waited for

A session that fails prints of each of the first broken requests where it went, how long it waited for a connection, and what the agents logged of it; and how many got no connection at all. No verdict has changed.

--- a/source/adapters/targets/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -88,7 +88,7 @@
 }
 
 /** Tells when a request begins to be written, after any wait in the pool. */
-function noteStart(
+export function noteStart(
   onStart: () => void,
 ): Dispatcher.DispatcherComposeInterceptor {
   return (dispatch) => (request, handler) =>
--- a/standins/load.ts
+++ b/standins/load.ts
@@ -9,6 +9,7 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Pool } from "undici";
+import { noteStart } from "../source/adapters/targets/exchange.ts";
 
 /** One kind of request in a mix. */
 export interface LoadKind {
@@ -50,6 +51,10 @@
   readonly reason: string;
   readonly inTime: boolean;
   readonly value: number;
+  /** Where the last attempt went. */
+  readonly address: string;
+  /** How long that waited for a connection; null when it got none. */
+  readonly connectedAfterMilliseconds: number | null;
 }
 
 /** A load's results, and the summary of each rank. */
@@ -76,12 +81,13 @@
 
 /** Sends a load and waits for every answer. */
 export async function runLoad(load: Load): Promise<LoadReport> {
-  const pools = load.addresses.map((address) =>
-    new Pool(`http://${address}`, {
+  const pools = load.addresses.map((address) => ({
+    address,
+    pool: new Pool(`http://${address}`, {
       connections: load.connections ?? 1_024,
       keepAliveTimeout: 4_000,
-    })
-  );
+    }),
+  }));
   const results: Promise<LoadResult>[] = [];
   const startedAt = performance.now();
   const stalls = monitorEventLoopDelay({ resolution: 10 });
@@ -92,7 +98,7 @@
     return sendKind(kind, { load, pools, random, results, startedAt, index });
   }));
   const settled = await Promise.all(results);
-  await Promise.all(pools.map((pool) => pool.destroy()));
+  await Promise.all(pools.map(({ pool }) => pool.destroy()));
   stalls.disable();
   return {
     results: settled,
@@ -109,9 +115,20 @@
   return () => uniformFloat64(generator);
 }
 
+interface AddressPool {
+  readonly address: string;
+  readonly pool: Pool;
+}
+
+/** What is told of one attempt. */
+type AttemptResult = Pick<
+  LoadResult,
+  "outcome" | "reason" | "address" | "connectedAfterMilliseconds"
+>;
+
 interface Sending {
   readonly load: Load;
-  readonly pools: readonly Pool[];
+  readonly pools: readonly AddressPool[];
   readonly random: () => number;
   readonly results: Promise<LoadResult>[];
   readonly startedAt: number;
@@ -142,10 +159,12 @@
   const key = `key-${chooseKey(load, random)}`;
   const path = kind.path.replace(":key", key);
   const sentAt = Date.now();
-  let last = { outcome: "broken", reason: "" } as Pick<
-    LoadResult,
-    "outcome" | "reason"
-  >;
+  let last: AttemptResult = {
+    outcome: "broken",
+    reason: "",
+    address: "",
+    connectedAfterMilliseconds: null,
+  };
   for (let attempt = 1; attempt <= (load.attempts ?? 1); attempt += 1) {
     const pool = pools[Math.floor(random() * pools.length)];
     if (pool === undefined) break;
@@ -169,14 +188,25 @@
 async function attemptOnce(
   kind: LoadKind,
   options: {
-    readonly pool: Pool;
+    readonly pool: AddressPool;
     readonly path: string;
     readonly id: string;
     readonly load: Load;
   },
-): Promise<Pick<LoadResult, "outcome" | "reason">> {
+): Promise<AttemptResult> {
+  const { address, pool } = options.pool;
+  const askedAt = performance.now();
+  let connectedAfterMilliseconds: number | null = null;
+  const ended = (came: Pick<AttemptResult, "outcome" | "reason">) => ({
+    ...came,
+    address,
+    connectedAfterMilliseconds,
+  });
+  const noted = pool.compose(noteStart(() => {
+    connectedAfterMilliseconds = Math.round(performance.now() - askedAt);
+  }));
   try {
-    const response = await options.pool.request({
+    const response = await noted.request({
       method: kind.method,
       path: options.path,
       headers: {
@@ -194,13 +224,13 @@
       signal: AbortSignal.timeout(kind.deadlineMilliseconds + 1_000),
     });
     const text = await response.body.text();
-    return readOutcome(response.headers, { text, id: options.id });
+    return ended(readOutcome(response.headers, { text, id: options.id }));
   } catch (error) {
     const code = error instanceof Error && "code" in error
       ? String(error.code)
       : String(error);
     const refused = code === "ECONNREFUSED";
-    return { outcome: refused ? "not-run" : "broken", reason: code };
+    return ended({ outcome: refused ? "not-run" : "broken", reason: code });
   }
 }
 
--- a/tests/sessions/session.ts
+++ b/tests/sessions/session.ts
@@ -211,12 +211,28 @@
     ({ outcome, reason, sentAt }) =>
       `${outcome} ${reason} ${sentAt - actedAt} ms`,
   );
+  const broken = failed.filter(({ outcome }) => outcome === "broken");
+  const unconnected = broken.filter(({ connectedAfterMilliseconds }) =>
+    connectedAfterMilliseconds === null
+  );
   const stall = report.longestStallMilliseconds;
   console.error(
     `${failed.length} failed, sent after the fault by: ${reasons.join("; ")}`,
   );
   console.error(`the load program itself stood still for ${stall} ms at most`);
   console.error(`the fault came at ${new Date(actedAt).toISOString()}`);
+  console.error(
+    `${broken.length} broken, ${unconnected.length} got no connection`,
+  );
+  for (const { id, address, ...result } of broken.slice(0, mostReasons)) {
+    const { sentAt, connectedAfterMilliseconds } = result;
+    console.error(
+      `${id} to ${address} ${sentAt - actedAt} ms, ` +
+        `connected after ${connectedAfterMilliseconds} ms`,
+    );
+    const own = new RegExp(`request=${id}\\b`);
+    for (const line of log) if (own.test(line)) console.error(line);
+  }
   for (const line of log) if (tellsOfTrouble.test(line)) console.error(line);
 }
 
