A holder's record keeps the address of its last renewal

steadyWeight returned the former holder as it was where a report showed no requests, and with it the former address; the type hid that.

--- a/source/core/ownership/few_requests.ts
+++ b/source/core/ownership/few_requests.ts
@@ -70,7 +70,7 @@
 ): SteadyWeight {
   const worked = report.sliceLoads.some((load) => load.requestsPerSecond > 0);
   if (former === undefined) return { weight: report.weight, weighings: 0 };
-  if (!worked) return former;
+  if (!worked) return { weight: former.weight, weighings: former.weighings };
   const weighings = former.weighings + 1;
   const smoothing = Math.max(usualSmoothing, 1 / weighings);
   const weight = former.weight + (report.weight - former.weight) * smoothing;
--- a/source/core/ownership/few_requests_test.ts
+++ b/source/core/ownership/few_requests_test.ts
@@ -130,6 +130,19 @@
   });
 
   describe("where it has run nothing yet", () => {
+    it("is nothing new but what it says of itself", () => {
+      const idle = report(begin(), {
+        seconds: seconds(2),
+        requestsPerSecond: () => 0,
+      });
+      const peerAddress = "127.0.0.1:7";
+      const renewal = { ...testRenewal(id, { weight: 1 }), peerAddress };
+      const event = { kind: "renewal" as const, renewal, now: at(3_000) };
+      const holder = stepGrantor(idle, event).state.holders.get(id);
+      assert.equal(holder?.peerAddress, peerAddress);
+      assert.equal(holder?.weight, usualWeight);
+    });
+
     // Guards against too little being served (SHORT): a server was taken for as
     // fast as usual for the first ten seconds of requests, and overfilled.
     it("is its speed after the first second of requests", () => {
