--- a/benches/run.ts
+++ b/benches/run.ts
@@ -8,12 +8,14 @@
 import { benchCapacity } from "./capacity_bench.ts";
 import { benchHop } from "./hop_bench.ts";
 import { benchOwnership } from "./ownership_bench.ts";
+import { benchPlatform } from "./platform_bench.ts";
 import { benchRanks } from "./ranks_bench.ts";
 
 const benches: Readonly<Record<string, Bench>> = {
   ranks: benchRanks,
   hop: benchHop,
   ownership: benchOwnership,
+  platform: benchPlatform,
   capacity: benchCapacity,
 };
 
