Nothing is moved to a server that had no lease when it last asked

What callers saw: keys given to servers that refused them (SHORT).

Cause: a server without a lease serves nothing, counts no load and looks empty. It says now in its renewal that its lease had ended, and is left out of placement until it asks with a lease again.

--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -152,6 +152,7 @@
     ...steadyWeight(former, renewal),
     checksFencing: renewal.checksFencing,
     leaving: renewal.leaving,
+    lapsed: renewal.lapsed !== undefined,
     leaseEndsAt: now.monotonic + state.settings.leaseMilliseconds,
     tableVersion: renewal.tableVersion,
     ...settle(former, {
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -49,6 +49,8 @@
   readonly weighings: number;
   readonly checksFencing: boolean;
   readonly leaving: boolean;
+  /** Whether it had lost its lease when it last asked: it served nothing. */
+  readonly lapsed: boolean;
   /** On the grantor's monotonic clock. */
   readonly leaseEndsAt: number;
   readonly tableVersion: FencingToken;
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -26,7 +26,8 @@
 function loadsByHolder(state: GrantorState): Map<AgentId, number> {
   const loads = new Map<AgentId, number>();
   for (const holder of state.holders.values()) {
-    if (!holder.leaving) loads.set(holder.id, 0);
+    // One that serves nothing looks empty, and may not hear of what it gets.
+    if (!holder.leaving && !holder.lapsed) loads.set(holder.id, 0);
   }
   state.slices.forEach((slice, index) => {
     const owner = futureOwner(slice);
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -95,6 +95,7 @@
     weighings: 0,
     checksFencing: answer.checksFencing,
     leaving: answer.leaving,
+    lapsed: false,
     leaseEndsAt: takeover.now.monotonic +
       takeover.settings.leaseMilliseconds,
     tableVersion: noToken,
