Holders spread their renewals

What callers saw: answers of a grantor that come late, and what follows (SHORT).

Cause: a takeover asks all servers to renew at once, and from then on they all do so in the same half second: 0, 35, 0, 35 by half seconds in a trial, at a grantor with 0.27 of a core. Each rest is now shorter by up to a fifth, at random.

Evidence: holder_task_test.ts, which failed before: both holders renewed at the same times.

--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -214,6 +214,7 @@
       events,
       place: options.place,
       weight: options.weight,
+      random: options.random,
       startKeyGrants: options.startKeyGrants,
       leaving: spread.self().phase !== "serving",
       candidates: () => ({
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -119,6 +119,8 @@
   }
   | { readonly kind: "releaseAll" };
 
+/** A part of each rest, so that servers don't all renew at one time. */
+const renewalSpread = 0.2;
 /** Calls' times after which a renewal without an answer is late. */
 const doubtedCalls = 2;
 /** Calls' times for which a renewal is waited for. */
@@ -133,6 +135,8 @@
   readonly place: PlaceKey;
   /** What the target carries, relative to the others of its service. */
   readonly weight: () => number;
+  /** Returns a number from 0 up to but not including 1. */
+  readonly random: () => number;
   /** Null for a target that needs not be told which keys it holds. */
   readonly startKeyGrants: StartKeyGrants | null;
   /** Whether the target takes no new work when the holder begins. */
@@ -430,7 +434,8 @@
       doubted = false;
       heardAt = monotonicNow();
       unreachable = null;
-      return times.renewalMilliseconds;
+      return times.renewalMilliseconds *
+        (1 - renewalSpread * options.random());
     }
     failures += 1;
     if (failures >= 2) {
--- a/source/tasks/holder_task_test.ts
+++ b/source/tasks/holder_task_test.ts
@@ -28,7 +28,7 @@
 };
 
 /** A holder of one slice, and what it tells its grantor. */
-function startTestHolder() {
+function startTestHolder(random: () => number = () => 0) {
   const renewals: Renewal[] = [];
   function call(
     _address: string,
@@ -53,6 +53,7 @@
     events: { record: () => {} },
     place: () => slice,
     weight: () => 1,
+    random,
     startKeyGrants: null,
     leaving: false,
     candidates: () => ({ members: [grantorAddress], grantors: [] }),
@@ -111,3 +112,37 @@
     assert.deepEqual(rates, [0.9]);
   });
 });
+
+// Guards against SHORT: after a takeover all 35 servers of a group renewed in
+// the same half second, and the grantor's answers were late.
+describe("holders that were all asked to renew at one time", () => {
+  let clock: ReturnType<typeof FakeTimers.install>;
+
+  beforeEach(() => {
+    clock = FakeTimers.install({ now: 1_000_000 });
+  });
+  afterEach(() => clock.uninstall());
+
+  /** When a holder with this luck renews, after its first renewal. */
+  async function renewalTimes(luck: number): Promise<readonly number[]> {
+    const { holder, renewals } = startTestHolder(() => luck);
+    const times: number[] = [];
+    await clock.tickAsync(0);
+    const began = renewals.length;
+    for (let step = 1; step <= 30; step += 1) {
+      await clock.tickAsync(100);
+      if (renewals.length > began + times.length) times.push(step * 100);
+    }
+    const stopped = holder.stop();
+    await clock.runAllAsync();
+    await stopped;
+    return times;
+  }
+
+  it("renew at different times soon, and each within a second", async () => {
+    const early = await renewalTimes(0.99);
+    const late = await renewalTimes(0);
+    assert.deepEqual(late.slice(0, 2), [1_000, 2_000]);
+    assert.deepEqual(early.slice(0, 2), [900, 1_700]);
+  });
+});
