A grantor that was only slow is asked to stop, and hands on, while the next one grants

Cause: a former grantor that had not answered a moment before the claim was never asked again, so that a bound on time stood where its word was to be had.

Now a new grantor asks it once a second while it waits for it. Once it has stopped, what nobody reported is as it left it.

The claim of an epoch is a module of its own, epoch_claim.ts, as grantor_task.ts had grown large.

Evidence: takeover_test.ts, 'only once the other one grants', which could not run before: there was no such event. ownership_test.ts plays late handovers among its other moves.

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -13,7 +13,7 @@
   SectionContent,
 } from "../core/document/document.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
-import type { Handover } from "../core/ownership/handover.ts";
+import type { Handover } from "../core/ownership/handover_message.ts";
 import type {
   Renewal,
   RenewalAnswer,
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -27,12 +27,13 @@
 import { steadyRates, steadyWeight } from "./few_requests.ts";
 import { tableOf } from "./grantor_table.ts";
 import { noteBusyKeys } from "./isolation.ts";
+import { readHandover } from "./handover.ts";
 import { stillItsOwn } from "./last_held.ts";
 import { chooseMoves, leastLoaded } from "./placement.ts";
 import { formerAgents, inheritSlices } from "./succession.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
 import { compareTokens, noToken } from "./token.ts";
-import { freeUnreported } from "./unreported.ts";
+import { freeUnreported, isUnreported } from "./unreported.ts";
 
 /** Applies one event to a grantor. */
 export function stepGrantor(
@@ -46,6 +47,8 @@
       return tick(state, event.now);
     case "earlierEnded":
       return { state: shortenWait(state, event.now), effects: [] };
+    case "handover":
+      return assignFree(takeHandover(state, event));
     case "departed":
       return assignFree(event.ids.reduce(noteHeard, state));
     case "confirmed":
@@ -53,6 +56,24 @@
   }
 }
 
+/** What nobody has reported yet is left as the former grantor had it. */
+function takeHandover(
+  state: GrantorState,
+  event: GrantorEvent & { readonly kind: "handover" },
+): GrantorState {
+  const known = readHandover(event.handover, {
+    now: event.now.monotonic,
+    hasAnswered: (id) => !state.unheard.has(id),
+  });
+  const slices = state.slices.map((slice, index): Slice => {
+    if (!isUnreported(slice) || index >= state.settings.hashedSlices) {
+      return slice;
+    }
+    return known[index] ?? { kind: "free" };
+  });
+  return { ...state, slices, sequence: state.sequence + 1 };
+}
+
 /** What nobody reported waits for the leases that were given last. */
 function shortenWait(state: GrantorState, now: Clocks): GrantorState {
   const { leaseMilliseconds, longestDeadlineMilliseconds } = state.settings;
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -6,6 +6,7 @@
 import type { Address, AgentId } from "../agent.ts";
 import { type Clocks, later } from "../clocks.ts";
 import type { Checkpoint, RosterEntry } from "./delegation.ts";
+import type { Handover } from "./handover_message.ts";
 import type { KeyLoad, Renewal, RenewalAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import type { FencingToken } from "./token.ts";
@@ -154,6 +155,12 @@
   | { readonly kind: "tick"; readonly now: Clocks }
   /** No earlier grantor can renew a lease any more, from now on. */
   | { readonly kind: "earlierEnded"; readonly now: Clocks }
+  /** The former grantor has stopped late, and tells what it leaves. */
+  | {
+    readonly kind: "handover";
+    readonly handover: Handover;
+    readonly now: Clocks;
+  }
   /** These agents have ended, with nothing in their targets' hands. */
   | { readonly kind: "departed"; readonly ids: readonly AgentId[] }
   | {
--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -10,7 +10,8 @@
 import fc from "fast-check";
 import type { Clocks } from "../clocks.ts";
 import { type Delegation, successorDelegation } from "./delegation.ts";
-import { type Handover, handoverOf } from "./handover.ts";
+import { handoverOf } from "./handover.ts";
+import type { Handover } from "./handover_message.ts";
 import { delegationEnded, stepGrantor } from "./grantor.ts";
 import type {
   GrantorEvent,
@@ -72,6 +73,8 @@
     readonly reached: readonly boolean[];
     readonly formerReached: boolean;
   }
+  /** The former of a grantor stops late, and tells what it leaves. */
+  | { readonly kind: "handOver"; readonly grantor: number }
   | { readonly kind: "freeze"; readonly holder: number; readonly on: boolean }
   | { readonly kind: "suspend"; readonly holder: number; readonly on: boolean }
   | { readonly kind: "leave"; readonly holder: number; readonly on: boolean }
@@ -129,6 +132,11 @@
     { length: grantorCount },
     () => null,
   );
+  /** For each grantor the one that it followed, while that may still grant. */
+  readonly formers = new Map<
+    number,
+    { readonly index: number; readonly epoch: number }
+  >();
   works: Work[] = [];
   /** For each server the answer of its one call that is still under way. */
   readonly late = new Map<number, () => void>();
@@ -163,6 +171,8 @@
         return this.write(move.grantor, move.fate);
       case "takeOver":
         return this.takeOver(move);
+      case "handOver":
+        return this.handOver(move.grantor);
       case "freeze":
         this.servers[move.holder]!.frozen = move.on;
         return;
@@ -333,6 +343,28 @@
       now: this.grantorClocks(),
     });
     for (const server of this.servers) server.grantor ??= move.grantor;
+    this.formers.delete(move.grantor);
+    if (formerIndex !== null && !formerStopped && former !== null) {
+      this.formers.set(move.grantor, {
+        index: formerIndex,
+        epoch: former.epoch,
+      });
+    }
+  }
+
+  handOver(grantor: number): void {
+    const former = this.formers.get(grantor);
+    if (former === undefined) return;
+    this.formers.delete(grantor);
+    const { index, epoch } = former;
+    if (this.grantors[index]?.epoch !== epoch) return;
+    const handover = this.stopGrantor(index, epoch);
+    if (handover === undefined) return;
+    this.feed(grantor, {
+      kind: "handover",
+      handover,
+      now: this.grantorClocks(),
+    });
   }
 
   /** What the grantor here tells its successor, if it is the one meant. */
@@ -450,6 +482,10 @@
       formerReached: fc.boolean(),
     }),
   },
+  {
+    weight: 3,
+    arbitrary: fc.record({ kind: fc.constant("handOver" as const), grantor }),
+  },
   {
     weight: 4,
     arbitrary: fc.record({
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -7,7 +7,8 @@
 import type { AgentId } from "../agent.ts";
 import type { Clocks } from "../clocks.ts";
 import type { RosterEntry } from "./delegation.ts";
-import { type Handover, readHandover } from "./handover.ts";
+import { readHandover } from "./handover.ts";
+import type { Handover } from "./handover_message.ts";
 import { stillItsOwn } from "./last_held.ts";
 import {
   delegationEnd,
--- a/source/core/ownership/takeover_test.ts
+++ b/source/core/ownership/takeover_test.ts
@@ -161,6 +161,30 @@
     });
   });
 
+  describe("only once the other one grants", () => {
+    const answers = [
+      answer("b/1", { held: grants([4, 5]) }),
+      answer("c/1", { held: [] }),
+    ];
+    const begun = begin({ answers });
+    const { state } = stepGrantor(begun, {
+      kind: "handover",
+      handover,
+      now: at(now),
+    });
+
+    it("waits no longer for the whole delegation", () => {
+      assert.ok(waitsOf(begun).some((left) => left > 60_000));
+      const left = [leaseLeft, leaseLeft, leaseLeft, leaseLeft, 0, 0, 0, 0];
+      assert.deepEqual(waitsOf(state), left);
+    });
+
+    it("gives away at once what nobody held", () => {
+      const owner = ownersOf(state.slices)[7];
+      assert.ok(owner === "b/1" || owner === "c/1");
+    });
+  });
+
   describe("which has told of no key's own slice", () => {
     const isolatedKeys = [{ key: "hot", slice: 8, base: 4 }];
 
--- a/source/core/ownership/unreported.ts
+++ b/source/core/ownership/unreported.ts
@@ -29,7 +29,8 @@
   return { ...state, slices, sequence };
 }
 
-function isUnreported(slice: Slice | undefined): boolean {
+/** Whether a slice waits for servers that have not been heard. */
+export function isUnreported(slice: Slice | undefined): boolean {
   return slice?.kind === "reserved" && slice.owner === null;
 }
 
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -19,6 +19,7 @@
   | "grantor-begun"
   | "grantor-stopped"
   | "earlier-grantors-ended"
+  | "earlier-grantor-sealed"
   | "departed-agents-noted"
   | "replaced-agent-noted"
   | "departure-untold"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -9,7 +9,7 @@
   RecordVersion,
   SharedRecord,
 } from "../core/dissemination/replica.ts";
-import type { Handover } from "../core/ownership/handover.ts";
+import type { Handover } from "../core/ownership/handover_message.ts";
 import type {
   Renewal,
   RenewalAnswer,
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -36,7 +36,7 @@
 import type { CensusReply, Peers } from "../ports/peers.ts";
 import type { Store } from "../ports/store.ts";
 import { takeCensus } from "./census_task.ts";
-import type { GrantorTimes } from "./grantor_task.ts";
+import type { GrantorTimes } from "./epoch_claim.ts";
 import { type GrantorsTask, startGrantors } from "./grantors_task.ts";
 import {
   type HolderTask,
--- /dev/null
+++ b/source/tasks/epoch_claim.ts
@@ -0,0 +1,166 @@
+/**
+ * How a group is taken over: the claim of its next epoch in the store, and
+ * what its servers and its former grantor say to it.
+ *
+ * @module
+ */
+import type { Agent, AgentId } from "../core/agent.ts";
+import type { Clocks } from "../core/clocks.ts";
+import {
+  type Delegation,
+  earlierGrantorsOf,
+  successorDelegation,
+} from "../core/ownership/delegation.ts";
+import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import type { Handover } from "../core/ownership/handover_message.ts";
+import type { TakeoverAnswer } from "../core/ownership/renewal.ts";
+import type { Events } from "../ports/events.ts";
+import type { Peers } from "../ports/peers.ts";
+import type { Repository, Versioned } from "../ports/store.ts";
+import { readClocks } from "./time.ts";
+
+/** Durations of granting. */
+export interface GrantorTimes {
+  readonly tickMilliseconds: number;
+  readonly callTimeoutMilliseconds: number;
+  readonly storeRetryMilliseconds: number;
+}
+
+/** What a grantor needs from outside. */
+export interface GrantorOptions {
+  readonly agent: Agent;
+  readonly group: string;
+  readonly settings: GrantorSettings;
+  readonly times: GrantorTimes;
+  readonly delegations: Repository<Delegation>;
+  readonly peers: Peers;
+  readonly events: Events;
+  /** A mark that no other write has. */
+  readonly newMark: () => string;
+  /** The delegation that the new grantor follows, as the store had it. */
+  readonly former: Versioned<Delegation> | null;
+  /** False when its grantor did not answer a moment ago. */
+  readonly formerReachable: boolean;
+  /** What a grantor of this agent that had this epoch left behind. */
+  readonly ownHandover: (epoch: number) => Handover | null;
+  /** Whether this agent's process is known to have ended. */
+  readonly hasEnded: (id: AgentId) => boolean;
+  /** Whether it is known to have stopped as planned, with nothing held. */
+  readonly hasDeparted: (id: AgentId) => boolean;
+  /** Hears of the epoch once the store has it, before anybody is asked. */
+  readonly onClaimed: (epoch: number) => void;
+}
+
+/** An epoch that the store has accepted. */
+export interface Claim {
+  readonly stored: Versioned<Delegation>;
+  readonly askedAt: Clocks;
+  readonly former: Delegation | null;
+}
+
+/** Earlier grantors that have neither ended nor stopped when asked to. */
+export function earlierUnended(
+  options: GrantorOptions,
+  claim: Claim,
+  sealed: AgentId | undefined,
+): readonly AgentId[] {
+  if (claim.former === null) return [];
+  return earlierGrantorsOf(claim.former).filter((id) =>
+    id !== sealed && !options.hasEnded(id)
+  );
+}
+
+/**
+ * Claims the next epoch; null when the store can't be written, or another
+ * grantor came first.
+ */
+export async function claimEpoch(
+  options: GrantorOptions,
+): Promise<Claim | null> {
+  const { delegations, group, agent, settings } = options;
+  const { former } = options;
+  const value = successorDelegation(former?.value ?? null, {
+    group,
+    grantor: agent.id,
+    grantorAddress: agent.peerAddress,
+    durationMilliseconds: settings.delegationMilliseconds,
+    hashedSlices: settings.hashedSlices,
+    writerMark: options.newMark(),
+  });
+  const askedAt = readClocks();
+  const version = former?.version ?? null;
+  const written = await delegations.write(group, value, { version });
+  const stored = written.isOk
+    ? { value, version: written.value }
+    : await findOwnWrite(options, value.writerMark);
+  if (stored === null) return null;
+  return { stored, askedAt, former: former?.value ?? null };
+}
+
+/** Settles a write whose reply was lost: the mark says whether it took place. */
+async function findOwnWrite(
+  options: GrantorOptions,
+  mark: string,
+): Promise<Versioned<Delegation> | null> {
+  const read = await options.delegations.read(options.group);
+  if (read.isErr || read.value === null) return null;
+  return read.value.value.writerMark === mark ? read.value : null;
+}
+
+/** What became of the former grantor. */
+export interface FormerGrantor {
+  /** Whether it has surely stopped granting. */
+  readonly stopped: boolean;
+  /** Null where it could not tell what it leaves. */
+  readonly handover: Handover | null;
+}
+
+/** Asks the former grantor to stop, and what it leaves. */
+export async function sealFormer(
+  options: GrantorOptions,
+  claim: Claim,
+): Promise<FormerGrantor> {
+  const { former } = claim;
+  if (former === null) return { stopped: true, handover: null };
+  if (former.grantor === options.agent.id) {
+    return { stopped: true, handover: options.ownHandover(former.epoch) };
+  }
+  const { peers, group, times } = options;
+  const timeoutMilliseconds = times.callTimeoutMilliseconds;
+  const sealed = await peers.call(former.grantorAddress, "sealGrantor", {
+    message: {
+      group,
+      epoch: claim.stored.value.epoch,
+      grantorAddress: options.agent.peerAddress,
+      grantor: former.grantor,
+    },
+    timeoutMilliseconds,
+  });
+  if (sealed.isErr || !sealed.value) return { stopped: false, handover: null };
+  const told = await peers.call(former.grantorAddress, "handover", {
+    message: { group, epoch: former.epoch },
+    timeoutMilliseconds,
+  });
+  return { stopped: true, handover: told.isOk ? told.value : null };
+}
+
+/** Tells the servers of the epoch; brings what they answer in time. */
+export async function askRoster(
+  options: GrantorOptions,
+  claim: Claim,
+): Promise<readonly TakeoverAnswer[]> {
+  const { epoch, roster } = claim.stored.value;
+  const answers = await Promise.all(roster.map(async (entry) => {
+    const result = await options.peers.call(entry.peerAddress, "takeEpoch", {
+      message: {
+        group: options.group,
+        epoch,
+        grantorAddress: options.agent.peerAddress,
+      },
+      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
+    });
+    if (result.isErr || result.value === null) return [];
+    return result.value.id === entry.id ? [result.value] : [];
+  }));
+  return answers.flat();
+}
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -4,46 +4,39 @@
  *
  * @module
  */
-import type { Address, Agent, AgentId } from "../core/agent.ts";
+import type { Address, AgentId } from "../core/agent.ts";
 import type { Clocks } from "../core/clocks.ts";
-import { type Handover, handoverOf } from "../core/ownership/handover.ts";
+import { handoverOf } from "../core/ownership/handover.ts";
+import type { Handover } from "../core/ownership/handover_message.ts";
 import {
   type Checkpoint,
   type Delegation,
-  earlierGrantorsOf,
   type RosterEntry,
-  successorDelegation,
 } from "../core/ownership/delegation.ts";
 import { delegationEnded, stepGrantor } from "../core/ownership/grantor.ts";
 import { tableOf } from "../core/ownership/grantor_table.ts";
 import type {
   GrantorEffect,
   GrantorEvent,
-  GrantorSettings,
 } from "../core/ownership/grantor_state.ts";
-import type {
-  Renewal,
-  RenewalAnswer,
-  TakeoverAnswer,
-} from "../core/ownership/renewal.ts";
+import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import { beginGrantor } from "../core/ownership/takeover.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import { formatToken } from "../core/ownership/token.ts";
-import type { Events } from "../ports/events.ts";
-import type { Peers } from "../ports/peers.ts";
-import type { Repository, Versioned } from "../ports/store.ts";
+import type { Versioned } from "../ports/store.ts";
+import {
+  askRoster,
+  claimEpoch,
+  earlierUnended,
+  type FormerGrantor,
+  type GrantorOptions,
+  sealFormer,
+} from "./epoch_claim.ts";
 import { openMailbox } from "./mailbox.ts";
 import { tellStopped } from "./replaced_grantor.ts";
 import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
 import { lookForProof } from "./unheard_agents.ts";
 
-/** Durations of granting. */
-export interface GrantorTimes {
-  readonly tickMilliseconds: number;
-  readonly callTimeoutMilliseconds: number;
-  readonly storeRetryMilliseconds: number;
-}
-
 /** A running grantor. */
 export interface GrantorTask {
   readonly group: string;
@@ -62,40 +55,9 @@
   stop(): Promise<void>;
 }
 
-/** What a grantor needs from outside. */
-export interface GrantorOptions {
-  readonly agent: Agent;
-  readonly group: string;
-  readonly settings: GrantorSettings;
-  readonly times: GrantorTimes;
-  readonly delegations: Repository<Delegation>;
-  readonly peers: Peers;
-  readonly events: Events;
-  /** A mark that no other write has. */
-  readonly newMark: () => string;
-  /** The delegation that the new grantor follows, as the store had it. */
-  readonly former: Versioned<Delegation> | null;
-  /** False when its grantor did not answer a moment ago. */
-  readonly formerReachable: boolean;
-  /** What a grantor of this agent that had this epoch left behind. */
-  readonly ownHandover: (epoch: number) => Handover | null;
-  /** Whether this agent's process is known to have ended. */
-  readonly hasEnded: (id: AgentId) => boolean;
-  /** Whether it is known to have stopped as planned, with nothing held. */
-  readonly hasDeparted: (id: AgentId) => boolean;
-  /** Hears of the epoch once the store has it, before anybody is asked. */
-  readonly onClaimed: (epoch: number) => void;
-}
-
 /** A successor looks so often whether earlier grantors have stopped. */
 const lookMilliseconds = 1_000;
 
-interface Claim {
-  readonly stored: Versioned<Delegation>;
-  readonly askedAt: Clocks;
-  readonly former: Delegation | null;
-}
-
 /**
  * Claims the next epoch of a group and asks its servers what they hold. Null
  * when the store can't be written, or another grantor came first.
@@ -111,8 +73,10 @@
     epoch: claim.stored.value.epoch,
     former: claim.former?.grantor ?? "none",
   });
+  // A grantor that did not answer a moment ago is asked while this one grants.
+  const unasked: FormerGrantor = { stopped: false, handover: null };
   const [former, answers] = await Promise.all([
-    sealFormer(options, claim),
+    options.formerReachable ? sealFormer(options, claim) : unasked,
     askRoster(options, claim),
   ]);
   const sealed = former.stopped ? claim.former?.grantor : undefined;
@@ -147,115 +111,20 @@
     state,
     stored: claim.stored,
     earlier: () => earlierUnended(options, claim, sealed),
+    former: former.stopped ? undefined : claim.former?.grantor,
+    sealFormer: () => sealFormer(options, claim),
   });
 }
 
-/** Earlier grantors that have neither ended nor stopped when asked to. */
-function earlierUnended(
-  options: GrantorOptions,
-  claim: Claim,
-  sealed: AgentId | undefined,
-): readonly AgentId[] {
-  if (claim.former === null) return [];
-  return earlierGrantorsOf(claim.former).filter((id) =>
-    id !== sealed && !options.hasEnded(id)
-  );
-}
-
-async function claimEpoch(options: GrantorOptions): Promise<Claim | null> {
-  const { delegations, group, agent, settings } = options;
-  const { former } = options;
-  const value = successorDelegation(former?.value ?? null, {
-    group,
-    grantor: agent.id,
-    grantorAddress: agent.peerAddress,
-    durationMilliseconds: settings.delegationMilliseconds,
-    hashedSlices: settings.hashedSlices,
-    writerMark: options.newMark(),
-  });
-  const askedAt = readClocks();
-  const version = former?.version ?? null;
-  const written = await delegations.write(group, value, { version });
-  const stored = written.isOk
-    ? { value, version: written.value }
-    : await findOwnWrite(options, value.writerMark);
-  if (stored === null) return null;
-  return { stored, askedAt, former: former?.value ?? null };
-}
-
-/** Settles a write whose reply was lost: the mark says whether it took place. */
-async function findOwnWrite(
-  options: GrantorOptions,
-  mark: string,
-): Promise<Versioned<Delegation> | null> {
-  const read = await options.delegations.read(options.group);
-  if (read.isErr || read.value === null) return null;
-  return read.value.value.writerMark === mark ? read.value : null;
-}
-
-/** What became of the former grantor. */
-interface FormerGrantor {
-  /** Whether it has surely stopped granting. */
-  readonly stopped: boolean;
-  /** Null where it could not tell what it leaves. */
-  readonly handover: Handover | null;
-}
-
-async function sealFormer(
-  options: GrantorOptions,
-  claim: Claim,
-): Promise<FormerGrantor> {
-  const { former } = claim;
-  if (former === null) return { stopped: true, handover: null };
-  if (former.grantor === options.agent.id) {
-    return { stopped: true, handover: options.ownHandover(former.epoch) };
-  }
-  if (!options.formerReachable) return { stopped: false, handover: null };
-  const { peers, group, times } = options;
-  const timeoutMilliseconds = times.callTimeoutMilliseconds;
-  const sealed = await peers.call(former.grantorAddress, "sealGrantor", {
-    message: {
-      group,
-      epoch: claim.stored.value.epoch,
-      grantorAddress: options.agent.peerAddress,
-      grantor: former.grantor,
-    },
-    timeoutMilliseconds,
-  });
-  if (sealed.isErr || !sealed.value) return { stopped: false, handover: null };
-  const told = await peers.call(former.grantorAddress, "handover", {
-    message: { group, epoch: former.epoch },
-    timeoutMilliseconds,
-  });
-  return { stopped: true, handover: told.isOk ? told.value : null };
-}
-
-async function askRoster(
-  options: GrantorOptions,
-  claim: Claim,
-): Promise<readonly TakeoverAnswer[]> {
-  const { epoch, roster } = claim.stored.value;
-  const answers = await Promise.all(roster.map(async (entry) => {
-    const result = await options.peers.call(entry.peerAddress, "takeEpoch", {
-      message: {
-        group: options.group,
-        epoch,
-        grantorAddress: options.agent.peerAddress,
-      },
-      timeoutMilliseconds: options.times.callTimeoutMilliseconds,
-    });
-    if (result.isErr || result.value === null) return [];
-    return result.value.id === entry.id ? [result.value] : [];
-  }));
-  return answers.flat();
-}
-
 function runGrantor(
   options: GrantorOptions,
   begun: {
     readonly state: ReturnType<typeof beginGrantor>;
     readonly stored: Versioned<Delegation>;
     readonly earlier: () => readonly AgentId[];
+    /** The former grantor, if it may still grant. */
+    readonly former: AgentId | undefined;
+    readonly sealFormer: () => Promise<FormerGrantor>;
   },
 ): GrantorTask {
   const { events, group } = options;
@@ -438,10 +307,34 @@
     if (found.value !== null) noteStored(found.value);
   }
 
+  let askedFormerAt = -Infinity;
+
+  /** The former grantor may only have been slow, or cut off for a moment. */
+  async function askFormer(former: AgentId): Promise<void> {
+    const now = monotonicNow();
+    if (now - askedFormerAt < lookMilliseconds) return;
+    askedFormerAt = now;
+    const sealed = await begun.sealFormer();
+    if (stopped || !sealed.stopped || toldStopped.includes(former)) return;
+    toldStopped = [...toldStopped, former];
+    const { handover } = sealed;
+    events.record("earlier-grantor-sealed", {
+      group,
+      epoch: state.epoch,
+      former,
+      handedOver: handover !== null,
+    });
+    if (handover === null) return;
+    send({ kind: "handover", handover, now: readClocks() });
+  }
+
   /** An earlier grantor may be proved ended only after this one has begun. */
   function noteEarlierEnded(): void {
     if (!waitsForEarlier) return;
-    if (state.unheard.size > 0) void lookAtStore();
+    if (state.unheard.size > 0) {
+      void lookAtStore();
+      if (begun.former !== undefined) void askFormer(begun.former);
+    }
     if (waitsForEarlierGrantors()) return;
     waitsForEarlier = false;
     events.record("earlier-grantors-ended", { group, epoch: state.epoch });
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -8,7 +8,7 @@
 import { isRenewedInTime } from "../core/ownership/checkpoint.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
-import type { Handover } from "../core/ownership/handover.ts";
+import type { Handover } from "../core/ownership/handover_message.ts";
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type {
@@ -18,11 +18,8 @@
 } from "../ports/peers.ts";
 import type { Versioned } from "../ports/store.ts";
 import { type Canvass, canvassRoster } from "./canvass_task.ts";
-import {
-  type GrantorOptions,
-  type GrantorTask,
-  startGrantor,
-} from "./grantor_task.ts";
+import type { GrantorOptions } from "./epoch_claim.ts";
+import { type GrantorTask, startGrantor } from "./grantor_task.ts";
 import { monotonicNow, pause } from "./time.ts";
 
 /** The grantors that run in one agent. */
