--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -25,6 +25,8 @@
   | "departure-untold"
   | "grantor-located"
   | "holder-lapsed"
+  | "renewal-late"
+  | "renewal-failed"
   | "lease-ended"
   | "lease-restored"
   | "slice-granted"
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -389,6 +389,7 @@
    */
   async function renewPatiently(asked: GrantorLocation): Promise<boolean> {
     replaced = new AbortController();
+    const askedAt = monotonicNow();
     const given = replaced.signal;
     const renewal = renewOnce(asked, given);
     const doubt = times.callTimeoutMilliseconds * doubtedCalls;
@@ -405,10 +406,35 @@
       renewal,
       aborted(given).then(() => false),
     ]);
+    noteRenewal(asked, {
+      renewed,
+      replaced: given.aborted,
+      milliseconds: Math.round(monotonicNow() - askedAt),
+    });
     replaced.abort();
     return renewed;
   }
 
+  /** Says what became of a renewal that was not answered as usual. */
+  function noteRenewal(
+    asked: GrantorLocation,
+    end: {
+      readonly renewed: boolean;
+      readonly replaced: boolean;
+      readonly milliseconds: number;
+    },
+  ): void {
+    const usual = times.callTimeoutMilliseconds * doubtedCalls;
+    if (end.renewed && end.milliseconds < usual) return;
+    events.record(end.renewed ? "renewal-late" : "renewal-failed", {
+      group: state.group,
+      epoch: asked.epoch,
+      grantor: asked.address,
+      milliseconds: end.milliseconds,
+      ...(end.renewed ? {} : { replaced: end.replaced }),
+    });
+  }
+
   async function lookForAnother(
     asked: GrantorLocation,
     given: AbortSignal,
