A slice that a key goes back to moves only after that key's work

What callers would see: two servers work on one key (OWNER).

Cause: a key that gives its own slice up goes back to its base, while its work still counts on the slice that it had. The base leaves a server that is emptied at once; only own slices waited until the server had long had the table.

Now every slice waits so. For targets that check tokens nothing changes, and a slice that was granted long ago waits for nothing.

--- a/source/core/ownership/ownership_test.ts
+++ b/source/core/ownership/ownership_test.ts
@@ -554,6 +554,24 @@
   ): Move => ({ kind: "round", milliseconds })),
 ];
 
+function renewBusy(busy: number): Move {
+  return { kind: "renew", holder: 0, fate: "arrives", busy };
+}
+
+/** A key goes back to its base, which leaves while the key's work runs. */
+const rejoinedKey: readonly Move[] = [
+  renewBusy(0),
+  renewBusy(2),
+  { kind: "round", milliseconds: 10 },
+  renewBusy(1),
+  { kind: "admitAll", holder: 0, milliseconds: 100 },
+  { kind: "leave", holder: 0, on: true },
+  ...[10, 10, 10, 10].map((milliseconds): Move => ({
+    kind: "round",
+    milliseconds,
+  })),
+];
+
 const runs = Number(process.env["FAST_CHECK_RUNS"] ?? 6_000);
 const seed = Number(process.env["FAST_CHECK_SEED"] ?? 20_261_204);
 
@@ -577,7 +595,11 @@
             }
           },
         ),
-        { numRuns: runs, seed, examples: [[[...forgottenGrantor]]] },
+        {
+          numRuns: runs,
+          seed,
+          examples: [[[...forgottenGrantor]], [[...rejoinedKey]]],
+        },
       );
     });
   });
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -105,8 +105,7 @@
     if (slice.kind !== "held") return;
     const owner = state.holders.get(slice.owner);
     if (owner?.leaving !== true) return;
-    const isolated = index >= state.settings.hashedSlices;
-    if (isolated && !settled(owner, slice.token)) return;
+    if (!settled(owner, slice.token)) return;
     const destination = lowest(loads);
     if (destination === null) return;
     moves.push({ slice: index, owner: slice.owner, destination });
