--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -34,11 +34,11 @@
   EpochClaim,
   GrantorHearing,
   GrantorLocation,
-  LocateEffort,
   Peers,
 } from "../ports/peers.ts";
 import { type MeasuredLoad, startCounting } from "./held_load.ts";
 import type { KeyGrantsTask } from "./key_grants_task.ts";
+import { locateGrantor } from "./locate_grantor.ts";
 import { ask, openMailbox } from "./mailbox.ts";
 import { aborted, monotonicNow, pause, readClocks } from "./time.ts";
 
@@ -346,38 +346,19 @@
   }
 
   async function locate(): Promise<GrantorLocation | null> {
-    const { members, grantors } = options.candidates();
     // An earlier grantor than the one accepted grants nothing here any more.
     unreachable &&= {
       ...unreachable,
       epoch: Math.max(unreachable.epoch, state.epoch),
     };
-    const others = grantors.filter((address) =>
-      address !== unreachable?.address
-    );
-    const known = await askInOrder(members.slice(0, 2), "known");
-    if (known !== null) return known;
-    return await askInOrder(others.slice(0, 3), "take-over");
-  }
-
-  async function askInOrder(
-    addresses: readonly Address[],
-    effort: LocateEffort,
-  ): Promise<GrantorLocation | null> {
-    for (const address of addresses) {
-      const result = await peers.call(address, "locateGrantor", {
-        message: { group: state.group, unreachable, effort },
-        timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
-      });
-      if (result.isErr || result.value === null) continue;
-      events.record("grantor-located", {
-        group: state.group,
-        epoch: result.value.epoch,
-        grantor: result.value.address,
-      });
-      return result.value;
-    }
-    return null;
+    return await locateGrantor({
+      group: state.group,
+      unreachable,
+      ...options.candidates(),
+      peers,
+      events,
+      timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
+    });
   }
 
   /**
--- /dev/null
+++ b/source/tasks/locate_grantor.ts
@@ -0,0 +1,54 @@
+/**
+ * How a holder finds its grantor: other servers may know it, and agents that
+ * could grant look for it at the store, or take its place.
+ *
+ * @module
+ */
+import type { Address } from "../core/agent.ts";
+import type { Events } from "../ports/events.ts";
+import type { GrantorLocation, LocateEffort, Peers } from "../ports/peers.ts";
+
+const askedMembers = 2;
+const askedCandidates = 3;
+
+/** Asks others in turn; null when nobody can tell. */
+export async function locateGrantor(options: {
+  readonly group: string;
+  /** No grantor up to this one is of use. */
+  readonly unreachable: GrantorLocation | null;
+  /** Other servers of the group. */
+  readonly members: readonly Address[];
+  /** Agents that could grant, the best first. */
+  readonly grantors: readonly Address[];
+  readonly peers: Peers;
+  readonly events: Events;
+  /** For each call. */
+  readonly timeoutMilliseconds: number;
+}): Promise<GrantorLocation | null> {
+  const { group, unreachable, members, grantors } = options;
+
+  async function askInOrder(
+    addresses: readonly Address[],
+    effort: LocateEffort,
+  ): Promise<GrantorLocation | null> {
+    for (const address of addresses) {
+      const result = await options.peers.call(address, "locateGrantor", {
+        message: { group, unreachable, effort },
+        timeoutMilliseconds: options.timeoutMilliseconds,
+      });
+      if (result.isErr || result.value === null) continue;
+      options.events.record("grantor-located", {
+        group,
+        epoch: result.value.epoch,
+        grantor: result.value.address,
+      });
+      return result.value;
+    }
+    return null;
+  }
+
+  const known = await askInOrder(members.slice(0, askedMembers), "known");
+  if (known !== null) return known;
+  const others = grantors.filter((address) => address !== unreachable?.address);
+  return await askInOrder(others.slice(0, askedCandidates), "take-over");
+}
