--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -112,7 +112,7 @@
   return runGrantor(options, {
     state,
     stored: claim.stored,
-    earlier: () => earlierUnended(options, claim, sealed),
+    unended: () => earlierUnended(options, claim, sealed),
     former: former.stopped ? undefined : claim.former?.grantor,
     stopped: sealed === undefined
       ? [options.agent.id]
@@ -126,7 +126,8 @@
   begun: {
     readonly state: ReturnType<typeof beginGrantor>;
     readonly stored: Versioned<Delegation>;
-    readonly earlier: () => readonly AgentId[];
+    /** Earlier grantors that may still grant, by what is known now. */
+    readonly unended: () => readonly AgentId[];
     /** Earlier grantors that had stopped before. */
     readonly stopped: readonly AgentId[];
     /** The former grantor, if it may still grant. */
@@ -140,7 +141,7 @@
   /** Whether this task does nothing more at all. */
   let over = false;
   /** Earlier grantors that are known to have stopped. */
-  let toldStopped: readonly AgentId[] = begun.stopped;
+  let stoppedGrantors: readonly AgentId[] = begun.stopped;
   let writing: Promise<void> = Promise.resolve();
 
   const mailbox = openMailbox<
@@ -230,7 +231,7 @@
       ...stored.value,
       ...checkpoint,
       earlierGrantors: stored.value.earlierGrantors.filter((id) =>
-        !toldStopped.includes(id)
+        !stoppedGrantors.includes(id)
       ),
       writerMark: options.newMark(),
     };
@@ -262,7 +263,7 @@
     if (stopped) return false;
     const still = new Set(found.value.earlierGrantors);
     const gone = stored.value.earlierGrantors.filter((id) => !still.has(id));
-    toldStopped = [...toldStopped, ...gone];
+    stoppedGrantors = [...stoppedGrantors, ...gone];
     stored = found;
     return true;
   }
@@ -299,7 +300,7 @@
   }
 
   function waitsForEarlierGrantors(): boolean {
-    return begun.earlier().some((id) => !toldStopped.includes(id));
+    return begun.unended().some((id) => !stoppedGrantors.includes(id));
   }
 
   let waitsForEarlier = waitsForEarlierGrantors();
@@ -324,8 +325,8 @@
     if (now - askedFormerAt < lookMilliseconds) return;
     askedFormerAt = now;
     const sealed = await begun.sealFormer();
-    if (stopped || !sealed.stopped || toldStopped.includes(former)) return;
-    toldStopped = [...toldStopped, former];
+    if (stopped || !sealed.stopped || stoppedGrantors.includes(former)) return;
+    stoppedGrantors = [...stoppedGrantors, former];
     const { handover } = sealed;
     events.record("earlier-grantor-sealed", {
       group,
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -161,7 +161,7 @@
   /** Slices that the target is being told to give up. */
   const surrendering = new Set<number>();
   let grantor: GrantorLocation | null = null;
-  /** The grantor that was given up last, until another has answered. */
+  /** The grantor that was signal up last, until another has answered. */
   let unreachable: GrantorLocation | null = null;
   let failures = 0;
   /** Whether the grantor's answer to a renewal is late. */
@@ -322,9 +322,10 @@
     replaced.abort();
   }
 
+  /** Counts no answer that comes after the signal. */
   async function renewOnce(
     location: GrantorLocation,
-    given: AbortSignal,
+    signal: AbortSignal,
   ): Promise<boolean> {
     const askedAt = readClocks();
     const measured = counting.measure(state, askedAt.monotonic);
@@ -333,7 +334,7 @@
       message: renewal,
       timeoutMilliseconds: times.callTimeoutMilliseconds * patientCalls,
     });
-    if (given.aborted || result.isErr || result.value === null) return false;
+    if (signal.aborted || result.isErr || result.value === null) return false;
     if (result.value.epoch < state.epoch) return false;
     mailbox.send({
       kind: "answered",
@@ -368,25 +369,25 @@
   async function renewPatiently(asked: GrantorLocation): Promise<boolean> {
     replaced = new AbortController();
     const askedAt = monotonicNow();
-    const given = replaced.signal;
-    const renewal = renewOnce(asked, given);
+    const signal = replaced.signal;
+    const renewal = renewOnce(asked, signal);
     const doubt = times.callTimeoutMilliseconds * doubtedCalls;
     const ended = await Promise.race([
       renewal.then(() => true),
-      pause(doubt, given).then(() => false),
+      pause(doubt, signal).then(() => false),
     ]);
-    if (!ended && !given.aborted) {
+    if (!ended && !signal.aborted) {
       doubted = true;
       tellListeners(false);
-      void lookForAnother(asked, given);
+      void lookForAnother(asked, signal);
     }
     const renewed = await Promise.race([
       renewal,
-      aborted(given).then(() => false),
+      aborted(signal).then(() => false),
     ]);
     noteRenewal(asked, {
       renewed,
-      replaced: given.aborted,
+      replaced: signal.aborted,
       milliseconds: Math.round(monotonicNow() - askedAt),
     });
     replaced.abort();
@@ -415,11 +416,11 @@
 
   async function lookForAnother(
     asked: GrantorLocation,
-    given: AbortSignal,
+    signal: AbortSignal,
   ): Promise<void> {
     unreachable = asked;
     const found = await locate();
-    if (found === null || given.aborted || stopped.signal.aborted) return;
+    if (found === null || signal.aborted || stopped.signal.aborted) return;
     if (found.epoch > asked.epoch && grantor === asked) follow(found);
   }
 
