A takeover while a fleet starts waits for more servers again

Cause: with 'a takeover hands on' a new grantor stopped gathering servers as soon as most of a roster had answered, also of one that named only the first to come. Now it gives free slices at once only where most slices are held.

Evidence: takeover_test.ts, which failed before in 'waits for more servers'.

--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -58,7 +58,7 @@
     sequence: returnSequence,
     assignsFrom: takeover.now.monotonic + takeover.settings.gatherMilliseconds,
     assigns: takeover.settings.gatherMilliseconds === 0 ||
-      mostAnswered(takeover),
+      mostHeld(slices),
     roster: takeover.roster,
     applicants: [],
     holders,
@@ -77,9 +77,10 @@
 /** What is given back under ended leases has this place in the new epoch. */
 const returnSequence = 1;
 
-/** Then the servers are known, and none need be waited for with free slices. */
-function mostAnswered({ answers, roster }: Takeover): boolean {
-  return answers.length * 2 > roster.length;
+/** Then the group has its servers, and free slices need not wait for more. */
+function mostHeld(slices: readonly Slice[]): boolean {
+  const held = slices.filter((slice) => slice.kind === "held");
+  return held.length * 2 > slices.length;
 }
 
 function countSlices(takeover: Takeover): number {
--- a/source/core/ownership/takeover_test.ts
+++ b/source/core/ownership/takeover_test.ts
@@ -111,6 +111,27 @@
   });
 });
 
+// Guards against SHORT: a takeover while a fleet starts gave all slices to the
+// few servers that had come, which had to give most of them back.
+describe("a takeover by a grantor that gathers servers first", () => {
+  const settings = { ...testGrantorSettings, gatherMilliseconds: 1_500 };
+
+  function assigns(held: readonly number[]): boolean {
+    const answers = ["a/1", "b/1", "c/1"].map((id) =>
+      answer(id, { held: id === "a/1" ? grants(held) : [] })
+    );
+    return begin({ answers, settings }).assigns;
+  }
+
+  it("waits for more servers while most slices have never been held", () => {
+    assert.equal(assigns([]), false);
+  });
+
+  it("gives free slices at once in a group that has its servers", () => {
+    assert.equal(assigns([0, 1, 2, 3, 4]), true);
+  });
+});
+
 // Guards against SHORT: after a planned stop 505 of 512 slices waited anew,
 // since one server of 36 did not answer.
 describe("a takeover from a grantor that has told what it leaves", () => {
