--- a/source/core/ownership/target_hold.ts
+++ b/source/core/ownership/target_hold.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { Clocks } from "../clocks.ts";
 import type { IsolatedKey } from "./table.ts";
 import { compareTokens, type FencingToken, noToken } from "./token.ts";
 
@@ -39,6 +40,27 @@
   readonly maxClockSlowShare: number;
 }
 
+/**
+ * How long a target may be told to hold keys under a lease, by the clock on
+ * which the lease ends first: the monotonic clock stops while the host is
+ * suspended.
+ */
+export function holdMillisecondsWithin(
+  leaseEndsAt: Clocks,
+  options: {
+    readonly now: Clocks;
+    readonly maxClockSlowShare: number;
+    readonly maxHoldMilliseconds: number;
+  },
+): number {
+  const { now } = options;
+  const left = Math.min(
+    leaseEndsAt.monotonic - now.monotonic,
+    leaseEndsAt.wall - now.wall,
+  ) / (1 + options.maxClockSlowShare);
+  return Math.floor(Math.min(left, options.maxHoldMilliseconds));
+}
+
 /** The state of a slice for which no order has been sent. */
 export function createHold(token: FencingToken): TargetHold {
   return { token, confirmedUntil: 0, heldUntil: 0, unanswered: [] };
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -42,8 +42,8 @@
   type HolderTask,
   type HolderTimes,
   startHolder,
-  type StartKeyGrants,
 } from "./holder_task.ts";
+import type { StartKeyGrants } from "./key_grants.ts";
 import { type CoordinationMethods, peerMethods } from "./peer_methods.ts";
 import {
   type GossipTask,
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -1,12 +1,10 @@
 /**
- * The task that informs the local target of the keys it holds: it grants the
- * keys that the holder's lease covers and takes back those that the holder
- * releases.
+ * The task for a target that is ordered to hold keys: it grants the keys that
+ * the holder's lease covers and takes back those that the holder releases.
  *
  * @module
  */
 import type { Result } from "true-myth";
-import type { Clocks } from "../core/clocks.ts";
 import {
   type HoldOrder,
   ordersToHold,
@@ -24,6 +22,7 @@
 import {
   createHold,
   holdEndsBy,
+  holdMillisecondsWithin,
   type OrderTimes,
   recordHoldConfirmed,
   recordOrderAnswered,
@@ -34,38 +33,9 @@
 import { compareTokens, noToken } from "../core/ownership/token.ts";
 import type { Events } from "../ports/events.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
+import type { HeldView, KeyGrantsTask } from "./key_grants.ts";
 import { monotonicNow, pause, readClocks } from "./time.ts";
 
-/** The slices that the holder may hold now. */
-export interface HeldView {
-  readonly grants: readonly Grant[];
-  readonly table: OwnershipTable;
-  readonly leaseEndsAt: Clocks;
-}
-
-/** The running task. */
-export interface KeyGrantsTask {
-  /** Grants these slices, and no others, until the lease ends. */
-  hold(view: HeldView): void;
-  /** Takes a slice back; resolves to the state for its next holder. */
-  surrender(
-    grant: Grant,
-    table: OwnershipTable,
-  ): Promise<{ readonly handover: string | undefined }>;
-  /**
-   * Takes back all keys that earlier processes of this agent may have granted,
-   * with a token below the first grant of this epoch. Resolves to whether the
-   * target has confirmed it.
-   */
-  emptyTarget(epoch: number): Promise<boolean>;
-  /** Whether the target has confirmed a hold of the slice that still lasts. */
-  isConfirmed(slice: number): boolean;
-  /**
-   * Called when the target's process was replaced: the new one holds nothing.
-   */
-  reset(): void;
-}
-
 /** Settings of the task. */
 export interface KeyGrantsTimes {
   readonly order: OrderTimes;
@@ -162,18 +132,6 @@
     return result;
   }
 
-  /**
-   * How long the target may hold, by the clock on which the lease ends first:
-   * the monotonic clock stops while the host is suspended.
-   */
-  function holdMillisecondsFor({ leaseEndsAt }: HeldView, now: Clocks): number {
-    const left = Math.min(
-      leaseEndsAt.monotonic - now.monotonic,
-      leaseEndsAt.wall - now.wall,
-    ) / (1 + times.order.maxClockSlowShare);
-    return Math.floor(Math.min(left, times.maxHoldMilliseconds));
-  }
-
   /** Applies the table's isolated keys to the holds, if they have changed. */
   function adoptDivision(table: OwnershipTable): void {
     const next = table.isolatedKeys;
@@ -201,7 +159,11 @@
   /** Sends queued orders, except those for keys that a pending order covers. */
   function sendQueued(): void {
     if (view === null || emptying) return;
-    const holdMilliseconds = holdMillisecondsFor(view, readClocks());
+    const holdMilliseconds = holdMillisecondsWithin(view.leaseEndsAt, {
+      now: readClocks(),
+      maxClockSlowShare: times.order.maxClockSlowShare,
+      maxHoldMilliseconds: times.maxHoldMilliseconds,
+    });
     if (holdMilliseconds < minHoldMilliseconds) return;
     const { sendNow: now, sendLater: later } = splitOrders(queuedOrders, {
       inFlight: [...pendingOrders.values()].map(({ range }) => range),
@@ -362,6 +324,7 @@
     surrender,
     isConfirmed: (slice) =>
       (holds.get(slice)?.confirmedUntil ?? 0) > monotonicNow(),
+    isServedUntilReleased: () => false,
     reset() {
       viewNumber += 1;
       queuedOrders = [];
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -6,7 +6,8 @@
 import { fencingNumber, noToken } from "../core/ownership/token.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
 import { addMilliseconds } from "../core/clocks.ts";
-import { type KeyGrantsTask, startKeyGrants } from "./key_grants_task.ts";
+import type { KeyGrantsTask } from "./key_grants.ts";
+import { startKeyGrants } from "./key_grants_task.ts";
 import { readClocks } from "./time.ts";
 
 const keys = { count: 64 };
