--- a/source/core/ownership/holder.ts
+++ b/source/core/ownership/holder.ts
@@ -143,10 +143,16 @@
   state: HolderState,
   slice: number,
   now: Clocks,
+  options: {
+    /** Whether the target accepts work on it although it is being released. */
+    readonly servedUntilReleased: boolean;
+  } = { servedUntilReleased: false },
 ): HoldDecision {
   const held = state.slices.get(slice);
   if (held === undefined) return { kind: "refused", reason: "not-owner" };
-  if (held.releasing) return { kind: "refused", reason: "moving" };
+  if (held.releasing && !options.servedUntilReleased) {
+    return { kind: "refused", reason: "moving" };
+  }
   if (!isLeaseValid(state, now)) {
     return { kind: "refused", reason: "lease-ended" };
   }
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -56,6 +56,7 @@
   | "target-registered"
   | "target-answer-spoilt"
   | "target-emptied"
+  | "target-keys-changed"
   | "target-replaced"
   | "target-heartbeat-refused"
   | "target-grant-failed"
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -7,7 +7,6 @@
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
 import { platformCallerProtocol } from "../../platform/caller_protocol.ts";
-import { openKeyServer } from "../../platform/key_server.ts";
 import {
   type Listener,
   listenForHeartbeats,
@@ -41,6 +40,7 @@
 import { placeByNumber } from "../core/ownership/key_ranges.ts";
 import { notRun } from "../core/request/outcome.ts";
 import { cachedRouteIndex, hostOfAuthority } from "../core/routes/routes.ts";
+import type { AnswerKeyReport } from "../ports/key_reports.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
 import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
 import {
@@ -50,7 +50,6 @@
 import { type Coordinator, startCoordinator } from "../tasks/coordinator.ts";
 import { desiredStateSource } from "../tasks/desired_state_source.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
-import { startKeyGrants } from "../tasks/key_grants_task.ts";
 import {
   type RegistrationTask,
   startRegistration,
@@ -75,7 +74,6 @@
   desiredStateTimes,
   groupSettings,
   initialSlotShare,
-  keyGrantsTimes,
   links,
   maxHeaderBytes,
   maxLateWaitMilliseconds,
@@ -87,6 +85,7 @@
   stopTimes,
 } from "./platform_policy.ts";
 import { stopServing } from "./stop.ts";
+import { connectTargetKeys } from "./target_keys.ts";
 
 /** An agent that has been started. */
 export interface RunningPlatformAgent {
@@ -127,6 +126,8 @@
 interface AgentTasks {
   readonly agent: Agent;
   readonly registration: RegistrationTask;
+  /** Answers the keys that the target reports; null if it reports none. */
+  readonly answerKeys: AnswerKeyReport | null;
   readonly coordinator: Coordinator;
   readonly admission: AdmissionTask;
   readonly bodyAdmission: BodyAdmissionTask;
@@ -268,9 +269,9 @@
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
   });
-  const keyServer = openKeyServer({
-    address: settings.target,
-    onConnectionRefused: () => registration.recordRefusal(),
+  const targetKeys = connectTargetKeys(settings, {
+    events,
+    registration,
   });
   const admission = startAdmission({
     settings: admissionSettings(1),
@@ -296,15 +297,7 @@
       events,
       random: Math.random,
     }),
-    startKeyGrants: ({ onSuperseded }) =>
-      startKeyGrants({
-        keyServer,
-        keys: { count: keyCount },
-        times: keyGrantsTimes(settings),
-        events,
-        targetLives: () => registration.isTargetAlive(),
-        onSuperseded,
-      }),
+    startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
     eventsAfter: (time) => events.after(time),
     onConfiguration(next) {
@@ -379,6 +372,7 @@
   return {
     agent,
     registration,
+    answerKeys: targetKeys.answerKeys,
     coordinator,
     admission,
     bodyAdmission,
@@ -386,7 +380,7 @@
     entry,
     gate,
     closeTarget: async () => {
-      await Promise.all([target.close(), keyServer.close()]);
+      await Promise.all([target.close(), targetKeys.close()]);
     },
   };
 }
@@ -519,6 +513,7 @@
     events,
     handler: {
       report: registration.report,
+      answerKeys: tasks.answerKeys,
       deregister: registration.leave,
     },
   });
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -12,6 +12,7 @@
 import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
 import type { DesiredStateTimes } from "../tasks/desired_state_source.ts";
 import type { KeyGrantsTimes } from "../tasks/key_grants_task.ts";
+import type { ReportedKeysSettings } from "../tasks/reported_keys_task.ts";
 import type { StopTimes } from "./stop.ts";
 
 const callTimeoutMilliseconds = 400;
@@ -130,6 +131,22 @@
   };
 }
 
+/** Settings for a target that learns its keys from answers to heartbeats. */
+export function reportedKeysSettings(
+  settings: PlatformSettings,
+): ReportedKeysSettings {
+  return {
+    // No answer, of this agent or of a former one, goes beyond its lease.
+    maxHoldMilliseconds: Math.min(
+      settings.bounds.maxHoldMilliseconds,
+      coordinatorTimes.leaseMilliseconds,
+    ),
+    maxClockSlowShare,
+    answerMilliseconds: 1_000,
+    checkMilliseconds: 200,
+  };
+}
+
 /** The number of agents that share the retry budget, until more are known. */
 const minAssumedAgents = 18;
 /**
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -15,6 +15,7 @@
 import {
   createHolder,
   decideHold,
+  type HoldDecision,
   type HolderState,
   type HoldRefusal,
   isLeaseValid,
@@ -37,7 +38,7 @@
   Peers,
 } from "../ports/peers.ts";
 import { type MeasuredLoad, startLoadCount } from "./held_load.ts";
-import type { KeyGrantsTask } from "./key_grants_task.ts";
+import type { KeyGrantsTask, StartKeyGrants } from "./key_grants.ts";
 import { locateGrantor } from "./locate_grantor.ts";
 import { ask, openMailbox } from "./mailbox.ts";
 import { aborted, monotonicNow, pause, readClocks } from "./time.ts";
@@ -99,12 +100,6 @@
   stop(): Promise<void>;
 }
 
-/** Starts the task that informs the target of the keys it holds. */
-export type StartKeyGrants = (options: {
-  /** The target refuses the token of this slice for good. */
-  readonly onSuperseded: (slice: number) => void;
-}) => KeyGrantsTask;
-
 type Message =
   | {
     readonly kind: "answered";
@@ -497,12 +492,26 @@
   }
   const running = run();
 
+  /** Whether the target accepts work on the slice, as far as is known. */
+  function targetAccepts(slice: number): boolean {
+    return keyGrants === null || keyGrants.isConfirmed(slice) ||
+      keyGrants.isServedUntilReleased(slice);
+  }
+
+  function decide(slice: number): HoldDecision {
+    const decision = decideHold(state, slice, readClocks(), {
+      servedUntilReleased: keyGrants?.isServedUntilReleased(slice) ?? false,
+    });
+    return decision.kind === "owned" && !targetAccepts(slice)
+      ? { kind: "refused", reason: "moving" }
+      : decision;
+  }
+
   return {
     admit(key) {
       const slice = sliceOfKey(state.table, key, place);
-      const decision = decideHold(state, slice, readClocks());
+      const decision = decide(slice);
       if (decision.kind === "refused") return decision.reason;
-      if (keyGrants?.isConfirmed(slice) === false) return "moving";
       mailbox.send({ kind: "admitted", slice });
       loadCount.add(key, slice);
       let finished = false;
@@ -511,7 +520,8 @@
         token: decision.token,
         leaseEndsAtWall: state.leaseEndsAt.wall,
         stillHolds: () =>
-          state.slices.has(slice) && isLeaseValid(state, readClocks()),
+          state.slices.has(slice) && isLeaseValid(state, readClocks()) &&
+          targetAccepts(slice),
         finish() {
           if (finished) return;
           finished = true;
@@ -526,8 +536,7 @@
     },
     owns(key) {
       const slice = sliceOfKey(state.table, key, place);
-      return decideHold(state, slice, readClocks()).kind === "owned" &&
-        keyGrants?.isConfirmed(slice) !== false;
+      return decide(slice).kind === "owned";
     },
     takeEpoch: (claim) =>
       ask<Message, TakeoverAnswer | null>(
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -22,8 +22,11 @@
 
 /** The running registration of the local target. */
 export interface RegistrationTask {
-  /** Must be called with each report of the target. */
-  report(report: TargetReport): void;
+  /**
+   * Must be called with each report of the target. Returns whether it is newer
+   * than all reports before it.
+   */
+  report(report: TargetReport): boolean;
   /** Must be called when the target with this id announces that it stops. */
   leave(id: string): void;
   /** Must be called when a connection to the target was refused. */
@@ -34,6 +37,8 @@
   accepts(work: { readonly keyed: boolean }): boolean;
   /** Whether the target's process is believed to be running. */
   isTargetAlive(): boolean;
+  /** Whether nothing has listened at the target's address since its report. */
+  hasTargetEnded(): boolean;
   /** Treats the target as leaving from now on, because the agent stops. */
   stopServing(): void;
   stop(): void;
@@ -99,8 +104,11 @@
   });
 
   return {
-    report: (report) =>
-      mailbox.send({ kind: "reported", report, now: monotonicNow() }),
+    report(report) {
+      const former = state.target;
+      mailbox.send({ kind: "reported", report, now: monotonicNow() });
+      return state.target !== former;
+    },
     leave(id) {
       events.record("target-left", {
         target: id,
@@ -121,6 +129,7 @@
         monotonicNow() - notServingSince < evacuationMilliseconds;
     },
     isTargetAlive: () => isAlive(state, monotonicNow()),
+    hasTargetEnded: () => state.target?.refused === true,
     stopServing() {
       stopping = true;
       updateServing();
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -124,6 +124,8 @@
 export async function launchPlatformMesh(options: {
   readonly hosts: readonly PlatformHost[];
   readonly serviceMilliseconds: number;
+  /** Whether targets learn their keys from answers to their heartbeats. */
+  readonly keysByHeartbeat?: boolean;
   /** The program to run as agent; the sources when not stated. */
   readonly program?: readonly string[];
   /** Brings the ports that its agents listen on; usually any free ones. */
@@ -133,6 +135,7 @@
   store.put("config", "main", exampleDesiredState(1));
   const folder = mkdtempSync(join(tmpdir(), "geraniumledge-"));
   const { givePort = freePort, program = agentProgram } = options;
+  const { keysByHeartbeat = false } = options;
   const children = openChildren();
   const targets = new Set<PlatformTargetStandIn>();
 
@@ -155,6 +158,7 @@
       zone: host.zone,
       slots: 8,
       keyed: host.service === "timetable",
+      keysByHeartbeat,
       port: 0,
       heartbeats: control,
       serviceMilliseconds: options.serviceMilliseconds,
@@ -172,6 +176,7 @@
         listen: { outbound: callers, inbound: peers, ready, control },
         seeds: [],
         heartbeat: "300ms",
+        grants: keysByHeartbeat ? "heartbeat" : "unary",
         platform: { address: store.address },
         bounds: [
           "drain=2000ms",
--- a/standins/platform_target.ts
+++ b/standins/platform_target.ts
@@ -6,6 +6,12 @@
  * @module
  */
 import { type IncomingMessage, type ServerResponse } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
+import {
+  type HeartbeatKeys,
+  type KeyAnswer,
+  startHeartbeatKeys,
+} from "./heartbeat_keys.ts";
 import { closeServer, listen, readText, serverOf } from "./http_server.ts";
 
 /** A span of keys that the target holds. */
@@ -32,12 +38,27 @@
   holds(key: number): boolean;
   /** Orders to hold are answered, or take effect and lose their answer. */
   setSilent(silent: boolean): void;
+  setHeartbeats(mode: HeartbeatMode): void;
+  /** What answers to heartbeats have broken the protocol. */
+  violations(): readonly string[];
   report(state: "ready" | "draining"): Promise<number>;
   leave(): Promise<number>;
   close(): Promise<void>;
 }
 
+/**
+ * Heartbeats are sent as usual, not at all, late, or twice, or their answers
+ * are lost.
+ */
+export type HeartbeatMode = "sent" | "lost" | "late" | "doubled" | "unanswered";
+
 const heartbeatMilliseconds = 300;
+/** How late heartbeats are; a process sends others before they arrive. */
+const lateMilliseconds = 700;
+/** The next heartbeat of a target that has keys to release. */
+const releasingMilliseconds = 80;
+/** A longer answer is not read. */
+const maxAnswerBytes = 4_096;
 /** A later answer acknowledges nothing. */
 const acknowledgeMilliseconds = 1_000;
 
@@ -48,6 +69,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly keyed: boolean;
+  /** Whether it learns its keys from answers to its heartbeats. */
+  readonly keysByHeartbeat?: boolean;
   readonly port: number;
   /** Where its agent hears heartbeats. */
   readonly heartbeats: string;
@@ -62,6 +85,12 @@
   let state: "ready" | "draining" = "ready";
   let silent = false;
   let running = 0;
+  let mode: HeartbeatMode = "sent";
+  let longAnswers = 0;
+  let again: ReturnType<typeof setTimeout> | null = null;
+  const heartbeatKeys: HeartbeatKeys | null = options.keysByHeartbeat === true
+    ? startHeartbeatKeys(id)
+    : null;
 
   const server = serverOf(serve);
 
@@ -117,6 +146,7 @@
   }
 
   function holdsKey(key: number): boolean {
+    if (heartbeatKeys !== null) return heartbeatKeys.holds(key, Date.now());
     return holds.some((hold) =>
       hold.from <= key && hold.last >= key && hold.until > Date.now()
     );
@@ -140,6 +170,7 @@
       return void response.end();
     }
     running += 1;
+    if (key !== null) heartbeatKeys?.begin(key);
     runs.push({
       request,
       target: id,
@@ -151,6 +182,7 @@
       setTimeout(resolve, options.serviceMilliseconds)
     );
     running -= 1;
+    if (key !== null) heartbeatKeys?.finish(key);
     response.writeHead(200, {
       "request-id": request,
       "response-signature": `signed-by-${id}`,
@@ -162,7 +194,11 @@
   const port = await listen(server, options.port);
   const address = `127.0.0.1:${port}`;
 
-  async function tell(method: string, body: string | null): Promise<number> {
+  async function tell(
+    method: string,
+    body: string | null,
+    onAnswer: (text: string) => void = () => undefined,
+  ): Promise<number> {
     const url = `http://${options.heartbeats}/geraniumledge/instances/${id}`;
     try {
       const answer = await fetch(url, {
@@ -170,29 +206,58 @@
         ...(body === null ? {} : { body }),
         signal: AbortSignal.timeout(acknowledgeMilliseconds),
       });
-      await answer.text();
+      const text = await answer.text();
+      if (answer.status === 200) onAnswer(text);
       return answer.status;
     } catch {
       return 0;
     }
   }
 
-  function beat(): Promise<number> {
+  async function beat(): Promise<number> {
+    if (mode === "lost") return 0;
     sequence += 1;
-    return tell(
-      "PUT",
-      JSON.stringify({
-        address,
-        born,
-        info: {
-          service: options.service,
-          version: "v1",
-          zone: options.zone,
-          slots: options.slots,
-        },
-        status: { state, sequence, coldRemaining: "0ms" },
-      }),
-    );
+    const sent = { sequence, sentAt: Date.now() };
+    const body = heartbeat();
+    if (mode === "late") await pause(lateMilliseconds);
+    if (mode === "doubled") void tell("PUT", body, apply);
+    return tell("PUT", body, apply);
+
+    function apply(text: string): void {
+      if (mode === "unanswered" || heartbeatKeys === null) return;
+      if (text.length > maxAnswerBytes) {
+        longAnswers += 1;
+        return;
+      }
+      const answer = JSON.parse(text) as KeyAnswer;
+      heartbeatKeys.apply(answer, { ...sent, now: Date.now() });
+      if (!heartbeatKeys.releasing() || again !== null) return;
+      again = setTimeout(() => {
+        again = null;
+        void beat();
+      }, releasingMilliseconds);
+    }
+  }
+
+  function heartbeat(): string {
+    return JSON.stringify({
+      address,
+      born,
+      info: {
+        service: options.service,
+        version: "v1",
+        zone: options.zone,
+        slots: options.slots,
+      },
+      status: { state, sequence, coldRemaining: "0ms" },
+      ...heartbeatKeys?.report(sequence, Date.now()),
+    });
+  }
+
+  function stopBeating(): void {
+    clearInterval(timer);
+    if (again !== null) clearTimeout(again);
+    mode = "lost";
   }
 
   const timer = setInterval(() => void beat(), heartbeatMilliseconds);
@@ -204,16 +269,23 @@
     setSilent(value) {
       silent = value;
     },
+    setHeartbeats(next) {
+      mode = next;
+    },
+    violations: () => [
+      ...heartbeatKeys?.violations() ?? [],
+      ...longAnswers > 0 ? [`${longAnswers} answers are too long`] : [],
+    ],
     report(next) {
       state = next;
       return beat();
     },
     leave() {
-      clearInterval(timer);
+      stopBeating();
       return tell("DELETE", null);
     },
     async close() {
-      clearInterval(timer);
+      stopBeating();
       await closeServer(server);
     },
   };
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -326,7 +326,11 @@
       const listener = await listenForHeartbeats({
         address: `127.0.0.1:${port}`,
         target: "127.0.0.1:1",
-        handler: { report: () => undefined, deregister: () => undefined },
+        handler: {
+          report: () => true,
+          answerKeys: null,
+          deregister: () => undefined,
+        },
         events: { record: () => undefined },
       });
       assert.ok(listener.isOk);
