--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -15,15 +15,21 @@
   /** The latest desired state; null while operators have written none. */
   read(): Promise<Result<Versioned<DesiredState> | null, StoreFault>>;
   /**
-   * Resolves when the store has changed since `version`, or after
-   * `maxWaitMilliseconds`. Returns the version for the next call.
+   * Resolves when the desired state has changed since `version`, or after
+   * `maxWaitMilliseconds`.
    */
   awaitChange(options: {
     readonly version: string;
     readonly maxWaitMilliseconds: number;
-  }): Promise<
-    Result<{ readonly changed: boolean; readonly version: string }, StoreFault>
-  >;
+  }): Promise<Result<DesiredStateChange, StoreFault>>;
+}
+
+/** What a watch of the desired state has reported. */
+export interface DesiredStateChange {
+  /** The latest desired state; null if it has not changed. */
+  readonly latest: DesiredState | null;
+  /** The version for the next call. */
+  readonly version: string;
 }
 
 /** The agents that have started, as each described itself at its start. */
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -94,13 +94,15 @@
     const read = await desiredStates.read();
     recordAvailability(read.isOk);
     if (read.isErr || read.value === null) return null;
-    const desired = read.value.value;
-    if (desired.version > context.current().revision) {
-      context.apply(configurationOfDesired(desired, options.policy));
-    }
+    adopt(read.value.value);
     return read.value;
   }
 
+  function adopt(desired: DesiredState): void {
+    if (desired.version <= context.current().revision) return;
+    context.apply(configurationOfDesired(desired, options.policy));
+  }
+
   let rereading = false;
 
   /** Reads again if the watch reports nothing: its connection may be dead. */
@@ -120,7 +122,7 @@
     }
   }
 
-  /** Resolves once the store has changed or the watch has failed. */
+  /** Resolves once the watch has failed. */
   async function watchFrom(version: string): Promise<void> {
     let from = version;
     while (!stopped.signal.aborted) {
@@ -130,7 +132,7 @@
       });
       if (result.isErr) return await pauseBeforeRetry();
       recordAvailability(true);
-      if (result.value.changed) return;
+      if (result.value.latest !== null) adopt(result.value.latest);
       from = result.value.version;
     }
   }
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -26,12 +26,13 @@
   };
 }
 
-/** Starts a source whose watch never reports a change. */
+/** Starts a source whose watch reports only what the test lets it. */
 function startSilent(members: readonly Agent[] = []) {
   let departures: readonly Agent[] = [];
   let started: readonly string[] = [];
   let stored = 3;
   let reads = 0;
+  let report: (latest: DesiredState) => void = () => undefined;
   let configuration: Configuration = emptyConfiguration;
   const source = desiredStateSource({
     desiredStates: {
@@ -40,7 +41,11 @@
         const version = String(stored);
         return Promise.resolve(Result.ok({ value: desired(stored), version }));
       },
-      awaitChange: () => new Promise(() => undefined),
+      awaitChange: () =>
+        new Promise((resolve) => {
+          report = (latest) =>
+            resolve(Result.ok({ latest, version: String(latest.version) }));
+        }),
     },
     members: {
       list: () => Promise.resolve(Result.ok(members)),
@@ -76,6 +81,8 @@
   return {
     source,
     store: (version: number) => stored = version,
+    /** The watch reports this version. */
+    report: (version: number) => report(desired(version)),
     revision: () => configuration.revision,
     reads: () => reads,
     started: () => started,
@@ -126,3 +133,23 @@
     });
   });
 });
+
+describe("a desired state that a watch reports", () => {
+  it("is in force without being read again", async () => {
+    const { source, report, reads, revision } = startSilent();
+    await settle();
+    report(8);
+    await settle();
+    assert.deepEqual([revision(), reads()], [8, 1]);
+    await source.stop();
+  });
+
+  it("does not replace a newer one", async () => {
+    const { source, report, revision } = startSilent();
+    await settle();
+    report(2);
+    await settle();
+    assert.equal(revision(), 3);
+    await source.stop();
+  });
+});
