--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { type Agent, isAddress } from "../core/agent.ts";
 import type { SharedRecord } from "../core/dissemination/replica.ts";
+import type { DesiredState } from "../core/routes/desired_state.ts";
 import type {
   Acceptance,
   AcceptedSection,
@@ -92,6 +93,32 @@
   content,
 });
 
+const milliseconds = z.number().min(0);
+
+const desired: z.ZodType<DesiredState> = z.strictObject({
+  version: count,
+  routes: z.array(z.strictObject({
+    name: z.string(),
+    host: z.string(),
+    pathPrefix: z.string(),
+    idempotent: z.boolean(),
+    timeoutMilliseconds: milliseconds,
+    objectiveMilliseconds: milliseconds,
+    priority: count,
+    maxAttempts: count,
+    destinations: z.array(
+      z.strictObject({ service: z.string(), weight: z.number().min(0) }),
+    ),
+  })),
+  services: z.array(z.strictObject({ name: z.string(), keyed: z.boolean() })),
+  limits: z.strictObject({
+    headerBytes: count,
+    bodyBytes: count,
+    headerMilliseconds: milliseconds,
+    idleMilliseconds: milliseconds,
+  }),
+});
+
 const sharedRecord: z.ZodType<SharedRecord> = z.strictObject({
   key: name,
   version: count,
@@ -105,6 +132,7 @@
         sections: z.record(z.string(), count),
       }),
     }),
+    z.strictObject({ kind: z.literal("desired"), desired }),
   ]),
 });
 
--- a/source/core/dissemination/replica.ts
+++ b/source/core/dissemination/replica.ts
@@ -10,12 +10,14 @@
 import type { Agent, AgentId } from "../agent.ts";
 import type { AcceptedSection, DocumentIndex } from "../document/document.ts";
 import type { KeyHash } from "../ownership/table.ts";
+import type { DesiredState } from "../routes/desired_state.ts";
 
 /** The content of a record. */
 export type RecordValue =
   | { readonly kind: "agent"; readonly agent: Agent }
   | { readonly kind: "section"; readonly section: AcceptedSection }
-  | { readonly kind: "index"; readonly index: DocumentIndex };
+  | { readonly kind: "index"; readonly index: DocumentIndex }
+  | { readonly kind: "desired"; readonly desired: DesiredState };
 
 /** One versioned record. */
 export interface SharedRecord {
@@ -79,6 +81,21 @@
 /** The key of the one record that lists the sections in force. */
 export const indexKey = "index";
 
+/** The key of the one record of the desired state. */
+export const desiredKey = "desired";
+
+/** The record of a desired state, versioned as the platform has numbered it. */
+export function desiredRecord(desired: DesiredState): SharedRecord {
+  const value = { kind: "desired", desired } as const;
+  return { key: desiredKey, version: desired.version, value };
+}
+
+/** The desired state that other agents have told; null for none. */
+export function desiredOf(replica: Replica): DesiredState | null {
+  const value = recordOf(replica, desiredKey)?.value;
+  return value?.kind === "desired" ? value.desired : null;
+}
+
 /** The record with this key; null when there is none. */
 export function recordOf(replica: Replica, key: string): SharedRecord | null {
   return replica.buckets[bucketOf(replica, key)]?.get(key) ?? null;
@@ -103,14 +120,15 @@
 
 function mergeRecord(replica: Replica, record: SharedRecord): Replica {
   if (record.version <= versionOf(replica, record.key)) return replica;
+  const replaced = replaceRecord(replica, record.key, record);
+  // A desired state is long, and reaches most agents directly; the others find
+  // it by comparing digests.
+  if (record.value.kind === "desired") return replaced;
   const pendingUpdates = new Map(replica.pendingUpdates).set(
     record.key,
     sendsPerUpdate,
   );
-  return {
-    ...replaceRecord(replica, record.key, record),
-    pendingUpdates,
-  };
+  return { ...replaced, pendingUpdates };
 }
 
 /** Removes records that are no longer needed. */
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -295,6 +295,7 @@
       policy: servicePolicy,
       times: desiredStateTimes,
       events,
+      hash: hashText,
       random: Math.random,
     }),
     startKeyGrants: targetKeys.startKeyGrants,
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -60,6 +60,8 @@
   watchMilliseconds: 20_000,
   maxWatchLagMilliseconds: 300,
   retryMilliseconds: 400,
+  introductionMilliseconds: 300,
+  maxSilenceMilliseconds: 1_500,
 };
 
 /** The policy of every service. */
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -69,6 +69,8 @@
   agents(): readonly Agent[];
   /** Spreads records to all agents. */
   publish(records: readonly SharedRecord[]): void;
+  /** Spreads records to all agents of this data centre at once. */
+  publishNear(records: readonly SharedRecord[]): void;
   /** Replaces the list of agents that have stopped as planned. */
   recordDepartures(departures: readonly Agent[]): void;
   /** Puts a configuration of a newer revision into force on this agent. */
@@ -309,6 +311,7 @@
     agent,
     agents: () => gossip.agents(),
     publish: (records) => gossip.publish(records),
+    publishNear: (records) => gossip.publishNear(records),
     recordDepartures(noted) {
       departures = noted;
     },
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -1,12 +1,19 @@
 /**
  * A configuration source that follows the platform's desired state, which the
- * platform validates and numbers. Each agent watches the desired state, and
- * finds the other agents in the platform's list of started agents.
+ * platform validates and numbers. A few agents of each data centre watch it and
+ * send it to the others; an agent that hears of no other watches by itself. The
+ * other agents are found in the platform's list of started agents.
  *
  * @module
  */
 import type { Address } from "../core/agent.ts";
-import { initialAgentRecord } from "../core/dissemination/replica.ts";
+import {
+  desiredOf,
+  desiredRecord,
+  initialAgentRecord,
+} from "../core/dissemination/replica.ts";
+import { isWatcher } from "../core/dissemination/watchers.ts";
+import type { KeyHash } from "../core/ownership/table.ts";
 import {
   configurationOfDesired,
   type ServicePolicy,
@@ -21,7 +28,7 @@
   StartSource,
 } from "./coordinator.ts";
 import { trackStoreAvailability } from "./store_availability.ts";
-import { pause } from "./time.ts";
+import { monotonicNow, pause } from "./time.ts";
 
 /** Durations of the watch, in milliseconds. */
 export interface DesiredStateTimes {
@@ -29,6 +36,13 @@
   /** Time for a watch to report a revision that another agent has in force. */
   readonly maxWatchLagMilliseconds: number;
   readonly retryMilliseconds: number;
+  /**
+   * How long a started agent waits for others to become known, and to tell it
+   * the desired state, before it decides whether to watch.
+   */
+  readonly introductionMilliseconds: number;
+  /** An agent that has heard of no other for so long watches by itself. */
+  readonly maxSilenceMilliseconds: number;
 }
 
 /** What the configuration source needs. */
@@ -40,6 +54,7 @@
   readonly policy: ServicePolicy;
   readonly times: DesiredStateTimes;
   readonly events: Events;
+  readonly hash: KeyHash;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
 }
@@ -58,6 +73,8 @@
   const { desiredStates, members, times, events } = options;
   const stopped = new AbortController();
   const recordAvailability = trackStoreAvailability(events);
+  /** When another agent was last heard of. */
+  let heardAt = monotonicNow();
 
   /** Randomised, so that agents do not all retry at the same time. */
   function pauseBeforeRetry(): Promise<void> {
@@ -94,13 +111,19 @@
     const read = await desiredStates.read();
     recordAvailability(read.isOk);
     if (read.isErr || read.value === null) return null;
-    adopt(read.value.value);
+    adoptAndSpread(read.value.value);
     return read.value;
   }
 
-  function adopt(desired: DesiredState): void {
-    if (desired.version <= context.current().revision) return;
+  /** Puts a desired state into force; false if it is not newer. */
+  function adopt(desired: DesiredState): boolean {
+    if (desired.version <= context.current().revision) return false;
     context.apply(configurationOfDesired(desired, options.policy));
+    return true;
+  }
+
+  function adoptAndSpread(desired: DesiredState): void {
+    if (adopt(desired)) context.publishNear([desiredRecord(desired)]);
   }
 
   let rereading = false;
@@ -114,39 +137,61 @@
     rereading = false;
   }
 
+  function watches(): boolean {
+    const silence = monotonicNow() - heardAt;
+    return silence > times.maxSilenceMilliseconds ||
+      isWatcher(context.agent, context.agents(), options.hash);
+  }
+
+  async function start(): Promise<void> {
+    await Promise.race([
+      registerAgent(),
+      pause(times.maxSilenceMilliseconds, stopped.signal),
+    ]);
+    await pause(times.introductionMilliseconds, stopped.signal);
+    await watchDesiredState();
+  }
+
   async function watchDesiredState(): Promise<void> {
     while (!stopped.signal.aborted) {
+      if (!watches()) {
+        await pauseBeforeRetry();
+        continue;
+      }
       const found = await readDesiredState();
       if (found === null) await pauseBeforeRetry();
       else await watchFrom(found.version);
     }
   }
 
-  /** Resolves once the watch has failed. */
+  /** Resolves once the watch has failed, or others watch. */
   async function watchFrom(version: string): Promise<void> {
     let from = version;
-    while (!stopped.signal.aborted) {
+    while (!stopped.signal.aborted && watches()) {
       const result = await desiredStates.awaitChange({
         version: from,
         maxWaitMilliseconds: times.watchMilliseconds,
       });
       if (result.isErr) return await pauseBeforeRetry();
       recordAvailability(true);
-      if (result.value.latest !== null) adopt(result.value.latest);
+      if (result.value.latest !== null) adoptAndSpread(result.value.latest);
       from = result.value.version;
     }
   }
 
-  void registerAgent();
-  void watchDesiredState();
+  void start();
 
   return {
     async seeds() {
       await loadMembers();
       return options.seeds;
     },
-    handleReplicaChange: () => undefined,
+    handleReplicaChange(replica) {
+      const desired = desiredOf(replica);
+      if (desired !== null) adopt(desired);
+    },
     handlePeerRevision(revision) {
+      heardAt = monotonicNow();
       if (revision > context.current().revision) void rereadIfBehind(revision);
     },
     handlePeerConfirmation: () => undefined,
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
+import { hashText } from "../adapters/hashing.ts";
 import { type Agent, departedAgent } from "../core/agent.ts";
 import {
   type Configuration,
@@ -62,8 +63,11 @@
       watchMilliseconds: 60_000,
       maxWatchLagMilliseconds: 1,
       retryMilliseconds: 1,
+      introductionMilliseconds: 0,
+      maxSilenceMilliseconds: 60_000,
     },
     events: { record: () => undefined },
+    hash: hashText,
     random: () => 0.5,
   })({
     agent,
@@ -71,6 +75,7 @@
     publish(records) {
       started = records.map(({ key }) => key);
     },
+    publishNear: () => undefined,
     recordDepartures(noted) {
       departures = noted;
     },
--- a/source/tasks/document_source.ts
+++ b/source/tasks/document_source.ts
@@ -7,6 +7,7 @@
  */
 import type { Address, Agent } from "../core/agent.ts";
 import type { Replica } from "../core/dissemination/replica.ts";
+import { isWatcher } from "../core/dissemination/watchers.ts";
 import { assembleConfiguration } from "../core/document/assembly.ts";
 import type { ParsedDocument } from "../core/document/document.ts";
 import {
@@ -22,11 +23,7 @@
   SourceContext,
   StartSource,
 } from "./coordinator.ts";
-import {
-  type DocumentTimes,
-  isWatcher,
-  startDocument,
-} from "./document_task.ts";
+import { type DocumentTimes, startDocument } from "./document_task.ts";
 import { readClocks } from "./time.ts";
 
 /** What the configuration source needs. */
--- a/source/tasks/document_task.ts
+++ b/source/tasks/document_task.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import type { Agent } from "../core/agent.ts";
 import { recordsOfAcceptance } from "../core/document/assembly.ts";
 import {
   type Acceptance,
@@ -13,7 +12,6 @@
   type ParsedDocument,
 } from "../core/document/document.ts";
 import type { SharedRecord } from "../core/dissemination/replica.ts";
-import type { KeyHash } from "../core/ownership/table.ts";
 import type { Events } from "../ports/events.ts";
 import type { CensusReply } from "../ports/peers.ts";
 import { mainObjectName, type Store } from "../ports/store.ts";
@@ -33,28 +31,11 @@
   stop(): Promise<void>;
 }
 
-/** Number of agents in each data centre that watch the store. */
-const watchersPerDataCenter = 2;
 /**
  * Delay of the first census; most agents have the revision by then. It doubles.
  */
 const firstCensusMilliseconds = 1_000;
 
-/** Whether this agent is one of the watchers of its data centre. */
-export function isWatcher(
-  self: Agent,
-  agents: readonly Agent[],
-  hash: KeyHash,
-): boolean {
-  const near = agents.filter((agent) =>
-    agent.place.dataCenter === self.place.dataCenter && agent.phase !== "lost"
-  );
-  const seed = 0;
-  const own = hash(self.host, seed);
-  const earlier = near.filter((agent) => hash(agent.host, seed) < own);
-  return earlier.length < watchersPerDataCenter;
-}
-
 /** Starts a task that watches while this agent is one of the watchers. */
 export function startDocument(options: {
   readonly store: Store;
--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -59,6 +59,8 @@
   self(): Agent;
   /** Merges records and passes them on to other agents. */
   publish(records: readonly SharedRecord[]): void;
+  /** Merges records and sends them to all agents of this data centre at once. */
+  publishNear(records: readonly SharedRecord[]): void;
   setPhase(phase: TargetPhase): void;
   /** Publishes what this agent has learnt of its target. */
   describeTarget(
@@ -185,6 +187,31 @@
     return taken.records;
   }
 
+  /** The living agents of this data centre but for this one. */
+  function nearAgents(): readonly Agent[] {
+    return agents.filter((agent) =>
+      agent.host !== self.host && agent.phase !== "lost" &&
+      distance(agent.place, self.place) === 0
+    );
+  }
+
+  async function sendRecords(
+    address: Address,
+    records: readonly SharedRecord[],
+  ): Promise<void> {
+    const result = await peers.call(address, "exchange", {
+      message: {
+        from: self.id,
+        news: records,
+        root: rootDigest(replica),
+        revision: options.revision(),
+      },
+      timeoutMilliseconds: times.callTimeoutMilliseconds,
+    });
+    if (result.isErr) return;
+    mailbox.send({ kind: "merge", records: result.value.news });
+  }
+
   async function exchangeWith(
     address: Address,
     timeoutMilliseconds: number = times.callTimeoutMilliseconds,
@@ -349,6 +376,12 @@
       mailbox.send({ kind: "merge", records });
       wake.abort();
     },
+    publishNear(records) {
+      mailbox.send({ kind: "merge", records });
+      for (const { peerAddress } of nearAgents()) {
+        void sendRecords(peerAddress, records);
+      }
+    },
     setPhase: (phase) => describeTarget({ phase }),
     describeTarget,
     join(group) {
--- /dev/null
+++ b/tests/desired_state_spread_test.ts
@@ -0,0 +1,296 @@
+/**
+ * The load on the store of a fleet that follows a desired state: it must not
+ * grow with the number of agents.
+ */
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import FakeTimers from "@sinonjs/fake-timers";
+import { Result } from "true-myth";
+import { hashText } from "../source/adapters/hashing.ts";
+import type { Agent } from "../source/core/agent.ts";
+import {
+  type Configuration,
+  emptyConfiguration,
+} from "../source/core/document/document.ts";
+import type { DesiredState } from "../source/core/routes/desired_state.ts";
+import type { Peers } from "../source/ports/peers.ts";
+import type { DesiredStateChange } from "../source/ports/registry.ts";
+import type { ConfigurationSource } from "../source/tasks/coordinator.ts";
+import { desiredStateSource } from "../source/tasks/desired_state_source.ts";
+import { type GossipTask, startGossip } from "../source/tasks/gossip_task.ts";
+import { seededRandom } from "../standins/load.ts";
+import { testAgent } from "./test_agent.ts";
+
+const dataCenters = 6;
+const watchMilliseconds = 20_000;
+/** Within which most agents have a change, and all of them. */
+const mostMilliseconds = 1_000;
+const allMilliseconds = 2_000;
+
+function desired(version: number): DesiredState {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  };
+}
+
+interface FleetNode {
+  readonly agent: Agent;
+  readonly gossip: GossipTask;
+  readonly source: ConfigurationSource;
+  readonly revision: () => number;
+}
+
+/** Agents whose calls reach each other directly, and a store that counts. */
+function startFleet(
+  clock: ReturnType<typeof FakeTimers.install>,
+  count: number,
+) {
+  const random = seededRandom(29);
+  const nodes = new Map<string, FleetNode>();
+  const members = new Map<string, Agent>();
+  const cut = new Set<string>();
+  const refused = new Set<string>();
+  let version = 1;
+  let calls = 0;
+  let waiting: readonly (() => void)[] = [];
+
+  const peersOf = (host: string): Peers => ({
+    async call(address, method, { message }) {
+      await new Promise((resolve) => setTimeout(resolve, 2));
+      const node = nodes.get(address);
+      if (node === undefined || cut.has(host) || cut.has(node.agent.host)) {
+        return Result.err({ kind: "unreachable", detail: "cut" });
+      }
+      const methods = node.gossip as unknown as Record<
+        string,
+        (message: unknown) => unknown
+      >;
+      return Result.ok(methods[method]?.(structuredClone(message)) as never);
+    },
+    close: () => Promise.resolve(),
+  });
+
+  function refusal(host: string) {
+    calls += 1;
+    return refused.has(host)
+      ? Result.err({ kind: "refused", detail: "turned away" } as const)
+      : null;
+  }
+
+  function awaitChange(
+    host: string,
+    since: number,
+  ): Promise<Result<DesiredStateChange, never>> {
+    return new Promise((resolve) => {
+      const answer = () => {
+        if (refused.has(host)) return;
+        waiting = waiting.filter((other) => other !== answer);
+        clearTimeout(timer);
+        const latest = version > since ? desired(version) : null;
+        resolve(Result.ok({ latest, version: String(version) }));
+      };
+      const timer = setTimeout(answer, watchMilliseconds);
+      if (version > since) answer();
+      else waiting = [...waiting, answer];
+    });
+  }
+
+  function start(index: number): void {
+    const host = `host-${index}`;
+    const agent = testAgent(`${host}/${Date.now()}`, {
+      host,
+      incarnation: Date.now(),
+      peerAddress: `10.0.${index >> 8}.${index & 255}:1`,
+      place: {
+        dataCenter: `dc-${index % dataCenters}`,
+        region: `region-${index % 3}`,
+      },
+    });
+    let configuration: Configuration = emptyConfiguration;
+    let source: ConfigurationSource | null = null;
+    const events = { record: () => undefined };
+    const gossip = startGossip({
+      agent,
+      seeds: () => source?.seeds() ?? Promise.resolve([]),
+      times: { exchangeMilliseconds: 500, callTimeoutMilliseconds: 400 },
+      peers: peersOf(host),
+      events,
+      hash: hashText,
+      random,
+      onChange: (replica) => source?.handleReplicaChange(replica),
+      fresh: () => configuration.revision > 0,
+      revision: () => configuration.revision,
+      onRevision: (revision) => source?.handlePeerRevision(revision),
+      onConfirmed: () => undefined,
+    });
+    source = desiredStateSource({
+      desiredStates: {
+        read: () =>
+          Promise.resolve(
+            refusal(host) ??
+              Result.ok({ value: desired(version), version: String(version) }),
+          ),
+        awaitChange: ({ version: since }) => {
+          const turnedAway = refusal(host);
+          return turnedAway === null
+            ? awaitChange(host, Number(since))
+            : Promise.resolve(turnedAway);
+        },
+      },
+      members: {
+        list: () =>
+          Promise.resolve(refusal(host) ?? Result.ok([...members.values()])),
+        put(written) {
+          members.set(host, written);
+          return Promise.resolve(refusal(host) ?? Result.ok(null));
+        },
+      },
+      seeds: [],
+      policy: {
+        keys: { groups: 1, slicesPerGroup: 8 },
+        queueLength: 8,
+        lowerRankShare: 0,
+        defaultDeadlineMilliseconds: 1_000,
+      },
+      times: {
+        watchMilliseconds,
+        maxWatchLagMilliseconds: 300,
+        retryMilliseconds: 400,
+        introductionMilliseconds: 300,
+        maxSilenceMilliseconds: 1_500,
+      },
+      events,
+      hash: hashText,
+      random,
+    })({
+      agent,
+      agents: () => gossip.agents(),
+      publish: (records) => gossip.publish(records),
+      publishNear: (records) => gossip.publishNear(records),
+      recordDepartures: () => undefined,
+      apply: (next) => configuration = next,
+      current: () => configuration,
+      census: () => Promise.resolve({ applied: [], missing: [] }),
+    });
+    const revision = () => configuration.revision;
+    nodes.set(agent.peerAddress, { agent, gossip, source, revision });
+  }
+
+  for (let index = 0; index < count; index += 1) start(index);
+  return {
+    nodes: () => [...nodes.values()],
+    cut,
+    refused,
+    restart(index: number) {
+      const [address, node] =
+        [...nodes].find(([, { agent }]) => agent.host === `host-${index}`) ??
+          assert.fail();
+      void node.source.stop();
+      void node.gossip.stop();
+      nodes.delete(address);
+      start(index);
+    },
+    change() {
+      version += 1;
+      for (const answer of waiting) answer();
+    },
+    behind: () =>
+      [...nodes.values()].filter(({ revision }) => revision() < version)
+        .map(({ agent }) => agent.host),
+    /** The calls to the store in this time. */
+    async callsIn(milliseconds: number): Promise<number> {
+      const before = calls;
+      await clock.tickAsync(milliseconds);
+      return calls - before;
+    },
+    async stop() {
+      for (const { source, gossip } of nodes.values()) {
+        void source.stop();
+        void gossip.stop();
+      }
+      await clock.tickAsync(1_000);
+    },
+  };
+}
+
+type Fleet = ReturnType<typeof startFleet>;
+
+describe("a fleet that follows a desired state", () => {
+  let clock: ReturnType<typeof FakeTimers.install>;
+  let fleet: Fleet;
+  beforeEach(() => {
+    clock = FakeTimers.install({
+      now: 1_000_000,
+      toFake: ["setTimeout", "clearTimeout", "Date", "performance"],
+    });
+  });
+  afterEach(async () => {
+    await fleet.stop();
+    clock.uninstall();
+  });
+
+  for (const count of [36, 108]) {
+    describe(`of ${count} agents`, () => {
+      beforeEach(async () => {
+        fleet = startFleet(clock, count);
+        await clock.tickAsync(watchMilliseconds * 2);
+      });
+
+      it("calls the store at rest and for a change from a few of them", async () => {
+        assert.ok(await fleet.callsIn(watchMilliseconds) <= dataCenters * 4);
+        fleet.change();
+        assert.ok(await fleet.callsIn(1_000) <= dataCenters * 4);
+      });
+
+      it("has a change in force within the bounds", async () => {
+        fleet.change();
+        await clock.tickAsync(mostMilliseconds);
+        assert.ok(fleet.behind().length <= count / 100, `${fleet.behind()}`);
+        await clock.tickAsync(allMilliseconds - mostMilliseconds);
+        assert.deepEqual(fleet.behind(), []);
+      });
+
+      it("lets a restarted agent learn it from another", async () => {
+        const before = await fleet.callsIn(1_000);
+        fleet.restart(count - 1);
+        const calls = await fleet.callsIn(1_000) - before;
+        assert.deepEqual(fleet.behind(), []);
+        assert.ok(calls <= 4, `${calls} calls`);
+      });
+    });
+  }
+
+  describe("whose store turns a third of the machines away", () => {
+    it("has a change in force within the bounds", async () => {
+      fleet = startFleet(clock, 36);
+      await clock.tickAsync(5_000);
+      for (const { agent } of fleet.nodes().slice(0, 12)) {
+        fleet.refused.add(agent.host);
+      }
+      fleet.change();
+      await clock.tickAsync(allMilliseconds);
+      assert.deepEqual(fleet.behind(), []);
+    });
+  });
+
+  describe("with an agent that reaches no other", () => {
+    it("has it read the store by itself", async () => {
+      fleet = startFleet(clock, 36);
+      await clock.tickAsync(5_000);
+      const [alone] = fleet.nodes().slice(20);
+      fleet.cut.add(alone?.agent.host ?? "");
+      await clock.tickAsync(3_000);
+      fleet.change();
+      await clock.tickAsync(1_000);
+      assert.deepEqual(fleet.behind(), []);
+    });
+  });
+});
