--- a/source/core/ownership/reported_keys.ts
+++ b/source/core/ownership/reported_keys.ts
@@ -55,7 +55,10 @@
 
 /** What is known of the keys of one process of a target. */
 export interface ReportedKeys {
-  /** Keys held according to the last report. */
+  /**
+   * Keys held according to the last report, each under its highest fencing
+   * number: a row that was replaced is reported too while requests run on it.
+   */
   readonly shown: readonly HeldKeys[];
   readonly unseen: readonly UnseenKeys[];
   /** Keys that the process has released and not held since. */
@@ -93,7 +96,7 @@
   const pending = state.unseen.filter(({ mayHoldUntil }) => mayHoldUntil > now);
   return {
     ...state,
-    shown: holds,
+    shown: raiseFences([], holds),
     unseen: withoutSpans(pending, holds),
     freed: [...withoutSpans(state.freed, [...holds, ...freed]), ...freed],
     fences: raiseFences(state.fences, holds),
@@ -157,7 +160,7 @@
   const gained = withoutSpans(wanted, state.shown)
     .map((keys) => withKnownState(state, keys));
   const rows = [
-    ...mergeAdjacent(kept, mergeEqualFences),
+    ...mergeAdjacent<AssignedKeys>(kept, mergeEqualFences),
     ...mergeAdjacent(gained, mergeEqualHandovers),
   ].sort((left, right) => left.first - right.first);
   if (fits(rows)) return rows;
@@ -183,10 +186,10 @@
   };
 }
 
-function mergeEqualFences(
-  left: AssignedKeys,
-  right: AssignedKeys,
-): AssignedKeys | null {
+function mergeEqualFences<Keys extends HeldKeys>(
+  left: Keys,
+  right: Keys,
+): Keys | null {
   return left.fence === right.fence ? { ...left, last: right.last } : null;
 }
 
@@ -231,17 +234,13 @@
   fences: readonly HeldKeys[],
   rows: readonly HeldKeys[],
 ): readonly HeldKeys[] {
-  const higher = rows.flatMap((row) =>
-    withoutSpans([row], fences.filter(({ fence }) => fence >= row.fence))
-  );
-  const plain = higher.map(({ first, last, fence }) => ({
-    first,
-    last,
-    fence,
-  }));
-  return mergeAdjacent(
-    [...withoutSpans(fences, plain), ...plain],
-    (left, right) =>
-      left.fence === right.fence ? { ...left, last: right.last } : null,
+  const raised = rows.reduce<readonly HeldKeys[]>(
+    (known, { first, last, fence }) => {
+      const higher = known.filter((other) => other.fence >= fence);
+      const parts = withoutSpans([{ first, last, fence }], higher);
+      return [...withoutSpans(known, parts), ...parts];
+    },
+    fences,
   );
+  return mergeAdjacent(raised, mergeEqualFences);
 }
--- a/standins/heartbeat_keys.ts
+++ b/standins/heartbeat_keys.ts
@@ -57,6 +57,11 @@
   readonly toldIn: number | null;
 }
 
+function isSameRow(left: Hold, right: Hold): boolean {
+  return left.first === right.first && left.last === right.last &&
+    left.fence === right.fence;
+}
+
 /** Starts with no keys; `name` marks what the target hands over. */
 export function startHeartbeatKeys(name: string): HeartbeatKeys {
   let held: readonly Hold[] = [];
@@ -64,7 +69,8 @@
   let ending: readonly Hold[] = [];
   let freed: readonly Freed[] = [];
   let fences: readonly Hold[] = [];
-  let running: readonly number[] = [];
+  /** Running requests, with the row under which each began. */
+  let running: readonly (KeySpan & { readonly row: Hold })[] = [];
   let lastApplied = 0;
   let violations: readonly string[] = [];
 
@@ -74,9 +80,8 @@
   }
 
   function completeReleases(): void {
-    const busy = running.map((key) => ({ first: key, last: key }));
-    const over = withoutSpans(ending, busy);
-    ending = withinSpans(ending, busy);
+    const over = withoutSpans(ending, running);
+    ending = withinSpans(ending, running);
     freed = [
       ...freed,
       ...over.map(({ first, last }) => ({
@@ -105,12 +110,12 @@
         ...entry,
         toldIn: entry.toldIn ?? sequence,
       }));
+      const replaced = running.map(({ row }) => row)
+        .filter((row) => !held.some((other) => isSameRow(row, other)));
       return {
-        holds: [...held, ...ending].map(({ first, last, fence }) => [
-          first,
-          last,
-          fence,
-        ]),
+        holds: [...held, ...ending, ...new Set(replaced)].map((
+          { first, last, fence },
+        ) => [first, last, fence]),
         freed: freed.map((
           { first, last, handover },
         ) => [first, last, handover]),
@@ -138,10 +143,13 @@
         first <= key && last >= key && until > now
       ),
     begin(key) {
-      running = [...running, key];
+      const row = held.find(({ first, last }) => first <= key && last >= key);
+      if (row === undefined) throw new Error(`key ${key} is not held`);
+      running = [...running, { first: key, last: key, row }];
     },
     finish(key) {
-      running = running.toSpliced(running.indexOf(key), 1);
+      const index = running.findIndex(({ first }) => first === key);
+      running = running.toSpliced(index, 1);
       completeReleases();
     },
     releasing: () => ending.length + freed.length > 0,
--- a/tests/reported_keys_test.ts
+++ b/tests/reported_keys_test.ts
@@ -115,6 +115,15 @@
       assert.deepEqual(again?.map(([, , , handover]) => handover), ["", ""]);
     });
 
+    it("with disjoint rows, also while it still runs requests on replaced ones", () => {
+      const { task } = start();
+      hold(task, grant(1, 4), grant(2, 9), grant(3, 10));
+      const holds = [[8, 15, 40], [8, 31, 50], [16, 23, 45]] as const;
+      assert.deepEqual(answerTo(task, { holds, freed: [] }).holds, [
+        [8, 31, 50, ""],
+      ]);
+    });
+
     it("to release everything once the lease has ended", () => {
       const { task } = start();
       hold(task, grant(1, 4));
