--- a/benches/capacity_bench.ts
+++ b/benches/capacity_bench.ts
@@ -135,6 +135,7 @@
     service: "timetable",
     group: `timetable.${index % 600}`,
     slots: 8,
+    processors: 1,
     checksFencing: false,
     phase: "serving",
   };
--- a/benches/coordinators.ts
+++ b/benches/coordinators.ts
@@ -120,6 +120,7 @@
     service: services[index % 3] ?? "media",
     group: null,
     slots: 8,
+    processors: 1,
     checksFencing: false,
     phase: "serving",
   };
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -52,6 +52,7 @@
   service: name,
   group: name.nullable(),
   slots: z.number().int().min(1).max(1_000_000),
+  processors: z.number().positive().max(10_000),
   checksFencing: z.boolean(),
   phase: z.enum(["serving", "leaving", "lost"]),
 });
--- a/source/core/agent.ts
+++ b/source/core/agent.ts
@@ -98,6 +98,8 @@
   readonly group: string | null;
   /** How many requests the target runs concurrently. */
   readonly slots: number;
+  /** Processor time that the agent may use, in cores. */
+  readonly processors: number;
   /** Whether the target itself rejects stale fencing tokens. */
   readonly checksFencing: boolean;
   readonly phase: TargetPhase;
--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -19,6 +19,9 @@
 /** The delegation is renewed once this share of it has passed. */
 const renewalShare = 0.25;
 
+/** How long servers that start together are waited for before a write. */
+const gatherMilliseconds = 400;
+
 /** A delegation that was not written for this share of it is abandoned. */
 const abandonedShare = 0.4;
 
@@ -53,8 +56,8 @@
 }
 
 function needsCheckpoint(state: GrantorState, now: Clocks): boolean {
-  if (state.mayBeSuperseded) return true;
-  if (state.applicants.length + state.busyKeys.length > 0) return true;
+  if (state.mayBeSuperseded || state.busyKeys.length > 0) return true;
+  if (hasWaitingApplicants(state, now.monotonic)) return true;
   if (state.earlierMayGrant && state.unresponsive.size === 0) return true;
   const hasEndedReservation = state.slices.some((slice) =>
     slice.kind === "reserved" && slice.availableAt <= now.monotonic
@@ -68,6 +71,16 @@
   return !definitelyBefore(now, renewAt);
 }
 
+/**
+ * Before slices are assigned a server gains nothing by joining at once, so that
+ * those that start together are written together.
+ */
+function hasWaitingApplicants(state: GrantorState, now: number): boolean {
+  if (state.applicantsSince === null) return false;
+  return state.assignmentStarted ||
+    now - state.applicantsSince >= gatherMilliseconds;
+}
+
 /** Adds applicants, and keeps servers that may still serve a slice. */
 function nextRoster(
   state: GrantorState,
@@ -113,6 +126,9 @@
   const unresponsive = [...state.unresponsive].filter((id) =>
     inRoster(roster, id)
   );
+  const applicants = state.applicants.filter((entry) =>
+    !inRoster(roster, entry.id)
+  );
   const known = new Set(isolatedKeys.map((entry) => entry.key));
   return {
     ...state,
@@ -125,7 +141,8 @@
       ? state.busyKeys
       : state.busyKeys.filter((load) => isStillPending(state, known, load.key)),
     unconfirmed: null,
-    applicants: state.applicants.filter((entry) => !inRoster(roster, entry.id)),
+    applicants,
+    applicantsSince: applicants.length > 0 ? askedAt.monotonic : null,
     delegationEndsAt: delegationEnd(askedAt, state.settings),
     sequence: state.sequence + 1,
   };
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -45,7 +45,7 @@
     case "renewal":
       return handleRenewal(state, event.renewal, event.now);
     case "tick":
-      return tick(state, event.now);
+      return tick(state, event);
     case "earlierEnded":
       return { state: shortenReservations(state, event.now), effects: [] };
     case "handover":
@@ -104,7 +104,7 @@
     return { state, effects: [{ kind: "refuse" }] };
   }
   if (!mayHold(state, renewal.id)) {
-    return handleApplication(state, renewal);
+    return handleApplication(state, renewal, now);
   }
   const known = withHolder(state, renewal, now);
   const responded = renewal.emptied
@@ -134,12 +134,14 @@
 function handleApplication(
   state: GrantorState,
   renewal: Renewal,
+  now: Clocks,
 ): Transition<GrantorState, GrantorEffect> {
   const applicant = { id: renewal.id, peerAddress: renewal.peerAddress };
   const waiting = inRoster(state.applicants, renewal.id);
   const next: GrantorState = waiting || renewal.leaving ? state : {
     ...state,
     applicants: [...state.applicants, applicant],
+    applicantsSince: state.applicantsSince ?? now.monotonic,
   };
   const answer: RenewalAnswer = {
     epoch: state.epoch,
@@ -271,11 +273,13 @@
 
 function tick(
   state: GrantorState,
-  now: Clocks,
+  { now, runningServers = 0 }: GrantorEvent & { readonly kind: "tick" },
 ): Transition<GrantorState, GrantorEffect> {
   if (delegationEnded(state, now)) return { state, effects: [] };
   const expired = expireLeases(state, now.monotonic);
-  const moved = startMoves(startAssignment(expired.state, now.monotonic));
+  const moved = startMoves(
+    startAssignment(expired.state, { now: now.monotonic, runningServers }),
+  );
   const assigned = assignFreeSlices(moved.state);
   const requested = requestCheckpoint(assigned.state, now);
   return {
@@ -292,11 +296,20 @@
 /**
  * Starts assigning free slices once the initial delay is over. Without it, the
  * first servers to join would get all slices and have to release most of them
- * again.
+ * again. Servers that are known to run are waited for as long again.
  */
-function startAssignment(state: GrantorState, now: number): GrantorState {
+function startAssignment(
+  state: GrantorState,
+  seen: { readonly now: number; readonly runningServers: number },
+): GrantorState {
+  const { now, runningServers } = seen;
   if (state.assignmentStarted || now < state.assignmentStartsAt) return state;
-  return { ...state, assignmentStarted: true };
+  const latest = state.assignmentStartsAt +
+    state.settings.initialAssignmentDelayMilliseconds;
+  const joined = state.holders.size >= runningServers;
+  return joined || now >= latest
+    ? { ...state, assignmentStarted: true }
+    : state;
 }
 
 function expireLeases(
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -123,6 +123,8 @@
   readonly roster: readonly RosterEntry[];
   /** Servers that wait to be added to the stored roster. */
   readonly applicants: readonly RosterEntry[];
+  /** Since when the first of them waits; null for none. */
+  readonly applicantsSince: number | null;
   readonly holders: ReadonlyMap<AgentId, Holder>;
   /** Servers of the roster that have not answered the takeover or renewed. */
   readonly unresponsive: ReadonlySet<AgentId>;
@@ -165,7 +167,12 @@
     readonly renewal: Renewal;
     readonly now: Clocks;
   }
-  | { readonly kind: "tick"; readonly now: Clocks }
+  | {
+    readonly kind: "tick";
+    readonly now: Clocks;
+    /** How many servers of the group are known to run; 0 if left out. */
+    readonly runningServers?: number;
+  }
   /** All earlier grantors have stopped; none renews a lease any more. */
   | { readonly kind: "earlierEnded"; readonly now: Clocks }
   /** The former grantor stopped after the takeover and sent its handover. */
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -23,13 +23,24 @@
   return Math.max(unmeasuredLoad, state.loads.get(slice) ?? 0);
 }
 
+/** The servers that stay, and the load of their slices relative to weight. */
 function loadsByHolder(state: GrantorState): Map<AgentId, number> {
-  const loads = new Map<AgentId, number>();
-  for (const holder of state.holders.values()) {
-    // A server whose lease had expired refuses all requests and so reports no
-    // load. It may not learn of new grants either.
-    if (!holder.leaving && !holder.leaseHadExpired) loads.set(holder.id, 0);
-  }
+  // A server whose lease had expired refuses all requests and so reports no
+  // load. It may not learn of new grants either.
+  const serving = stayingHolders(state)
+    .filter(({ leaseHadExpired }) => !leaseHadExpired);
+  return loadsOf(state, serving);
+}
+
+function stayingHolders(state: GrantorState): readonly Holder[] {
+  return [...state.holders.values()].filter(({ leaving }) => !leaving);
+}
+
+function loadsOf(
+  state: GrantorState,
+  holders: readonly Holder[],
+): Map<AgentId, number> {
+  const loads = new Map(holders.map(({ id }): [AgentId, number] => [id, 0]));
   state.slices.forEach((slice, index) => {
     const owner = futureOwner(slice);
     const sum = owner === null ? undefined : loads.get(owner);
@@ -62,12 +73,19 @@
   return best;
 }
 
-/** The server that a free slice is assigned to; null if there is none. */
+/**
+ * The server that a free slice is assigned to; null if there is none. Where the
+ * leases of all had expired, as after an outage, they get slices at once:
+ * otherwise the first to renew again would get all of them.
+ */
 export function leastLoadedHolder(
   state: GrantorState,
   slice: number,
 ): AgentId | null {
-  const loads = loadsByHolder(state);
+  const serving = loadsByHolder(state);
+  const loads = serving.size > 0
+    ? serving
+    : loadsOf(state, stayingHolders(state));
   for (const [id, load] of loads) {
     const weight = state.holders.get(id)?.weight ?? 1;
     loads.set(id, load + sliceLoad(state, slice) / weight);
--- a/source/core/ownership/table.ts
+++ b/source/core/ownership/table.ts
@@ -74,7 +74,12 @@
 
 /** The name of a service's group. */
 export function groupName(service: string, index: number): string {
-  return `${service}.${index}`;
+  return `${groupPrefix(service)}${index}`;
+}
+
+/** What the names of all groups of a service begin with. */
+export function groupPrefix(service: string): string {
+  return `${service}.`;
 }
 
 /** Distributes keys over slices by their hash. */
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -64,6 +64,7 @@
       isMostlyHeld(slices),
     roster: takeover.roster,
     applicants: [],
+    applicantsSince: null,
     holders,
     unresponsive: unresponsiveServers(takeover),
     slices,
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -167,6 +167,7 @@
     service: settings.service,
     group: null,
     slots: settings.slots,
+    processors: 1,
     checksFencing: settings.checksFencing,
     phase: "serving",
   };
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -414,6 +414,7 @@
     service: settings.service,
     group: null,
     slots: 1,
+    processors: settings.processors,
     // The target itself ends its work when its grant of a key has expired.
     checksFencing: true,
     // Until the target has registered.
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -26,11 +26,13 @@
 import {
   grantorCandidates,
   groupOfHost,
+  mayJoin,
 } from "../core/ownership/membership.ts";
-import type {
-  KeyHash,
-  OwnershipTable,
-  PlaceKey,
+import {
+  groupPrefix,
+  type KeyHash,
+  type OwnershipTable,
+  type PlaceKey,
 } from "../core/ownership/table.ts";
 import type { Events, TimelineEvent } from "../ports/events.ts";
 import type { CensusReply, Peers } from "../ports/peers.ts";
@@ -265,6 +267,10 @@
     hasDeparted: isKnownDeparted,
     settingsOf: (group) =>
       grantorSettings(group, { times, configuration, sizes: options.group }),
+    runningServers: (group) =>
+      gossip.agents().filter((other) =>
+        other.phase !== "lost" && mayJoin(other, group)
+      ).length,
     successors: (group) =>
       candidatesFor(group).filter((address) => address !== agent.peerAddress),
   });
@@ -371,7 +377,7 @@
 ): GrantorSettings | null {
   const { times, configuration, sizes } = options;
   const service = configuration.services.find((service) =>
-    group.startsWith(`${service.name}.`)
+    group.startsWith(groupPrefix(service.name))
   );
   if (service === undefined || service.keys === null) return null;
   return {
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -386,7 +386,11 @@
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
     checkEarlierGrantors();
     if (state.unresponsive.size > 0) checkUnresponsive(unresponsive());
-    send({ kind: "tick", now: readClocks() });
+    send({
+      kind: "tick",
+      now: readClocks(),
+      runningServers: options.runningServers(group),
+    });
   }, { intervalMilliseconds: options.times.tickMilliseconds });
 
   return {
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -203,6 +203,7 @@
       service: node.service,
       group: null,
       slots: 8,
+      processors: 1,
       checksFencing: options.checksFencing ?? false,
       phase: "serving",
     };
--- a/tests/test_agent.ts
+++ b/tests/test_agent.ts
@@ -17,6 +17,7 @@
     service: "booking",
     group: null,
     slots: 10,
+    processors: 1,
     checksFencing: false,
     phase: "serving",
     ...overrides,
