--- a/source/core/ownership/reported_keys.ts
+++ b/source/core/ownership/reported_keys.ts
@@ -53,6 +53,9 @@
   readonly mayHoldUntil: number;
 }
 
+/** The most released spans whose handover is kept, the latest ones. */
+const maxFreedSpans = 1_024;
+
 /** What is known of the keys of one process of a target. */
 export interface ReportedKeys {
   /**
@@ -98,7 +101,8 @@
     ...state,
     shown: raiseFences([], holds),
     unseen: withoutSpans(pending, holds),
-    freed: [...withoutSpans(state.freed, [...holds, ...freed]), ...freed],
+    freed: [...withoutSpans(state.freed, [...holds, ...freed]), ...freed]
+      .slice(-maxFreedSpans),
     fences: raiseFences(state.fences, holds),
   };
 }
