--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -1,6 +1,6 @@
 /**
- * The task that holds slices for the local target: it renews the lease, answers
- * the claims of new grantors and decides which requests may be served.
+ * The task that holds slices for the local target: it answers the claims of new
+ * grantors and decides which requests may be served.
  *
  * @module
  */
@@ -39,15 +39,16 @@
 } from "../ports/peers.ts";
 import { type MeasuredLoad, startLoadCount } from "./held_load.ts";
 import type { KeyGrantsTask, StartKeyGrants } from "./key_grants.ts";
-import { locateGrantor } from "./locate_grantor.ts";
 import { ask, openMailbox } from "./mailbox.ts";
-import { aborted, monotonicNow, pause, readClocks } from "./time.ts";
+import {
+  type OutgoingRenewal,
+  type RenewalTimes,
+  startRenewals,
+} from "./renewal_task.ts";
+import { monotonicNow, pause, readClocks } from "./time.ts";
 
 /** Durations of a holder, in milliseconds. */
-export interface HolderTimes {
-  readonly renewalMilliseconds: number;
-  readonly retryMilliseconds: number;
-  readonly callTimeoutMilliseconds: number;
+export interface HolderTimes extends RenewalTimes {
   /**
    * A lease counts as ended this much early, as clocks run at different rates.
    */
@@ -125,15 +126,6 @@
   }
   | { readonly kind: "releaseAll" };
 
-/**
- * Random share of the renewal interval, so that servers don't renew at once.
- */
-const renewalJitter = 0.2;
-/** Time after which an unanswered renewal is late, in call timeouts. */
-const lateRenewalCalls = 2;
-/** Timeout of a renewal, in call timeouts. */
-const renewalTimeoutCalls = 4;
-
 /** Starts the holder of one agent in its group. */
 export function startHolder(options: {
   readonly agent: Agent & { readonly group: string };
@@ -155,8 +147,7 @@
     readonly grantors: readonly Address[];
   };
 }): HolderTask {
-  const { agent, times, peers, events, place } = options;
-  const stopped = new AbortController();
+  const { agent, times, events, place } = options;
   let state = createHolder({
     id: agent.id,
     group: agent.group,
@@ -168,21 +159,7 @@
   }) ?? null;
   /** Slices that the target has been ordered to release. */
   const surrendering = new Set<number>();
-  let grantor: GrantorLocation | null = null;
-  /** The last unreachable grantor, until a grantor has answered. */
-  let unreachable: GrantorLocation | null = null;
-  /** Consecutive failed renewals. */
-  let failures = 0;
-  /** Whether the grantor's answer to a renewal is late. */
-  let grantorLate = false;
-  /** Ends the wait for a renewal when another grantor is followed. */
-  let superseded = new AbortController();
-  /** When a grantor was last heard from, on the monotonic clock. */
-  let lastAnswerAt = -Infinity;
-  /** Called with the result of the current renewal or else of the next one. */
-  const renewalListeners = new Set<(hears: boolean) => void>();
   let { leaving } = options;
-  let wake = new AbortController();
   const loadCount = startLoadCount({ place, now: monotonicNow() });
   /**
    * Whether the target still holds keys granted by earlier processes of this
@@ -196,7 +173,7 @@
     const released = next.released.length > state.released.length;
     state = next;
     if (keyGrants !== null) surrenderReleasing(keyGrants);
-    if (released) nudge();
+    if (released) renewals.nudge();
   }
 
   /**
@@ -264,9 +241,7 @@
     updateState(
       stepHolder(state, { kind: "epochTaken", epoch: claim.epoch }),
     );
-    followGrantor({ address: claim.grantorAddress, epoch: claim.epoch });
-    lastAnswerAt = monotonicNow();
-    notifyRenewalListeners(true);
+    renewals.follow({ address: claim.grantorAddress, epoch: claim.epoch });
     emptyTargetOnce(claim.epoch);
     events.record("epoch-accepted", {
       group: state.group,
@@ -292,31 +267,10 @@
       if (emptiness !== "asked") return;
       emptiness = empty ? "empty" : "unknown";
       events.record("target-emptied", { group: state.group, epoch, empty });
-      if (empty) nudge();
+      if (empty) renewals.nudge();
     });
   }
 
-  function nudge(): void {
-    wake.abort();
-  }
-
-  function notifyRenewalListeners(hears: boolean): void {
-    for (const listener of renewalListeners) listener(hears);
-    renewalListeners.clear();
-  }
-
-  /** Renews first, unless the grantor has answered within one call timeout. */
-  async function hearsGrantor(): Promise<GrantorReachability> {
-    const silent =
-      monotonicNow() - lastAnswerAt >= times.callTimeoutMilliseconds;
-    let hears = grantor !== null && !grantorLate;
-    if (hears && silent) {
-      nudge();
-      hears = await new Promise((resolve) => renewalListeners.add(resolve));
-    }
-    return { id: agent.id, epoch: state.epoch, hears };
-  }
-
   function composeRenewal(measured: MeasuredLoad | null): Renewal {
     return {
       group: state.group,
@@ -335,141 +289,17 @@
     };
   }
 
-  function followGrantor(location: GrantorLocation): void {
-    grantor = location;
-    failures = 0;
-    grantorLate = false;
-    superseded.abort();
-  }
-
-  /** Sends one renewal; an answer that arrives after the signal is ignored. */
-  async function renewOnce(
-    location: GrantorLocation,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const askedAt = readClocks();
-    const measured = loadCount.measure(state, askedAt.monotonic);
-    const renewal = composeRenewal(measured);
-    const result = await peers.call(location.address, "renew", {
-      message: renewal,
-      timeoutMilliseconds: times.callTimeoutMilliseconds * renewalTimeoutCalls,
-    });
-    if (signal.aborted || result.isErr || result.value === null) return false;
-    if (result.value.epoch < state.epoch) return false;
-    mailbox.send({
-      kind: "answered",
-      askedAt,
-      answer: result.value,
-      reported: renewal.released,
-    });
-    if (measured !== null) loadCount.restart(state, monotonicNow());
-    return true;
-  }
-
-  async function locate(): Promise<GrantorLocation | null> {
-    // Grantors of epochs before the accepted one no longer grant here.
-    unreachable &&= {
-      ...unreachable,
-      epoch: Math.max(unreachable.epoch, state.epoch),
+  function outgoingRenewal(): OutgoingRenewal {
+    const measured = loadCount.measure(state, monotonicNow());
+    const message = composeRenewal(measured);
+    return {
+      message,
+      onAnswer({ answer, askedAt }) {
+        const reported = message.released;
+        mailbox.send({ kind: "answered", askedAt, answer, reported });
+        if (measured !== null) loadCount.restart(state, monotonicNow());
+      },
     };
-    return await locateGrantor({
-      group: state.group,
-      unreachable,
-      ...options.candidates(),
-      peers,
-      events,
-      timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
-    });
-  }
-
-  /**
-   * Sends one renewal. While its answer is late, looks for a successor of the
-   * grantor; a late answer still renews the lease.
-   */
-  async function renewOrLocateSuccessor(
-    asked: GrantorLocation,
-  ): Promise<boolean> {
-    superseded = new AbortController();
-    const askedAt = monotonicNow();
-    const signal = superseded.signal;
-    const renewal = renewOnce(asked, signal);
-    const doubt = times.callTimeoutMilliseconds * lateRenewalCalls;
-    const ended = await Promise.race([
-      renewal.then(() => true),
-      pause(doubt, signal).then(() => false),
-    ]);
-    if (!ended && !signal.aborted) {
-      grantorLate = true;
-      notifyRenewalListeners(false);
-      void locateSuccessor(asked, signal);
-    }
-    const renewed = await Promise.race([
-      renewal,
-      aborted(signal).then(() => false),
-    ]);
-    recordRenewal(asked, {
-      renewed,
-      replaced: signal.aborted,
-      milliseconds: Math.round(monotonicNow() - askedAt),
-    });
-    superseded.abort();
-    return renewed;
-  }
-
-  /** Reports a renewal that was answered late or not at all. */
-  function recordRenewal(
-    asked: GrantorLocation,
-    end: {
-      readonly renewed: boolean;
-      readonly replaced: boolean;
-      readonly milliseconds: number;
-    },
-  ): void {
-    const usual = times.callTimeoutMilliseconds * lateRenewalCalls;
-    if (end.renewed && end.milliseconds < usual) return;
-    events.record(end.renewed ? "renewal-late" : "renewal-failed", {
-      group: state.group,
-      epoch: asked.epoch,
-      grantor: asked.address,
-      milliseconds: end.milliseconds,
-      ...(end.renewed ? {} : { replaced: end.replaced }),
-    });
-  }
-
-  async function locateSuccessor(
-    asked: GrantorLocation,
-    signal: AbortSignal,
-  ): Promise<void> {
-    unreachable = asked;
-    const found = await locate();
-    if (found === null || signal.aborted || stopped.signal.aborted) return;
-    if (found.epoch > asked.epoch && grantor === asked) followGrantor(found);
-  }
-
-  /** One renewal; returns the time until the next, in milliseconds. */
-  async function renewalRound(): Promise<number> {
-    grantor ??= await locate();
-    if (grantor === null) return times.retryMilliseconds;
-    const asked = grantor;
-    const renewed = await renewOrLocateSuccessor(asked);
-    recordLeaseChange();
-    // Another grantor is followed now; the next renewal goes to it at once.
-    if (!renewed && grantor !== asked) return 0;
-    notifyRenewalListeners(renewed);
-    if (renewed) {
-      failures = 0;
-      grantorLate = false;
-      lastAnswerAt = monotonicNow();
-      unreachable = null;
-      return times.renewalMilliseconds *
-        (1 - renewalJitter * options.random());
-    }
-    failures += 1;
-    if (failures >= 2) {
-      unreachable = asked;
-      grantor = null;
-    }
-    return failures <= 2 ? 0 : times.retryMilliseconds;
   }
 
   function recordLeaseChange(): void {
@@ -483,14 +313,13 @@
     });
   }
 
-  async function run(): Promise<void> {
-    while (!stopped.signal.aborted) {
-      wake = new AbortController();
-      const rest = await renewalRound();
-      await pause(rest, wake.signal);
-    }
-  }
-  const running = run();
+  const renewals = startRenewals({
+    ...options,
+    group: agent.group,
+    epoch: () => state.epoch,
+    compose: outgoingRenewal,
+    onRenewalEnded: recordLeaseChange,
+  });
 
   /** Whether the target accepts work on the slice, as far as is known. */
   function targetAccepts(slice: number): boolean {
@@ -543,14 +372,18 @@
         mailbox,
         (answer) => ({ kind: "takeEpoch", claim, answer }),
       ),
-    hearsGrantor,
-    nudge,
+    async hearsGrantor() {
+      const hears = await renewals.hearsGrantor();
+      return { id: agent.id, epoch: state.epoch, hears };
+    },
+    nudge: renewals.nudge,
     table: () => state.table,
-    grantor: () => isLeaseValid(state, readClocks()) ? grantor : null,
+    grantor: () =>
+      isLeaseValid(state, readClocks()) ? renewals.grantor() : null,
     setLeaving(value) {
       if (leaving === value) return;
       leaving = value;
-      nudge();
+      renewals.nudge();
     },
     async releaseAll({ timeoutMilliseconds }) {
       const end = performance.now() + timeoutMilliseconds;
@@ -567,12 +400,8 @@
       mailbox.send({ kind: "lost", slices: [...state.slices.keys()] });
     },
     async stop() {
-      stopped.abort();
-      wake.abort();
-      superseded.abort();
       mailbox.close();
-      notifyRenewalListeners(false);
-      await running;
+      await renewals.stop();
     },
   };
 }
