--- a/source/core/ownership/empty_targets_test.ts
+++ b/source/core/ownership/empty_targets_test.ts
@@ -69,6 +69,24 @@
     });
   });
 
+  describe("once a host whose target has gone reports to hold nothing", () => {
+    it("grants all slices immediately, though that host never joins", () => {
+      const one = join(initial, { id: "host-1/b", emptied: true });
+      const renewal = testRenewal("host-2/b", {
+        epoch: 2,
+        emptied: true,
+        leaving: true,
+      });
+      const now = clocksAt(400);
+      const told = feed(
+        one,
+        { kind: "renewal", renewal, now },
+        { kind: "tick", now },
+      );
+      assert.equal(held(told), 8);
+    });
+  });
+
   describe("once the other agents are known to have departed", () => {
     it("grants all slices immediately", () => {
       const one = join(initial, { id: "host-1/b", emptied: true });
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -132,10 +132,14 @@
 }
 
 function handleApplication(
-  state: GrantorState,
+  known: GrantorState,
   renewal: Renewal,
   now: Clocks,
 ): Transition<GrantorState, GrantorEffect> {
+  // Its target holds nothing, also where it leaves and never joins.
+  const state = renewal.emptied
+    ? markFormerAgentsEmpty(known, renewal.id)
+    : known;
   const applicant = { id: renewal.id, peerAddress: renewal.peerAddress };
   const waiting = inRoster(state.applicants, renewal.id);
   const next: GrantorState = waiting || renewal.leaving ? state : {
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -372,7 +372,11 @@
 
   const checkUnresponsive = startUnresponsiveCheck({
     ...options,
-    grantor: { group, epoch: state.epoch },
+    claim: {
+      group,
+      epoch: state.epoch,
+      grantorAddress: options.agent.peerAddress,
+    },
     callTimeoutMilliseconds: options.times.callTimeoutMilliseconds,
     stopped: () => stopped,
     onProvedEmpty: (ids) => void send({ kind: "departed", ids }),
--- a/source/tasks/reported_keys_task.ts
+++ b/source/tasks/reported_keys_task.ts
@@ -118,7 +118,7 @@
     recordChange(report);
     known = recordReport(known, report, now.monotonic);
     completeSurrenders();
-    completeEmptying();
+    completeEmptyingByReport();
     const assignment = emptying === null ? assign(now) : releaseAll();
     if (assignment !== null) recordAnswer(assignment, now.monotonic);
     return assignment;
@@ -222,21 +222,32 @@
     }
   }
 
-  function completeEmptying(): void {
-    if (emptying === null || !emptying.told) return;
+  /** Ends the wait if the latest report shows that everything is released. */
+  function completeEmptyingByReport(): void {
     const formerApplies =
       monotonicNow() - startedAt < settings.answerMilliseconds;
-    if (known.shown.length > 0 || formerApplies) return;
-    emptying.resolve();
+    if (emptying?.told !== true || formerApplies) return;
+    if (known.shown.length === 0) completeEmptying();
+  }
+
+  /** A target that has ended sends no report. */
+  function completeEmptyingByTime(): void {
+    if (monotonicNow() >= known.holdsEndAt) completeEmptying();
+  }
+
+  function completeEmptying(): void {
+    emptying?.resolve();
     emptying = null;
   }
 
   /** Releases also end by time, when the target does not report any more. */
   function scheduleCheck(): void {
-    if (checkTimer !== null || surrenders.size === 0) return;
+    if (checkTimer !== null) return;
+    if (surrenders.size === 0 && emptying === null) return;
     checkTimer = setTimeout(() => {
       checkTimer = null;
       completeSurrenders();
+      completeEmptyingByTime();
       scheduleCheck();
     }, settings.checkMilliseconds);
   }
@@ -271,6 +282,7 @@
     emptyTarget: () =>
       new Promise((resolve) => {
         emptying = { told: false, resolve: () => resolve(true) };
+        scheduleCheck();
       }),
     isConfirmed: (slice) => (confirmedUntil.get(slice) ?? 0) > monotonicNow(),
     isServedUntilReleased: (slice) =>
@@ -282,8 +294,7 @@
       confirmedUntil = new Map();
       untaken = new Map();
       completeSurrenders();
-      emptying?.resolve();
-      emptying = null;
+      completeEmptying();
     },
   };
 }
--- a/source/tasks/unresponsive_agents.ts
+++ b/source/tasks/unresponsive_agents.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import { type AgentId, isReplacedBy } from "../core/agent.ts";
+import { type Address, type AgentId, isReplacedBy } from "../core/agent.ts";
 import type { RosterEntry } from "../core/ownership/delegation.ts";
-import type { EventDetail, Events } from "../ports/events.ts";
-import type { Peers } from "../ports/peers.ts";
+import type { Events } from "../ports/events.ts";
+import type { EpochClaim, Peers } from "../ports/peers.ts";
 import { monotonicNow } from "./time.ts";
 
 /** Interval at which the addresses of unresponsive agents are called. */
@@ -20,8 +20,8 @@
 export function startUnresponsiveCheck(options: {
   readonly peers: Peers;
   readonly events: Events;
-  /** Fields that identify the grantor in each event. */
-  readonly grantor: EventDetail;
+  /** The claim that the agents have not answered. */
+  readonly claim: EpochClaim;
   readonly callTimeoutMilliseconds: number;
   /** Whether an agent is known to have stopped as planned. */
   readonly hasDeparted: (id: AgentId) => boolean;
@@ -30,7 +30,8 @@
   /** Called with agents that are proved to hold nothing. */
   readonly onProvedEmpty: (ids: readonly AgentId[]) => void;
 }): CheckUnresponsive {
-  const { events, grantor, onProvedEmpty } = options;
+  const { events, claim, onProvedEmpty } = options;
+  const grantor = { group: claim.group, epoch: claim.epoch };
   let identifiedAt = -Infinity;
 
   function reportDeparted(unresponsive: readonly RosterEntry[]): void {
@@ -44,7 +45,9 @@
   }
 
   /**
-   * A replaced process never answers itself; another answers at its address.
+   * A replaced process never answers itself; another answers at its address. If
+   * that is a later process of the same host, it may have started after the
+   * claim was announced, and is told of it again: it then empties its target.
    */
   async function identify({ id, peerAddress }: RosterEntry): Promise<void> {
     const result = await options.peers.call(peerAddress, "identify", {
@@ -52,7 +55,7 @@
       timeoutMilliseconds: options.callTimeoutMilliseconds,
     });
     if (options.stopped() || result.isErr) return;
-    if (!isReplacedBy(id, result.value)) return;
+    if (!isReplacedBy(id, result.value)) return announceAgain(peerAddress);
     events.record("replaced-agent-noted", {
       ...grantor,
       agent: id,
@@ -61,6 +64,13 @@
     onProvedEmpty([id]);
   }
 
+  function announceAgain(peerAddress: Address): void {
+    void options.peers.call(peerAddress, "takeEpoch", {
+      message: claim,
+      timeoutMilliseconds: options.callTimeoutMilliseconds,
+    });
+  }
+
   return (unresponsive) => {
     reportDeparted(unresponsive);
     const now = monotonicNow();
--- a/tests/reported_keys_test.ts
+++ b/tests/reported_keys_test.ts
@@ -243,6 +243,16 @@
       await Promise.resolve();
       assert.ok(emptied);
     });
+
+    it("is known to hold nothing after the longest hold, if it reports nothing", async () => {
+      const { task } = start();
+      let emptied = false;
+      void task.emptyTarget(2).then(() => emptied = true);
+      await clock.tickAsync(leaseMilliseconds - 100);
+      assert.ok(!emptied);
+      await clock.tickAsync(400);
+      assert.ok(emptied);
+    });
   });
 
   describe("with messages that are lost, late or doubled", () => {
