--- a/source/core/ownership/agent_restart_test.ts
+++ b/source/core/ownership/agent_restart_test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import {
   clocksAt,
-  testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorState } from "./grantor_state.ts";
@@ -36,19 +36,7 @@
   ).length;
 }
 
-const initial = createGrantor({
-  group: "timetable.0",
-  epoch: 1,
-  settings: testGrantorSettings,
-  roster: [],
-  answers: [],
-  earlierStopped: true,
-  hasEarlierGrantor: false,
-  formerDelegationMilliseconds: 0,
-  askedAt: clocksAt(0),
-  isolatedKeys: [],
-  now: clocksAt(0),
-});
+const initial = createGrantor(testTakeover());
 
 describe("an agent that was restarted", () => {
   describe("on a host whose server has slices", () => {
--- a/source/core/ownership/empty_targets_test.ts
+++ b/source/core/ownership/empty_targets_test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import {
   clocksAt,
-  testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorEvent, GrantorState } from "./grantor_state.ts";
@@ -43,22 +43,14 @@
 // All agents were killed and restarted at once, so the former processes never
 // answer the takeover.
 describe("a grantor that gets no answer from any former agent", () => {
-  const initial = createGrantor({
-    group: "timetable.0",
+  const initial = createGrantor(testTakeover({
     epoch: 2,
-    settings: testGrantorSettings,
     roster: [
       { id: "host-1/a", peerAddress: "127.0.0.1:1" },
       { id: "host-2/a", peerAddress: "127.0.0.1:2" },
     ],
-    answers: [],
-    earlierStopped: true,
     hasEarlierGrantor: true,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
 
   describe("once the targets on all their hosts report to hold nothing", () => {
     it("grants all slices immediately", () => {
--- a/source/core/ownership/expired_leases_test.ts
+++ b/source/core/ownership/expired_leases_test.ts
@@ -4,6 +4,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import type { GrantorState } from "./grantor_state.ts";
 import { stepGrantor } from "./grantor.ts";
@@ -22,10 +23,8 @@
 /** One server holds all slices, the other none. */
 function createState(): GrantorState {
   const servers = [serving, expired];
-  return createGrantor({
-    group: "timetable.0",
+  return createGrantor(testTakeover({
     epoch: 2,
-    settings: testGrantorSettings,
     roster: servers.map((id) => ({ id, peerAddress: "127.0.0.1:1" })),
     answers: servers.map((id) => ({
       id,
@@ -34,13 +33,8 @@
       checksFencing: true,
       leaving: false,
     })),
-    earlierStopped: true,
     hasEarlierGrantor: true,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
 }
 
 function renew(
--- a/source/core/ownership/fleet_start_test.ts
+++ b/source/core/ownership/fleet_start_test.ts
@@ -8,6 +8,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { hashText } from "../../adapters/hashing.ts";
 import { stepGrantor } from "./grantor.ts";
@@ -26,23 +27,13 @@
 const tickMilliseconds = 100;
 
 function createState(): GrantorState {
-  return createGrantor({
-    group: "timetable.0",
-    epoch: 1,
+  return createGrantor(testTakeover({
     settings: {
       ...testGrantorSettings,
       hashedSlices,
       initialAssignmentDelayMilliseconds: delayMilliseconds,
     },
-    roster: [],
-    answers: [],
-    earlierStopped: true,
-    hasEarlierGrantor: false,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
 }
 
 function serverId(index: number): string {
--- a/source/core/ownership/isolation_test.ts
+++ b/source/core/ownership/isolation_test.ts
@@ -4,6 +4,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorEvent, GrantorState } from "./grantor_state.ts";
@@ -23,9 +24,7 @@
 
 /** One server holds all slices, including that of the isolated key 5. */
 function held(): GrantorState {
-  const initial = createGrantor({
-    group: "timetable.0",
-    epoch: 1,
+  const initial = createGrantor(testTakeover({
     settings: { ...testGrantorSettings, isolatedKeys: 1 },
     roster: [{ id: "host-1/a", peerAddress: "127.0.0.1:1" }],
     answers: [{
@@ -38,13 +37,8 @@
       checksFencing: true,
       leaving: false,
     }],
-    earlierStopped: true,
-    hasEarlierGrantor: false,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
     isolatedKeys: [coldKey],
-    now: clocksAt(0),
-  });
+  }));
   return { ...initial, sequence: 100 };
 }
 
--- a/source/core/ownership/load_smoothing_test.ts
+++ b/source/core/ownership/load_smoothing_test.ts
@@ -5,6 +5,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorState } from "./grantor_state.ts";
@@ -16,9 +17,7 @@
 const defaultWeight = 120;
 
 function createState(): GrantorState {
-  return createGrantor({
-    group: "timetable.0",
-    epoch: 1,
+  return createGrantor(testTakeover({
     settings: {
       ...testGrantorSettings,
       hashedSlices: slices,
@@ -26,14 +25,7 @@
       delegationMilliseconds: 1_000_000,
     },
     roster: [{ id, peerAddress: "127.0.0.1:1" }],
-    answers: [],
-    earlierStopped: true,
-    hasEarlierGrantor: false,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
 }
 
 /** Applies the reports of one server, one for each of the seconds. */
--- a/source/core/ownership/noisy_weights_test.ts
+++ b/source/core/ownership/noisy_weights_test.ts
@@ -5,6 +5,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorEvent, GrantorState } from "./grantor_state.ts";
@@ -44,19 +45,10 @@
 
 function createState(): GrantorState {
   const roster = servers.map((id) => ({ id, peerAddress: "127.0.0.1:1" }));
-  const initial = createGrantor({
-    group: "timetable.0",
-    epoch: 1,
+  const initial = createGrantor(testTakeover({
     settings,
     roster,
-    answers: [],
-    earlierStopped: true,
-    hasEarlierGrantor: false,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
   const slices = Array.from({ length: hashedSlices }, (_, slice) => ({
     kind: "held" as const,
     owner: servers[slice % servers.length] ?? "",
--- a/source/core/ownership/unreported_loads_test.ts
+++ b/source/core/ownership/unreported_loads_test.ts
@@ -4,6 +4,7 @@
   clocksAt,
   testGrantorSettings,
   testRenewal,
+  testTakeover,
 } from "../../../tests/test_grantor.ts";
 import { stepGrantor } from "./grantor.ts";
 import type { GrantorState } from "./grantor_state.ts";
@@ -35,8 +36,7 @@
 /** A grantor just after a takeover, with loads that are balanced. */
 function takeOver(): GrantorState {
   const servers = [busy, quiet];
-  return createGrantor({
-    group: "timetable.0",
+  return createGrantor(testTakeover({
     epoch: 2,
     settings: {
       ...testGrantorSettings,
@@ -44,13 +44,8 @@
     },
     roster: servers.map((id) => ({ id, peerAddress: "127.0.0.1:1" })),
     answers: servers.map(answerOf),
-    earlierStopped: true,
     hasEarlierGrantor: true,
-    formerDelegationMilliseconds: 0,
-    askedAt: clocksAt(0),
-    isolatedKeys: [],
-    now: clocksAt(0),
-  });
+  }));
 }
 
 /** Applies a report of a server's load, spread evenly over its slices. */
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -8,25 +8,12 @@
   emptyConfiguration,
 } from "../core/document/document.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
+import { testDesiredState } from "../../tests/test_desired_state.ts";
 import { testAgent } from "../../tests/test_agent.ts";
 import { desiredStateSource } from "./desired_state_source.ts";
 
 const agent = testAgent("host-1/a", { host: "host-1", phase: "leaving" });
 
-function desired(version: number): DesiredState {
-  return {
-    version,
-    routes: [],
-    services: [],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-  };
-}
-
 /** Starts a source whose watch reports only what the test lets it. */
 function startSilent(members: readonly Agent[] = []) {
   let departures: readonly Agent[] = [];
@@ -40,7 +27,9 @@
       read() {
         reads += 1;
         const version = String(stored);
-        return Promise.resolve(Result.ok({ value: desired(stored), version }));
+        return Promise.resolve(
+          Result.ok({ value: testDesiredState(stored), version }),
+        );
       },
       awaitChange: () =>
         new Promise((resolve) => {
@@ -87,7 +76,7 @@
     source,
     store: (version: number) => stored = version,
     /** The watch reports this version. */
-    report: (version: number) => report(desired(version)),
+    report: (version: number) => report(testDesiredState(version)),
     revision: () => configuration.revision,
     reads: () => reads,
     started: () => started,
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -12,13 +12,13 @@
   type Configuration,
   emptyConfiguration,
 } from "../source/core/document/document.ts";
-import type { DesiredState } from "../source/core/routes/desired_state.ts";
 import type { Peers } from "../source/ports/peers.ts";
 import type { DesiredStateChange } from "../source/ports/registry.ts";
 import type { ConfigurationSource } from "../source/tasks/coordinator.ts";
 import { desiredStateSource } from "../source/tasks/desired_state_source.ts";
 import { type GossipTask, startGossip } from "../source/tasks/gossip_task.ts";
 import { seededRandom } from "../standins/load.ts";
+import { testDesiredState } from "./test_desired_state.ts";
 import { testAgent } from "./test_agent.ts";
 
 const dataCenters = 6;
@@ -27,20 +27,6 @@
 const mostMilliseconds = 1_000;
 const allMilliseconds = 2_000;
 
-function desired(version: number): DesiredState {
-  return {
-    version,
-    routes: [],
-    services: [],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-  };
-}
-
 interface FleetNode {
   readonly agent: Agent;
   readonly gossip: GossipTask;
@@ -94,7 +80,7 @@
         if (refused.has(host)) return;
         waiting = waiting.filter((other) => other !== answer);
         clearTimeout(timer);
-        const latest = version > since ? desired(version) : null;
+        const latest = version > since ? testDesiredState(version) : null;
         resolve(Result.ok({ latest, version: String(version) }));
       };
       const timer = setTimeout(answer, watchMilliseconds);
@@ -136,7 +122,10 @@
         read: () =>
           Promise.resolve(
             refusal(host) ??
-              Result.ok({ value: desired(version), version: String(version) }),
+              Result.ok({
+                value: testDesiredState(version),
+                version: String(version),
+              }),
           ),
         awaitChange: ({ version: since }) => {
           const turnedAway = refusal(host);
--- a/tests/test_grantor.ts
+++ b/tests/test_grantor.ts
@@ -6,6 +6,7 @@
 import type { Clocks } from "../source/core/clocks.ts";
 import type { GrantorSettings } from "../source/core/ownership/grantor_state.ts";
 import type { Renewal } from "../source/core/ownership/renewal.ts";
+import type { Takeover } from "../source/core/ownership/takeover.ts";
 import { noToken } from "../source/core/ownership/token.ts";
 
 /** Settings of a small group whose grantor grants at once. */
@@ -53,3 +54,21 @@
     ...overrides,
   };
 }
+
+/** What the first grantor of a group knows; `overrides` replaces fields. */
+export function testTakeover(overrides: Partial<Takeover> = {}): Takeover {
+  return {
+    group: "timetable.0",
+    epoch: 1,
+    settings: testGrantorSettings,
+    roster: [],
+    answers: [],
+    earlierStopped: true,
+    hasEarlierGrantor: false,
+    formerDelegationMilliseconds: 0,
+    askedAt: clocksAt(0),
+    isolatedKeys: [],
+    now: clocksAt(0),
+    ...overrides,
+  };
+}
