--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -50,13 +50,19 @@
     isolatedKeys: nextIsolatedKeys(state),
   };
   return {
-    state: { ...state, mayBeSuperseded: false, unconfirmed: checkpoint },
+    state: {
+      ...state,
+      mayBeSuperseded: false,
+      rosterChanged: false,
+      unconfirmed: checkpoint,
+    },
     effects: [{ kind: "writeCheckpoint", checkpoint }],
   };
 }
 
 function needsCheckpoint(state: GrantorState, now: Clocks): boolean {
-  if (state.mayBeSuperseded || state.busyKeys.length > 0) return true;
+  if (state.mayBeSuperseded || state.rosterChanged) return true;
+  if (state.busyKeys.length > 0) return true;
   if (hasWaitingApplicants(state, now.monotonic)) return true;
   if (state.earlierMayGrant && state.unresponsive.size === 0) return true;
   const hasEndedReservation = state.slices.some((slice) =>
--- a/source/core/ownership/empty_targets_test.ts
+++ b/source/core/ownership/empty_targets_test.ts
@@ -87,6 +87,34 @@
     });
   });
 
+  describe("after which a server departs that holds nothing", () => {
+    it("writes a roster without it at once, while its lease lasts", () => {
+      const joined = ["host-1/b", "host-2/b"].reduce(
+        (state, id) => join(state, { id, emptied: true }),
+        initial,
+      );
+      const free = joined.slices.map((slice) =>
+        slice.kind === "held" && slice.owner === "host-1/b"
+          ? { ...slice, owner: "host-2/b" }
+          : slice
+      );
+      const departed = feed({ ...joined, slices: free }, {
+        kind: "departed",
+        ids: ["host-1/b"],
+      });
+      const { effects } = stepGrantor(departed, {
+        kind: "tick",
+        now: clocksAt(300),
+      });
+      const rosters = effects.flatMap((effect) =>
+        effect.kind === "writeCheckpoint"
+          ? [effect.checkpoint.roster.map(({ id }) => id)]
+          : []
+      );
+      assert.deepEqual(rosters, [["host-2/b"]]);
+    });
+  });
+
   describe("while the target of one host may still hold something", () => {
     it("waits for the leases to end", () => {
       const one = join(initial, { id: "host-1/b", emptied: true });
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -51,7 +51,9 @@
     case "handover":
       return assignFreeSlices(applyHandover(state, event));
     case "departed":
-      return assignFreeSlices(event.ids.reduce(markResponded, state));
+      return assignFreeSlices(
+        event.ids.reduce(dropDeparted, event.ids.reduce(markResponded, state)),
+      );
     case "confirmed":
       return handleStoreConfirmation(state, event.askedAt);
   }
@@ -259,6 +261,21 @@
   return unresponsive.size > 0 ? next : freeUnreportedSlices(next);
 }
 
+/**
+ * Drops a holder that has departed without waiting for its lease to end, so
+ * that the next roster doesn't name it: no later grantor then waits for it.
+ */
+function dropDeparted(state: GrantorState, id: AgentId): GrantorState {
+  const holder = state.holders.get(id);
+  const owns = state.slices.some((slice) =>
+    slice.kind !== "free" && slice.owner === id
+  );
+  if (holder === undefined || owns) return state;
+  const holders = new Map(state.holders);
+  holders.delete(id);
+  return { ...state, holders, rosterChanged: true };
+}
+
 function acceptReleases(state: GrantorState, renewal: Renewal): GrantorState {
   if (renewal.released.length === 0) return state;
   const released = new Map(
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -141,6 +141,8 @@
    * may have a newer grantor, which the next store write would reveal.
    */
   readonly mayBeSuperseded: boolean;
+  /** Whether a server of the stored roster has departed. */
+  readonly rosterChanged: boolean;
   /** The content of the store write in progress; null for none. */
   readonly unconfirmed: Checkpoint | null;
 }
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -73,6 +73,7 @@
     loads: new Map(),
     earlierMayGrant: takeover.hasEarlierGrantor,
     mayBeSuperseded: false,
+    rosterChanged: false,
     unconfirmed: null,
   };
   return state.unresponsive.size === 0 ? freeUnreportedSlices(state) : state;
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -265,6 +265,7 @@
     newWriterMark: options.newWriterMark,
     hasEnded: (id) => hasEnded(id, [...departures, ...gossip.agents()]),
     hasDeparted: isKnownDeparted,
+    isToldDeparted: (id) => hasDeparted(id, gossip.agents()),
     settingsOf: (group) =>
       grantorSettings(group, { times, configuration, sizes: options.group }),
     runningServers: (group) =>
--- a/source/tasks/epoch_claim.ts
+++ b/source/tasks/epoch_claim.ts
@@ -47,6 +47,8 @@
   readonly hasEnded: (id: AgentId) => boolean;
   /** Whether an agent is known to have stopped as planned, holding nothing. */
   readonly hasDeparted: (id: AgentId) => boolean;
+  /** The same, as far as other agents have told: the store is not read. */
+  readonly isToldDeparted: (id: AgentId) => boolean;
   /** How many servers of a group are known to run. */
   readonly runningServers: (group: string) => number;
   /** Called once the store has the epoch, before any agent is asked. */
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -382,6 +382,11 @@
     onProvedEmpty: (ids) => void send({ kind: "departed", ids }),
   });
 
+  function dropDepartedHolders(): void {
+    const ids = [...state.holders.keys()].filter(options.isToldDeparted);
+    if (ids.length > 0) send({ kind: "departed", ids });
+  }
+
   function unresponsive(): readonly RosterEntry[] {
     return state.roster.filter(({ id }) => state.unresponsive.has(id));
   }
@@ -390,6 +395,7 @@
     if (delegationEnded(state, readClocks())) return halt("delegation ended");
     checkEarlierGrantors();
     if (state.unresponsive.size > 0) checkUnresponsive(unresponsive());
+    dropDepartedHolders();
     send({
       kind: "tick",
       now: readClocks(),
--- a/source/tasks/grantor_task_test.ts
+++ b/source/tasks/grantor_task_test.ts
@@ -47,6 +47,7 @@
     ownHandover: () => null,
     hasEnded: () => true,
     hasDeparted: () => false,
+    isToldDeparted: () => false,
     runningServers: () => 0,
     onClaimed: () => undefined,
   });
