--- a/source/programs/target_keys.ts
+++ b/source/programs/target_keys.ts
@@ -69,7 +69,7 @@
 
 function connectByHeartbeats(
   settings: PlatformSettings,
-  { events, registration }: TargetKeysOptions,
+  { events }: Pick<TargetKeysOptions, "events">,
 ): TargetKeys {
   let task: ReportedKeysTask | null = null;
   return {
@@ -79,7 +79,6 @@
         settings: reportedKeysSettings(settings),
         fits: fitsAnswer,
         events,
-        targetEnded: () => registration.hasTargetEnded(),
         onSuperseded,
       });
       return task;
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -37,8 +37,6 @@
   accepts(work: { readonly keyed: boolean }): boolean;
   /** Whether the target's process is believed to be running. */
   isTargetAlive(): boolean;
-  /** Whether nothing has listened at the target's address since its report. */
-  hasTargetEnded(): boolean;
   /** Treats the target as leaving from now on, because the agent stops. */
   stopServing(): void;
   stop(): void;
@@ -129,7 +127,6 @@
         monotonicNow() - notServingSince < evacuationMilliseconds;
     },
     isTargetAlive: () => isAlive(state, monotonicNow()),
-    hasTargetEnded: () => state.target?.refused === true,
     stopServing() {
       stopping = true;
       updateServing();
--- a/source/tasks/reported_keys_task.ts
+++ b/source/tasks/reported_keys_task.ts
@@ -89,8 +89,6 @@
   /** Whether an answer with these rows is short enough for the target. */
   readonly fits: (rows: readonly AssignedKeys[]) => boolean;
   readonly events: Events;
-  /** Whether the target's process is known to have ended. */
-  readonly targetEnded: () => boolean;
   /** Called when the target does not take this slice. */
   readonly onSuperseded: (slice: number) => void;
 }): ReportedKeysTask {
@@ -209,11 +207,14 @@
     );
   }
 
-  /** Resolves the surrenders of slices that the target holds no longer. */
+  /**
+   * Resolves the surrenders of slices that the target holds no longer. That its
+   * address refuses connections proves nothing: it may only be full.
+   */
   function completeSurrenders(): void {
     const now = monotonicNow();
     const done = [...surrenders].filter(([, { spans }]) =>
-      options.targetEnded() || areFree(known, spans, now)
+      areFree(known, spans, now)
     );
     if (done.length === 0) return;
     surrenders = withoutEntries(surrenders, done.map(([slice]) => slice));
