--- a/review/standins/harness.mjs
+++ b/review/standins/harness.mjs
@@ -362,20 +362,28 @@
       span.from <= key && span.target >= key && span.until > performance.now()
     );
 
+  /** Stops new work at once, and answers when the running work has ended. */
+  async function release(mine, { from, target, fence }, response) {
+    mine.spans = cut(mine.spans, from, target);
+    for (let key = from; key <= target; key += 1) {
+      mine.fences.set(key, Math.max(fence, mine.fences.get(key) ?? 0));
+    }
+    const works = () =>
+      runs.some((run) =>
+        run.life === mine.number && run.endedAt === null && !run.lost &&
+        run.key !== null && Number(run.key) >= from && Number(run.key) <= target
+      );
+    while (works() && mine.alive) await sleep(5);
+    response.writeHead(200, { handover: `${mine.id}-${from}` }).end();
+  }
+
   async function serve(mine, message, response) {
     if (message.url.startsWith("/geraniumledge/")) {
       const order = JSON.parse((await readBody(message)).toString());
       if (message.url === "/geraniumledge/grant") {
         return void response.writeHead(grant(mine, order)).end();
       }
-      mine.spans = cut(mine.spans, order.from, order.target);
-      for (let key = order.from; key <= order.target; key += 1) {
-        mine.fences.set(
-          key,
-          Math.max(order.fence, mine.fences.get(key) ?? 0),
-        );
-      }
-      return void response.writeHead(200, { handover: "h" }).end();
+      return await release(mine, order, response);
     }
     await run(mine, message, response);
   }
@@ -417,13 +425,15 @@
       life: mine.number,
       "timeout-ms": message.headers["timeout-ms"],
     });
-    const body = await readBody(message);
-    const milliseconds = workMs({ message, body });
+    const body = await readBody(message).catch(() => null);
+    const milliseconds = body === null ? 0 : workMs({ message, body });
     await sleep(Math.min(milliseconds, entry.timeoutMs));
     mine.running -= 1;
     next(mine);
     if (!mine.alive) return;
     entry.endedAt = record.now();
+    // The sender broke its body off.
+    if (body === null) return void message.socket.destroy();
     const late = milliseconds > entry.timeoutMs;
     const text = `${id} by ${mine.id}` + (options.padding ?? "");
     const spoilt = options.spoil?.(message) ?? null;
