A report of another service is not one of the target

Cause: registration.ts took any report with a later start for the target's next process; the service that it names was read and not compared. Evidence: the case's record has the report answered 200 and the keys elsewhere within 0.06 s.

--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -5,7 +5,9 @@
  * Invariants:
  * - a delayed report never replaces a later one, nor one of a process that
  *   started later;
- * - a target that has reported that it leaves never accepts new requests again.
+ * - a target that has reported that it leaves never accepts new requests again;
+ * - a report that names another service changes nothing: its writer is not the
+ *   target, which may run on.
  *
  * @module
  */
@@ -22,6 +24,12 @@
   readonly slots: number;
 }
 
+/**
+ * What a report is: the target's newest, one that arrived after a newer one, or
+ * not one of the target.
+ */
+export type ReportRank = "newest" | "outdated" | "foreign";
+
 /** The target as of its last report. */
 export interface RegisteredTarget extends TargetReport {
   readonly reportedAt: number;
@@ -33,6 +41,8 @@
 
 /** The state of a registration. Times are monotonic, in milliseconds. */
 export interface RegistrationState {
+  /** The service of the target; a report that names another is not its own. */
+  readonly service: string;
   /** A target that has not reported for so long counts as not running. */
   readonly silenceMilliseconds: number;
   readonly target: RegisteredTarget | null;
@@ -77,9 +87,9 @@
 
 /** A registration without a target. */
 export function createRegistration(
-  silenceMilliseconds: number,
+  options: Pick<RegistrationState, "service" | "silenceMilliseconds">,
 ): RegistrationState {
-  return { silenceMilliseconds, target: null, departure: null };
+  return { ...options, target: null, departure: null };
 }
 
 /** Applies one event, and returns what it has changed. */
@@ -103,6 +113,14 @@
   }
 }
 
+/** Whether a report is by another writer than the target. */
+export function isForeign(
+  state: RegistrationState,
+  report: TargetReport,
+): boolean {
+  return report.service !== state.service;
+}
+
 /** Whether the target accepts new requests. */
 export function serves(state: RegistrationState, now: number): boolean {
   const { target } = state;
@@ -123,6 +141,7 @@
 ) {
   const { target } = state;
   const { report, now } = event;
+  if (isForeign(state, report)) return unchanged(state);
   if (target === null) return register(state, { report, now, change: "begun" });
   if (report.startedAt < target.startedAt) return unchanged(state);
   const sameProcess = report.id === target.id &&
--- a/source/core/target/registration_test.ts
+++ b/source/core/target/registration_test.ts
@@ -9,20 +9,22 @@
   type TargetReport,
 } from "./registration.ts";
 
+const service = "booking";
 const silenceMilliseconds = 3_000;
+const unregistered = createRegistration({ service, silenceMilliseconds });
 
 const report: TargetReport = {
   id: "i-1",
   startedAt: 1_000,
   sequence: 1,
   phase: "serving",
-  service: "booking",
+  service,
   slots: 12,
 };
 
 function after(
   reports: readonly Partial<TargetReport>[],
-  from: RegistrationState = createRegistration(silenceMilliseconds),
+  from: RegistrationState = unregistered,
 ): RegistrationState {
   return reports.reduce<RegistrationState>(
     (state, change, index) =>
@@ -65,7 +67,7 @@
 
     describe("whose departure is the first message to a new agent", () => {
       const { state } = stepRegistration(
-        createRegistration(silenceMilliseconds),
+        unregistered,
         { kind: "left", id: "i-1", now: 5, wallNow: 2_000 },
       );
 
@@ -113,4 +115,29 @@
       assert.equal(change, "none");
     });
   });
+
+  // Guards against two holders of a key (OWNER): a report of another service
+  // with a later start replaced the target, whose keys were then given to
+  // others while it held them.
+  describe("by another writer", () => {
+    const foreign = {
+      ...report,
+      id: "i-2",
+      startedAt: 2_000,
+      service: "unnamed",
+    };
+
+    for (const state of [unregistered, after([{}])]) {
+      const whom = state.target === null ? "no target" : "a target";
+      it(`changes nothing while there is ${whom}`, () => {
+        const step = stepRegistration(state, {
+          kind: "reported",
+          report: foreign,
+          now: 5,
+        });
+        assert.equal(step.change, "none");
+        assert.equal(step.state, state);
+      });
+    }
+  });
 });
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -256,6 +256,7 @@
   const agent = describeAgent(settings, options);
   let configuration: Configuration = emptyConfiguration;
   const registration = startRegistration({
+    service: settings.service,
     silenceMilliseconds: settings.heartbeatMilliseconds * maxMissedHeartbeats,
     events,
     onServing: updateTargetState,
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -7,10 +7,12 @@
 import {
   createRegistration,
   isAlive,
+  isForeign,
   type RegisteredTarget,
   type RegistrationChange,
   type RegistrationEvent,
   type RegistrationState,
+  type ReportRank,
   serves,
   stepRegistration,
   type TargetReport,
@@ -22,11 +24,8 @@
 
 /** The running registration of the local target. */
 export interface RegistrationTask {
-  /**
-   * Must be called with each report of the target. Returns whether it is newer
-   * than all reports before it.
-   */
-  report(report: TargetReport): boolean;
+  /** Must be called with each report that arrives. */
+  report(report: TargetReport): ReportRank;
   /** Must be called when the target with this id announces that it stops. */
   leave(id: string): void;
   /** Must be called when a connection to the target was refused. */
@@ -46,6 +45,8 @@
 
 /** Starts the task without a target. */
 export function startRegistration(options: {
+  /** The service of the target. */
+  readonly service: string;
   /** A target that has not reported for this long is not considered alive. */
   readonly silenceMilliseconds: number;
   readonly events: Events;
@@ -55,9 +56,7 @@
   readonly onReplaced: () => void;
 }): RegistrationTask {
   const { events } = options;
-  let state: RegistrationState = createRegistration(
-    options.silenceMilliseconds,
-  );
+  let state: RegistrationState = createRegistration(options);
   let serving = false;
   let stopping = false;
   let notServingSince = -Infinity;
@@ -105,7 +104,8 @@
     report(report) {
       const former = state.target;
       mailbox.send({ kind: "reported", report, now: monotonicNow() });
-      return state.target !== former;
+      if (isForeign(state, report)) return "foreign";
+      return state.target === former ? "outdated" : "newest";
     },
     leave(id) {
       events.record("target-left", {
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -327,7 +327,7 @@
         address: `127.0.0.1:${port}`,
         target: "127.0.0.1:1",
         handler: {
-          report: () => true,
+          report: () => "newest",
           answerKeys: null,
           deregister: () => undefined,
         },
