--- a/source/tasks/gossip_task_test.ts
+++ b/source/tasks/gossip_task_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import FakeTimers from "@sinonjs/fake-timers";
+import { pauseClock, type PausedClock } from "../../tests/test_clock.ts";
 import { Result } from "true-myth";
 import { testAgent } from "../../tests/test_agent.ts";
 import { hashText } from "../adapters/hashing.ts";
@@ -47,12 +47,12 @@
 }
 
 describe("gossip with another agent", () => {
-  let clock: ReturnType<typeof FakeTimers.install>;
+  let clock: PausedClock;
   let losses = 0;
   let gossip: GossipTask | null = null;
 
   beforeEach(() => {
-    clock = FakeTimers.install({ now: 1_000_000 });
+    clock = pauseClock();
     losses = 0;
   });
   afterEach(async () => {
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -4,7 +4,7 @@
  */
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import FakeTimers from "@sinonjs/fake-timers";
+import { pauseClock, type PausedClock } from "./test_clock.ts";
 import { Result } from "true-myth";
 import { hashText } from "../source/adapters/hashing.ts";
 import type { Agent } from "../source/core/agent.ts";
@@ -36,7 +36,7 @@
 
 /** Agents whose calls reach each other directly, and a store that counts. */
 function startFleet(
-  clock: ReturnType<typeof FakeTimers.install>,
+  clock: PausedClock,
   count: number,
 ) {
   const random = seededRandom(29);
@@ -213,13 +213,10 @@
 type Fleet = ReturnType<typeof startFleet>;
 
 describe("a fleet that follows a desired state", () => {
-  let clock: ReturnType<typeof FakeTimers.install>;
+  let clock: PausedClock;
   let fleet: Fleet;
   beforeEach(() => {
-    clock = FakeTimers.install({
-      now: 1_000_000,
-      toFake: ["setTimeout", "clearTimeout", "Date", "performance"],
-    });
+    clock = pauseClock();
   });
   afterEach(async () => {
     await fleet.stop();
--- a/tests/run.ts
+++ b/tests/run.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
 import process from "node:process";
 import { finished } from "node:stream/promises";
 import { run } from "node:test";
@@ -65,6 +65,12 @@
       process.exitCode = 1;
     }
   });
+  // The runner passes a file that has ended without running a test.
+  results.on("test:pass", ({ file = "", name, nesting }) => {
+    if (nesting > 0 || resolve(name) !== file) return;
+    process.stdout.write(`no test has run: ${file}\n`);
+    process.exitCode = 1;
+  });
   const output = results.compose(tap);
   output.pipe(process.stdout);
   await finished(output);
