A process that takes the target's place releases all keys before others get them

Cause: the keys of a target that seems to be replaced were counted as lost, since a new process holds nothing. Whether it is new, and whether orders that were meant for the former one have reached it, is not known. Change: the process at the address is ordered to release all keys under the newest number; the slices are released once it has confirmed, refuses connections, or cannot hold them any longer. One order, not one a slice.

--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -95,7 +95,8 @@
   ): Promise<boolean>;
   heldSlices(): number;
   /**
-   * Called when the target's process was replaced: the new one holds nothing.
+   * Called when another process has taken the target's place. Slices are
+   * released once that process is known to hold none of their keys.
    */
   targetReplaced(): void;
   stop(): Promise<void>;
@@ -396,8 +397,14 @@
     },
     heldSlices: () => state.slices.size,
     targetReplaced() {
-      keyGrants?.reset();
-      mailbox.send({ kind: "lost", slices: [...state.slices.keys()] });
+      const slices = [...state.slices.keys()];
+      // They are taken back by one order, not by one for each slice.
+      for (const slice of slices) surrendering.add(slice);
+      mailbox.send({ kind: "release", slices });
+      void (keyGrants?.replaceTarget() ?? Promise.resolve()).then(() => {
+        for (const slice of slices) surrendering.delete(slice);
+        mailbox.send({ kind: "lost", slices });
+      });
     },
     async stop() {
       mailbox.close();
--- a/source/tasks/holder_task_test.ts
+++ b/source/tasks/holder_task_test.ts
@@ -1,4 +1,4 @@
-import FakeTimers from "@sinonjs/fake-timers";
+import { pauseClock, type PausedClock } from "../../tests/test_clock.ts";
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
@@ -6,7 +6,10 @@
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import { emptyTable } from "../core/ownership/table.ts";
 import type { Peers } from "../ports/peers.ts";
+import type { KeyServer } from "../ports/key_server.ts";
 import { type HolderTask, startHolder } from "./holder_task.ts";
+import type { StartKeyGrants } from "./key_grants.ts";
+import { startKeyGrants } from "./key_grants_task.ts";
 
 const group = "timetable.0";
 const grantorAddress = "127.0.0.1:9";
@@ -28,7 +31,10 @@
 };
 
 /** Starts a holder of one slice; `renewals` are those sent to its grantor. */
-function startTestHolder(random: () => number = () => 0) {
+function startTestHolder(
+  random: () => number = () => 0,
+  startKeyGrants: StartKeyGrants | null = null,
+) {
   const renewals: Renewal[] = [];
   function call(
     _address: string,
@@ -54,7 +60,7 @@
     place: () => slice,
     weight: () => 1,
     random,
-    startKeyGrants: null,
+    startKeyGrants,
     leaving: false,
     candidates: () => ({ members: [grantorAddress], grantors: [] }),
   });
@@ -62,12 +68,12 @@
 }
 
 describe("a holder whose grantor asks it to renew at once", () => {
-  let clock: ReturnType<typeof FakeTimers.install>;
+  let clock: PausedClock;
   let holder: HolderTask;
   let renewals: Renewal[];
 
   beforeEach(async () => {
-    clock = FakeTimers.install({ now: 1_000_000 });
+    clock = pauseClock();
     ({ holder, renewals } = startTestHolder());
     await clock.tickAsync(2_050);
   });
@@ -117,10 +123,10 @@
 // servers of a group renewed within the same half second, and the grantor
 // answered late.
 describe("holders that were all asked to renew at the same time", () => {
-  let clock: ReturnType<typeof FakeTimers.install>;
+  let clock: PausedClock;
 
   beforeEach(() => {
-    clock = FakeTimers.install({ now: 1_000_000 });
+    clock = pauseClock();
   });
   afterEach(() => clock.uninstall());
 
@@ -147,3 +153,68 @@
     assert.deepEqual(early.slice(0, 2), [900, 1_700]);
   });
 });
+
+// Guards against two holders of a key (OWNER): the keys of a target that seemed
+// to be replaced were given to others while the process at its address held
+// them.
+describe("a holder whose target is replaced", () => {
+  let clock: PausedClock;
+  let holder: HolderTask;
+  let renewals: Renewal[];
+  let releases: ((answer: Awaited<ReturnType<KeyServer["release"]>>) => void)[];
+
+  const startGrants: StartKeyGrants = ({ onSuperseded }) =>
+    startKeyGrants({
+      keyServer: {
+        grant: () => Promise.resolve(Result.ok(null)),
+        release: () => new Promise((resolve) => releases.push(resolve)),
+      },
+      keys: { count: 64 },
+      times: {
+        order: { maxDelayMilliseconds: 12_000, maxClockSlowShare: 0.02 },
+        retryMilliseconds: 200,
+        renewBeforeMilliseconds: 1_600,
+        maxHoldMilliseconds: 10_000,
+      },
+      events: { record: () => undefined },
+      targetLives: () => true,
+      onSuperseded,
+    });
+
+  beforeEach(async () => {
+    clock = pauseClock();
+    releases = [];
+    ({ holder, renewals } = startTestHolder(() => 0, startGrants));
+    await clock.tickAsync(2_050);
+    holder.targetReplaced();
+    await clock.tickAsync(1_050);
+  });
+  afterEach(async () => {
+    const stopped = holder.stop();
+    await clock.runAllAsync();
+    await stopped;
+    clock.uninstall();
+  });
+
+  const released = () =>
+    renewals.some((renewal) => renewal.released.length > 0);
+
+  it("admits no request meanwhile", () => {
+    assert.equal(holder.admit("57330"), "moving");
+  });
+
+  it("releases its slices once that process has confirmed it", async () => {
+    assert.equal(releases.length, 1);
+    assert.ok(!released());
+    releases[0]?.(Result.ok(null));
+    await clock.tickAsync(100);
+    assert.ok(released());
+  });
+
+  it("orders the release again when it is not answered", async () => {
+    releases[0]?.(Result.err({ kind: "unanswered", detail: "timeout" }));
+    await clock.tickAsync(300);
+    assert.equal(releases.length, 2);
+    assert.ok(!released());
+  });
+});
--- a/source/tasks/key_grants.ts
+++ b/source/tasks/key_grants.ts
@@ -38,9 +38,10 @@
    */
   isServedUntilReleased(slice: number): boolean;
   /**
-   * Called when the target's process was replaced: the new one holds nothing.
+   * Called when another process has taken the target's place. Resolves once
+   * that process is known to hold no key that was granted before.
    */
-  reset(): void;
+  replaceTarget(): Promise<void>;
 }
 
 /** Starts the task that informs the target of the keys it holds. */
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -30,7 +30,11 @@
   repartitionHolds,
   type TargetHold,
 } from "../core/ownership/target_hold.ts";
-import { compareTokens, noToken } from "../core/ownership/token.ts";
+import {
+  compareTokens,
+  type FencingToken,
+  noToken,
+} from "../core/ownership/token.ts";
 import type { Events } from "../ports/events.ts";
 import type { KeyServer, KeyServerFault } from "../ports/key_server.ts";
 import type { HeldView, KeyGrantsTask } from "./key_grants.ts";
@@ -87,10 +91,8 @@
   const pendingOrders = new Map<Promise<unknown>, PendingOrder>();
   /** For slices of several ranges, the earliest answered order. */
   const answeredParts = new Map<number, OrderSent>();
-  /**
-   * While true, orders to hold wait for the target's answer to being emptied.
-   */
-  let emptying = false;
+  /** Orders to hold wait while the target is being emptied so many times. */
+  let emptyings = 0;
   let retryTimer: ReturnType<typeof setTimeout> | null = null;
 
   function holdOf(grant: Grant): TargetHold {
@@ -158,7 +160,7 @@
 
   /** Sends queued orders, except those for keys that a pending order covers. */
   function sendQueued(): void {
-    if (view === null || emptying) return;
+    if (view === null || emptyings > 0) return;
     const holdMilliseconds = holdMillisecondsWithin(view.leaseEndsAt, {
       now: readClocks(),
       maxClockSlowShare: times.order.maxClockSlowShare,
@@ -263,7 +265,7 @@
     });
     let handover: string | undefined;
     for (const range of ranges) {
-      const result = await releaseRange(range, grant);
+      const result = await releaseRange(range, () => [holdOf(grant)]);
       handover ??= result ?? undefined;
     }
     const next = new Map(holds);
@@ -288,36 +290,66 @@
     updateView({ ...view, grants });
   }
 
+  /** Orders the release until it is confirmed or these holds have ended. */
   async function releaseRange(
     range: KeyRange,
-    grant: Grant,
+    holdsOfRange: () => readonly TargetHold[],
   ): Promise<string | null> {
     for (;;) {
       const result = await keyServer.release(range);
       if (result.isOk) return result.value;
       events.record("target-release-failed", {
-        slice: grant.slice,
+        keys: `${range.first}-${range.last}`,
         ...describeFault(result.error),
       });
       if (result.error.kind === "gone") return null;
-      const hold = holdOf(grant);
       const targetLives = options.targetLives();
-      if (monotonicNow() >= holdEndsBy(hold, { targetLives })) return null;
+      const mayHold = holdsOfRange().some((hold) =>
+        monotonicNow() < holdEndsBy(hold, { targetLives })
+      );
+      if (!mayHold) return null;
       await pause(times.retryMilliseconds);
     }
   }
 
-  async function emptyTarget(epoch: number): Promise<boolean> {
-    emptying = true;
-    const token = { epoch, sequence: 0 };
-    const all = { first: 0, last: keys.count - 1, token };
-    const result = await keyServer.release(all);
-    emptying = false;
+  /** Sends no order to hold before the target has been emptied. */
+  async function whileEmptying<Value>(
+    empty: () => Promise<Value>,
+  ): Promise<Value> {
+    emptyings += 1;
+    const value = await empty();
+    emptyings -= 1;
     sendQueued();
+    return value;
+  }
+
+  function allKeys(token: FencingToken): KeyRange {
+    return { first: 0, last: keys.count - 1, token };
+  }
+
+  async function emptyTarget(epoch: number): Promise<boolean> {
+    const range = allKeys({ epoch, sequence: 0 });
+    const result = await whileEmptying(() => keyServer.release(range));
     // A target whose process has ended holds nothing.
     return result.isOk || result.error.kind === "gone";
   }
 
+  /**
+   * Orders go to an address. The process that listens there now may have taken
+   * some that were meant for the former one, or may still be that one.
+   */
+  async function replaceTarget(): Promise<void> {
+    if (view !== null) updateView({ ...view, grants: [] });
+    answeredParts.clear();
+    await whileEmptying(async () => {
+      await Promise.allSettled(pendingOrders.keys());
+      const allHolds = () => [...holds.values()];
+      if (holds.size === 0) return;
+      await releaseRange(allKeys(newestToken(allHolds())), allHolds);
+      holds = new Map();
+    });
+  }
+
   return {
     hold: updateView,
     emptyTarget,
@@ -325,15 +357,15 @@
     isConfirmed: (slice) =>
       (holds.get(slice)?.confirmedUntil ?? 0) > monotonicNow(),
     isServedUntilReleased: () => false,
-    reset() {
-      viewNumber += 1;
-      queuedOrders = [];
-      answeredParts.clear();
-      holds = new Map();
-    },
+    replaceTarget,
   };
 }
 
+function newestToken(holds: readonly TargetHold[]): FencingToken {
+  return holds.map(({ token }) => token)
+    .reduce((left, right) => compareTokens(left, right) > 0 ? left : right);
+}
+
 function sameKeys(
   left: readonly IsolatedKey[],
   right: readonly IsolatedKey[],
--- a/source/tasks/reported_keys_task.ts
+++ b/source/tasks/reported_keys_task.ts
@@ -289,13 +289,15 @@
     isServedUntilReleased: (slice) =>
       surrenders.get(slice)?.told === false &&
       (confirmedUntil.get(slice) ?? 0) > monotonicNow(),
-    reset() {
+    // The new process has reported by itself which keys it holds.
+    replaceTarget() {
       known = createReportedKeys([], monotonicNow());
       view = null;
       confirmedUntil = new Map();
       untaken = new Map();
       completeSurrenders();
       completeEmptying();
+      return Promise.resolve();
     },
   };
 }
--- a/tests/reported_keys_test.ts
+++ b/tests/reported_keys_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import FakeTimers from "@sinonjs/fake-timers";
+import { pauseClock, type PausedClock } from "./test_clock.ts";
 import fc from "fast-check";
 import { fitsAnswer, formatKeyAssignment } from "../platform/key_reports.ts";
 import {
@@ -76,12 +76,9 @@
 const nothing: KeyLists = { holds: [], freed: [] };
 
 describe("a target that learns its keys from answers to its heartbeats", () => {
-  let clock: ReturnType<typeof FakeTimers.install>;
+  let clock: PausedClock;
   beforeEach(() => {
-    clock = FakeTimers.install({
-      now: 1_000_000,
-      toFake: ["setTimeout", "clearTimeout", "Date", "performance"],
-    });
+    clock = pauseClock();
   });
   afterEach(() => clock.uninstall());
 
@@ -289,7 +286,7 @@
 
 /** Three hosts, and a grantor that moves slices between them. */
 async function runSchedule(
-  clock: ReturnType<typeof FakeTimers.install>,
+  clock: PausedClock,
   plan: { fates: readonly Fate[]; incidents: readonly Incident[] },
 ): Promise<void> {
   const hosts = [0, 1, 2].map((): Host => ({
@@ -382,7 +379,7 @@
         sequence: 0,
         seen: 0,
       });
-      host.started.task.reset();
+      void host.started.task.replaceTarget();
     }
     slices.forEach(({ owner }, each) => {
       if (owner === index) regrant(each, owner);
