A final notice ends only the life that sent it

Cause: the start in a final notice was not read, so a notice of a former life that came late ended the next one under the same id, and one of another writer ended whichever target had that id. Besides, only the last departure of an unknown target was kept: a notice of somebody else made a started agent forget it, and a late report of the departed target was taken for ready.

--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -46,19 +46,29 @@
   /** A target that has not reported for so long counts as not running. */
   readonly silenceMilliseconds: number;
   readonly target: RegisteredTarget | null;
-  /** The departure of a target that had not reported to this agent, or null. */
-  readonly departure: TargetDeparture | null;
+  /** Departures of processes other than the target, the latest last. */
+  readonly departures: readonly TargetDeparture[];
+}
+
+/** The final notice of a target that it leaves. */
+export interface DepartureNotice {
+  readonly id: string;
+  /**
+   * When the process started, in milliseconds since 1970, on its own clock;
+   * null when the notice does not say so.
+   */
+  readonly startedAt: number | null;
 }
 
 /**
- * The departure of a target whose reports went to a former process of this
- * agent. A report that the target sent before may still arrive.
+ * The departure of a process whose reports went to a former process of this
+ * agent. A report that it sent before may still arrive.
  */
 interface TargetDeparture {
   readonly id: string;
   readonly now: number;
-  /** On the clock by which targets report their start. */
-  readonly wallNow: number;
+  /** The process started no later, on its own clock. */
+  readonly startedBy: number;
 }
 
 /** An event that changes a registration. */
@@ -68,10 +78,9 @@
     readonly report: TargetReport;
     readonly now: number;
   }
-  /** The final notice of a target that it leaves. */
   | {
     readonly kind: "left";
-    readonly id: string;
+    readonly notice: DepartureNotice;
     readonly now: number;
     /** Milliseconds since 1970. */
     readonly wallNow: number;
@@ -84,12 +93,14 @@
 
 /** No report is delayed for longer. */
 const maxReportDelayMilliseconds = 30_000;
+/** Other writers may send any number of notices. */
+const maxDepartures = 16;
 
 /** A registration without a target. */
 export function createRegistration(
   options: Pick<RegistrationState, "service" | "silenceMilliseconds">,
 ): RegistrationState {
-  return { ...options, target: null, departure: null };
+  return { ...options, target: null, departures: [] };
 }
 
 /** Applies one event, and returns what it has changed. */
@@ -102,11 +113,7 @@
     case "reported":
       return applyReport(state, event);
     case "left":
-      if (target === null || target.id !== event.id) {
-        const { id, now, wallNow } = event;
-        return unchanged({ ...state, departure: { id, now, wallNow } });
-      }
-      return updated(state, asLeaving(target, event.now));
+      return applyDeparture(state, event);
     case "refused":
       if (target === null || target.refused) return unchanged(state);
       return updated(state, { ...target, refused: true });
@@ -158,6 +165,25 @@
   return updated(state, leaves ? asLeaving(next, now) : next);
 }
 
+function applyDeparture(
+  state: RegistrationState,
+  event: RegistrationEvent & { readonly kind: "left" },
+) {
+  const { target } = state;
+  const { notice, now, wallNow } = event;
+  if (target === null || target.id !== notice.id) {
+    const startedBy = notice.startedAt ?? wallNow;
+    const departure = { id: notice.id, now, startedBy };
+    const departures = [...state.departures, departure].slice(-maxDepartures);
+    return unchanged({ ...state, departures });
+  }
+  const isOfFormerLife = notice.startedAt !== null &&
+    notice.startedAt < target.startedAt;
+  return isOfFormerLife
+    ? unchanged(state)
+    : updated(state, asLeaving(target, now));
+}
+
 function register(
   state: RegistrationState,
   options: {
@@ -179,15 +205,16 @@
   return { state: { ...state, target: registered }, change };
 }
 
-/** Whether the report was sent before the known departure of its process. */
+/** Whether the report was sent before a known departure of its process. */
 function isBeforeDeparture(
-  { departure }: RegistrationState,
+  { departures }: RegistrationState,
   report: TargetReport,
   now: number,
 ): boolean {
-  return departure !== null && departure.id === report.id &&
-    report.startedAt <= departure.wallNow &&
-    now - departure.now < maxReportDelayMilliseconds;
+  return departures.some((departure) =>
+    departure.id === report.id && report.startedAt <= departure.startedBy &&
+    now - departure.now < maxReportDelayMilliseconds
+  );
 }
 
 function asLeaving(target: RegisteredTarget, now: number): RegisteredTarget {
--- a/source/core/target/registration_test.ts
+++ b/source/core/target/registration_test.ts
@@ -58,7 +58,7 @@
     it("no longer serves after a departure without a prior report", () => {
       const { state } = stepRegistration(after([{}]), {
         kind: "left",
-        id: "i-1",
+        notice: { id: "i-1", startedAt: null },
         now: 5,
         wallNow: 2_000,
       });
@@ -68,7 +68,12 @@
     describe("whose departure is the first message to a new agent", () => {
       const { state } = stepRegistration(
         unregistered,
-        { kind: "left", id: "i-1", now: 5, wallNow: 2_000 },
+        {
+          kind: "left",
+          notice: { id: "i-1", startedAt: null },
+          now: 5,
+          wallNow: 2_000,
+        },
       );
 
       it("does not serve by a delayed report", () => {
@@ -76,6 +81,17 @@
         assert.ok(!serves(after([{}, { sequence: 2 }], state), 10));
       });
 
+      // Guards against requests that reach a target which has left (DRAIN).
+      it("does not serve after the notice of another one", () => {
+        const next = stepRegistration(state, {
+          kind: "left",
+          notice: { id: "i-2", startedAt: null },
+          now: 6,
+          wallNow: 2_000,
+        });
+        assert.ok(!serves(after([{}], next.state), 10));
+      });
+
       it("serves once the target has been restarted", () => {
         assert.ok(serves(after([{ startedAt: 2_001 }], state), 10));
       });
@@ -107,10 +123,29 @@
       assert.equal(state.target?.id, "i-2");
     });
 
+    // Guards against a target that never gets a request again.
+    it("is not ended by the late notice of the former one with its id", () => {
+      const state = after([{ startedAt: 2_000 }]);
+      const left = (startedAt: number) =>
+        stepRegistration(state, {
+          kind: "left",
+          notice: { id: "i-1", startedAt },
+          now: 5,
+          wallNow: 3_000,
+        }).state;
+      assert.ok(serves(left(1_000), 10));
+      assert.ok(!serves(left(2_000), 10));
+    });
+
     it("is not ended by the departure of the former one", () => {
       const { change } = stepRegistration(
         after([{ id: "i-2", startedAt: 2_000 }]),
-        { kind: "left", id: "i-1", now: 5, wallNow: 2_000 },
+        {
+          kind: "left",
+          notice: { id: "i-1", startedAt: null },
+          now: 5,
+          wallNow: 2_000,
+        },
       );
       assert.equal(change, "none");
     });
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -6,6 +6,7 @@
  */
 import {
   createRegistration,
+  type DepartureNotice,
   isAlive,
   isForeign,
   type RegisteredTarget,
@@ -26,8 +27,8 @@
 export interface RegistrationTask {
   /** Must be called with each report that arrives. */
   report(report: TargetReport): ReportRank;
-  /** Must be called when the target with this id announces that it stops. */
-  leave(id: string): void;
+  /** Must be called with each notice that a target stops. */
+  leave(notice: DepartureNotice): void;
   /** Must be called when a connection to the target was refused. */
   recordRefusal(): void;
   /** The target as last reported; null before the first report. */
@@ -107,17 +108,18 @@
       if (isForeign(state, report)) return "foreign";
       return state.target === former ? "outdated" : "newest";
     },
-    leave(id) {
-      events.record("target-left", {
-        target: id,
-        known: state.target?.id === id,
-      });
+    leave(notice) {
+      const former = state.target;
       mailbox.send({
         kind: "left",
-        id,
+        notice,
         now: monotonicNow(),
         wallNow: Date.now(),
       });
+      events.record("target-left", {
+        target: notice.id,
+        known: state.target !== former,
+      });
     },
     recordRefusal: () => mailbox.send({ kind: "refused" }),
     target: () => state.target,
