The rest of a body is discarded once its request is answered

Cause: the runtime discards a body that nobody has begun to read, not one whose reader has stopped in the middle; the rest lay in front of the next request.

--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -55,6 +55,7 @@
 import type { LogicalClock } from "../logs/logical_clock.ts";
 import type { PendingInputGate } from "./pending_input.ts";
 import { readBody, readForwardedRequest } from "./request_reader.ts";
+import { discardAfterAnswer } from "./unread_body.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
 import {
   type ArrivalReport,
@@ -161,6 +162,7 @@
     (message, response) => {
       // The answer before it closes the connection.
       if (closingSockets.has(message.socket)) return;
+      discardAfterAnswer(response);
       void answer(message, response);
     },
   );
