A target that leaves gets none of the requests that wait for its slots

Cause: whether the target takes new work was asked before the wait for a slot and not after it. Change: waiting requests are refused at once when the target leaves, as not run, and the question is asked again after the wait; keyed ones as before until their keys have moved.

--- a/benches/baselines.ts
+++ b/benches/baselines.ts
@@ -23,6 +23,7 @@
     throughput: () => 1,
     load: () => running,
     configure: () => undefined,
+    refuseWaiting: () => undefined,
     close: () => undefined,
     stop: () => undefined,
   };
@@ -57,6 +58,7 @@
     throughput: () => 1,
     load: () => running + waiting.length,
     configure: () => undefined,
+    refuseWaiting: () => undefined,
     close: () => undefined,
     stop: () => undefined,
   };
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -118,6 +118,9 @@
   | { readonly kind: "tick"; readonly now: number }
   | { readonly kind: "settings"; readonly settings: AdmissionSettings }
   /** The target is leaving: nothing more is started. */
+  /** All waiting requests are refused. */
+  | { readonly kind: "refuseWaiting" }
+  /** All waiting and all further requests are refused. */
   | { readonly kind: "close" };
 
 /** What the task that runs admission has to carry out. */
@@ -185,8 +188,10 @@
       return startQueued(refuseOverdue(state, event.now), event.now);
     case "settings":
       return { state: applySettings(state, event.settings), effects: [] };
+    case "refuseWaiting":
+      return refuseWaiting(state);
     case "close":
-      return close(state);
+      return refuseWaiting({ ...state, closed: true });
   }
 }
 
@@ -639,12 +644,12 @@
     : Math.min(Math.max(1, settings.slots), limit);
 }
 
-function close(state: AdmissionState): AdmissionTransition {
+function refuseWaiting(state: AdmissionState): AdmissionTransition {
   const effects = state.waiting.flat().map((entry): AdmissionEffect => ({
     kind: "refuse",
     id: entry.id,
     ...refusal("target-leaving"),
   }));
   const waiting = state.waiting.map(() => []);
-  return { state: { ...state, waiting, closed: true }, effects };
+  return { state: { ...state, waiting }, effects };
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -315,6 +315,12 @@
       configureAdmission();
     }
     coordinator.setLeaving(!serving);
+    // Keyed requests are served on until their keys have moved.
+    if (
+      !registration.acceptsWaiting({ keyed: coordinator.holder() !== null })
+    ) {
+      admission.refuseWaiting();
+    }
   }
 
   function configureAdmission(): void {
@@ -342,7 +348,9 @@
   });
   const gate = startStopGate();
   const serve = startServing({
-    mayBegin: gate.mayBegin,
+    mayBegin: (request) =>
+      gate.mayBegin(request) &&
+      registration.acceptsWaiting({ keyed: request.key !== null }),
     service: settings.service,
     holder: coordinator.holder,
     admission,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -43,6 +43,8 @@
   /** Measured requests per second that the target can run, at least 1. */
   throughput(): number;
   configure(settings: AdmissionSettings): void;
+  /** Refuses all waiting requests. */
+  refuseWaiting(): void;
   /** Refuses all waiting and all further requests. */
   close(): void;
   /** Stops the timer and ignores further events. */
@@ -129,6 +131,7 @@
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
+    refuseWaiting: () => mailbox.send({ kind: "refuseWaiting" }),
     close: () => mailbox.send({ kind: "close" }),
     stop() {
       if (timer !== null) clearTimeout(timer);
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -35,6 +35,11 @@
   target(): RegisteredTarget | null;
   /** Whether the target accepts new requests, with a key or without. */
   accepts(work: { readonly keyed: boolean }): boolean;
+  /**
+   * Whether the target accepts requests that this agent had accepted before. An
+   * agent that stops still serves those.
+   */
+  acceptsWaiting(work: { readonly keyed: boolean }): boolean;
   /** Whether the target's process is believed to be running. */
   isTargetAlive(): boolean;
   /** Treats the target as leaving from now on, because the agent stops. */
@@ -97,6 +102,13 @@
     options.onServing(serving);
   }
 
+  /** Whether a target that takes no new work serves its keys until they move. */
+  function servesItsKeysOn(): boolean {
+    const now = monotonicNow();
+    return isAlive(state, now) &&
+      now - notServingSince < evacuationMilliseconds;
+  }
+
   const ticker = startTicker(updateServing, {
     intervalMilliseconds: checkIntervalMilliseconds,
   });
@@ -124,9 +136,11 @@
     recordRefusal: () => mailbox.send({ kind: "refused" }),
     target: () => state.target,
     accepts({ keyed }) {
-      if (serving) return true;
-      return keyed && isAlive(state, monotonicNow()) &&
-        monotonicNow() - notServingSince < evacuationMilliseconds;
+      return serving || (keyed && servesItsKeysOn());
+    },
+    acceptsWaiting({ keyed }) {
+      if (serves(state, monotonicNow())) return true;
+      return keyed && servesItsKeysOn();
     },
     isTargetAlive: () => isAlive(state, monotonicNow()),
     stopServing() {
--- a/source/tasks/serve_finish_test.ts
+++ b/source/tasks/serve_finish_test.ts
@@ -25,6 +25,7 @@
       load: () => 1,
       throughput: () => 1,
       configure: () => undefined,
+      refuseWaiting: () => undefined,
       close: () => undefined,
       stop: () => undefined,
     },
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -23,7 +23,6 @@
 import type { AdmissionSlot, AdmissionTask } from "./admission_task.ts";
 import { onAnswerEnd } from "./answer_end.ts";
 import type { HolderTask, Permit } from "./holder_task.ts";
-import type { MayBegin } from "./stop_gate.ts";
 import { monotonicNow } from "./time.ts";
 
 /** Serves requests with this agent's target. */
@@ -56,7 +55,7 @@
   readonly events: Events;
   readonly metrics: Metrics;
   /** Whether a request may still start; when left out, all may. */
-  readonly mayBegin?: MayBegin;
+  readonly mayBegin?: (request: ProxyRequest) => boolean;
 }): ServeTask {
   const { admission, target, events, metrics } = options;
   const { mayBegin = () => true } = options;
