A process that is told of changed settings while it is loaded goes on

Cause (read in review, not run there): until the settings file is watched, the signal ends the process.

--- a/build/launch.cjs
+++ b/build/launch.cjs
@@ -6,6 +6,9 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
+// The settings are read later. By default the signal would end the process.
+process.on("SIGHUP", () => undefined);
+
 const program = join(__dirname, "program.cjs");
 const compiled = join(__dirname, "program.code");
 
