Holds are numbered anew once a connection for orders has ended

Cause: orders go to an address; a renewal was the first order once more, whichever process listened there. Change: the number of an order to hold counts the connections that have ended since its token was first used, above all numbers of the ended connections and below that of the token's release. No key moves for it. Numbers are 256 times those of before.

--- a/source/adapters/targets/renewing_pool.ts
+++ b/source/adapters/targets/renewing_pool.ts
@@ -23,6 +23,8 @@
     request: Omit<OutgoingRequest, "signal">,
     timeoutMilliseconds: number,
   ): Promise<WholeAnswer>;
+  /** How many of its connections have ended so far, whoever ended them. */
+  endedConnections(): number;
   close(): Promise<void>;
 }
 
@@ -34,6 +36,7 @@
 }): RenewingPool {
   /** Pools with requests that have not ended; the last is for new ones. */
   const pools = new Set<Pool>();
+  let endedConnections = 0;
   let current = open();
 
   function open(): Pool {
@@ -44,6 +47,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    pool.on("disconnect", () => endedConnections += 1);
     pools.add(pool);
     return pool;
   }
@@ -66,6 +70,7 @@
         throw error;
       }
     },
+    endedConnections: () => endedConnections,
     async close() {
       await Promise.all([...pools].map((pool) => pool.destroy()));
     },
--- /dev/null
+++ b/source/core/ownership/renumbering.ts
@@ -0,0 +1,45 @@
+/**
+ * Numbers the grants of a token anew whenever a connection to the target has
+ * ended: what listens at its address then may be the target's next life.
+ *
+ * Invariant: a grant that is sent on a new connection has a higher number than
+ * all grants of its token that were sent on connections which had ended.
+ *
+ * @module
+ */
+import { type FencingToken, formatToken, maxRenumberings } from "./token.ts";
+
+/** By token: how many connections had ended when it was first granted. */
+export type FirstGrants = ReadonlyMap<string, number>;
+
+/**
+ * Tokens that are remembered, the latest ones. A forgotten one is numbered from
+ * the start, which a target that has seen higher numbers refuses.
+ */
+const maxTokens = 4_096;
+
+/** Returns how often the grants of a token have been numbered anew by now. */
+export function renumber(
+  firstGrants: FirstGrants,
+  token: FencingToken,
+  endedConnections: number,
+): {
+  readonly firstGrants: FirstGrants;
+  /** Null when the token has no further number: the keys need a newer one. */
+  readonly renumberings: number | null;
+} {
+  const name = formatToken(token);
+  const first = firstGrants.get(name);
+  if (first === undefined) {
+    const known = [...firstGrants].slice(1 - maxTokens);
+    return {
+      firstGrants: new Map([...known, [name, endedConnections]]),
+      renumberings: 0,
+    };
+  }
+  const renumberings = endedConnections - first;
+  return {
+    firstGrants,
+    renumberings: renumberings > maxRenumberings ? null : renumberings,
+  };
+}
--- a/source/core/ownership/token.ts
+++ b/source/core/ownership/token.ts
@@ -41,15 +41,23 @@
 /** Exclusive upper bound of the sequence within one epoch. */
 const sequencesPerEpoch = 2 ** 24;
 
+/**
+ * How often the grants of one token can be numbered anew. A target may have
+ * been replaced by its next life, which must get a higher number.
+ */
+export const maxRenumberings = 255;
+
 /**
  * Encodes a token as an integer, for targets that compare fencing numbers. The
- * number of a release is greater than that of the grant it ends, so that the
+ * number of a release is greater than those of the grants it ends, so that a
  * grant is refused if it arrives after its release.
  */
 export function fencingNumber(
   token: FencingToken,
   order: "grant" | "release",
+  renumberings = 0,
 ): number {
   const position = token.epoch * sequencesPerEpoch + token.sequence;
-  return position * 2 + (order === "release" ? 1 : 0);
+  const orders = position * 2 + (order === "release" ? 1 : 0);
+  return orders * (maxRenumberings + 1) + renumberings;
 }
--- a/source/ports/key_server.ts
+++ b/source/ports/key_server.ts
@@ -18,6 +18,8 @@
 
 /** Sends orders to hold keys and to release them. */
 export interface KeyServer {
+  /** How many connections for orders to hold have ended so far. */
+  endedConnections(): number;
   /**
    * Lets the target hold the keys of `range` for `holdMilliseconds`, counted
    * from the time at which the order reaches it.
@@ -28,6 +30,8 @@
       readonly holdMilliseconds: number;
       /** State handed over by the previous holder; null for none. */
       readonly handover: string | null;
+      /** How often grants of the token have been numbered anew. */
+      readonly renumberings: number;
     },
   ): Promise<Result<null, KeyServerFault>>;
   /**
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Result } from "true-myth";
+import { Result } from "true-myth";
 import {
   type HoldOrder,
   ordersToHold,
@@ -17,6 +17,7 @@
   type NumberedKeys,
   rangesOfGrant,
 } from "../core/ownership/key_ranges.ts";
+import { type FirstGrants, renumber } from "../core/ownership/renumbering.ts";
 import type { Grant } from "../core/ownership/renewal.ts";
 import type { IsolatedKey, OwnershipTable } from "../core/ownership/table.ts";
 import {
@@ -33,6 +34,7 @@
 import {
   compareTokens,
   type FencingToken,
+  newerToken,
   noToken,
 } from "../core/ownership/token.ts";
 import type { Events } from "../ports/events.ts";
@@ -91,6 +93,7 @@
   const pendingOrders = new Map<Promise<unknown>, PendingOrder>();
   /** For slices of several ranges, the earliest answered order. */
   const answeredParts = new Map<number, OrderSent>();
+  let firstGrants: FirstGrants = new Map();
   /** Orders to hold wait while the target is being emptied so many times. */
   let emptyings = 0;
   let retryTimer: ReturnType<typeof setTimeout> | null = null;
@@ -119,12 +122,20 @@
     { sentAt, holdMilliseconds }: OrderSent,
   ): Promise<Result<null, KeyServerFault>> {
     const { token, slices } = range;
+    const numbered = renumber(firstGrants, token, keyServer.endedConnections());
+    firstGrants = numbered.firstGrants;
+    const { renumberings } = numbered;
+    if (renumberings === null) return Result.err({ kind: "superseded" });
     updateHolds(
       slices,
       (hold) =>
         recordOrderSent(hold, { token, sentAt, holdMilliseconds }, times.order),
     );
-    const result = await keyServer.grant(range, { holdMilliseconds, handover });
+    const result = await keyServer.grant(range, {
+      holdMilliseconds,
+      handover,
+      renumberings,
+    });
     if (result.isErr) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
@@ -362,8 +373,7 @@
 }
 
 function newestToken(holds: readonly TargetHold[]): FencingToken {
-  return holds.map(({ token }) => token)
-    .reduce((left, right) => compareTokens(left, right) > 0 ? left : right);
+  return holds.map(({ token }) => token).reduce(newerToken, noToken);
 }
 
 function sameKeys(
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -28,12 +28,14 @@
   readonly kind: "grant" | "release";
   readonly range: KeyRange;
   readonly handover: string | null;
+  readonly renumberings?: number;
   readonly answer: (fault: KeyServerFault | null) => void;
 };
 
 /** A key server that answers each order when the test calls its `answer`. */
 function manualServer() {
   const orders: Order[] = [];
+  let endedConnections = 0;
   function order<Value>(
     entry: Omit<Order, "answer">,
     value: Value,
@@ -47,15 +49,22 @@
     });
   }
   const server: KeyServer = {
-    grant: (range, { handover }) =>
-      order({ kind: "grant", range, handover }, null),
+    endedConnections: () => endedConnections,
+    grant: (range, { handover, renumberings }) =>
+      order({ kind: "grant", range, handover, renumberings }, null),
     release: (range) =>
       order<string | null>(
         { kind: "release", range, handover: null },
         "handed-over",
       ),
   };
-  return { orders, server };
+  return {
+    orders,
+    server,
+    endConnections(count: number) {
+      endedConnections += count;
+    },
+  };
 }
 
 function start(server: KeyServer, superseded: number[] = []): KeyGrantsTask {
@@ -184,6 +193,43 @@
     });
   });
 
+  // Guards against two lives of a target with keys under the same number
+  // (OWNER): a renewal reached the next life before its first report.
+  describe("to hold keys again, after connections have ended", () => {
+    const holdTwice = async (ended: number) => {
+      const { orders, server, endConnections } = manualServer();
+      const superseded: number[] = [];
+      const task = start(server, superseded);
+      task.hold(view(grant(0, 1)));
+      orders[0]?.answer(null);
+      await settle();
+      endConnections(ended);
+      task.hold(view(grant(0, 1)));
+      await settle();
+      const numbers = orders.map(({ kind, range, renumberings }) =>
+        fencingNumber(range.token, kind, renumberings)
+      );
+      return { numbers, superseded };
+    };
+
+    it("carry a higher number, below that of a release", async () => {
+      const { numbers: [first = 0, second = 0] } = await holdTwice(1);
+      assert.ok(first < second);
+      assert.ok(second < fencingNumber({ epoch: 1, sequence: 1 }, "release"));
+    });
+
+    it("carry the same number while none has ended", async () => {
+      const { numbers: [first, second] } = await holdTwice(0);
+      assert.equal(first, second);
+    });
+
+    it("are not sent without a further number, and the slice is given back", async () => {
+      const { numbers, superseded } = await holdTwice(256);
+      assert.equal(numbers.length, 1);
+      assert.deepEqual(superseded, [0]);
+    });
+  });
+
   describe("to hold keys again", () => {
     it("carry no token older than that of an earlier, longer range", async () => {
       const { orders, server } = manualServer();
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -254,7 +254,11 @@
         server.send(bytes);
         const range = { first: 1, last: 1, token: { epoch: 1, sequence: 1 } };
         const seen = await measure(() =>
-          client.grant(range, { holdMilliseconds: 1_000, handover: null })
+          client.grant(range, {
+            holdMilliseconds: 1_000,
+            handover: null,
+            renumberings: 0,
+          })
         );
         assert.ok(seen.value.isErr);
         assert.equal(seen.value.error.kind, "unanswered");
