--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -117,10 +117,9 @@
   | { readonly kind: "withdrawn"; readonly id: number; readonly now: number }
   | { readonly kind: "tick"; readonly now: number }
   | { readonly kind: "settings"; readonly settings: AdmissionSettings }
-  /** The target is leaving: nothing more is started. */
-  /** All waiting requests are refused. */
+  /** The target is leaving: all waiting requests are refused. */
   | { readonly kind: "refuseWaiting" }
-  /** All waiting and all further requests are refused. */
+  /** The agent ends: all waiting and all further requests are refused. */
   | { readonly kind: "close" };
 
 /** What the task that runs admission has to carry out. */
--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -78,6 +78,7 @@
     readonly report: TargetReport;
     readonly now: number;
   }
+  /** A target has said that it leaves. */
   | {
     readonly kind: "left";
     readonly notice: DepartureNotice;
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -94,7 +94,7 @@
   /** For slices of several ranges, the earliest answered order. */
   const answeredParts = new Map<number, OrderSent>();
   let firstGrants: FirstGrants = new Map();
-  /** Orders to hold wait while the target is being emptied so many times. */
+  /** Releases of all keys under way; orders to hold wait for them. */
   let emptyings = 0;
   let retryTimer: ReturnType<typeof setTimeout> | null = null;
 
@@ -125,7 +125,13 @@
     const numbered = renumber(firstGrants, token, keyServer.endedConnections());
     firstGrants = numbered.firstGrants;
     const { renumberings } = numbered;
-    if (renumberings === null) return Result.err({ kind: "superseded" });
+    if (renumberings === null) {
+      events.record("target-grant-failed", {
+        keys: `${range.first}-${range.last}`,
+        reason: "no-further-number",
+      });
+      return Result.err({ kind: "superseded" });
+    }
     updateHolds(
       slices,
       (hold) =>
