--- a/review/standins-2/harness.mjs
+++ b/review/standins-2/harness.mjs
@@ -241,7 +241,7 @@
   const pairs = new Set();
   let cut = false;
   const flush = (pair) => {
-    if (cut) return;
+    if (cut || pair.silent) return;
     if (pair.far === null) {
       pair.far = net.connect(port, "127.0.0.1");
       const { near, far } = pair;
@@ -249,8 +249,8 @@
         pair.answers.push(chunk);
         flush(pair);
       });
-      far.on("error", () => near.destroy());
-      far.on("close", () => near.destroy());
+      far.on("error", () => pair.silent || near.destroy());
+      far.on("close", () => pair.silent || near.destroy());
     }
     for (const chunk of pair.requests.splice(0)) pair.far.write(chunk);
     for (const chunk of pair.answers.splice(0)) pair.near.write(chunk);
@@ -263,6 +263,7 @@
       requests: [],
       answers: [],
       ended: false,
+      silent: false,
     };
     pairs.add(pair);
     near.on("data", (chunk) => {
@@ -287,6 +288,10 @@
       cut = false;
       for (const pair of pairs) flush(pair);
     },
+    /** The open connections go silent for good, without a reset. */
+    silence() {
+      for (const pair of pairs) pair.silent = true;
+    },
     close() {
       server.close();
       for (const { near, far } of pairs) {
@@ -417,7 +422,7 @@
   });
   server.keepAliveTimeout = 10_000;
   const port = await listen(server, options.port ?? 0);
-  const address = `127.0.0.1:${port}`;
+  const address = options.address ?? `127.0.0.1:${port}`;
 
   /** What it says of itself now. */
   function composeReport() {
@@ -457,7 +462,16 @@
   let beating = true;
   const beat = () => beating ? tell("PUT", composeReport()) : 0;
   const timer = setInterval(() => void beat(), heartbeat);
-  void beat();
+  // The first reports may be on their way for a while.
+  const { reportDelay = 0 } = options;
+  if (reportDelay === 0) void beat();
+  else {
+    beating = false;
+    setTimeout(() => {
+      beating = up;
+      void beat();
+    }, reportDelay);
+  }
   return {
     id,
     service,
