Orders to hold keys are numbered when they are written on an open connection

Cause: numbers counted the connections that had ended. An end becomes known late (here: in a later turn than the one in which the queued orders are sent), and an order was numbered before it was decided which connection it goes on.

Numbers now count the connections that have been opened, and are given out when the order is written on one, as its body is composed then.

The tests of renewals after connections had ended now open connections instead, as numbers follow those; what they check is the same.

--- a/source/adapters/targets/renewing_pool.ts
+++ b/source/adapters/targets/renewing_pool.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { Readable } from "node:stream";
 import { Pool } from "undici";
 import type { Address } from "../../core/agent.ts";
 import {
@@ -13,6 +14,19 @@
   type WholeAnswer,
 } from "./whole_exchange.ts";
 
+/** A body that is composed only once its request has a connection. */
+export interface LateBody {
+  readonly byteLength: number;
+  /** Called with how many connections of the pool have been opened by then. */
+  readonly compose: (openedConnections: number) => Uint8Array;
+}
+
+/** A request to send on one of the connections of a pool. */
+export interface PooledRequest extends Omit<OutgoingRequest, "signal"> {
+  /** Sent in place of `body`. */
+  readonly lateBody?: LateBody;
+}
+
 /** A pool whose connections are replaced when they seem to be silent. */
 export interface RenewingPool {
   /**
@@ -20,11 +34,11 @@
    * after the timeout; then later requests go on new connections.
    */
   exchange(
-    request: Omit<OutgoingRequest, "signal">,
+    request: PooledRequest,
     timeoutMilliseconds: number,
   ): Promise<WholeAnswer>;
-  /** How many of its connections have ended so far, whoever ended them. */
-  endedConnections(): number;
+  /** How many connections it has opened so far. */
+  openedConnections(): number;
   close(): Promise<void>;
 }
 
@@ -36,7 +50,7 @@
 }): RenewingPool {
   /** Pools with requests that have not ended; the last is for new ones. */
   const pools = new Set<Pool>();
-  let endedConnections = 0;
+  let openedConnections = 0;
   let current = open();
 
   function open(): Pool {
@@ -47,7 +61,8 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    pool.on("disconnect", () => endedConnections += 1);
+    // Told before anything is written on the new connection.
+    pool.on("connect", () => openedConnections += 1);
     pools.add(pool);
     return pool;
   }
@@ -59,18 +74,28 @@
     void pool.close().then(() => pools.delete(pool), () => undefined);
   }
 
+  function withLateBody({ lateBody, ...request }: PooledRequest) {
+    if (lateBody === undefined) return request;
+    // A stream is first read once its request is written to a connection.
+    const body = Readable.from((function* () {
+      yield lateBody.compose(openedConnections);
+    })());
+    const length = { "content-length": String(lateBody.byteLength) };
+    return { ...request, body, headers: { ...request.headers, ...length } };
+  }
+
   return {
     async exchange(request, timeoutMilliseconds) {
       const pool = current;
       const signal = AbortSignal.timeout(timeoutMilliseconds);
       try {
-        return await exchangeWhole(pool, { ...request, signal });
+        return await exchangeWhole(pool, { ...withLateBody(request), signal });
       } catch (error) {
         if (signal.aborted) replace(pool);
         throw error;
       }
     },
-    endedConnections: () => endedConnections,
+    openedConnections: () => openedConnections,
     async close() {
       await Promise.all([...pools].map((pool) => pool.destroy()));
     },
--- a/source/core/ownership/renumbering.ts
+++ b/source/core/ownership/renumbering.ts
@@ -1,15 +1,16 @@
 /**
  * Numbers the grants of a token anew whenever a connection to the target has
- * ended: what listens at its address then may be the target's next life.
+ * been opened: what listens at its address may be the target's next life. The
+ * end of a connection can't be relied on, since it may become known late.
  *
- * Invariant: a grant that is sent on a new connection has a higher number than
- * all grants of its token that were sent on connections which had ended.
+ * Invariant: a grant has a higher number than all grants of its token that were
+ * written before its connection was open.
  *
  * @module
  */
 import { type FencingToken, formatToken, maxRenumberings } from "./token.ts";
 
-/** By token: how many connections had ended when it was first granted. */
+/** By token: how many connections had been opened when it was first granted. */
 export type FirstGrants = ReadonlyMap<string, number>;
 
 /**
@@ -22,7 +23,7 @@
 export function renumber(
   firstGrants: FirstGrants,
   token: FencingToken,
-  endedConnections: number,
+  openedConnections: number,
 ): {
   readonly firstGrants: FirstGrants;
   /** Null when the token has no further number: the keys need a newer one. */
@@ -33,11 +34,11 @@
   if (first === undefined) {
     const known = [...firstGrants].slice(1 - maxTokens);
     return {
-      firstGrants: new Map([...known, [name, endedConnections]]),
+      firstGrants: new Map([...known, [name, openedConnections]]),
       renumberings: 0,
     };
   }
-  const renumberings = endedConnections - first;
+  const renumberings = openedConnections - first;
   return {
     firstGrants,
     renumberings: renumberings > maxRenumberings ? null : renumberings,
--- a/source/ports/key_server.ts
+++ b/source/ports/key_server.ts
@@ -18,8 +18,8 @@
 
 /** Sends orders to hold keys and to release them. */
 export interface KeyServer {
-  /** How many connections for orders to hold have ended so far. */
-  endedConnections(): number;
+  /** How many connections for orders to hold have been opened so far. */
+  openedConnections(): number;
   /**
    * Lets the target hold the keys of `range` for `holdMilliseconds`, counted
    * from the time at which the order reaches it.
@@ -30,8 +30,12 @@
       readonly holdMilliseconds: number;
       /** State handed over by the previous holder; null for none. */
       readonly handover: string | null;
-      /** How often grants of the token have been numbered anew. */
-      readonly renumberings: number;
+      /**
+       * How often grants of the token have been numbered anew. Called once the
+       * order is about to be written on an open connection, with how many have
+       * been opened by then; the order is not sent if there is no further number.
+       */
+      readonly renumberings: (openedConnections: number) => number | null;
     },
   ): Promise<Result<null, KeyServerFault>>;
   /**
--- a/source/tasks/holder_task_test.ts
+++ b/source/tasks/holder_task_test.ts
@@ -166,7 +166,7 @@
   const startGrants: StartKeyGrants = ({ onSuperseded }) =>
     startKeyGrants({
       keyServer: {
-        endedConnections: () => 0,
+        openedConnections: () => 0,
         grant: () => Promise.resolve(Result.ok(null)),
         release: () => new Promise((resolve) => releases.push(resolve)),
       },
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -116,16 +116,23 @@
     holds = next;
   }
 
+  /** How often the token's grants have been numbered anew; null if too often. */
+  function numberOf(
+    token: FencingToken,
+    openedConnections: number,
+  ): number | null {
+    const numbered = renumber(firstGrants, token, openedConnections);
+    firstGrants = numbered.firstGrants;
+    return numbered.renumberings;
+  }
+
   /** Sends one order for one range; fails if the target did not confirm it. */
   async function order(
     { range, handover }: HoldOrder,
     { sentAt, holdMilliseconds }: OrderSent,
   ): Promise<Result<null, KeyServerFault>> {
     const { token, slices } = range;
-    const numbered = renumber(firstGrants, token, keyServer.endedConnections());
-    firstGrants = numbered.firstGrants;
-    const { renumberings } = numbered;
-    if (renumberings === null) {
+    if (numberOf(token, keyServer.openedConnections()) === null) {
       events.record("target-grant-failed", {
         keys: `${range.first}-${range.last}`,
         reason: "no-further-number",
@@ -140,7 +147,7 @@
     const result = await keyServer.grant(range, {
       holdMilliseconds,
       handover,
-      renumberings,
+      renumberings: (openedConnections) => numberOf(token, openedConnections),
     });
     if (result.isErr) {
       events.record("target-grant-failed", {
--- a/source/tasks/key_grants_task_test.ts
+++ b/source/tasks/key_grants_task_test.ts
@@ -35,7 +35,7 @@
 /** A key server that answers each order when the test calls its `answer`. */
 function manualServer() {
   const orders: Order[] = [];
-  let endedConnections = 0;
+  let openedConnections = 0;
   function order<Value>(
     entry: Omit<Order, "answer">,
     value: Value,
@@ -49,9 +49,17 @@
     });
   }
   const server: KeyServer = {
-    endedConnections: () => endedConnections,
+    openedConnections: () => openedConnections,
     grant: (range, { handover, renumberings }) =>
-      order({ kind: "grant", range, handover, renumberings }, null),
+      order(
+        {
+          kind: "grant",
+          range,
+          handover,
+          renumberings: renumberings(openedConnections) ?? assert.fail(),
+        },
+        null,
+      ),
     release: (range) =>
       order<string | null>(
         { kind: "release", range, handover: null },
@@ -61,8 +69,8 @@
   return {
     orders,
     server,
-    endConnections(count: number) {
-      endedConnections += count;
+    openConnections(count: number) {
+      openedConnections += count;
     },
   };
 }
@@ -195,15 +203,15 @@
 
   // Guards against two lives of a target with keys under the same number
   // (OWNER): a renewal reached the next life before its first report.
-  describe("to hold keys again, after connections have ended", () => {
-    const holdTwice = async (ended: number) => {
-      const { orders, server, endConnections } = manualServer();
+  describe("to hold keys again, after connections have been opened", () => {
+    const holdTwice = async (opened: number) => {
+      const { orders, server, openConnections } = manualServer();
       const superseded: number[] = [];
       const task = start(server, superseded);
       task.hold(view(grant(0, 1)));
       orders[0]?.answer(null);
       await settle();
-      endConnections(ended);
+      openConnections(opened);
       task.hold(view(grant(0, 1)));
       await settle();
       const numbers = orders.map(({ kind, range, renumberings }) =>
@@ -218,7 +226,7 @@
       assert.ok(second < fencingNumber({ epoch: 1, sequence: 1 }, "release"));
     });
 
-    it("carry the same number while none has ended", async () => {
+    it("carry the same number while none has been opened", async () => {
       const { numbers: [first, second] } = await holdTwice(0);
       assert.equal(first, second);
     });
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -257,7 +257,7 @@
           client.grant(range, {
             holdMilliseconds: 1_000,
             handover: null,
-            renumberings: 0,
+            renumberings: () => 0,
           })
         );
         assert.ok(seen.value.isErr);
