What an agent acknowledged of a leaving target outlives its process

Cause: only the process that acknowledged a departure knew it, by notice or by state; the next one believes the first report.

--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -55,6 +55,8 @@
     nudge: procedure("nudge"),
     table: procedure("table"),
     reportWatch: procedure("reportWatch"),
+    noteDepartures: procedure("noteDepartures"),
+    departuresOf: procedure("departuresOf"),
     census: procedure("census"),
     events: procedure("events"),
     offerBody: procedure("offerBody"),
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -21,6 +21,7 @@
   TakeoverAnswer,
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
+import type { NotedDeparture } from "../core/target/departures.ts";
 import type {
   StoredDocument,
   StoredSeeds,
@@ -220,6 +221,11 @@
   detail: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
 });
 
+/** What an agent has acknowledged of targets that leave. */
+export const departures: z.ZodType<readonly NotedDeparture[]> = z.array(
+  z.strictObject({ id: name, startedBy: time }),
+).max(100);
+
 /** The message and answer of each call between agents. */
 export const peerSchemas = {
   exchange: {
@@ -286,6 +292,14 @@
     message: z.strictObject({ from: name, reachesStore: z.boolean() }),
     answer: z.null(),
   },
+  noteDepartures: {
+    message: z.strictObject({ host: name, departures }),
+    answer: z.null(),
+  },
+  departuresOf: {
+    message: z.strictObject({ host: name }),
+    answer: departures,
+  },
   census: {
     message: z.strictObject({
       addresses: z.array(address).max(50_000).nullable(),
--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -11,6 +11,7 @@
  *
  * @module
  */
+import type { NotedDeparture } from "./departures.ts";
 
 /** A report of a target about itself. */
 export interface TargetReport {
@@ -64,11 +65,8 @@
  * The departure of a process whose reports went to a former process of this
  * agent. A report that it sent before may still arrive.
  */
-interface TargetDeparture {
-  readonly id: string;
+interface TargetDeparture extends NotedDeparture {
   readonly now: number;
-  /** The process started no later, on its own clock. */
-  readonly startedBy: number;
 }
 
 /** An event that changes a registration. */
@@ -121,6 +119,21 @@
   }
 }
 
+/**
+ * What has been acknowledged of processes that leave, which the next process of
+ * this agent has to know before it believes a report.
+ */
+export function acknowledgedDepartures(
+  { target, departures }: RegistrationState,
+  now: number,
+): readonly NotedDeparture[] {
+  const others = departures
+    .filter((departure) => now - departure.now < maxReportDelayMilliseconds)
+    .map(({ id, startedBy }) => ({ id, startedBy }));
+  if (target === null || target.leavingSince === null) return others;
+  return [...others, { id: target.id, startedBy: target.startedAt }];
+}
+
 /** Whether a report is by another writer than the target. */
 export function isForeign(
   state: RegistrationState,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -23,6 +23,8 @@
   | "departed-agents-noted"
   | "replaced-agent-noted"
   | "departure-untold"
+  | "departures-not-kept"
+  | "departures-learnt"
   | "grantor-located"
   | "holder-lapsed"
   | "renewal-late"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -18,6 +18,7 @@
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type { FencingToken } from "../core/ownership/token.ts";
+import type { NotedDeparture } from "../core/target/departures.ts";
 import type { TimelineEvent } from "./events.ts";
 
 /** Why a call to a peer failed. */
@@ -194,6 +195,15 @@
   table(question: TableRequest): Promise<OwnershipTable | null>;
   /** Tells an agent that watches the store if the reporting one can't. */
   reportWatch(report: WatchReport): Promise<null>;
+  /** Keeps the departures of a host's targets for its next process. */
+  noteDepartures(note: {
+    readonly host: string;
+    readonly departures: readonly NotedDeparture[];
+  }): Promise<null>;
+  /** The departures that the called agent keeps for a host. */
+  departuresOf(question: { readonly host: string }): Promise<
+    readonly NotedDeparture[]
+  >;
   /** Applied revisions of the agents at these addresses; null for all. */
   census(question: {
     readonly addresses: readonly Address[] | null;
--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -1,12 +1,13 @@
 /**
  * What a platform stores for the agents: the operators' desired state, which
- * the platform has validated and numbered, and the list of agents that have
- * started.
+ * the platform has validated and numbered, the list of agents that have
+ * started, and the departures of their targets.
  *
  * @module
  */
 import type { Result } from "true-myth";
 import type { Agent } from "../core/agent.ts";
+import type { NotedDeparture } from "../core/target/departures.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
 import type { StoreFault, Versioned } from "./store.ts";
 
@@ -36,5 +37,22 @@
 export interface Members {
   list(): Promise<Result<readonly Agent[], StoreFault>>;
   /** Writes this agent's own entry and overwrites any earlier one. */
-  put(agent: Agent): Promise<Result<null, StoreFault>>;
+  put(agent: Agent): Promise<Result<MemberWritten, StoreFault>>;
+}
+
+/** The entry of an agent has been written. */
+export interface MemberWritten {
+  /** Whether it has taken the place of an earlier process's entry. */
+  readonly replaced: boolean;
+}
+
+/** What agents have acknowledged of targets that leave, by host. */
+export interface TargetDepartures {
+  /** Empty if nothing was written for the host. */
+  read(host: string): Promise<Result<readonly NotedDeparture[], StoreFault>>;
+  /** Writes the host's departures in place of the earlier ones. */
+  put(
+    host: string,
+    departures: readonly NotedDeparture[],
+  ): Promise<Result<null, StoreFault>>;
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -49,6 +49,10 @@
 } from "../tasks/body_admission_task.ts";
 import { type Coordinator, startCoordinator } from "../tasks/coordinator.ts";
 import { desiredStateSource } from "../tasks/desired_state_source.ts";
+import {
+  type DeparturesTask,
+  startDepartures,
+} from "../tasks/departures_task.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import {
   type RegistrationTask,
@@ -70,6 +74,7 @@
   bodyAdmissionTickMilliseconds,
   connections,
   coordinatorTimes,
+  departuresTimes,
   departureTimeoutMilliseconds,
   desiredStateTimes,
   groupSettings,
@@ -126,6 +131,7 @@
 interface AgentTasks {
   readonly agent: Agent;
   readonly registration: RegistrationTask;
+  readonly departures: DeparturesTask;
   /** Answers the keys that the target reports; null if it reports none. */
   readonly answerKeys: AnswerKeyReport | null;
   readonly coordinator: Coordinator;
@@ -185,6 +191,7 @@
       running: tasks.entry.running() + tasks.serve.running(),
     });
     tasks.registration.stop();
+    tasks.departures.stop();
     tasks.admission.stop();
     tasks.bodyAdmission.stop();
     for (const listener of others) listener.close();
@@ -261,6 +268,7 @@
     events,
     onServing: updateTargetState,
     onReplaced: () => coordinator.holder()?.targetReplaced(),
+    keepDepartures: (noted) => departures.keep(noted),
   });
   const target = openPlatformTarget({
     address: settings.target,
@@ -298,6 +306,7 @@
       events,
       hash: hashText,
       random: Math.random,
+      onRegistered: (written) => departures.handleRegistered(written),
     }),
     startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
@@ -308,6 +317,17 @@
     },
   });
 
+  const departures = startDepartures({
+    agent,
+    agents: () => coordinator.gossip.agents(),
+    store: store.departures,
+    peers,
+    events,
+    hash: hashText,
+    times: departuresTimes,
+    onLearnt: registration.learnDepartures,
+  });
+
   function updateTargetState(serving: boolean): void {
     const reported = registration.target();
     if (reported !== null) {
@@ -382,6 +402,7 @@
   return {
     agent,
     registration,
+    departures,
     answerKeys: targetKeys.answerKeys,
     coordinator,
     admission,
@@ -526,6 +547,7 @@
       report: registration.report,
       answerKeys: tasks.answerKeys,
       deregister: registration.leave,
+      departuresKept: registration.departuresKept,
     },
   });
   if (heartbeats.isErr) return Result.err(`heartbeats: ${heartbeats.error}`);
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -10,6 +10,7 @@
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
 import type { RetrySettings } from "../core/retry/retry.ts";
 import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
+import type { DeparturesTimes } from "../tasks/departures_task.ts";
 import type { DesiredStateTimes } from "../tasks/desired_state_source.ts";
 import type { KeyGrantsTimes } from "../tasks/key_grants_task.ts";
 import type { ReportedKeysSettings } from "../tasks/reported_keys_task.ts";
@@ -69,6 +70,14 @@
   maxReportAgeMilliseconds: 1_100,
 };
 
+/** Durations for keeping and learning the departures of targets. */
+export const departuresTimes: DeparturesTimes = {
+  maxKeepMilliseconds: 800,
+  storeWaitMilliseconds: 1_000,
+  callTimeoutMilliseconds,
+  retryMilliseconds: 400,
+};
+
 /** The policy of every service. */
 export const servicePolicy: ServicePolicy = {
   keys: { groups: 1, slicesPerGroup: 512 },
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -25,7 +25,11 @@
   type ServicePolicy,
 } from "../core/routes/desired_state.ts";
 import type { Events } from "../ports/events.ts";
-import type { DesiredStates, Members } from "../ports/registry.ts";
+import type {
+  DesiredStates,
+  Members,
+  MemberWritten,
+} from "../ports/registry.ts";
 import type { Versioned } from "../ports/store.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
 import type {
@@ -73,6 +77,8 @@
   readonly hash: KeyHash;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
+  /** Called when the store has the entry of this agent. */
+  readonly onRegistered: (written: MemberWritten) => void;
 }
 
 /** Returns a source that follows the platform's desired state. */
@@ -125,6 +131,7 @@
     while (!stopped.signal.aborted) {
       const written = await members.put(context.agent);
       recordAvailability(written.isOk);
+      if (written.isOk) options.onRegistered(written.value);
       if (written.isOk && await loadMembers()) return;
       await pauseBeforeRetry({ substitutes: false });
     }
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -39,7 +39,7 @@
     },
     members: {
       list: () => Promise.resolve(Result.ok(members)),
-      put: () => Promise.resolve(Result.ok(null)),
+      put: () => Promise.resolve(Result.ok({ replaced: false })),
     },
     seeds: [],
     policy: {
@@ -63,6 +63,7 @@
     events: { record: () => undefined },
     hash: hashText,
     random: () => 0.5,
+    onRegistered: () => undefined,
   })({
     agent,
     agents: () => [],
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -6,6 +6,10 @@
 import type { Address } from "../core/agent.ts";
 import { newerTable } from "../core/ownership/table.ts";
 import { compareTokens, noToken } from "../core/ownership/token.ts";
+import {
+  witness,
+  type WitnessedDepartures,
+} from "../core/target/departures.ts";
 import type { TimelineEvent } from "../ports/events.ts";
 import type {
   CensusReply,
@@ -34,6 +38,8 @@
 }): CoordinationMethods {
   const { gossip, grantors } = options;
 
+  let witnessed: WitnessedDepartures = new Map();
+
   function holderOf(group: string): HolderTask | null {
     return gossip.self().group === group ? options.holder() : null;
   }
@@ -80,6 +86,11 @@
       options.reportWatch(report);
       return Promise.resolve(null);
     },
+    noteDepartures({ host, departures }) {
+      witnessed = witness(witnessed, host, departures);
+      return Promise.resolve(null);
+    },
+    departuresOf: ({ host }) => Promise.resolve(witnessed.get(host) ?? []),
     census: ({ addresses }) => options.census(addresses),
     events: ({ after }) => Promise.resolve(options.eventsAfter(after)),
     roster: () =>
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -4,7 +4,9 @@
  *
  * @module
  */
+import type { NotedDeparture } from "../core/target/departures.ts";
 import {
+  acknowledgedDepartures,
   createRegistration,
   type DepartureNotice,
   isAlive,
@@ -42,6 +44,16 @@
   acceptsWaiting(work: { readonly keyed: boolean }): boolean;
   /** Whether the target's process is believed to be running. */
   isTargetAlive(): boolean;
+  /**
+   * Must be called with what former processes of this agent have acknowledged.
+   * Until then no report is believed: it may have been sent before.
+   */
+  learnDepartures(departures: readonly NotedDeparture[]): void;
+  /**
+   * Resolves to whether what has been said of leaving targets is kept for the
+   * next process of this agent, so that it may be acknowledged.
+   */
+  departuresKept(): Promise<boolean>;
   /** Treats the target as leaving from now on, because the agent stops. */
   stopServing(): void;
   stop(): void;
@@ -60,11 +72,16 @@
   readonly onServing: (serving: boolean) => void;
   /** Called when a new process has replaced the target's former one. */
   readonly onReplaced: () => void;
+  /** Resolves to whether anyone but this process keeps these departures. */
+  readonly keepDepartures: (
+    departures: readonly NotedDeparture[],
+  ) => Promise<boolean>;
 }): RegistrationTask {
   const { events } = options;
   let state: RegistrationState = createRegistration(options);
   let serving = false;
   let stopping = false;
+  let formerDeparturesKnown = false;
   let notServingSince = -Infinity;
 
   const mailbox = openMailbox<RegistrationEvent>((event) => {
@@ -90,7 +107,7 @@
   }
 
   function updateServing(): void {
-    const now = !stopping && serves(state, monotonicNow());
+    const now = !stopping && servesAsKnown();
     if (now === serving) return;
     serving = now;
     if (!serving) notServingSince = monotonicNow();
@@ -102,6 +119,11 @@
     options.onServing(serving);
   }
 
+  /** A report is not believed before what was acknowledged earlier is known. */
+  function servesAsKnown(): boolean {
+    return formerDeparturesKnown && serves(state, monotonicNow());
+  }
+
   /** Whether a target that takes no new work serves its keys until they move. */
   function servesItsKeysOn(): boolean {
     const now = monotonicNow();
@@ -139,10 +161,29 @@
       return serving || (keyed && servesItsKeysOn());
     },
     acceptsWaiting({ keyed }) {
-      if (serves(state, monotonicNow())) return true;
+      if (servesAsKnown()) return true;
       return keyed && servesItsKeysOn();
     },
     isTargetAlive: () => isAlive(state, monotonicNow()),
+    learnDepartures(departures) {
+      for (const { id, startedBy } of departures) {
+        mailbox.send({
+          kind: "left",
+          notice: { id, startedAt: startedBy },
+          now: monotonicNow(),
+          wallNow: Date.now(),
+        });
+      }
+      if (departures.length > 0) {
+        events.record("departures-learnt", {
+          targets: departures.map(({ id }) => id).join(),
+        });
+      }
+      formerDeparturesKnown = true;
+      updateServing();
+    },
+    departuresKept: () =>
+      options.keepDepartures(acknowledgedDepartures(state, monotonicNow())),
     stopServing() {
       stopping = true;
       updateServing();
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -175,8 +175,9 @@
         list: async () =>
           await refusal(host) ?? Result.ok([...members.values()]),
         put: async (written) => {
+          const replaced = members.has(host);
           members.set(host, written);
-          return await refusal(host) ?? Result.ok(null);
+          return await refusal(host) ?? Result.ok({ replaced });
         },
       },
       seeds: [],
@@ -201,6 +202,7 @@
       events,
       hash: hashText,
       random,
+      onRegistered: () => undefined,
     })({
       agent,
       agents: () => gossip.agents(),
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -334,6 +334,7 @@
           report: () => "newest",
           answerKeys: null,
           deregister: () => undefined,
+          departuresKept: () => Promise.resolve(true),
         },
         events: { record: () => undefined },
       });
