A group is taken over by an agent that reaches the store

The next candidates are asked after each failure, a candidate answers after a call's time-out if the store has not, and a group is given up only to a successor that has shown that it reads the store.

--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import { type Agent, type AgentId, hostOfAgent } from "../core/agent.ts";
+import {
+  type Address,
+  type Agent,
+  type AgentId,
+  hostOfAgent,
+} from "../core/agent.ts";
 import { isRenewedInTime } from "../core/ownership/checkpoint.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
@@ -16,7 +21,7 @@
   GrantorLocation,
   LocateRequest,
 } from "../ports/peers.ts";
-import type { Versioned } from "../ports/store.ts";
+import type { Store, Versioned } from "../ports/store.ts";
 import { pollRoster, type RosterPollResult } from "./roster_poll_task.ts";
 import type { GrantorOptions } from "./epoch_claim.ts";
 import { type GrantorTask, startGrantor } from "./grantor_task.ts";
@@ -79,6 +84,19 @@
 /** A reachable grantor has usually answered after this time. */
 const typicalAnswerMilliseconds = 100;
 
+/** Successors that are asked whether they could take a group over. */
+const maxSuccessorsAsked = 6;
+/** Successors that are asked to take a group over once it was given up. */
+const maxTransferAttempts = 3;
+
+type ReadDelegation = ReturnType<Store["delegations"]["read"]>;
+
+/** A search for a group's grantor that may end with a takeover. */
+interface Search {
+  readonly read: ReadDelegation;
+  readonly found: Promise<GrantorLocation | null>;
+}
+
 /** Starts without any grantor. */
 export function startGrantors(
   options:
@@ -106,7 +124,7 @@
    * granting.
    */
   const sealed = new Map<string, number>();
-  const searches = new Map<string, Promise<GrantorLocation | null>>();
+  const searches = new Map<string, Search>();
   /** Takeovers in progress, by group. */
   const pendingGrantors = new Map<string, PendingGrantor>();
   const seenVersions = new Map<string, SeenVersion>();
@@ -125,19 +143,38 @@
     return epoch === undefined ? null : { address: agent.peerAddress, epoch };
   }
 
-  /** Runs one search at a time for each group; concurrent callers share it. */
-  function search(question: LocateRequest): Promise<GrantorLocation | null> {
+  /**
+   * Runs one search at a time for each group; concurrent callers share it. They
+   * needn't wait while this agent may be without the store: another may have
+   * it. If it is only slow, they find what the search has led to later.
+   */
+  async function search(
+    question: LocateRequest,
+  ): Promise<GrantorLocation | null> {
     const { group } = question;
-    const current = searches.get(group) ??
-      findOrTakeOver(question).finally(() => searches.delete(group));
-    searches.set(group, current);
-    return current;
+    const { read, found } = searches.get(group) ?? startSearch(question);
+    const answered = await Promise.race([
+      read.then(() => true),
+      pause(times.callTimeoutMilliseconds).then(() => false),
+    ]);
+    return answered ? await found : null;
+  }
+
+  function startSearch(question: LocateRequest): Search {
+    const { group } = question;
+    const read = delegations.read(group);
+    const found = findOrTakeOver(question, read)
+      .finally(() => searches.delete(group));
+    const started = { read, found };
+    searches.set(group, started);
+    return started;
   }
 
   async function findOrTakeOver(
     question: LocateRequest,
+    reading: ReadDelegation,
   ): Promise<GrantorLocation | null> {
-    const read = await delegations.read(question.group);
+    const read = await reading;
     if (read.isErr) return null;
     const former = read.value;
     if (former === null || former.value.grantor === agent.id) {
@@ -282,17 +319,39 @@
     return grantor?.epoch === epoch ? grantor.handover() : null;
   }
 
+  /**
+   * The agents that could take a group over now, from the first that can on: it
+   * has found in the store that this one grants.
+   */
+  async function ableSuccessors(
+    group: string,
+    maxAsked: number,
+  ): Promise<readonly Address[]> {
+    const successors = options.successors(group);
+    for (const [index, address] of successors.slice(0, maxAsked).entries()) {
+      const found = await peers.call(address, "locateGrantor", {
+        message: { group, unreachable: null, effort: "take-over" },
+        timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
+      });
+      if (found.isOk && found.value !== null) return successors.slice(index);
+    }
+    return [];
+  }
+
   /**
    * Stops granting in a group and asks other agents in turn to take it over.
-   * False, without effect, while the store can't be read, as no agent could
-   * take the group over then.
+   * False, without effect, while none of the first ones could.
    */
-  async function transferGroup(group: string): Promise<boolean> {
-    const read = await delegations.read(group);
-    if (read.isErr) return false;
+  async function transferGroup(
+    group: string,
+    { maxAsked }: { readonly maxAsked: number },
+  ): Promise<boolean> {
+    const successors = await ableSuccessors(group, maxAsked);
+    const alone = options.successors(group).length === 0;
+    if (successors.length === 0 && !alone) return false;
     const unreachable = localGrantor(group);
     await grantors.get(group)?.stop();
-    for (const address of options.successors(group).slice(0, 3)) {
+    for (const address of successors.slice(0, maxTransferAttempts)) {
       const result = await peers.call(address, "locateGrantor", {
         message: { group, unreachable, effort: "take-over" },
         timeoutMilliseconds: times.callTimeoutMilliseconds * 3,
@@ -303,7 +362,10 @@
   }
 
   async function transferGroupUntil(group: string, end: number): Promise<void> {
-    while (running(group) !== null && !(await transferGroup(group))) {
+    const maxAsked = maxSuccessorsAsked;
+    while (
+      running(group) !== null && !(await transferGroup(group, { maxAsked }))
+    ) {
       if (monotonicNow() >= end) return;
       await pause(times.storeRetryMilliseconds);
     }
@@ -335,7 +397,9 @@
     groups: () => [...grantors.keys()].filter((group) => running(group)),
     async relocate(group) {
       // A successor would have to wait anew for servers that are unresponsive.
-      if (running(group)?.allResponded() === true) await transferGroup(group);
+      if (running(group)?.allResponded() !== true) return;
+      // The best successor or none: a group is not moved to one like this agent.
+      await transferGroup(group, { maxAsked: 1 });
     },
     async handOver({ timeoutMilliseconds }) {
       closing = true;
--- a/source/tasks/locate_grantor.ts
+++ b/source/tasks/locate_grantor.ts
@@ -23,6 +23,11 @@
   readonly members: readonly Address[];
   /** Agents that could grant, best candidate first. */
   readonly grantors: readonly Address[];
+  /**
+   * How often none was located before: then the next candidates are asked, as
+   * the first ones may not reach the store.
+   */
+  readonly failures: number;
   readonly peers: Peers;
   readonly events: Events;
   /** Timeout of each call. */
@@ -53,5 +58,7 @@
   const known = await askInOrder(members.slice(0, maxMembersAsked), "known");
   if (known !== null) return known;
   const others = grantors.filter((address) => address !== unreachable?.address);
-  return await askInOrder(others.slice(0, maxCandidatesAsked), "take-over");
+  const first = options.failures * maxCandidatesAsked % others.length;
+  const inTurn = [...others.slice(first), ...others.slice(0, first)];
+  return await askInOrder(inTurn.slice(0, maxCandidatesAsked), "take-over");
 }
--- a/source/tasks/renewal_task.ts
+++ b/source/tasks/renewal_task.ts
@@ -76,6 +76,8 @@
   let grantor: GrantorLocation | null = null;
   /** The last unreachable grantor, until a grantor has answered. */
   let unreachable: GrantorLocation | null = null;
+  /** How often in a row no grantor was located. */
+  let locateFailures = 0;
   /** Consecutive failed renewals. */
   let failures = 0;
   /** Whether the grantor's answer to a renewal is late. */
@@ -127,14 +129,17 @@
       ...unreachable,
       epoch: Math.max(unreachable.epoch, options.epoch()),
     };
-    return await locateGrantor({
+    const located = await locateGrantor({
       group,
       unreachable,
+      failures: locateFailures,
       ...options.candidates(),
       peers,
       events,
       timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
     });
+    locateFailures = located === null ? locateFailures + 1 : 0;
+    return located;
   }
 
   /**
--- a/tests/coordination_test.ts
+++ b/tests/coordination_test.ts
@@ -169,6 +169,23 @@
     });
   });
 
+  // Guards against servers that rely on agents which can't help (RECOVER): the
+  // same three were asked to take over, again and again, without the store.
+  describe("loss of the grantor while one agent reaches the store", () => {
+    for (const reaching of ["timetable-1", "timetable-2", "timetable-3"]) {
+      it(`is followed by a takeover if that is ${reaching}`, async () => {
+        const [former = ""] = mesh.grantors();
+        mesh.setLinks((from, to) =>
+          to === "store" ? from === reaching : isolate(former)(from, to)
+        );
+        const gap = await advanceAndMeasureMaxGap(20_000);
+        assert.ok(gap <= servedAgainMilliseconds, `no owner for ${gap} ms`);
+        const grantors = mesh.grantors().filter((host) => host !== former);
+        assert.deepEqual(grantors, [reaching]);
+      });
+    }
+  });
+
   describe("loss of all agents, of which one does not come back", () => {
     const missing = "timetable-3";
 
