Weights of servers are measured over requests with keys, and bounded by the median

Callers of a large fleet had a third of the most urgent class refused (SHORT).

Cause: slices are placed by weights that a few short requests without a key, or none at all, made up to a hundred times too high; such servers got slices from all others and refused their requests.

Only requests with a key are measured; a server without any counts as the group's median, one with few as between half and twice of it.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -53,6 +53,7 @@
   readonly id: number;
   /** The kind of work that it is measured as; null for its whole rank. */
   readonly work: string | null;
+  readonly keyed: boolean;
   readonly arrivedAt: number;
   readonly objectiveAt: number;
   readonly deadlineAt: number;
@@ -62,6 +63,7 @@
 export interface RunningRequest {
   readonly rank: number;
   readonly work: string | null;
+  readonly keyed: boolean;
   readonly startedAt: number;
   readonly deadlineAt: number;
 }
@@ -78,6 +80,8 @@
   readonly credits: readonly number[];
   /** Mean time in the target for each rank; 0 until measured. */
   readonly serviceMilliseconds: readonly number[];
+  /** Mean time in the target of requests with a key; 0 until measured. */
+  readonly keyedMilliseconds: number;
   /** Mean time in the target for each kind of work. */
   readonly serviceTimes: ServiceTimes;
   /** The recent offered load, whether refused or not. */
@@ -103,6 +107,8 @@
     readonly rank: number;
     /** The kind of work, with its own service time; by rank when left out. */
     readonly work?: string | null;
+    /** Whether it has a key; false when left out. */
+    readonly keyed?: boolean;
     /** The end of its objective; its deadline when left out. */
     readonly objectiveAt?: number;
     readonly deadlineAt: number;
@@ -157,6 +163,7 @@
     waiting: settings.ranks.map(() => []),
     credits: settings.ranks.map(() => 0),
     serviceMilliseconds: settings.ranks.map(() => 0),
+    keyedMilliseconds: 0,
     serviceTimes: new Map(),
     offered: noOfferedWork,
     measuredAt: 0,
@@ -199,15 +206,18 @@
   return state.waiting.reduce((sum, queue) => sum + queue.length, 0);
 }
 
-/** The assumed service time while no rank has been measured. */
+/** The assumed service time while no request with a key has been measured. */
 const defaultServiceMilliseconds = 100;
 
-/** Requests per second that the target runs when all its slots are in use. */
+/**
+ * Requests with a key per second that the target runs when all its slots are in
+ * use. Other requests, such as a few short ones, don't tell how long those take.
+ */
 export function throughput(state: AdmissionState): number {
-  const known = state.serviceMilliseconds.filter((mean) => mean > 0);
-  const mean = known.length === 0
-    ? defaultServiceMilliseconds
-    : known.reduce((sum, each) => sum + each, 0) / known.length;
+  const { keyedMilliseconds } = state;
+  const mean = keyedMilliseconds > 0
+    ? keyedMilliseconds
+    : defaultServiceMilliseconds;
   return state.settings.slots * 1_000 / mean;
 }
 
@@ -222,8 +232,16 @@
   const state = recordOffered(before, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
-  const { id, work = null, deadlineAt, objectiveAt = deadlineAt } = event;
-  const entry = { id, work, arrivedAt: event.now, deadlineAt, objectiveAt };
+  const { id, work = null, keyed = false } = event;
+  const { deadlineAt, objectiveAt = deadlineAt } = event;
+  const entry = {
+    id,
+    work,
+    keyed,
+    arrivedAt: event.now,
+    deadlineAt,
+    objectiveAt,
+  };
   const queued = withQueue(
     state,
     rank,
@@ -517,6 +535,7 @@
     readonly id: number;
     readonly rank: number;
     readonly work: string | null;
+    readonly keyed: boolean;
     readonly now: number;
     readonly deadlineAt: number;
   },
@@ -524,6 +543,7 @@
   const running = new Map(state.running).set(entry.id, {
     rank: entry.rank,
     work: entry.work,
+    keyed: entry.keyed,
     startedAt: entry.now,
     deadlineAt: entry.deadlineAt,
   });
@@ -563,7 +583,7 @@
   if (event.finish === "refused") {
     return { ...state, limit: decreasedLimit(state) };
   }
-  const { rank, work, startedAt, deadlineAt } = event.ended;
+  const { rank, work, keyed, startedAt, deadlineAt } = event.ended;
   // What ends after its deadline was delayed by something else, such as a
   // suspension of the host.
   const milliseconds = Math.min(event.now, deadlineAt) - startedAt;
@@ -573,6 +593,9 @@
     ...state,
     limit: Math.min(state.settings.slots, state.limit + increase),
     serviceMilliseconds: state.serviceMilliseconds.with(rank, next),
+    keyedMilliseconds: keyed
+      ? updateMean(state.keyedMilliseconds, milliseconds)
+      : state.keyedMilliseconds,
     serviceTimes: work === null
       ? state.serviceTimes
       : recordServiceTime(state.serviceTimes, {
--- a/source/core/admission/atypical_measurements_test.ts
+++ b/source/core/admission/atypical_measurements_test.ts
@@ -6,6 +6,7 @@
   type AdmissionState,
   createAdmission,
   stepAdmission,
+  throughput,
 } from "./admission.ts";
 
 const settings: AdmissionSettings = {
@@ -119,3 +120,30 @@
     });
   });
 });
+
+// A server's weight in its group: other requests are a hundred times shorter.
+describe("the throughput of a target whose requests have keys", () => {
+  const run = (
+    state: AdmissionState,
+    request: { readonly keyed: boolean; readonly milliseconds: number },
+  ) =>
+    feed(
+      state,
+      [
+        { ...arrivals(0, 0)[0], keyed: request.keyed },
+        { ...ends(0, request.milliseconds)[0], finish: "answered" },
+      ] as readonly AdmissionEvent[],
+    ).state;
+  const idle = createAdmission(settings);
+
+  it("is not measured over requests without a key", () => {
+    const short = run(idle, { keyed: false, milliseconds: 2 });
+    assert.equal(throughput(short), throughput(idle));
+  });
+
+  it("is measured over those with one", () => {
+    const short = run(idle, { keyed: false, milliseconds: 2 });
+    const both = run(short, { keyed: true, milliseconds: 400 });
+    assert.equal(throughput(both), 10);
+  });
+});
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -8,6 +8,7 @@
 import type { GrantorState, Holder } from "./grantor_state.ts";
 import { penalizeSlowServers } from "./slow_servers.ts";
 import { compareTokens } from "./token.ts";
+import { placementWeights } from "./unmeasured_weights.ts";
 
 /** A planned move of one slice. */
 export interface Move {
@@ -23,6 +24,15 @@
   return Math.max(unmeasuredLoad, state.loads.get(slice) ?? 0);
 }
 
+function withPlacementWeights(state: GrantorState): GrantorState {
+  const weights = placementWeights(state.holders);
+  const weigh = ([id, holder]: [AgentId, Holder]): [AgentId, Holder] => [
+    id,
+    { ...holder, weight: weights.get(id) ?? holder.weight },
+  ];
+  return { ...state, holders: new Map([...state.holders].map(weigh)) };
+}
+
 /** The servers that stay, and the load of their slices relative to weight. */
 function loadsByHolder(state: GrantorState): Map<AgentId, number> {
   // A server whose lease had expired refuses all requests and so reports no
@@ -79,9 +89,10 @@
  * otherwise the first to renew again would get all of them.
  */
 export function leastLoadedHolder(
-  state: GrantorState,
+  reported: GrantorState,
   slice: number,
 ): AgentId | null {
+  const state = withPlacementWeights(reported);
   const serving = loadsByHolder(state);
   const loads = serving.size > 0
     ? serving
@@ -94,7 +105,8 @@
 }
 
 /** The planned moves to start now. Slices of leaving servers come first. */
-export function chooseMoves(state: GrantorState): readonly Move[] {
+export function chooseMoves(reported: GrantorState): readonly Move[] {
+  const state = withPlacementWeights(reported);
   const moving = state.slices.filter((slice) => slice.kind === "moving").length;
   const evacuations = chooseEvacuations(state);
   if (evacuations.length > 0) return evacuations;
--- /dev/null
+++ b/source/core/ownership/unmeasured_weights.ts
@@ -0,0 +1,53 @@
+/**
+ * The weights by which slices are placed in a large group that has just begun
+ * to get requests: few servers have run many of them, most have run none.
+ *
+ * A weight that no request has been measured for is a default, and one from a
+ * few requests may be several times too high. A single server that seems so
+ * much faster than the others would get slices from all of them, and refuse
+ * most of their requests. So a server is taken for a usual one of its group
+ * until it has run requests, and for not far from that until it has run them
+ * for a while.
+ *
+ * @module
+ */
+import type { SmoothedWeight } from "./load_smoothing.ts";
+
+/** The median is taken over measured weights from this number of them on. */
+const minMeasuredServers = 5;
+/** Reports, one a second, from which on a weight is taken as it is. */
+const minTrustedSamples = 10;
+/** Until then it counts as the median times or divided by this at most. */
+const maxUntrustedFactor = 2;
+
+/** The weight of each server to place slices by, at least 1. */
+export function placementWeights<Id>(
+  servers: ReadonlyMap<Id, SmoothedWeight>,
+): ReadonlyMap<Id, number> {
+  const all = [...servers.values()];
+  const measured = all.filter(({ samples }) => samples > 0);
+  const usual = median(
+    (measured.length < minMeasuredServers ? all : measured)
+      .map(({ weight }) => weight),
+  );
+  return new Map(
+    [...servers].map(([id, server]) => [id, placementWeight(server, usual)]),
+  );
+}
+
+function placementWeight(
+  { weight, samples }: SmoothedWeight,
+  usual: number,
+): number {
+  if (samples === 0) return Math.max(1, usual);
+  if (samples >= minTrustedSamples) return weight;
+  const least = usual / maxUntrustedFactor;
+  const most = usual * maxUntrustedFactor;
+  return Math.max(1, Math.min(most, Math.max(least, weight)));
+}
+
+/** The lower of the two middle values, if there are two. */
+function median(values: readonly number[]): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 1;
+}
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -33,6 +33,8 @@
      * A class of requests with similar service times; null for the whole rank.
      */
     readonly work: string | null;
+    /** Whether the request has a key. */
+    readonly keyed: boolean;
     /** The latency objective, on the monotonic clock; null for the deadline. */
     readonly objectiveAt: number | null;
     readonly deadlineAt: number;
@@ -40,7 +42,7 @@
   }): Promise<Result<AdmissionSlot, Failure>>;
   /** The number of requests that run or wait. */
   load(): number;
-  /** Measured requests per second that the target can run, at least 1. */
+  /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
   configure(settings: AdmissionSettings): void;
   /** Refuses all waiting requests. */
@@ -100,7 +102,7 @@
   }
 
   return {
-    enter({ rank, work, objectiveAt, deadlineAt, signal }) {
+    enter({ rank, work, keyed, objectiveAt, deadlineAt, signal }) {
       const id = nextId;
       nextId += 1;
       return new Promise((resolve) => {
@@ -120,6 +122,7 @@
           id,
           rank,
           work,
+          keyed,
           objectiveAt: objectiveAt ?? deadlineAt,
           deadlineAt,
           now,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -74,7 +74,8 @@
     };
     const arrivedAt = monotonicNow();
     const work = options.workOf(request);
-    const slot = await admission.enter({ ...request, work });
+    const keyed = request.key !== null;
+    const slot = await admission.enter({ ...request, work, keyed });
     const waited = monotonicNow() - arrivedAt;
     metrics.time("queue_duration", waited, rankLabel(request));
     if (slot.isErr) {
