--- a/source/core/ownership/membership.ts
+++ b/source/core/ownership/membership.ts
@@ -8,6 +8,8 @@
 
 const membershipSeed = 0x6d656d62;
 const candidateSeed = 0x63616e64;
+/** Of the most processor time that an agent has, for a grantor. */
+const minProcessorShare = 0.5;
 
 /** The group that a host's target belongs to; stable across restarts. */
 export function groupOfHost(
@@ -24,25 +26,29 @@
 
 /**
  * Peer addresses of the agents that may become a group's grantor, preferred
- * ones first. Agents of the group's own servers come last, because losing one
- * would mean losing a server and the grantor at once. Of the others, those with
- * most processor time come first: all servers of the group renew with it.
+ * ones first. All servers of the group renew with it, so one with much less
+ * processor time than others comes last. Of those that are left, agents of the
+ * group's own servers come after others, because losing one would mean losing a
+ * server and the grantor at once.
  */
 export function grantorCandidates(
   group: string,
   options: { readonly agents: readonly Agent[]; readonly hash: KeyHash },
 ): readonly Address[] {
-  const { agents, hash } = options;
+  const { hash } = options;
+  const agents = options.agents.filter((agent) => agent.phase !== "lost");
+  const most = Math.max(...agents.map(({ processors }) => processors));
   const ranked = agents
-    .filter((agent) => agent.phase !== "lost")
     .map((agent) => ({
       agent,
+      small: agent.processors < most * minProcessorShare ? 1 : 0,
       member: mayJoin(agent, group) ? 1 : 0,
       leaving: agent.phase === "leaving" ? 1 : 0,
       order: hash(`${group}/${agent.host}`, candidateSeed),
     }))
     .sort((left, right) =>
-      left.member - right.member || left.leaving - right.leaving ||
+      left.small - right.small || left.member - right.member ||
+      left.leaving - right.leaving ||
       right.agent.processors - left.agent.processors ||
       left.order - right.order
     );
