--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -6,7 +6,6 @@
  *
  * @module
  */
-import FakeTimers from "@sinonjs/fake-timers";
 import { Result } from "true-myth";
 import { hashText } from "../source/adapters/hashing.ts";
 import { readDocument } from "../source/adapters/document/yaml_document.ts";
@@ -29,6 +28,7 @@
 import { documentSource } from "../source/tasks/document_source.ts";
 import { placeByHash } from "../source/core/ownership/table.ts";
 import { seededRandom } from "../standins/load.ts";
+import { pauseClock, type PausedClock } from "./test_clock.ts";
 
 /** One agent of a fake mesh, with its coordinator. */
 export interface FakeNode {
@@ -123,17 +123,7 @@
   readonly checksFencing?: boolean;
   readonly seed?: number;
 }): FakeMesh {
-  const clock = FakeTimers.install({
-    now: 1_000_000,
-    toFake: [
-      "setTimeout",
-      "clearTimeout",
-      "setInterval",
-      "clearInterval",
-      "Date",
-      "performance",
-    ],
-  });
+  const clock = pauseClock();
   const random = seededRandom(options.seed ?? 7);
   const times = options.times ?? defaultCoordinatorTimes;
   const nodes: FakeNode[] = [];
@@ -302,7 +292,7 @@
 }
 
 async function advanceUntilDone(
-  clock: ReturnType<typeof FakeTimers.install>,
+  clock: PausedClock,
   work: Promise<unknown>,
 ): Promise<void> {
   let done = false;
