--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -4,12 +4,7 @@
  *
  * @module
  */
-import {
-  type Address,
-  type Agent,
-  type AgentId,
-  hostOfAgent,
-} from "../core/agent.ts";
+import { type Agent, type AgentId, hostOfAgent } from "../core/agent.ts";
 import { isRenewedInTime } from "../core/ownership/checkpoint.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
@@ -25,6 +20,7 @@
 import { pollRoster, type RosterPollResult } from "./roster_poll_task.ts";
 import type { GrantorOptions } from "./epoch_claim.ts";
 import { type GrantorTask, startGrantor } from "./grantor_task.ts";
+import { createGroupTransfer } from "./group_transfer.ts";
 import { monotonicNow, pause } from "./time.ts";
 
 /** The grantors that run in one agent. */
@@ -84,11 +80,6 @@
 /** A reachable grantor has usually answered after this time. */
 const typicalAnswerMilliseconds = 100;
 
-/** Successors that are asked whether they could take a group over. */
-const maxSuccessorsAsked = 6;
-/** Successors that are asked to take a group over once it was given up. */
-const maxTransferAttempts = 3;
-
 type ReadDelegation = ReturnType<Store["delegations"]["read"]>;
 
 /** A search for a group's grantor that may end with a takeover. */
@@ -319,57 +310,14 @@
     return grantor?.epoch === epoch ? grantor.handover() : null;
   }
 
-  /**
-   * The agents that could take a group over now, from the first that can on: it
-   * has found in the store that this one grants.
-   */
-  async function ableSuccessors(
-    group: string,
-    maxAsked: number,
-  ): Promise<readonly Address[]> {
-    const successors = options.successors(group);
-    for (const [index, address] of successors.slice(0, maxAsked).entries()) {
-      const found = await peers.call(address, "locateGrantor", {
-        message: { group, unreachable: null, effort: "take-over" },
-        timeoutMilliseconds: times.callTimeoutMilliseconds * 2,
-      });
-      if (found.isOk && found.value !== null) return successors.slice(index);
-    }
-    return [];
-  }
-
-  /**
-   * Stops granting in a group and asks other agents in turn to take it over.
-   * False, without effect, while none of the first ones could.
-   */
-  async function transferGroup(
-    group: string,
-    { maxAsked }: { readonly maxAsked: number },
-  ): Promise<boolean> {
-    const successors = await ableSuccessors(group, maxAsked);
-    const alone = options.successors(group).length === 0;
-    if (successors.length === 0 && !alone) return false;
-    const unreachable = localGrantor(group);
-    await grantors.get(group)?.stop();
-    for (const address of successors.slice(0, maxTransferAttempts)) {
-      const result = await peers.call(address, "locateGrantor", {
-        message: { group, unreachable, effort: "take-over" },
-        timeoutMilliseconds: times.callTimeoutMilliseconds * 3,
-      });
-      if (result.isOk && result.value !== null) return true;
-    }
-    return true;
-  }
-
-  async function transferGroupUntil(group: string, end: number): Promise<void> {
-    const maxAsked = maxSuccessorsAsked;
-    while (
-      running(group) !== null && !(await transferGroup(group, { maxAsked }))
-    ) {
-      if (monotonicNow() >= end) return;
-      await pause(times.storeRetryMilliseconds);
-    }
-  }
+  const transfer = createGroupTransfer({
+    peers,
+    times,
+    successors: options.successors,
+    localGrantor,
+    isRunning: (group) => running(group) !== null,
+    stopGrantor: async (group) => await grantors.get(group)?.stop(),
+  });
 
   return {
     async renew(renewal) {
@@ -398,14 +346,13 @@
     async relocate(group) {
       // A successor would have to wait anew for servers that are unresponsive.
       if (running(group)?.allResponded() !== true) return;
-      // The best successor or none: a group is not moved to one like this agent.
-      await transferGroup(group, { maxAsked: 1 });
+      await transfer.toBestSuccessor(group);
     },
     async handOver({ timeoutMilliseconds }) {
       closing = true;
       const end = monotonicNow() + timeoutMilliseconds;
       const groups = [...grantors.keys()];
-      await Promise.all(groups.map((group) => transferGroupUntil(group, end)));
+      await Promise.all(groups.map((group) => transfer.beforeStop(group, end)));
     },
     async stop() {
       closing = true;
