A watcher that begins to stop says so at once

Found in reading: an agent that is stopped as planned ends its watch at the beginning of its grace and runs on for seconds. Its deputies learnt so only when its reports were missing, 1.1 s later.

desired_state_spread_test.ts, whose watching agents have begun to stop: fails without it, passes with it.

--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -304,6 +304,8 @@
     fresh: () => context.current().revision > 0,
     stop() {
       stopped.abort();
+      // A stopping agent no longer watches, though it runs on for a while.
+      reports.recordAccess(false);
       reports.stop();
       return Promise.resolve();
     },
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -414,6 +414,25 @@
     }
   });
 
+  describe("whose watching agents have begun to stop", () => {
+    it("has a change in force at all others at once", async () => {
+      fleet = startFleet(clock, 6, 1);
+      await clock.tickAsync(6_000);
+      const watchers = fleet.watchers();
+      for (const { agent, source } of fleet.nodes()) {
+        if (watchers.includes(agent.host)) void source.stop();
+      }
+      // Their last watches still end with the first change.
+      for (let changes = 0; changes < 2; changes += 1) {
+        await clock.tickAsync(100);
+        fleet.change();
+      }
+      await clock.tickAsync(100);
+      const others = fleet.behind().filter((host) => !watchers.includes(host));
+      assert.deepEqual(others, []);
+    });
+  });
+
   describe("whose store turns all machines away", () => {
     it("calls it from a few agents of each data centre", async () => {
       const callsOf = async (count: number) => {
