--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -55,7 +55,7 @@
     nudge: procedure("nudge"),
     table: procedure("table"),
     reportWatch: procedure("reportWatch"),
-    noteDepartures: procedure("noteDepartures"),
+    storeDepartures: procedure("storeDepartures"),
     departuresOf: procedure("departuresOf"),
     census: procedure("census"),
     events: procedure("events"),
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -21,7 +21,7 @@
   TakeoverAnswer,
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
-import type { NotedDeparture } from "../core/target/departures.ts";
+import type { RecordedDeparture } from "../core/target/departures.ts";
 import type {
   StoredDocument,
   StoredSeeds,
@@ -222,7 +222,7 @@
 });
 
 /** What an agent has acknowledged of targets that leave. */
-export const departures: z.ZodType<readonly NotedDeparture[]> = z.array(
+export const departures: z.ZodType<readonly RecordedDeparture[]> = z.array(
   z.strictObject({ id: name, startedBy: time }),
 ).max(100);
 
@@ -292,7 +292,7 @@
     message: z.strictObject({ from: name, reachesStore: z.boolean() }),
     answer: z.null(),
   },
-  noteDepartures: {
+  storeDepartures: {
     message: z.strictObject({ host: name, departures }),
     answer: z.null(),
   },
--- a/source/core/ownership/unmeasured_weights.ts
+++ b/source/core/ownership/unmeasured_weights.ts
@@ -5,7 +5,7 @@
  * A weight that no request has been measured for is a default, and one from a
  * few requests may be several times too high. A single server that seems so
  * much faster than the others would get slices from all of them, and refuse
- * most of their requests. So a server is taken for a usual one of its group
+ * most of their requests. So a server is taken for a typical one of its group
  * until it has run requests, and for not far from that until it has run them
  * for a while.
  *
@@ -26,23 +26,23 @@
 ): ReadonlyMap<Id, number> {
   const all = [...servers.values()];
   const measured = all.filter(({ samples }) => samples > 0);
-  const usual = median(
+  const typical = median(
     (measured.length < minMeasuredServers ? all : measured)
       .map(({ weight }) => weight),
   );
   return new Map(
-    [...servers].map(([id, server]) => [id, placementWeight(server, usual)]),
+    [...servers].map(([id, server]) => [id, placementWeight(server, typical)]),
   );
 }
 
 function placementWeight(
   { weight, samples }: SmoothedWeight,
-  usual: number,
+  typical: number,
 ): number {
-  if (samples === 0) return Math.max(1, usual);
+  if (samples === 0) return Math.max(1, typical);
   if (samples >= minTrustedSamples) return weight;
-  const least = usual / maxUntrustedFactor;
-  const most = usual * maxUntrustedFactor;
+  const least = typical / maxUntrustedFactor;
+  const most = typical * maxUntrustedFactor;
   return Math.max(1, Math.min(most, Math.max(least, weight)));
 }
 
--- a/source/core/ownership/unmeasured_weights_test.ts
+++ b/source/core/ownership/unmeasured_weights_test.ts
@@ -22,7 +22,7 @@
   );
 }
 
-const usual = [16, 18, 19, 21, 24].map((weight) => [weight, 20] as const);
+const typical = [16, 18, 19, 21, 24].map((weight) => [weight, 20] as const);
 
 describe("the weights to place slices by", () => {
   // Guards against a server that is filled by moves of slices and refuses most
@@ -30,17 +30,19 @@
   // measured over a few short requests that were not of its keys.
   describe("in a group where most servers have run requests", () => {
     it("are the median for a server that has run none", () => {
-      const weights = placementWeights(servers(...usual, [2_170, 0], [60, 0]));
+      const weights = placementWeights(
+        servers(...typical, [2_170, 0], [60, 0]),
+      );
       assert.deepEqual([weights.get(5), weights.get(6)], [19, 19]);
     });
 
     it("stay near the median for one that has run few", () => {
-      const weights = placementWeights(servers(...usual, [900, 3], [2, 3]));
+      const weights = placementWeights(servers(...typical, [900, 3], [2, 3]));
       assert.deepEqual([weights.get(5), weights.get(6)], [38, 9.5]);
     });
 
     it("are as measured for one that has run them for a while", () => {
-      const weights = placementWeights(servers(...usual, [95, 10], [2, 12]));
+      const weights = placementWeights(servers(...typical, [95, 10], [2, 12]));
       assert.deepEqual([weights.get(5), weights.get(6)], [95, 2]);
     });
   });
@@ -115,7 +117,7 @@
 
 describe("moves to a server that has run no requests yet", () => {
   for (const weight of [60, 2_170]) {
-    it(`give it a usual share when it reports ${weight} a second`, () => {
+    it(`give it a typical share when it reports ${weight} a second`, () => {
       const moved = slicesMovedToIdle(createState(weight));
       const share = hashedSlices / ids.length;
       assert.ok(moved >= share / 2 && moved <= share * 1.5, `${moved} slices`);
--- a/source/core/target/departures.ts
+++ b/source/core/target/departures.ts
@@ -9,7 +9,7 @@
 import type { KeyHash } from "../ownership/table.ts";
 
 /** A target that leaves: no report of it is to be believed any more. */
-export interface NotedDeparture {
+export interface RecordedDeparture {
   readonly id: string;
   /** It has started no later, in milliseconds since 1970, on its own clock. */
   readonly startedBy: number;
@@ -17,8 +17,8 @@
 
 /** Whether both lists name the same departures in the same order. */
 export function sameDepartures(
-  left: readonly NotedDeparture[],
-  right: readonly NotedDeparture[],
+  left: readonly RecordedDeparture[],
+  right: readonly RecordedDeparture[],
 ): boolean {
   return left.length === right.length && left.every((departure, index) => {
     const other = right[index];
@@ -55,17 +55,17 @@
 /** By host: the departures that this agent keeps for others. */
 export type WitnessedDepartures = ReadonlyMap<
   string,
-  readonly NotedDeparture[]
+  readonly RecordedDeparture[]
 >;
 
-/** Hosts whose departures are kept, those noted last. */
+/** Hosts whose departures are kept, the latest ones. */
 const maxWitnessedHosts = 1_024;
 
-/** Keeps the departures of a host in place of those noted before. */
+/** Keeps the departures of a host in place of the earlier ones. */
 export function witness(
   known: WitnessedDepartures,
   host: string,
-  departures: readonly NotedDeparture[],
+  departures: readonly RecordedDeparture[],
 ): WitnessedDepartures {
   const others = [...known].filter(([other]) => other !== host);
   return new Map([
--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import type { NotedDeparture } from "./departures.ts";
+import type { RecordedDeparture } from "./departures.ts";
 
 /** A report of a target about itself. */
 export interface TargetReport {
@@ -65,7 +65,7 @@
  * The departure of a process whose reports went to a former process of this
  * agent. A report that it sent before may still arrive.
  */
-interface TargetDeparture extends NotedDeparture {
+interface TargetDeparture extends RecordedDeparture {
   readonly now: number;
 }
 
@@ -126,7 +126,7 @@
 export function acknowledgedDepartures(
   { target, departures }: RegistrationState,
   now: number,
-): readonly NotedDeparture[] {
+): readonly RecordedDeparture[] {
   const others = departures
     .filter((departure) => now - departure.now < maxReportDelayMilliseconds)
     .map(({ id, startedBy }) => ({ id, startedBy }));
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -24,7 +24,7 @@
   | "replaced-agent-noted"
   | "departure-untold"
   | "departures-not-kept"
-  | "departures-learnt"
+  | "departures-loaded"
   | "grantor-located"
   | "holder-lapsed"
   | "renewal-late"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -18,7 +18,7 @@
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type { FencingToken } from "../core/ownership/token.ts";
-import type { NotedDeparture } from "../core/target/departures.ts";
+import type { RecordedDeparture } from "../core/target/departures.ts";
 import type { TimelineEvent } from "./events.ts";
 
 /** Why a call to a peer failed. */
@@ -196,13 +196,13 @@
   /** Tells an agent that watches the store if the reporting one can't. */
   reportWatch(report: WatchReport): Promise<null>;
   /** Keeps the departures of a host's targets for its next process. */
-  noteDepartures(note: {
+  storeDepartures(note: {
     readonly host: string;
-    readonly departures: readonly NotedDeparture[];
+    readonly departures: readonly RecordedDeparture[];
   }): Promise<null>;
   /** The departures that the called agent keeps for a host. */
   departuresOf(question: { readonly host: string }): Promise<
-    readonly NotedDeparture[]
+    readonly RecordedDeparture[]
   >;
   /** Applied revisions of the agents at these addresses; null for all. */
   census(question: {
--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -7,7 +7,7 @@
  */
 import type { Result } from "true-myth";
 import type { Agent } from "../core/agent.ts";
-import type { NotedDeparture } from "../core/target/departures.ts";
+import type { RecordedDeparture } from "../core/target/departures.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
 import type { StoreFault, Versioned } from "./store.ts";
 
@@ -49,10 +49,10 @@
 /** What agents have acknowledged of targets that leave, by host. */
 export interface TargetDepartures {
   /** Empty if nothing was written for the host. */
-  read(host: string): Promise<Result<readonly NotedDeparture[], StoreFault>>;
+  read(host: string): Promise<Result<readonly RecordedDeparture[], StoreFault>>;
   /** Writes the host's departures in place of the earlier ones. */
   put(
     host: string,
-    departures: readonly NotedDeparture[],
+    departures: readonly RecordedDeparture[],
   ): Promise<Result<null, StoreFault>>;
 }
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -325,7 +325,7 @@
     events,
     hash: hashText,
     times: departuresTimes,
-    onLearnt: registration.learnDepartures,
+    onLoaded: registration.loadDepartures,
   });
 
   function updateTargetState(serving: boolean): void {
--- a/source/tasks/departures_task.ts
+++ b/source/tasks/departures_task.ts
@@ -1,14 +1,14 @@
 /**
  * The task that keeps what this process acknowledges of leaving targets where
  * the agent's next process finds it, in the store and at a few other agents,
- * and that learns there what a former process has acknowledged.
+ * and that loads from there what a former process has acknowledged.
  *
  * @module
  */
 import type { Agent } from "../core/agent.ts";
 import type { KeyHash } from "../core/ownership/table.ts";
 import {
-  type NotedDeparture,
+  type RecordedDeparture,
   sameDepartures,
   witnessesOf,
 } from "../core/target/departures.ts";
@@ -30,13 +30,13 @@
 /** The running task. */
 export interface DeparturesTask {
   /** Resolves to whether anyone but this process keeps these departures. */
-  keep(departures: readonly NotedDeparture[]): Promise<boolean>;
+  keep(departures: readonly RecordedDeparture[]): Promise<boolean>;
   /** Must be called when the store has the entry of this agent. */
   handleRegistered(written: MemberWritten): void;
   stop(): void;
 }
 
-/** Starts the task, and learns what a former process has acknowledged. */
+/** Starts the task, and loads what a former process has acknowledged. */
 export function startDepartures(options: {
   readonly agent: Agent;
   readonly agents: () => readonly Agent[];
@@ -47,14 +47,14 @@
   readonly times: DeparturesTimes;
   /**
    * Called with what former processes of this agent have acknowledged, as soon
-   * as someone has answered for all of them, and with what is learnt later.
+   * as the store or another agent has answered, and again with later answers.
    */
-  readonly onLearnt: (departures: readonly NotedDeparture[]) => void;
+  readonly onLoaded: (departures: readonly RecordedDeparture[]) => void;
 }): DeparturesTask {
   const { store, peers, events, times } = options;
   const { host } = options.agent;
   const stopped = new AbortController();
-  let latest: readonly NotedDeparture[] = [];
+  let latest: readonly RecordedDeparture[] = [];
   let keeping: Promise<boolean> | null = null;
   let handleRegistered: (written: MemberWritten) => void = () => undefined;
   const registered = new Promise<MemberWritten>((resolve) => {
@@ -65,29 +65,29 @@
     return witnessesOf(options.agent, options.agents(), options.hash);
   }
 
-  async function storeDepartures(
-    departures: readonly NotedDeparture[],
+  async function writeDepartures(
+    departures: readonly RecordedDeparture[],
   ): Promise<boolean> {
     return (await store.put(host, departures)).isOk;
   }
 
-  async function tellWitness(
+  async function sendToWitness(
     { peerAddress }: Agent,
-    departures: readonly NotedDeparture[],
+    departures: readonly RecordedDeparture[],
   ): Promise<boolean> {
-    const told = await peers.call(peerAddress, "noteDepartures", {
+    const stored = await peers.call(peerAddress, "storeDepartures", {
       message: { host, departures },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    return told.isOk;
+    return stored.isOk;
   }
 
   async function startKeeping(
-    departures: readonly NotedDeparture[],
+    departures: readonly RecordedDeparture[],
   ): Promise<boolean> {
     const kept = await anyHolds([
-      storeDepartures(departures),
-      ...witnesses().map((agent) => tellWitness(agent, departures)),
+      writeDepartures(departures),
+      ...witnesses().map((agent) => sendToWitness(agent, departures)),
     ]);
     if (!kept) {
       events.record("departures-not-kept", { departures: latest.length });
@@ -95,7 +95,9 @@
     return kept;
   }
 
-  async function keep(departures: readonly NotedDeparture[]): Promise<boolean> {
+  async function keep(
+    departures: readonly RecordedDeparture[],
+  ): Promise<boolean> {
     if (keeping === null || !sameDepartures(departures, latest)) {
       latest = departures;
       const started = startKeeping(departures);
@@ -110,7 +112,7 @@
   }
 
   /** Null if the store has not answered in time. */
-  async function readStored(): Promise<readonly NotedDeparture[] | null> {
+  async function readStored(): Promise<readonly RecordedDeparture[] | null> {
     const read = await Promise.race([
       store.read(host),
       pause(times.storeWaitMilliseconds).then(() => null),
@@ -119,7 +121,7 @@
   }
 
   /** Null if no other agent has answered. */
-  async function askWitnesses(): Promise<readonly NotedDeparture[] | null> {
+  async function askWitnesses(): Promise<readonly RecordedDeparture[] | null> {
     const answers = await Promise.all(
       witnesses().map(({ peerAddress }) =>
         peers.call(peerAddress, "departuresOf", {
@@ -128,28 +130,31 @@
         })
       ),
     );
-    const told = answers.flatMap((answer) => answer.isOk ? [answer.value] : []);
-    return told.length === 0 ? null : told.flat();
+    const held = answers.flatMap((answer) => answer.isOk ? [answer.value] : []);
+    return held.length === 0 ? null : held.flat();
   }
 
   /** Goes on until the store has answered: it may know more than others. */
-  async function learn(): Promise<void> {
+  async function load(): Promise<void> {
     const written = await Promise.race([
       registered,
       pause(times.storeWaitMilliseconds, stopped.signal).then(() => null),
     ]);
-    if (written?.replaced === false) return options.onLearnt([]);
+    if (written?.replaced === false) return options.onLoaded([]);
     while (!stopped.signal.aborted) {
-      const [stored, told] = await Promise.all([readStored(), askWitnesses()]);
-      if (stored !== null || told !== null) {
-        options.onLearnt([...stored ?? [], ...told ?? []]);
+      const [stored, witnessed] = await Promise.all([
+        readStored(),
+        askWitnesses(),
+      ]);
+      if (stored !== null || witnessed !== null) {
+        options.onLoaded([...stored ?? [], ...witnessed ?? []]);
       }
       if (stored !== null) return;
       await pause(times.retryMilliseconds, stopped.signal);
     }
   }
 
-  void learn();
+  void load();
 
   return {
     keep,
--- a/source/tasks/departures_task_test.ts
+++ b/source/tasks/departures_task_test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { Result } from "true-myth";
 import { hashText } from "../adapters/hashing.ts";
-import type { NotedDeparture } from "../core/target/departures.ts";
+import type { RecordedDeparture } from "../core/target/departures.ts";
 import type { TargetReport } from "../core/target/registration.ts";
 import type { Peers } from "../ports/peers.ts";
 import { testAgent } from "../../tests/test_agent.ts";
@@ -30,8 +30,8 @@
 
 /** What outlives a process of the agent, and how it can fail. */
 function startSurroundings() {
-  let stored: readonly NotedDeparture[] | null = null;
-  let witnessed: readonly NotedDeparture[] = [];
+  let stored: readonly RecordedDeparture[] | null = null;
+  let witnessed: readonly RecordedDeparture[] = [];
   const down = new Set<"store" | "other agents">();
   const refused = { kind: "refused", detail: "down" } as const;
   let writes = 0;
@@ -42,9 +42,9 @@
           Result.err({ kind: "unreachable", detail: "down" }),
         );
       }
-      if (method === "noteDepartures") {
+      if (method === "storeDepartures") {
         ({ departures: witnessed } = message as {
-          readonly departures: readonly NotedDeparture[];
+          readonly departures: readonly RecordedDeparture[];
         });
       }
       const answer = method === "departuresOf" ? witnessed : null;
@@ -57,7 +57,7 @@
       Promise.resolve(
         down.has("store") ? Result.err(refused) : Result.ok(stored ?? []),
       ),
-    put(_host: string, departures: readonly NotedDeparture[]) {
+    put(_host: string, departures: readonly RecordedDeparture[]) {
       if (down.has("store")) return Promise.resolve(Result.err(refused));
       writes += 1;
       stored = departures;
@@ -77,7 +77,7 @@
     events,
     onServing: () => undefined,
     onReplaced: () => undefined,
-    keepDepartures: (noted) => departures.keep(noted),
+    keepDepartures: (acknowledged) => departures.keep(acknowledged),
   });
   const departures = startDepartures({
     agent,
@@ -92,7 +92,7 @@
       callTimeoutMilliseconds: 400,
       retryMilliseconds: 400,
     },
-    onLearnt: registration.learnDepartures,
+    onLoaded: registration.loadDepartures,
   });
   if (!down.has("store")) departures.handleRegistered({ replaced });
   return {
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -86,7 +86,7 @@
       options.reportWatch(report);
       return Promise.resolve(null);
     },
-    noteDepartures({ host, departures }) {
+    storeDepartures({ host, departures }) {
       witnessed = witness(witnessed, host, departures);
       return Promise.resolve(null);
     },
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { NotedDeparture } from "../core/target/departures.ts";
+import type { RecordedDeparture } from "../core/target/departures.ts";
 import {
   acknowledgedDepartures,
   createRegistration,
@@ -48,7 +48,7 @@
    * Must be called with what former processes of this agent have acknowledged.
    * Until then no report is believed: it may have been sent before.
    */
-  learnDepartures(departures: readonly NotedDeparture[]): void;
+  loadDepartures(departures: readonly RecordedDeparture[]): void;
   /**
    * Resolves to whether what has been said of leaving targets is kept for the
    * next process of this agent, so that it may be acknowledged.
@@ -74,7 +74,7 @@
   readonly onReplaced: () => void;
   /** Resolves to whether anyone but this process keeps these departures. */
   readonly keepDepartures: (
-    departures: readonly NotedDeparture[],
+    departures: readonly RecordedDeparture[],
   ) => Promise<boolean>;
 }): RegistrationTask {
   const { events } = options;
@@ -165,7 +165,7 @@
       return keyed && servesItsKeysOn();
     },
     isTargetAlive: () => isAlive(state, monotonicNow()),
-    learnDepartures(departures) {
+    loadDepartures(departures) {
       for (const { id, startedBy } of departures) {
         mailbox.send({
           kind: "left",
@@ -175,7 +175,7 @@
         });
       }
       if (departures.length > 0) {
-        events.record("departures-learnt", {
+        events.record("departures-loaded", {
           targets: departures.map(({ id }) => id).join(),
         });
       }
--- a/source/tasks/watch_reports.ts
+++ b/source/tasks/watch_reports.ts
@@ -1,5 +1,5 @@
 /**
- * The task by which agents that watch the store, or may have to, tell their
+ * The task by which agents that watch the store, or may have to, report to their
  * deputies whether they reach it. An agent that reports nothing may be frozen,
  * slow or cut off, so it counts as one that doesn't.
  *
