Tests: a file that doesn't end fails the run within ten minutes

Change: each file has ten minutes, then it is ended and fails by name; the run ends even if processes that such a file started hold its output open. Tried with a file that never ends and leaves a process behind, its limit at 3 s: exit 1 after 3.7 s, the file named. Before, without a limit: no end.

--- a/tests/run.ts
+++ b/tests/run.ts
@@ -19,6 +19,8 @@
 const maxConcurrentFiles = 4;
 /** One session of real processes already uses all processors. */
 const maxConcurrentSessions = 1;
+/** A file that runs for longer is ended, and fails. */
+const maxFileMilliseconds = 600_000;
 const sessionFolder = join("tests", "sessions");
 
 function testFiles(folder: string): readonly string[] {
@@ -51,7 +53,11 @@
   concurrency: number,
 ): Promise<void> {
   if (files.length === 0) return;
-  const results = run({ files: [...files], concurrency });
+  const results = run({
+    files: [...files],
+    concurrency,
+    timeout: maxFileMilliseconds,
+  });
   results.on("test:start", ({ file = "", name, nesting }) => {
     const outer = (paths.get(file) ?? []).slice(0, nesting);
     paths.set(file, [...outer, name]);
@@ -82,6 +88,8 @@
   maxConcurrentFiles,
 );
 await runFiles(sessions, maxConcurrentSessions);
+// What a file that was ended has started may hold its output open.
+process.exit();
 
 function failureType(error: unknown): string {
   return typeof error === "object" && error !== null && "failureType" in error
