A handover that is too long to pass on is dropped, not refused with its renewal

Cause: what a target hands over with its keys is text of any length; agents accepted 200 characters of it in each other's messages, and key reports 1,024. A longer one had its holder's renewals refused, so that its lease ended. Change: one bound for both, 1,024 characters; a longer text is dropped with a log line (target-handover-dropped), and the next holder starts cold. Test: key_grants_task_test; with the former bound of 200 it fails (a renewal that carries 1,024 characters isn't accepted).

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -15,10 +15,11 @@
 } from "../core/document/document.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
 import type { Handover } from "../core/ownership/handover_message.ts";
-import type {
-  Renewal,
-  RenewalAnswer,
-  TakeoverAnswer,
+import {
+  maxHandoverCharacters,
+  type Renewal,
+  type RenewalAnswer,
+  type TakeoverAnswer,
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type { RecordedDeparture } from "../core/target/departures.ts";
@@ -39,7 +40,7 @@
 const nonNegative = z.number().min(0);
 
 const token = z.strictObject({ epoch: count, sequence: count });
-const handover = z.string().max(200).optional();
+const handover = z.string().max(maxHandoverCharacters).optional();
 const grant = z.strictObject({ slice: count, token, handover });
 const grants = z.array(grant).max(100_000);
 
--- a/source/core/ownership/renewal.ts
+++ b/source/core/ownership/renewal.ts
@@ -7,6 +7,9 @@
 import type { OwnershipTable } from "./table.ts";
 import type { FencingToken } from "./token.ts";
 
+/** Longest text that a target may hand over with a slice, in characters. */
+export const maxHandoverCharacters = 1_024;
+
 /** The right to serve one slice, under a fencing token. */
 export interface Grant {
   readonly slice: number;
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -66,6 +66,7 @@
   | "target-heartbeat-refused"
   | "target-grant-failed"
   | "target-release-failed"
+  | "target-handover-dropped"
   | "settings-reloaded"
   | "settings-refused"
   | "desired-state-refused"
--- a/source/tasks/key_grants_task.ts
+++ b/source/tasks/key_grants_task.ts
@@ -18,7 +18,10 @@
   rangesOfGrant,
 } from "../core/ownership/key_ranges.ts";
 import { type FirstGrants, renumber } from "../core/ownership/renumbering.ts";
-import type { Grant } from "../core/ownership/renewal.ts";
+import {
+  type Grant,
+  maxHandoverCharacters,
+} from "../core/ownership/renewal.ts";
 import type { IsolatedKey, OwnershipTable } from "../core/ownership/table.ts";
 import {
   createHold,
@@ -290,7 +293,7 @@
     let handover: string | undefined;
     for (const range of ranges) {
       const result = await releaseRange(range, () => [holdOf(grant)]);
-      handover ??= result ?? undefined;
+      handover ??= transferableHandover(result, range);
     }
     const next = new Map(holds);
     next.delete(grant.slice);
@@ -298,6 +301,20 @@
     return { handover };
   }
 
+  /** No renewal may carry a longer one; without it the keys start cold. */
+  function transferableHandover(
+    handover: string | null,
+    range: KeyRange,
+  ): string | undefined {
+    if (handover === null) return undefined;
+    if (handover.length <= maxHandoverCharacters) return handover;
+    events.record("target-handover-dropped", {
+      keys: `${range.first}-${range.last}`,
+      characters: handover.length,
+    });
+    return undefined;
+  }
+
   function pendingOrdersFor(slice: number): readonly Promise<unknown>[] {
     return [...pendingOrders]
       .filter(([, { range, division }]) =>
