Where there are few slices for each server, stripes are shorter

Cause: adjacent slices are first assigned in stripes of four. With 512 slices for 109 servers some got two stripes, eight slices, and most one; and the busy keys, which are close to one another, went to one server by the stripe. So some servers were full while others idled, until slices had been moved. Change: a stripe is at most a quarter of the slices that each server gets: one slice on 109 servers, four on 32 and fewer, as before. Test: fleet_start_test; before, the most slices of a server were eight where five would do (fails).

--- a/source/core/ownership/fleet_start_test.ts
+++ b/source/core/ownership/fleet_start_test.ts
@@ -26,11 +26,12 @@
 const delayMilliseconds = 1_500;
 const tickMilliseconds = 100;
 
-function createState(): GrantorState {
+function createState(slicesPerStripe: number): GrantorState {
   return createGrantor(testTakeover({
     settings: {
       ...testGrantorSettings,
       hashedSlices,
+      slicesPerStripe,
       initialAssignmentDelayMilliseconds: delayMilliseconds,
     },
   }));
@@ -56,8 +57,9 @@
   readonly joinTimes: readonly number[];
   readonly runningServers: number;
   readonly milliseconds: number;
+  readonly slicesPerStripe?: number;
 }): Started {
-  let state = createState();
+  let state = createState(options.slicesPerStripe ?? 1);
   let writes = 0;
   let assignedAt = Infinity;
   const grantsOf = new Map<string, number>();
@@ -124,6 +126,37 @@
     });
   });
 
+  // Guards against servers that are full from the first second on (SHORT): with
+  // stripes of four, some of 109 servers got eight slices and others four.
+  describe("whose slices are assigned in stripes", () => {
+    it("gives many servers about as many slices each", () => {
+      const { grantsOf } = runStart({
+        joinTimes: spreadOver(1_000),
+        runningServers: servers,
+        milliseconds: 2_000,
+        slicesPerStripe: 4,
+      });
+      assert.equal(grantsOf.size, servers);
+      const mean = hashedSlices / servers;
+      assert.ok(Math.max(...grantsOf.values()) <= Math.ceil(mean));
+    });
+
+    it("gives a few servers whole stripes", () => {
+      const { state } = runStart({
+        joinTimes: [0, 0, 0, 0, 0, 0],
+        runningServers: 6,
+        milliseconds: 2_000,
+        slicesPerStripe: 4,
+      });
+      const owners = state.slices.map((slice) =>
+        slice.kind === "held" ? slice.owner : null
+      );
+      owners.forEach((owner, index) =>
+        assert.equal(owner, owners[index - index % 4])
+      );
+    });
+  });
+
   describe("of which some servers never join", () => {
     it("has its slices assigned after twice the delay", () => {
       const { assignedAt } = runStart({
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -36,6 +36,9 @@
 import { compareTokens, noToken } from "./token.ts";
 import { freeUnreportedSlices, isUnreported } from "./unreported_slices.ts";
 
+/** Fewer stripes than this for each server would divide the keys unevenly. */
+const minStripesPerServer = 4;
+
 /** Applies one event to a grantor's state. */
 export function stepGrantor(
   state: GrantorState,
@@ -452,13 +455,25 @@
   index: number,
   receivers: ReadonlySet<AgentId>,
 ): AgentId | null {
-  const { slicesPerStripe, hashedSlices } = state.settings;
-  if (index % slicesPerStripe === 0 || index >= hashedSlices) return null;
+  if (index >= state.settings.hashedSlices) return null;
+  if (index % stripeLength(state) === 0) return null;
   const before = state.slices[index - 1];
   if (before?.kind !== "held" || !receivers.has(before.owner)) return null;
   return before.owner;
 }
 
+/**
+ * Adjacent slices that are assigned to one server. Where there are few slices
+ * for each server, long stripes would give some servers twice as many as others
+ * and all the keys of a busy range to one.
+ */
+function stripeLength(state: GrantorState): number {
+  const { slicesPerStripe, hashedSlices } = state.settings;
+  const slicesPerServer = hashedSlices / Math.max(1, state.holders.size);
+  const longest = Math.floor(slicesPerServer / minStripesPerServer);
+  return Math.max(1, Math.min(slicesPerStripe, longest));
+}
+
 function handleStoreConfirmation(
   state: GrantorState,
   askedAt: Clocks,
