--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -80,7 +80,7 @@
   readonly credits: readonly number[];
   /** Mean time in the target for each rank; 0 until measured. */
   readonly serviceMilliseconds: readonly number[];
-  /** Mean time in the target of requests with a key; 0 until measured. */
+  /** Mean time in the target of requests with a key; a default at first. */
   readonly keyedMilliseconds: number;
   /** Mean time in the target for each kind of work. */
   readonly serviceTimes: ServiceTimes;
@@ -154,6 +154,13 @@
 /** The most starts that a rank may be owed, so that they don't pile up. */
 const maxCredit = 2;
 
+/**
+ * The mean time in the target of requests with a key that the first of them
+ * adds to. A mean of that one alone could make the target seem ten times as fast
+ * as it is.
+ */
+const defaultServiceMilliseconds = 100;
+
 /** The state of admission for a target that has run nothing yet. */
 export function createAdmission(settings: AdmissionSettings): AdmissionState {
   return {
@@ -163,7 +170,7 @@
     waiting: settings.ranks.map(() => []),
     credits: settings.ranks.map(() => 0),
     serviceMilliseconds: settings.ranks.map(() => 0),
-    keyedMilliseconds: 0,
+    keyedMilliseconds: defaultServiceMilliseconds,
     serviceTimes: new Map(),
     offered: noOfferedWork,
     measuredAt: 0,
@@ -206,19 +213,12 @@
   return state.waiting.reduce((sum, queue) => sum + queue.length, 0);
 }
 
-/** The assumed service time while no request with a key has been measured. */
-const defaultServiceMilliseconds = 100;
-
 /**
  * Requests with a key per second that the target runs when all its slots are in
  * use. Other requests, such as a few short ones, don't tell how long those take.
  */
 export function throughput(state: AdmissionState): number {
-  const { keyedMilliseconds } = state;
-  const mean = keyedMilliseconds > 0
-    ? keyedMilliseconds
-    : defaultServiceMilliseconds;
-  return state.settings.slots * 1_000 / mean;
+  return state.settings.slots * 1_000 / state.keyedMilliseconds;
 }
 
 function arrive(
