Read allowed regions, cold starts and their bounds from the desired state and settings

The desired state states, per route, the regions whose targets may run a request, and per service how many requests a target tolerates after its start. Heartbeats state how much longer the target is cold. Nothing read them.

--- a/benches/ranks_bench.ts
+++ b/benches/ranks_bench.ts
@@ -52,6 +52,7 @@
     longestDeadlineMilliseconds: 2_000,
     queueLength,
     longestBodyBytes: 1_000_000,
+    coldStart: null,
   }],
 };
 
--- a/source/adapters/document/yaml_document.ts
+++ b/source/adapters/document/yaml_document.ts
@@ -269,6 +269,7 @@
       longestDeadlineMilliseconds: section.longest_deadline,
       queueLength: section.queue_length,
       longestBodyBytes: section.longest_body,
+      coldStart: null,
     },
   };
 }
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -11,6 +11,7 @@
 import type {
   Acceptance,
   AcceptedSection,
+  ColdStart,
   SectionContent,
 } from "../core/document/document.ts";
 import type { Delegation } from "../core/ownership/delegation.ts";
@@ -62,6 +63,11 @@
 /** The store's record of an agent, as the agent describes itself. */
 export const member = agent;
 
+const coldStart: z.ZodType<ColdStart | null> = z.strictObject({
+  durationMilliseconds: nonNegative,
+  maxRequestsPerSecond: z.number().positive(),
+}).nullable().default(null);
+
 const content: z.ZodType<SectionContent> = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ranks"),
@@ -85,6 +91,7 @@
       longestDeadlineMilliseconds: nonNegative,
       queueLength: count,
       longestBodyBytes: nonNegative,
+      coldStart,
     }),
   }),
 ]);
@@ -112,8 +119,13 @@
     destinations: z.array(
       z.strictObject({ service: z.string(), weight: z.number().min(0) }),
     ),
+    allowedRegions: z.array(z.string()).default([]),
+  })),
+  services: z.array(z.strictObject({
+    name: z.string(),
+    keyed: z.boolean(),
+    coldStart,
   })),
-  services: z.array(z.strictObject({ name: z.string(), keyed: z.boolean() })),
   limits: z.strictObject({
     headerBytes: count,
     bodyBytes: count,
--- a/source/core/document/document.ts
+++ b/source/core/document/document.ts
@@ -52,6 +52,15 @@
   readonly longestDeadlineMilliseconds: number;
   readonly queueLength: number;
   readonly longestBodyBytes: number;
+  /** What its targets take shortly after their start; null for no bound. */
+  readonly coldStart: ColdStart | null;
+}
+
+/** The load that a target tolerates while it is cold. */
+export interface ColdStart {
+  /** How long a target is cold after its start. */
+  readonly durationMilliseconds: number;
+  readonly maxRequestsPerSecond: number;
 }
 
 /** The content of a section. */
--- a/source/core/routes/desired_state.ts
+++ b/source/core/routes/desired_state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type ColdStart,
   type Configuration,
   emptyConfiguration,
   type KeyPolicy,
@@ -18,6 +19,8 @@
   readonly name: string;
   /** Whether its requests have keys, which are divided among its targets. */
   readonly keyed: boolean;
+  /** What its targets take shortly after their start; null for no bound. */
+  readonly coldStart: ColdStart | null;
 }
 
 /** The configuration that operators want in force, at one version. */
@@ -111,5 +114,6 @@
       : Math.max(...timeouts),
     queueLength: policy.queueLength,
     longestBodyBytes: desired.limits.bodyBytes,
+    coldStart: service.coldStart,
   };
 }
--- a/source/core/routes/routes.ts
+++ b/source/core/routes/routes.ts
@@ -29,6 +29,8 @@
   /** How many targets one request may be sent to. */
   readonly maxAttempts: number;
   readonly destinations: readonly RouteDestination[];
+  /** The regions whose targets may run its requests; empty for all. */
+  readonly allowedRegions: readonly string[];
 }
 
 /** The maximum size and time of what a caller sends. */
--- a/source/core/target/registration.ts
+++ b/source/core/target/registration.ts
@@ -23,6 +23,8 @@
   readonly phase: "serving" | "leaving";
   readonly service: string;
   readonly slots: number;
+  /** How much longer the target is cold, as of this report. */
+  readonly coldMilliseconds: number;
 }
 
 /**
--- a/source/core/target/registration_test.ts
+++ b/source/core/target/registration_test.ts
@@ -20,6 +20,7 @@
   phase: "serving",
   service,
   slots: 12,
+  coldMilliseconds: 0,
 };
 
 function after(
--- a/source/tasks/departures_task_test.ts
+++ b/source/tasks/departures_task_test.ts
@@ -26,6 +26,7 @@
   phase: "serving",
   service: "booking",
   slots: 6,
+  coldMilliseconds: 0,
 };
 
 /** What outlives a process of the agent, and how it can fail. */
--- a/source/tasks/redirect_test.ts
+++ b/source/tasks/redirect_test.ts
@@ -45,6 +45,7 @@
         defaultRank: "",
         longestDeadlineMilliseconds: 1_000,
         longestBodyBytes: 1_000,
+        coldStart: null,
       }],
     }),
     localTable: () => oldTable,
--- a/tests/inputs_test.ts
+++ b/tests/inputs_test.ts
@@ -46,6 +46,7 @@
     longestDeadlineMilliseconds: 1_000,
     queueLength: 8,
     longestBodyBytes: 1_000,
+    coldStart: null,
   }],
 };
 
--- a/tests/test_configuration.ts
+++ b/tests/test_configuration.ts
@@ -38,6 +38,7 @@
       longestDeadlineMilliseconds,
       queueLength: 10,
       longestBodyBytes,
+      coldStart: null,
     }],
   };
 }
