Give a cold target no more requests than its rate allows

A target that has just started takes few requests a second and crashes well above that.

The agent beside the target, through which all requests pass, starts at most coldPerS requests a second while the target is cold, evenly spaced. What can't start in time is refused at once with the time of a free start; a request answered with 421, or not sent, gives its start back. Other agents are told the slots and the weight that the rate allows. A target that has refused a connection or missed two heartbeats counts as cold until it reports again. Without the column or the bounds nothing changes.

Measured without a network (cold_start_test.ts): of 60 requests a second for a target that takes 9.8, at most 11 start in any second, at least 95 in 100 of the allowed ones do, and at most 2 in 100 refusals come after a wait of more than 0.1 s.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -11,6 +11,15 @@
  * @module
  */
 import type { FailureReason } from "../request/outcome.ts";
+import {
+  changeColdRate,
+  type ColdStarts,
+  isStartFree,
+  returnStart,
+  startDelay,
+  takeStart,
+  usableSlots,
+} from "./cold_start.ts";
 import { maxLateWait, nextToStart, retryDelay } from "./objective_first.ts";
 import {
   addOfferedWork,
@@ -82,8 +91,12 @@
   readonly serviceMilliseconds: readonly number[];
   /** Mean time in the target of requests with a key; a default at first. */
   readonly keyedMilliseconds: number;
+  /** Mean time in the target of all requests; a default at first. */
+  readonly meanMilliseconds: number;
   /** Mean time in the target for each kind of work. */
   readonly serviceTimes: ServiceTimes;
+  /** The starts of a cold target; null for one that isn't cold. */
+  readonly coldStarts: ColdStarts | null;
   /** The recent offered load, whether refused or not. */
   readonly offered: OfferedWork;
   /** When a request last ended in the target. */
@@ -95,6 +108,8 @@
 export type FinishKind =
   | "answered"
   | "refused"
+  /** Refused by the target as not meant for it, which it doesn't count. */
+  | "misdirected"
   | "failed"
   /** It was not sent to the target. */
   | "unused";
@@ -123,6 +138,12 @@
   | { readonly kind: "withdrawn"; readonly id: number; readonly now: number }
   | { readonly kind: "tick"; readonly now: number }
   | { readonly kind: "settings"; readonly settings: AdmissionSettings }
+  /** The target became cold, or warm again: then the rate is null. */
+  | {
+    readonly kind: "coldRate";
+    readonly requestsPerSecond: number | null;
+    readonly now: number;
+  }
   /** The target is leaving: all waiting requests are refused. */
   | { readonly kind: "refuseWaiting" }
   /** The agent ends: all waiting and all further requests are refused. */
@@ -171,7 +192,9 @@
     credits: settings.ranks.map(() => 0),
     serviceMilliseconds: settings.ranks.map(() => 0),
     keyedMilliseconds: defaultServiceMilliseconds,
+    meanMilliseconds: defaultServiceMilliseconds,
     serviceTimes: new Map(),
+    coldStarts: null,
     offered: noOfferedWork,
     measuredAt: 0,
     closed: false,
@@ -201,6 +224,8 @@
       return startQueued(refuseOverdue(state, event.now), event.now);
     case "settings":
       return { state: applySettings(state, event.settings), effects: [] };
+    case "coldRate":
+      return applyColdRate(state, event);
     case "refuseWaiting":
       return refuseWaiting(state);
     case "close":
@@ -215,10 +240,26 @@
 
 /**
  * Requests with a key per second that the target runs when all its slots are in
- * use. Other requests, such as a few short ones, don't tell how long those take.
+ * use, or as many as a cold one is given. Other requests, such as a few short
+ * ones, don't tell how long those take.
  */
 export function throughput(state: AdmissionState): number {
-  return state.settings.slots * 1_000 / state.keyedMilliseconds;
+  return Math.min(
+    state.settings.slots * 1_000 / state.keyedMilliseconds,
+    state.coldStarts?.requestsPerSecond ?? Infinity,
+  );
+}
+
+/** Milliseconds until a cold target may be given its next request. */
+export function nextStartDelay(state: AdmissionState, now: number): number {
+  const { coldStarts } = state;
+  return coldStarts === null ? 0 : startDelay(coldStarts, { ahead: 0, now });
+}
+
+/** Whether requests wait for a start of a cold target, not for a slot. */
+export function waitsForColdStart(state: AdmissionState, now: number): boolean {
+  return state.running.size < Math.floor(state.limit) &&
+    countWaiting(state) > 0 && !isStartFree(state.coldStarts, now);
 }
 
 function arrive(
@@ -247,7 +288,7 @@
     rank,
     insertByDeadline(state.waiting[rank] ?? [], entry),
   );
-  const evicted = evictOverflow(queued);
+  const evicted = evictOverflow(queued, event.now);
   return startQueued(evicted, event.now);
 }
 
@@ -294,14 +335,20 @@
     waitMilliseconds,
     serviceMilliseconds,
     maxLateWaitMilliseconds: state.settings.maxLateWaitMilliseconds ?? Infinity,
-    utilization: offeredUtilization(state.offered, {
-      slots: state.settings.slots,
-      now,
-    }),
+    utilization: utilizationOf(state, now),
   });
   return delay === null ? null : refusal("queue-full", delay);
 }
 
+/** Offered load over what the target can run. */
+function utilizationOf(state: AdmissionState, now: number): number {
+  const slots = usableSlots(state.coldStarts, {
+    slots: state.settings.slots,
+    milliseconds: state.meanMilliseconds,
+  });
+  return offeredUtilization(state.offered, { slots, now });
+}
+
 /**
  * Whether a request needs a slot for so short a time, compared with what runs,
  * that refusing it saves nothing: it may wait until its deadline.
@@ -310,6 +357,8 @@
   state: AdmissionState,
   { rank, work = null }: AdmissionEvent & { readonly kind: "arrived" },
 ): boolean {
+  // A short request uses as much of a cold target's rate as a long one.
+  if (state.coldStarts !== null) return false;
   const running = [...state.running.values()];
   if (running.length === 0) return false;
   const sum = running.reduce(
@@ -346,14 +395,41 @@
   return !running.some((other) => work === null || other.work === work);
 }
 
+/** A request, by what decides how long it waits. */
+interface QueuedRequest {
+  readonly rank: number;
+  readonly deadlineAt: number;
+  readonly now: number;
+}
+
+/** The time until an arriving request can start. */
+function expectedWait(state: AdmissionState, event: QueuedRequest): number {
+  return Math.max(
+    expectedSlotWait(state, event),
+    expectedStartWait(state, event),
+  );
+}
+
 /**
- * The time until a slot is free for an arriving request: that of the work ahead
- * of it, lengthened by the starts that go to the shares of other ranks.
+ * The time until a cold target may be given an arriving request. All waiting
+ * requests of its rank count, also those with a later deadline: starts are too
+ * few for it to go ahead of them without making them late.
  */
-function expectedWait(
+function expectedStartWait(
   state: AdmissionState,
-  event: { readonly rank: number; readonly deadlineAt: number },
+  { rank, now }: QueuedRequest,
 ): number {
+  if (state.coldStarts === null) return 0;
+  const waiting = state.waiting.slice(0, rank + 1).flat().length;
+  const ahead = waiting / availableShare(state, rank);
+  return startDelay(state.coldStarts, { ahead, now });
+}
+
+/**
+ * The time until a slot is free for an arriving request: that of the work ahead
+ * of it, lengthened by the starts that go to the shares of other ranks.
+ */
+function expectedSlotWait(state: AdmissionState, event: QueuedRequest): number {
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
   // The first in a queue waits for one of the running requests to end.
@@ -407,7 +483,10 @@
  * Refuses a request when the queue is full: the last one of the least urgent
  * rank that has more waiting than its share of the queue.
  */
-function evictOverflow(state: AdmissionState): AdmissionTransition {
+function evictOverflow(
+  state: AdmissionState,
+  now: number,
+): AdmissionTransition {
   if (countWaiting(state) <= state.settings.queueLength) {
     return { state, effects: [] };
   }
@@ -416,7 +495,17 @@
   const last = queue[queue.length - 1];
   if (last === undefined) return { state, effects: [] };
   const next = withQueue(state, rank, queue.slice(0, -1));
-  return refuse(next, last.id, refusal("queue-full"));
+  return refuse(
+    next,
+    last.id,
+    refusal("queue-full", coldRetryDelay(next, now)),
+  );
+}
+
+/** When a cold target has a start that no waiting request will use. */
+function coldRetryDelay(state: AdmissionState, now: number): number | null {
+  if (state.coldStarts === null) return null;
+  return startDelay(state.coldStarts, { ahead: countWaiting(state), now });
 }
 
 function rankToEvict(state: AdmissionState): number {
@@ -455,10 +544,9 @@
   now: number,
 ): AdmissionTransition {
   const effects: AdmissionEffect[] = [];
-  const { slots, maxLateWaitMilliseconds = Infinity } = state.settings;
-  const utilization = offeredUtilization(state.offered, { slots, now });
+  const { maxLateWaitMilliseconds = Infinity } = state.settings;
   const maxLateMilliseconds = maxLateWait({
-    utilization,
+    utilization: utilizationOf(state, now),
     maxLateWaitMilliseconds,
   });
   const waiting = state.waiting.map((queue, rank) => {
@@ -474,7 +562,8 @@
     if (overdue.length === 0) return queue;
     for (const { entry, reason } of overdue) {
       if (reason === null) continue;
-      effects.push({ kind: "refuse", id: entry.id, ...refusal(reason) });
+      const refused = refusal(reason, coldRetryDelay(state, now));
+      effects.push({ kind: "refuse", id: entry.id, ...refused });
     }
     return evaluated.flatMap(({ entry, reason }) =>
       reason === null ? entry : []
@@ -490,7 +579,10 @@
 ): AdmissionTransition {
   let { state } = before;
   const effects = [...before.effects];
-  while (state.running.size < Math.floor(state.limit)) {
+  while (
+    state.running.size < Math.floor(state.limit) &&
+    isStartFree(state.coldStarts, now)
+  ) {
     const rank = nextRank(state);
     if (rank === null) break;
     const queue = state.waiting[rank] ?? [];
@@ -553,7 +645,10 @@
     const share = state.settings.ranks[rank]?.share ?? 0;
     return Math.min(maxCredit, credit + share / (1 - share));
   });
-  return { ...state, running, credits };
+  const coldStarts = state.coldStarts === null
+    ? null
+    : takeStart(state.coldStarts, entry.now);
+  return { ...state, running, credits, coldStarts };
 }
 
 function finish(
@@ -564,8 +659,12 @@
   if (ended === undefined) return { state, effects: [] };
   const running = new Map(state.running);
   running.delete(event.id);
+  const uncounted = event.finish === "unused" || event.finish === "misdirected";
+  const coldStarts = state.coldStarts !== null && uncounted
+    ? returnStart(state.coldStarts, ended)
+    : state.coldStarts;
   const updated = updateEstimates(
-    { ...state, running },
+    { ...state, running, coldStarts },
     { ended, finish: event.finish, now: event.now },
   );
   return startQueued(refuseOverdue(updated, event.now), event.now);
@@ -580,7 +679,7 @@
   },
 ): AdmissionState {
   if (event.finish === "unused") return state;
-  if (event.finish === "refused") {
+  if (event.finish === "refused" || event.finish === "misdirected") {
     return { ...state, limit: decreasedLimit(state) };
   }
   const { rank, work, keyed, startedAt, deadlineAt } = event.ended;
@@ -596,6 +695,7 @@
     keyedMilliseconds: keyed
       ? updateMean(state.keyedMilliseconds, milliseconds)
       : state.keyedMilliseconds,
+    meanMilliseconds: updateMean(state.meanMilliseconds, milliseconds),
     serviceTimes: work === null
       ? state.serviceTimes
       : recordServiceTime(state.serviceTimes, {
@@ -666,6 +766,41 @@
     : Math.min(Math.max(1, settings.slots), limit);
 }
 
+/** Refuses the waiting requests that a target that became cold can't start. */
+function applyColdRate(
+  state: AdmissionState,
+  event: AdmissionEvent & { readonly kind: "coldRate" },
+): AdmissionTransition {
+  const coldStarts = changeColdRate(state.coldStarts, event);
+  const changed = { ...state, coldStarts };
+  const { now } = event;
+  return coldStarts === null || coldStarts === state.coldStarts
+    ? startQueued({ state: changed, effects: [] }, now)
+    : startQueued(queueAgain(changed, now), now);
+}
+
+/** Queues the waiting requests again, as if they arrived now. */
+function queueAgain(before: AdmissionState, now: number): AdmissionTransition {
+  const effects: AdmissionEffect[] = [];
+  let state: AdmissionState = {
+    ...before,
+    waiting: before.waiting.map(() => []),
+  };
+  before.waiting.forEach((queue, rank) => {
+    for (const entry of queue) {
+      const arrived = { kind: "arrived", ...entry, rank, now } as const;
+      const refused = reasonToRefuse(state, arrived);
+      if (refused === null) {
+        const queued = [...state.waiting[rank] ?? [], entry];
+        state = withQueue(state, rank, queued);
+      } else {
+        effects.push({ kind: "refuse", id: entry.id, ...refused });
+      }
+    }
+  });
+  return { state, effects };
+}
+
 function refuseWaiting(state: AdmissionState): AdmissionTransition {
   const effects = state.waiting.flat().map((entry): AdmissionEffect => ({
     kind: "refuse",
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -13,6 +13,8 @@
   | "agent-refuted-loss"
   | "target-left"
   | "target-phase"
+  | "target-cold"
+  | "target-warm"
   | "epoch-claimed"
   | "takeover-declined"
   | "epoch-accepted"
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -78,9 +78,15 @@
   readonly leaseEndsAtWall: number | null;
 }
 
+/** Why the local target has given no answer. */
+export interface TargetFailure extends Failure {
+  /** Whether the target refused the request as meant for another one. */
+  readonly misdirected?: boolean;
+}
+
 /** Port to the target next to the agent. */
 export interface Target {
-  send(request: TargetRequest): Promise<Result<ProxyAnswer, Failure>>;
+  send(request: TargetRequest): Promise<Result<ProxyAnswer, TargetFailure>>;
   /** The target's own health report; null when it does not answer. */
   health(): Promise<TargetHealth | null>;
   close(): Promise<void>;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -47,6 +47,10 @@
   type BodyAdmissionTask,
   startBodyAdmission,
 } from "../tasks/body_admission_task.ts";
+import {
+  type ColdTargetTask,
+  startColdTarget,
+} from "../tasks/cold_target_task.ts";
 import { type Coordinator, startCoordinator } from "../tasks/coordinator.ts";
 import { desiredStateSource } from "../tasks/desired_state_source.ts";
 import {
@@ -136,6 +140,7 @@
   readonly answerKeys: AnswerKeyReport | null;
   readonly coordinator: Coordinator;
   readonly admission: AdmissionTask;
+  readonly coldTarget: ColdTargetTask;
   readonly bodyAdmission: BodyAdmissionTask;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
@@ -192,6 +197,7 @@
     });
     tasks.registration.stop();
     tasks.departures.stop();
+    tasks.coldTarget.stop();
     tasks.admission.stop();
     tasks.bodyAdmission.stop();
     for (const listener of others) listener.close();
@@ -274,7 +280,10 @@
     address: settings.target,
     identity: () => registration.target()?.id ?? null,
     now: monotonicNow,
-    onConnectionRefused: () => registration.recordRefusal(),
+    onConnectionRefused() {
+      registration.recordRefusal();
+      coldTarget.refresh();
+    },
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
   });
@@ -285,6 +294,18 @@
   const admission = startAdmission({
     settings: admissionSettings(1),
     tickMilliseconds: admissionTickMilliseconds,
+    onColdStartDelayed: () => metrics.count("cold_starts_delayed"),
+  });
+  const coldTarget = startColdTarget({
+    target: registration.target,
+    coldStart() {
+      if (settings.bounds.coldRate === null) return null;
+      return serviceNamed(configuration, settings.service)?.coldStart ?? null;
+    },
+    heartbeatMilliseconds: settings.heartbeatMilliseconds,
+    admission,
+    publish: (slots) => coordinator.gossip.describeTarget({ slots }),
+    events,
   });
   const coordinator = startCoordinator({
     agent,
@@ -314,6 +335,7 @@
     onConfiguration(next) {
       configuration = next;
       configureAdmission();
+      coldTarget.refresh();
     },
   });
 
@@ -331,8 +353,11 @@
   function updateTargetState(serving: boolean): void {
     const reported = registration.target();
     if (reported !== null) {
-      coordinator.gossip.describeTarget({ slots: reported.slots });
       configureAdmission();
+      // A cold target must not be told to others as a warm one first.
+      coldTarget.refresh();
+      const slots = coldTarget.slots(reported);
+      coordinator.gossip.describeTarget({ slots });
     }
     coordinator.setLeaving(!serving);
     // Keyed requests are served on until their keys have moved.
@@ -406,6 +431,7 @@
     answerKeys: targetKeys.answerKeys,
     coordinator,
     admission,
+    coldTarget,
     bodyAdmission,
     serve,
     entry,
@@ -544,7 +570,11 @@
     target: settings.target,
     events,
     handler: {
-      report: registration.report,
+      report(report) {
+        const rank = registration.report(report);
+        tasks.coldTarget.refresh();
+        return rank;
+      },
       answerKeys: tasks.answerKeys,
       deregister: registration.leave,
       departuresKept: registration.departuresKept,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -11,8 +11,10 @@
   countWaiting,
   createAdmission,
   type FinishKind,
+  nextStartDelay,
   stepAdmission,
   throughput,
+  waitsForColdStart,
 } from "../core/admission/admission.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
@@ -44,7 +46,11 @@
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
+  /** Mean time of a request in the target. */
+  usualMilliseconds(): number;
   configure(settings: AdmissionSettings): void;
+  /** Limits the starts of a target that is cold; null for one that is not. */
+  limitColdStarts(requestsPerSecond: number | null): void;
   /** Refuses all waiting requests. */
   refuseWaiting(): void;
   /** Refuses all waiting and all further requests. */
@@ -60,6 +66,8 @@
 export function startAdmission(options: {
   readonly settings: AdmissionSettings;
   readonly tickMilliseconds: number;
+  /** Called for each request that waits because the target is cold. */
+  readonly onColdStartDelayed?: () => void;
 }): AdmissionTask {
   let state = createAdmission(options.settings);
   let nextId = 1;
@@ -95,10 +103,15 @@
   /** Ticks only while requests wait, so that an idle agent has no timer. */
   function tickWhileWaiting(): void {
     if (timer !== null || countWaiting(state) === 0) return;
+    const now = monotonicNow();
+    // The next start of a cold target may be free before the next tick.
+    const delay = waitsForColdStart(state, now)
+      ? Math.min(options.tickMilliseconds, nextStartDelay(state, now))
+      : options.tickMilliseconds;
     timer = setTimeout(() => {
       timer = null;
       mailbox.send({ kind: "tick", now: monotonicNow() });
-    }, options.tickMilliseconds);
+    }, delay);
   }
 
   return {
@@ -128,12 +141,18 @@
           now,
         });
         if (!callbacks.has(id)) return;
+        if (waitsForColdStart(state, now)) options.onColdStartDelayed?.();
         signal.addEventListener("abort", withdraw, { once: true });
       });
     },
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
+    usualMilliseconds: () => state.meanMilliseconds,
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
+    limitColdStarts(requestsPerSecond) {
+      const now = monotonicNow();
+      mailbox.send({ kind: "coldRate", requestsPerSecond, now });
+    },
     refuseWaiting: () => mailbox.send({ kind: "refuseWaiting" }),
     close: () => mailbox.send({ kind: "close" }),
     stop() {
--- /dev/null
+++ b/source/tasks/cold_target_task.ts
@@ -0,0 +1,110 @@
+/**
+ * The task that follows whether the local target is cold, limits its starts
+ * meanwhile, and tells other agents how much it takes.
+ *
+ * @module
+ */
+import type { ColdStart } from "../core/document/document.ts";
+import {
+  type ColdTargetEffect,
+  effectiveSlots,
+  stepColdTarget,
+  unknownColdness,
+} from "../core/target/cold_target.ts";
+import type { RegisteredTarget } from "../core/target/registration.ts";
+import type { Events } from "../ports/events.ts";
+import type { AdmissionTask } from "./admission_task.ts";
+import { openMailbox } from "./mailbox.ts";
+import { monotonicNow, startTicker } from "./time.ts";
+
+/** The running task. */
+export interface ColdTargetTask {
+  /**
+   * Must be called when the target has reported, has refused a connection, or
+   * when the configuration has changed.
+   */
+  refresh(): void;
+  /** The slots that other agents are told; those of the target if it is warm. */
+  slots(target: RegisteredTarget): number;
+  stop(): void;
+}
+
+const checkIntervalMilliseconds = 100;
+
+/** Starts the task for a target that is not known yet. */
+export function startColdTarget(options: {
+  readonly target: () => RegisteredTarget | null;
+  /** What the target's service tolerates; null without a bound. */
+  readonly coldStart: () => ColdStart | null;
+  readonly heartbeatMilliseconds: number;
+  readonly admission: Pick<
+    AdmissionTask,
+    "limitColdStarts" | "usualMilliseconds"
+  >;
+  /** Tells other agents the slots of the target. */
+  readonly publish: (slots: number) => void;
+  readonly events: Events;
+}): ColdTargetTask {
+  const { admission, events } = options;
+  let state = unknownColdness;
+
+  const mailbox = openMailbox<{ readonly now: number }>(({ now }) => {
+    const coldStart = options.coldStart();
+    if (coldStart === null && state.published === null) return;
+    const next = stepColdTarget(state, {
+      now,
+      target: options.target(),
+      coldStart,
+      usualMilliseconds: admission.usualMilliseconds(),
+      heartbeatMilliseconds: options.heartbeatMilliseconds,
+    });
+    state = next.state;
+    for (const effect of next.effects) perform(effect, now);
+  });
+
+  function perform(effect: ColdTargetEffect, now: number): void {
+    const target = options.target();
+    const known = {
+      target: target?.id ?? "",
+      reportAgeMilliseconds: Math.round(now - (target?.reportedAt ?? now)),
+    };
+    switch (effect.kind) {
+      case "limit":
+        return admission.limitColdStarts(effect.requestsPerSecond);
+      case "publish":
+        return options.publish(effect.slots);
+      case "becameCold":
+        return events.record("target-cold", {
+          ...known,
+          cause: effect.cause,
+          remainingMilliseconds: Math.round(target?.coldMilliseconds ?? 0),
+          requestsPerSecond: effect.requestsPerSecond,
+          usualMilliseconds: Math.round(admission.usualMilliseconds()),
+        });
+      case "becameWarm":
+        return events.record("target-warm", {
+          ...known,
+          coldMilliseconds: Math.round(effect.coldMilliseconds),
+        });
+    }
+  }
+
+  const refresh = () => mailbox.send({ now: monotonicNow() });
+  const ticker = startTicker(refresh, {
+    intervalMilliseconds: checkIntervalMilliseconds,
+  });
+
+  return {
+    refresh,
+    slots: (target) =>
+      state.published?.slots ?? effectiveSlots({
+        slots: target.slots,
+        requestsPerSecond: state.requestsPerSecond,
+        usualMilliseconds: admission.usualMilliseconds(),
+      }),
+    stop() {
+      ticker.stop();
+      mailbox.close();
+    },
+  };
+}
--- a/source/tasks/serve_finish_test.ts
+++ b/source/tasks/serve_finish_test.ts
@@ -4,17 +4,19 @@
 import { testRequest } from "../../tests/test_request.ts";
 import type { FinishKind } from "../core/admission/admission.ts";
 import {
-  type Failure,
   type FailureReason,
   notRun,
   unknownOutcome,
 } from "../core/request/outcome.ts";
+import type { TargetFailure } from "../ports/upstream.ts";
 import { startServing } from "./serve_task.ts";
 
 const body = { kind: "kept", bytes: new Uint8Array() } as const;
 
 /** How the slot is finished when the target's answer is `failure`. */
-async function finishAfter(failure: Failure): Promise<readonly FinishKind[]> {
+async function finishAfter(
+  failure: TargetFailure,
+): Promise<readonly FinishKind[]> {
   const finishes: FinishKind[] = [];
   const slot = { finish: (kind: FinishKind) => void finishes.push(kind) };
   const { serve } = startServing({
@@ -24,7 +26,9 @@
       enter: () => Promise.resolve(Result.ok(slot)),
       load: () => 1,
       throughput: () => 1,
+      usualMilliseconds: () => 1,
       configure: () => undefined,
+      limitColdStarts: () => undefined,
       refuseWaiting: () => undefined,
       close: () => undefined,
       stop: () => undefined,
@@ -73,6 +77,15 @@
     });
   });
 
+  describe("that its target answered as meant for another one", () => {
+    // Guards against a cold target that gets less than its rate: requests that
+    // it doesn't count had used up starts.
+    it("returns the slot as misdirected", async () => {
+      const failure = { ...notRun("target-refused"), misdirected: true };
+      assert.deepEqual(await finishAfter(failure), ["misdirected"]);
+    });
+  });
+
   describe("that may have run", () => {
     it("returns the slot as failed", async () => {
       const failure = unknownOutcome("deadline-passed");
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -19,6 +19,7 @@
   ProxyAnswer,
   ProxyRequest,
   Target,
+  TargetFailure,
 } from "../ports/upstream.ts";
 import type { AdmissionSlot, AdmissionTask } from "./admission_task.ts";
 import { onAnswerEnd } from "./answer_end.ts";
@@ -199,8 +200,11 @@
 }
 
 /** Only a refusal by the target itself shows that the target is full. */
-function finishKindOf({ outcome, reason }: Failure): FinishKind {
+function finishKindOf(
+  { outcome, reason, misdirected = false }: TargetFailure,
+): FinishKind {
   if (outcome !== "not-run") return "failed";
+  if (misdirected) return "misdirected";
   return reason === "target-refused" ? "refused" : "unused";
 }
 
