Use the slowness that targets report of their machines

Targets report with their answers how long work takes on their machine at that moment, which changes many times a second. Nothing read it.

A target whose machine is slower than it usually reports is expected to take longer, by at most three times, until the report is half a second old: at the agent beside it, for the time and the wait of an arriving request, and at the entry, for the choice among targets without keys. A report never shortens an expected time, so that a false one makes no target the fastest. A field that can't be decoded is ignored and counted (load_reports_ignored).

The stubs of the admission task have its new method; wire_names_test.ts also looks for the name of the field. No check is changed otherwise.

--- a/source/adapters/callers/caller_protocol.ts
+++ b/source/adapters/callers/caller_protocol.ts
@@ -57,6 +57,9 @@
     [fields.outcome]: "answered",
     [fields.requestId]: id,
     ...(answer.load === null ? {} : { [fields.load]: String(answer.load) }),
+    ...(typeof answer.slowness === "number"
+      ? { [fields.slowness]: String(answer.slowness) }
+      : {}),
   }),
 };
 
--- a/source/adapters/hops/forwarder.ts
+++ b/source/adapters/hops/forwarder.ts
@@ -276,6 +276,12 @@
  */
 const maxBufferedAnswerBytes = 262_144;
 
+/** The number in a header field; null without one. */
+function numberIn(headers: Headers, name: string): number | null {
+  const value = Number(firstValue(headers, name) ?? NaN);
+  return Number.isFinite(value) ? value : null;
+}
+
 /**
  * Reads the answer of another agent. A header marks a failure that the agent
  * reports, as opposed to an answer of its target. A small answer that is
@@ -295,8 +301,11 @@
     drain(stream);
     return Result.err(failure);
   }
-  const load = Number(firstValue(answer.headers, fields.load) ?? NaN);
-  const withLoad = { ...answer, load: Number.isFinite(load) ? load : null };
+  const withLoad = {
+    ...answer,
+    load: numberIn(answer.headers, fields.load),
+    slowness: numberIn(answer.headers, fields.slowness),
+  };
   const length = firstValue(answer.headers, "content-length");
   if (length === null || Number(length) > maxBufferedAnswerBytes) {
     return Result.ok(withLoad);
--- a/source/adapters/hops/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -176,8 +176,9 @@
         : unknownOutcome("connection-lost");
       return send({ kind: "failure", hop, clock, failure });
     }
-    const { status, headers, load } = result.value;
-    send({ kind: "answer", hop, clock, status, headers, load }, bytes);
+    const { status, headers, load, slowness = null } = result.value;
+    const answer = { status, headers, load, slowness };
+    send({ kind: "answer", hop, clock, ...answer }, bytes);
   }
 
   function send(message: ServerMessage, bytes?: Uint8Array): void {
--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -242,9 +242,9 @@
         Result.err(failureAfterCopies(entry, failure)),
       );
     }
-    const { status, headers, load } = message;
+    const { status, headers, load, slowness = null } = message;
     const body = { kind: "whole", bytes } as const;
-    entry.settle(Result.ok({ status, headers, load, body }));
+    entry.settle(Result.ok({ status, headers, load, slowness, body }));
   }
 
   function transmit(entry: PendingRequest): void {
--- a/source/adapters/hops/hop_messages.ts
+++ b/source/adapters/hops/hop_messages.ts
@@ -52,6 +52,8 @@
   readonly status: number;
   readonly headers: Headers;
   readonly load: number | null;
+  /** Absent in messages from agents of an earlier release. */
+  readonly slowness?: number | null;
 }
 
 /** Why a request has no answer of a target. */
--- a/source/adapters/logs/metrics.ts
+++ b/source/adapters/logs/metrics.ts
@@ -29,6 +29,7 @@
   target_requests_started: ["rank"],
   target_requests_refused: ["rank", "reason"],
   cold_starts_delayed: [],
+  load_reports_ignored: [],
   region_link_bytes: ["rank"],
   store_calls: ["method", "kind"],
   peer_calls: ["method"],
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -10,6 +10,11 @@
  *
  * @module
  */
+import {
+  expectedWithSlowness,
+  recordSlowness,
+  type Slowness,
+} from "../load/target_load.ts";
 import type { FailureReason } from "../request/outcome.ts";
 import {
   changeColdRate,
@@ -97,6 +102,8 @@
   readonly serviceTimes: ServiceTimes;
   /** The starts of a cold target; null for one that isn't cold. */
   readonly coldStarts: ColdStarts | null;
+  /** How slow its machine is, by its own reports; null without any. */
+  readonly slowness: Slowness | null;
   /** The recent offered load, whether refused or not. */
   readonly offered: OfferedWork;
   /** When a request last ended in the target. */
@@ -133,6 +140,8 @@
     readonly kind: "finished";
     readonly id: number;
     readonly finish: FinishKind;
+    /** How slow the target reported to be; null or left out without that. */
+    readonly slowness?: number | null;
     readonly now: number;
   }
   | { readonly kind: "withdrawn"; readonly id: number; readonly now: number }
@@ -195,6 +204,7 @@
     meanMilliseconds: defaultServiceMilliseconds,
     serviceTimes: new Map(),
     coldStarts: null,
+    slowness: null,
     offered: noOfferedWork,
     measuredAt: 0,
     closed: false,
@@ -325,7 +335,10 @@
   const { rank, work = null } = event;
   const serviceMilliseconds = isMeasurementStale(state, { work, now })
     ? 0
-    : expectedServiceTime(state, { rank, work });
+    : expectedWithSlowness(state.slowness, {
+      milliseconds: expectedServiceTime(state, { rank, work }),
+      now,
+    });
   if (now + waitMilliseconds + serviceMilliseconds > deadlineAt) {
     const retry = waitMilliseconds > 0 ? waitMilliseconds : null;
     return refusal("deadline-too-near", retry);
@@ -405,7 +418,10 @@
 /** The time until an arriving request can start. */
 function expectedWait(state: AdmissionState, event: QueuedRequest): number {
   return Math.max(
-    expectedSlotWait(state, event),
+    expectedWithSlowness(state.slowness, {
+      milliseconds: expectedSlotWait(state, event),
+      now: event.now,
+    }),
     expectedStartWait(state, event),
   );
 }
@@ -664,7 +680,15 @@
     ? returnStart(state.coldStarts, ended)
     : state.coldStarts;
   const updated = updateEstimates(
-    { ...state, running, coldStarts },
+    {
+      ...state,
+      running,
+      coldStarts,
+      slowness: recordSlowness(state.slowness, {
+        slowness: event.slowness ?? null,
+        now: event.now,
+      }),
+    },
     { ended, finish: event.finish, now: event.now },
   );
   return startQueued(refuseOverdue(updated, event.now), event.now);
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -9,6 +9,11 @@
  * @module
  */
 import { type Agent, type AgentId, distance, type Place } from "../agent.ts";
+import {
+  expectedWithSlowness,
+  recordSlowness,
+  type Slowness,
+} from "../load/target_load.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -17,6 +22,8 @@
   /** Requests running and waiting at the target, as of its last reply. */
   readonly reportedLoad: number;
   readonly reportedAt: number;
+  /** How slow its machine is, by its own reports; null without any. */
+  readonly slowness: Slowness | null;
   /** Moving average of the time to an answer, for each rank. */
   readonly typicalMilliseconds: ReadonlyMap<number, number>;
   /** When that was last updated. */
@@ -39,6 +46,8 @@
     readonly kind: "replied";
     readonly id: AgentId;
     readonly load: number | null;
+    /** How long work takes there at this moment, 1 being usual. */
+    readonly slowness?: number | null;
     readonly took?: RequestDuration;
     /** Whether the target itself answered with a failure. */
     readonly failure?: boolean;
@@ -104,6 +113,7 @@
   inFlight: 0,
   reportedLoad: 0,
   reportedAt: 0,
+  slowness: null,
   typicalMilliseconds: new Map(),
   measuredAt: 0,
   consecutiveFailures: 0,
@@ -148,6 +158,10 @@
         inFlight: Math.max(0, view.inFlight - 1),
         reportedLoad: event.load ?? view.reportedLoad,
         reportedAt: event.load === null ? view.reportedAt : event.now,
+        slowness: recordSlowness(view.slowness, {
+          slowness: event.slowness ?? null,
+          now: event.now,
+        }),
         ...(event.failure === true ? penalizeFailure : updateEstimate)(
           view,
           event,
@@ -322,7 +336,10 @@
     slots: agent.slots,
     now: query.now,
   });
-  const expected = expectedTime(view, query);
+  const expected = expectedWithSlowness(view.slowness, {
+    milliseconds: expectedTime(view, query),
+    now: query.now,
+  });
   return {
     agent,
     utilization,
--- a/source/ports/metrics.ts
+++ b/source/ports/metrics.ts
@@ -14,6 +14,7 @@
   | "target_requests_started"
   | "target_requests_refused"
   | "cold_starts_delayed"
+  | "load_reports_ignored"
   | "region_link_bytes"
   | "store_calls"
   | "peer_calls"
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -64,6 +64,11 @@
   readonly body: AnswerBody;
   /** Requests running and waiting at the target; null when not reported. */
   readonly load: number | null;
+  /**
+   * How long work takes on the target's machine at this moment, 1 being usual;
+   * null or left out when the target doesn't report it.
+   */
+  readonly slowness?: number | null;
 }
 
 /** A request to be sent to the local target. */
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -286,6 +286,7 @@
     },
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
+    onInvalidLoad: () => metrics.count("load_reports_ignored"),
   });
   const targetKeys = connectTargetKeys(settings, {
     events,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -16,14 +16,18 @@
   throughput,
   waitsForColdStart,
 } from "../core/admission/admission.ts";
+import { describeSlowness } from "../core/load/target_load.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
 import { monotonicNow } from "./time.ts";
 
 /** Permission to use one of the target's slots. */
 export interface AdmissionSlot {
-  /** Must be called once, when the target has finished with the request. */
-  finish(kind: FinishKind): void;
+  /**
+   * Must be called once, when the target has finished with the request, with
+   * the slowness that it has reported, if any.
+   */
+  finish(kind: FinishKind, slowness?: number | null): void;
 }
 
 /** The running admission task. */
@@ -46,6 +50,8 @@
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
+  /** The slowness that the target reports, for log lines. */
+  describeSlowness(): Readonly<Record<string, number>>;
   /** Mean time of a request in the target. */
   usualMilliseconds(): number;
   configure(settings: AdmissionSettings): void;
@@ -93,8 +99,10 @@
 
   function slotOf(id: number): AdmissionSlot {
     return {
-      finish: (finish) =>
-        mailbox.send({ kind: "finished", id, finish, now: monotonicNow() }),
+      finish(finish, slowness = null) {
+        const now = monotonicNow();
+        mailbox.send({ kind: "finished", id, finish, slowness, now });
+      },
     };
   }
 
@@ -147,6 +155,7 @@
     },
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
+    describeSlowness: () => describeSlowness(state.slowness, monotonicNow()),
     usualMilliseconds: () => state.meanMilliseconds,
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
     limitColdStarts(requestsPerSecond) {
--- a/source/tasks/serve_finish_test.ts
+++ b/source/tasks/serve_finish_test.ts
@@ -26,6 +26,7 @@
       enter: () => Promise.resolve(Result.ok(slot)),
       load: () => 1,
       throughput: () => 1,
+      describeSlowness: () => ({}),
       usualMilliseconds: () => 1,
       configure: () => undefined,
       limitColdStarts: () => undefined,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -157,7 +157,7 @@
     });
     const done = (kind: FinishKind) => {
       metrics.time("target_duration", monotonicNow() - startedAt);
-      slot.finish(kind);
+      slot.finish(kind, result.isOk ? result.value.slowness : null);
       release();
     };
     if (result.isErr) {
@@ -174,6 +174,7 @@
     onAnswerEnd(answer.body, ({ whole }) => {
       done(whole ? "answered" : "failed");
     });
+    // All requests pass here, so the own count is newer than the target's.
     return Result.ok({ ...answer, load: admission.load() });
   }
 
@@ -191,6 +192,7 @@
       reason: failure.reason,
       load: admission.load(),
       runsPerSecond: admission.throughput(),
+      ...admission.describeSlowness(),
       retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
     });
     return Result.err(failure);
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -6,6 +6,7 @@
  */
 import { Result } from "true-myth";
 import type { Agent, AgentId } from "../core/agent.ts";
+import { describeSlowness } from "../core/load/target_load.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import {
   chooseTarget,
@@ -164,7 +165,10 @@
     };
     const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
-    return { target, choiceDetail: { targets: query.targets.length } };
+    const view = routing.views.get(target?.id ?? "");
+    const slowness = describeSlowness(view?.slowness ?? null, query.now);
+    const choiceDetail = { targets: query.targets.length, ...slowness };
+    return { target, choiceDetail };
   }
 
   /** Offers a large body; null when it may be sent, else the reason why not. */
@@ -198,11 +202,12 @@
     const now = monotonicNow();
     const took = { rank, milliseconds: now - sentAt };
     if (result.isOk) {
-      const { load, body, status } = result.value;
+      const { load, slowness = null, body, status } = result.value;
       const failure = status >= minFailureStatus;
       onAnswerEnd(body, () => {
         const now = monotonicNow();
-        mailbox.send({ kind: "replied", id, load, took, failure, now });
+        const reported = { load, slowness };
+        mailbox.send({ kind: "replied", id, ...reported, took, failure, now });
       });
       return;
     }
--- a/tests/test_platform_target.ts
+++ b/tests/test_platform_target.ts
@@ -26,6 +26,9 @@
 /** Starts a target that handles each connection with `serve`. */
 export async function startTestPlatformTarget(
   serve: (socket: Socket) => void,
+  { onInvalidLoad = () => undefined }: {
+    readonly onInvalidLoad?: () => void;
+  } = {},
 ): Promise<TestPlatformTarget> {
   const server = createServer((socket) => {
     socket.on("error", () => undefined);
@@ -38,6 +41,7 @@
     now: () => performance.now(),
     onConnectionRefused: () => undefined,
     onInvalidAnswer: () => undefined,
+    onInvalidLoad,
   });
   return {
     send: (overrides = {}) =>
--- a/tests/wire_names_test.ts
+++ b/tests/wire_names_test.ts
@@ -22,6 +22,7 @@
   "response-signature",
   "not-executed",
   "shard-key",
+  "server-load",
   "appAddr",
   'GERANIUMLEDGE_NODE_FILE="',
 ];
