Draw targets without keys by their slots where targets can be cold

An entry that sends a target few requests knows nothing of its load. It found a cold target, which publishes few slots, as good as any other until the target had refused it, and then again after each ejection.

With the bounds of cold targets in the settings, the two targets that an entry compares are drawn by their slots. Where all have the same, and without the bounds, the draws are the same as before. Also tests that the slowness of a target passes a link between agents.

--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -45,7 +45,8 @@
     }
     const bytes = new TextEncoder().encode(`done ${request.id}`);
     const body = { kind: "whole", bytes } as const;
-    return Result.ok({ status: 201, headers: { a: "b" }, body, load: 3 });
+    const answer = { status: 201, headers: { a: "b" }, body };
+    return Result.ok({ ...answer, load: 3, slowness: 2.5 });
   }
 
   before(async () => {
@@ -137,6 +138,22 @@
       assert.deepEqual(answers, ids.map((id) => `201 done ${id}`));
     });
 
+    // Guards against entries that choose targets without knowing that their
+    // machines are slow.
+    it("return the load and the slowness that come with an answer", async () => {
+      const request = testRequest({
+        deadlineAt: performance.now() + 3_000,
+        signal: AbortSignal.timeout(3_000),
+      });
+      const result = await links.forward(`127.0.0.1:${relay.port}`, request, {
+        body: { kind: "kept", bytes: new Uint8Array() },
+        receiver: testAgentId,
+      });
+      assert.ok(result.isOk);
+      const { load, slowness } = result.value;
+      assert.deepEqual({ load, slowness }, { load: 3, slowness: 2.5 });
+    });
+
     it("return a refusal with its retry delay", async () => {
       const request = testRequest({
         path: "/refused",
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -14,6 +14,7 @@
   recordSlowness,
   type Slowness,
 } from "../load/target_load.ts";
+import { pickAnyPair, type PickPair } from "./candidate_pairs.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -83,6 +84,8 @@
   readonly now: number;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
+  /** Draws the targets to compare; any of them when left out. */
+  readonly pickPair?: PickPair;
 }
 
 const failuresBeforeEjection = 3;
@@ -301,11 +304,9 @@
   const { query } = options;
   const members = eligible(state, options);
   if (members.length === 0) return null;
-  const first = Math.floor(query.random() * members.length);
-  const offset = 1 + Math.floor(query.random() * (members.length - 1));
-  const second = (first + offset) % members.length;
-  const candidates = [members[first], members[second]].flatMap((agent) =>
-    agent === undefined ? [] : [evaluateTarget(state, { ...options, agent })]
+  const { pickPair = pickAnyPair } = query;
+  const candidates = pickPair(members, query.random).map((agent) =>
+    evaluateTarget(state, { ...options, agent })
   );
   return candidates.reduce((left, right) =>
     right.milliseconds < left.milliseconds ? right : left
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -39,6 +39,10 @@
 } from "../core/document/document.ts";
 import { placeByNumber } from "../core/ownership/key_ranges.ts";
 import { notRun } from "../core/request/outcome.ts";
+import {
+  pickAnyPair,
+  pickPairBySlots,
+} from "../core/routing/candidate_pairs.ts";
 import { cachedRouteIndex, hostOfAuthority } from "../core/routes/routes.ts";
 import type { AnswerKeyReport } from "../ports/key_reports.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
@@ -421,6 +425,7 @@
     hash: hashText,
     place,
     random: Math.random,
+    pickPair: settings.bounds.coldRate === null ? pickAnyPair : pickPairBySlots,
     readPendingInput: adapters.pendingInput.readPending,
     retries: () => retrySettings(settings, coordinator.gossip.agents().length),
     minTableAgeMilliseconds: minTableAgeMilliseconds,
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -31,6 +31,7 @@
   type RetryDecision,
   type RetrySettings,
 } from "../core/retry/retry.ts";
+import type { PickPair } from "../core/routing/candidate_pairs.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -93,6 +94,8 @@
   readonly hash: KeyHash;
   readonly place: PlaceKey;
   readonly random: () => number;
+  /** Draws the targets without keys to compare; any when left out. */
+  readonly pickPair?: PickPair;
   readonly readPendingInput: ReadPendingInput;
   /** Settings of the retry budget, which all agents share. */
   readonly retries: () => RetrySettings;
@@ -120,6 +123,7 @@
     targetsOf: index.ofService,
     peers: options.peers,
     random,
+    ...(options.pickPair === undefined ? {} : { pickPair: options.pickPair }),
     readPendingInput: options.readPendingInput,
     sendTo,
   });
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -8,6 +8,7 @@
 import type { Agent, AgentId } from "../core/agent.ts";
 import { describeSlowness } from "../core/load/target_load.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
+import { pickAnyPair, type PickPair } from "../core/routing/candidate_pairs.ts";
 import {
   chooseTarget,
   createRouting,
@@ -76,6 +77,8 @@
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
+  /** Draws the targets to compare; any of them when left out. */
+  readonly pickPair?: PickPair;
   readonly readPendingInput: ReadPendingInput;
   readonly sendTo: (
     destination: Destination,
@@ -83,7 +86,7 @@
     body: Body,
   ) => Promise<Result<ProxyAnswer, Failure>>;
 }): UnkeyedAttempts {
-  const { agent, random } = options;
+  const { agent, random, pickPair = pickAnyPair } = options;
   let routing = createRouting();
 
   const mailbox = openMailbox<RoutingEvent>((event) => {
@@ -162,6 +165,7 @@
       bodyBytes: work.bytes,
       now: monotonicNow(),
       random,
+      pickPair,
     };
     const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
