Limit the keys of a cold target at once

A grantor smooths the weight of a server over several seconds, which is about as long as a target is cold. A target that was started again beside the same agent was therefore given as many keys as before, and most of their requests were refused.

Renewals and answers to a takeover give the rate of a cold target as a limit beside the weight. Placement takes it at once and for as long as it is reported; the weight itself keeps what was measured. Lines of refused requests have the rate as coldRequestsPerSecond. Without a limit the messages and the weights are the same as before.

No check is changed.

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -176,6 +176,7 @@
   id: name,
   peerAddress: address,
   weight: z.number().int().min(1).max(1_000_000),
+  weightLimit: z.number().positive().max(1_000_000).optional(),
   checksFencing: z.boolean(),
   leaving: z.boolean(),
   held: grants,
@@ -206,6 +207,7 @@
   held: grants,
   lapsed: grants.optional(),
   weight: z.number().int().min(1).max(1_000_000),
+  weightLimit: z.number().positive().max(1_000_000).optional(),
   checksFencing: z.boolean(),
   leaving: z.boolean(),
 });
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -250,14 +250,10 @@
 
 /**
  * Requests with a key per second that the target runs when all its slots are in
- * use, or as many as a cold one is given. Other requests, such as a few short
- * ones, don't tell how long those take.
+ * use. Other requests, such as a few short ones, don't tell how long those take.
  */
 export function throughput(state: AdmissionState): number {
-  return Math.min(
-    state.settings.slots * 1_000 / state.keyedMilliseconds,
-    state.coldStarts?.requestsPerSecond ?? Infinity,
-  );
+  return state.settings.slots * 1_000 / state.keyedMilliseconds;
 }
 
 /** Milliseconds until a cold target may be given its next request. */
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -195,6 +195,7 @@
     id: renewal.id,
     peerAddress: renewal.peerAddress,
     ...smoothWeight(former, renewal),
+    weightLimit: renewal.weightLimit,
     checksFencing: renewal.checksFencing,
     leaving: renewal.leaving,
     leaseHadExpired: renewal.lapsed !== undefined,
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -48,6 +48,8 @@
   readonly peerAddress: Address;
   /** Requests that the server can run in a second. */
   readonly weight: number;
+  /** The most that it takes at this moment; left out without a limit. */
+  readonly weightLimit?: number | undefined;
   /** Number of reports from which the weight was measured. */
   readonly samples: number;
   readonly checksFencing: boolean;
--- a/source/core/ownership/renewal.ts
+++ b/source/core/ownership/renewal.ts
@@ -39,6 +39,8 @@
   readonly peerAddress: Address;
   /** Requests that the server can run in a second, as far as measured. */
   readonly weight: number;
+  /** The most that it takes at this moment; left out without a limit. */
+  readonly weightLimit?: number | undefined;
   readonly checksFencing: boolean;
   readonly leaving: boolean;
   /** Grants under an unexpired lease, including those being released. */
@@ -77,6 +79,8 @@
   /** Grants that it had when its lease ended; left out for none. */
   readonly lapsed?: readonly Grant[] | undefined;
   readonly weight: number;
+  /** The most that it takes at this moment; left out without a limit. */
+  readonly weightLimit?: number | undefined;
   readonly checksFencing: boolean;
   readonly leaving: boolean;
 }
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -102,6 +102,7 @@
     id: answer.id,
     peerAddress: entry?.peerAddress ?? "",
     weight: answer.weight,
+    weightLimit: answer.weightLimit,
     samples: 0,
     checksFencing: answer.checksFencing,
     leaving: answer.leaving,
--- a/source/core/ownership/unmeasured_weights.ts
+++ b/source/core/ownership/unmeasured_weights.ts
@@ -10,6 +10,9 @@
  * them for a while. A low weight is taken as it is: a new grantor has no reports
  * yet, and would give a slow server as much as the others.
  *
+ * A limit holds at once, and only as long as it is reported: a target is cold for
+ * a few seconds, in which a smoothed weight would hardly have changed.
+ *
  * @module
  */
 import type { SmoothedWeight } from "./load_smoothing.ts";
@@ -21,9 +24,14 @@
 /** Until then it counts as the median times this at most. */
 const maxUntrustedFactor = 2;
 
+/** A server whose weight may be limited, as that of a cold one is. */
+interface WeighedServer extends SmoothedWeight {
+  readonly weightLimit?: number | undefined;
+}
+
 /** The weight of each server to place slices by, at least 1. */
 export function placementWeights<Id>(
-  servers: ReadonlyMap<Id, SmoothedWeight>,
+  servers: ReadonlyMap<Id, WeighedServer>,
 ): ReadonlyMap<Id, number> {
   const all = [...servers.values()];
   const measured = all.filter(({ samples }) => samples > 0);
@@ -32,7 +40,11 @@
       .map(({ weight }) => weight),
   );
   return new Map(
-    [...servers].map(([id, server]) => [id, placementWeight(server, typical)]),
+    [...servers].map(([id, server]) => {
+      const { weightLimit = Infinity } = server;
+      const weight = Math.min(weightLimit, placementWeight(server, typical));
+      return [id, Math.max(1, weight)];
+    }),
   );
 }
 
--- a/source/core/ownership/unmeasured_weights_test.ts
+++ b/source/core/ownership/unmeasured_weights_test.ts
@@ -68,8 +68,14 @@
 const ids = Array.from({ length: 12 }, (_, index) => `host-${index}/1`);
 const idle = ids.at(-1) ?? "";
 
-/** A group whose last server holds nothing, and reports this weight. */
-function createState(idleWeight: number): GrantorState {
+/**
+ * A group whose last server holds nothing, and reports this weight, with a limit
+ * in its last renewal.
+ */
+function createState(
+  idleWeight: number,
+  weightLimit?: number,
+): GrantorState {
   const settings = {
     ...testGrantorSettings,
     hashedSlices,
@@ -93,6 +99,7 @@
         epoch: 1,
         checksFencing: true,
         weight: id === idle ? idleWeight : 19,
+        ...(id === idle && second === 3 ? { weightLimit } : {}),
         sliceLoads: held,
       });
       state = stepGrantor(state, {
@@ -130,4 +137,12 @@
       assert.ok(moved >= share / 2 && moved <= share * 1.5, `${moved} slices`);
     });
   }
+
+  // Guards against keys for a cold server as for a warm one: its weight was
+  // smoothed for longer than it was cold.
+  it("give it no more than it takes while it reports a limit", () => {
+    const unlimited = slicesMovedToIdle(createState(19));
+    const moved = slicesMovedToIdle(createState(19, 4));
+    assert.ok(moved > 0 && moved <= unlimited / 2, `${moved} of ${unlimited}`);
+  });
 });
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -336,6 +336,7 @@
     }),
     startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
+    weightLimit: admission.coldRequestsPerSecond,
     eventsAfter: (time) => events.after(time),
     onConfiguration(next) {
       configuration = next;
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -50,8 +50,10 @@
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
-  /** The slowness that the target reports, for log lines. */
-  describeSlowness(): Readonly<Record<string, number>>;
+  /** Requests per second that a cold target gets; null for one that isn't. */
+  coldRequestsPerSecond(): number | null;
+  /** What limits the target at this moment, for log lines. */
+  describeLimits(): Readonly<Record<string, number>>;
   /** Mean time of a request in the target. */
   usualMilliseconds(): number;
   configure(settings: AdmissionSettings): void;
@@ -106,6 +108,10 @@
     };
   }
 
+  function coldRequestsPerSecond(): number | null {
+    return state.coldStarts?.requestsPerSecond ?? null;
+  }
+
   let timer: ReturnType<typeof setTimeout> | null = null;
 
   /** Ticks only while requests wait, so that an idle agent has no timer. */
@@ -155,7 +161,14 @@
     },
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
-    describeSlowness: () => describeSlowness(state.slowness, monotonicNow()),
+    coldRequestsPerSecond,
+    describeLimits() {
+      const rate = coldRequestsPerSecond();
+      return {
+        ...(rate === null ? {} : { coldRequestsPerSecond: rate }),
+        ...describeSlowness(state.slowness, monotonicNow()),
+      };
+    },
     usualMilliseconds: () => state.meanMilliseconds,
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
     limitColdStarts(requestsPerSecond) {
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -127,6 +127,8 @@
   readonly startKeyGrants: StartKeyGrants | null;
   /** The target's capacity, relative to the others of its service. */
   readonly weight: () => number;
+  /** The most that the target takes at this moment; null without a limit. */
+  readonly weightLimit?: () => number | null;
   /** Events of this agent with a later logical time. */
   readonly eventsAfter: (logicalTime: number) => readonly TimelineEvent[];
   readonly onConfiguration: (configuration: Configuration) => void;
@@ -231,6 +233,7 @@
       events,
       place: options.place,
       weight: options.weight,
+      weightLimit: options.weightLimit ?? (() => null),
       random: options.random,
       startKeyGrants: options.startKeyGrants,
       leaving: gossip.self().phase !== "serving",
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -136,6 +136,8 @@
   readonly place: PlaceKey;
   /** The target's capacity, relative to the others of its service. */
   readonly weight: () => number;
+  /** The most that the target takes at this moment; null without a limit. */
+  readonly weightLimit?: () => number | null;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
   /** Null for a target that does not need to be told which keys it holds. */
@@ -253,6 +255,7 @@
       id: agent.id,
       ...reportGrants(state, readClocks()),
       weight: options.weight(),
+      weightLimit: options.weightLimit?.() ?? undefined,
       checksFencing: agent.checksFencing,
       leaving,
     };
@@ -279,6 +282,7 @@
       id: agent.id,
       peerAddress: agent.peerAddress,
       weight: options.weight(),
+      weightLimit: options.weightLimit?.() ?? undefined,
       checksFencing: agent.checksFencing,
       leaving,
       ...reportGrants(state, readClocks()),
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -192,7 +192,7 @@
       reason: failure.reason,
       load: admission.load(),
       runsPerSecond: admission.throughput(),
-      ...admission.describeSlowness(),
+      ...admission.describeLimits(),
       retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
     });
     return Result.err(failure);
