Don't take a target for cold because its agent was suspended

An agent that had been suspended for two seconds ran its timer before it read the heartbeats that had arrived meanwhile. It counted the target as cold, refused requests that wait and told all agents.

The check for missed heartbeats is left out after a pause of more than 300 ms between two checks; the next one, 100 ms later, counts.

--- a/source/tasks/cold_target_task.ts
+++ b/source/tasks/cold_target_task.ts
@@ -30,6 +30,11 @@
 }
 
 const checkIntervalMilliseconds = 100;
+/**
+ * After a longer pause this process was suspended: reports of the target wait to
+ * be read, and their absence shows nothing yet.
+ */
+const maxCheckGapMilliseconds = 300;
 
 /** Starts the task for a target that is not known yet. */
 export function startColdTarget(options: {
@@ -90,9 +95,12 @@
   }
 
   const refresh = () => mailbox.send({ now: monotonicNow() });
-  const ticker = startTicker(refresh, {
-    intervalMilliseconds: checkIntervalMilliseconds,
-  });
+  let checkedAt = monotonicNow();
+  const ticker = startTicker(() => {
+    const gap = monotonicNow() - checkedAt;
+    checkedAt += gap;
+    if (gap <= maxCheckGapMilliseconds) refresh();
+  }, { intervalMilliseconds: checkIntervalMilliseconds });
 
   return {
     refresh,
--- a/source/tasks/cold_target_task_test.ts
+++ b/source/tasks/cold_target_task_test.ts
@@ -126,6 +126,27 @@
     });
   });
 
+  describe("whose reports wait while the agent is suspended", () => {
+    // Guards against a warm target that gets a cold one's requests, and is told
+    // to others as cold, after each stall of its agent.
+    it("is not cold for that", async () => {
+      tasks.report(0);
+      await clock.tickAsync(200);
+      clock.jump(3_000);
+      tasks.report(0);
+      await clock.tickAsync(200);
+      assert.ok(!tasks.recorded.includes("target-cold"));
+    });
+
+    it("is cold when none was waiting", async () => {
+      tasks.report(0);
+      await clock.tickAsync(200);
+      clock.jump(3_000);
+      await clock.tickAsync(200);
+      assert.ok(tasks.recorded.includes("target-cold"));
+    });
+  });
+
   describe("which refuses a connection between two reports", () => {
     it("is cold until it reports again", async () => {
       tasks.report(0);
