--- /dev/null
+++ b/source/core/admission/cold_start_test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { seededRandom } from "../../../standins/load.ts";
+import {
+  type AdmissionEvent,
+  type AdmissionSettings,
+  createAdmission,
+  type FinishKind,
+  stepAdmission,
+} from "./admission.ts";
+
+const requestsPerSecond = 9.8;
+/** The platform's bound for any one second: the rate x 1.5 + 8. */
+const bound = requestsPerSecond * 1.5 + 8;
+const settings: AdmissionSettings = {
+  slots: 13,
+  ranks: [{ name: "any", share: 0 }],
+  queueLength: 64,
+  initialShare: 1,
+  maxLateWaitMilliseconds: 100,
+};
+
+/** Simulates 20 s of 60 requests a second to a target that is cold. */
+function simulate(finishOf: (random: number) => FinishKind) {
+  const random = seededRandom(7);
+  let state = createAdmission(settings);
+  const arrivals = new Map<number, { at: number; deadlineAt: number }>();
+  const starts: { at: number; kind: FinishKind }[] = [];
+  const refusals: { after: number; retry: number }[] = [];
+  let ends: readonly { id: number; at: number; finish: FinishKind }[] = [];
+  const feed = (event: AdmissionEvent, now: number) => {
+    const next = stepAdmission(state, event);
+    state = next.state;
+    for (const effect of next.effects) {
+      const arrival = arrivals.get(effect.id);
+      assert.ok(arrival !== undefined && now < arrival.deadlineAt);
+      if (effect.kind === "refuse") {
+        const retry = effect.retryAfterMilliseconds ?? 0;
+        refusals.push({ after: now - arrival.at, retry });
+        continue;
+      }
+      const finish = finishOf(random());
+      starts.push({ at: now, kind: finish });
+      const took = finish === "answered" ? 40 + 80 * random() : 3;
+      ends = [...ends, { id: effect.id, at: now + took, finish }];
+    }
+  };
+  feed({ kind: "coldRate", requestsPerSecond, now: 0 }, 0);
+  for (let now = 1; now <= 20_000; now += 1) {
+    const ended = ends.filter(({ at }) => at <= now);
+    ends = ends.filter(({ at }) => at > now);
+    for (const { id, finish } of ended) {
+      feed({ kind: "finished", id, finish, now }, now);
+    }
+    if (random() < 0.06) {
+      const deadlineAt = now + 411 + 1_500 * random();
+      const objectiveAt = now + (deadlineAt - now) * 0.5;
+      arrivals.set(now, { at: now, deadlineAt });
+      const arrived = { kind: "arrived", id: now, rank: 0, now } as const;
+      feed({ ...arrived, objectiveAt, deadlineAt }, now);
+    }
+    if (now % 10 === 0) feed({ kind: "tick", now }, now);
+  }
+  return { starts, refusals };
+}
+
+/** The most of these times that fall into any one second. */
+function maxInOneSecond(times: readonly number[]): number {
+  return Math.max(
+    ...times.map((from) =>
+      times.filter((at) => at >= from && at < from + 1_000).length
+    ),
+  );
+}
+
+describe("admission to a cold target", () => {
+  describe("of six times the requests that it takes", () => {
+    const { starts, refusals } = simulate(() => "answered");
+
+    // Guards against crashes of cold targets, which got more than they take.
+    it("stays within the rate in every second and uses it", () => {
+      const times = starts.map(({ at }) => at);
+      const most = maxInOneSecond(times);
+      assert.ok(most <= requestsPerSecond + 2, `${most} in one second`);
+      const expected = requestsPerSecond * 20;
+      assert.ok(times.length >= expected * 0.95, `${times.length} starts`);
+    });
+
+    it("refuses at once, with the time of a free start", () => {
+      const held = refusals.filter(({ after }) => after > 100).length;
+      assert.ok(
+        held <= refusals.length * 0.02,
+        `${held} of ${refusals.length} refused after a wait`,
+      );
+      assert.ok(refusals.every(({ retry }) => retry > 0));
+    });
+  });
+
+  describe("that answers some as meant for another target, and refuses some", () => {
+    // Guards against too many requests by starts given back too often, and
+    // against too few by starts that are used up by what doesn't count.
+    it("gives back the starts of the former only", () => {
+      const { starts } = simulate((random) =>
+        random < 0.3 ? "misdirected" : random < 0.5 ? "refused" : "answered"
+      );
+      const counted = starts.flatMap(({ at, kind }) =>
+        kind === "misdirected" ? [] : [at]
+      );
+      const most = maxInOneSecond(counted);
+      assert.ok(most <= requestsPerSecond + 2 && most < bound, `${most}`);
+      const expected = requestsPerSecond * 20;
+      assert.ok(counted.length >= expected * 0.9, `${counted.length} starts`);
+    });
+  });
+
+  describe("that became cold while requests wait", () => {
+    // Guards against requests that wait in vain until their deadline.
+    it("refuses at once those that can't start in time any more", () => {
+      let state = createAdmission({ ...settings, slots: 1 });
+      for (let id = 1; id <= 6; id += 1) {
+        const arrived = { kind: "arrived", id, rank: 0, now: 0 } as const;
+        state = stepAdmission(state, { ...arrived, deadlineAt: 1_000 }).state;
+      }
+      const rate = { requestsPerSecond: 4, now: 10 };
+      const { effects } = stepAdmission(state, { kind: "coldRate", ...rate });
+      assert.deepEqual(
+        effects.map((effect) =>
+          effect.kind === "refuse"
+            ? [effect.id, effect.retryAfterMilliseconds]
+            : effect
+        ),
+        [[5, 1_000], [6, 1_000]],
+      );
+    });
+  });
+});
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -9,6 +9,12 @@
  * @module
  */
 import { type Agent, type AgentId, distance, type Place } from "../agent.ts";
+import {
+  expectedWithSlowness,
+  recordSlowness,
+  type Slowness,
+} from "../load/target_load.ts";
+import { pickAnyPair, type PickPair } from "./candidate_pairs.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -17,6 +23,8 @@
   /** Requests running and waiting at the target, as of its last reply. */
   readonly reportedLoad: number;
   readonly reportedAt: number;
+  /** How slow its machine is, by its own reports; null without any. */
+  readonly slowness: Slowness | null;
   /** Moving average of the time to an answer, for each rank. */
   readonly typicalMilliseconds: ReadonlyMap<number, number>;
   /** When that was last updated. */
@@ -39,6 +47,8 @@
     readonly kind: "replied";
     readonly id: AgentId;
     readonly load: number | null;
+    /** How long work takes there at this moment, 1 being usual. */
+    readonly slowness?: number | null;
     readonly took?: RequestDuration;
     /** Whether the target itself answered with a failure. */
     readonly failure?: boolean;
@@ -74,6 +84,8 @@
   readonly now: number;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
+  /** Draws the targets to compare; any of them when left out. */
+  readonly pickPair?: PickPair;
 }
 
 const failuresBeforeEjection = 3;
@@ -104,6 +116,7 @@
   inFlight: 0,
   reportedLoad: 0,
   reportedAt: 0,
+  slowness: null,
   typicalMilliseconds: new Map(),
   measuredAt: 0,
   consecutiveFailures: 0,
@@ -148,6 +161,10 @@
         inFlight: Math.max(0, view.inFlight - 1),
         reportedLoad: event.load ?? view.reportedLoad,
         reportedAt: event.load === null ? view.reportedAt : event.now,
+        slowness: recordSlowness(view.slowness, {
+          slowness: event.slowness ?? null,
+          now: event.now,
+        }),
         ...(event.failure === true ? penalizeFailure : updateEstimate)(
           view,
           event,
@@ -287,11 +304,9 @@
   const { query } = options;
   const members = eligible(state, options);
   if (members.length === 0) return null;
-  const first = Math.floor(query.random() * members.length);
-  const offset = 1 + Math.floor(query.random() * (members.length - 1));
-  const second = (first + offset) % members.length;
-  const candidates = [members[first], members[second]].flatMap((agent) =>
-    agent === undefined ? [] : [evaluateTarget(state, { ...options, agent })]
+  const { pickPair = pickAnyPair } = query;
+  const candidates = pickPair(members, query.random).map((agent) =>
+    evaluateTarget(state, { ...options, agent })
   );
   return candidates.reduce((left, right) =>
     right.milliseconds < left.milliseconds ? right : left
@@ -322,7 +337,10 @@
     slots: agent.slots,
     now: query.now,
   });
-  const expected = expectedTime(view, query);
+  const expected = expectedWithSlowness(view.slowness, {
+    milliseconds: expectedTime(view, query),
+    now: query.now,
+  });
   return {
     agent,
     utilization,
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -64,6 +64,11 @@
   readonly body: AnswerBody;
   /** Requests running and waiting at the target; null when not reported. */
   readonly load: number | null;
+  /**
+   * How long work takes on the target's machine at this moment, 1 being usual;
+   * null or left out when the target doesn't report it.
+   */
+  readonly slowness?: number | null;
 }
 
 /** A request to be sent to the local target. */
@@ -78,9 +83,15 @@
   readonly leaseEndsAtWall: number | null;
 }
 
+/** Why the local target has given no answer. */
+export interface TargetFailure extends Failure {
+  /** Whether the target refused the request as meant for another one. */
+  readonly misdirected?: boolean;
+}
+
 /** Port to the target next to the agent. */
 export interface Target {
-  send(request: TargetRequest): Promise<Result<ProxyAnswer, Failure>>;
+  send(request: TargetRequest): Promise<Result<ProxyAnswer, TargetFailure>>;
   /** The target's own health report; null when it does not answer. */
   health(): Promise<TargetHealth | null>;
   close(): Promise<void>;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -39,6 +39,10 @@
 } from "../core/document/document.ts";
 import { placeByNumber } from "../core/ownership/key_ranges.ts";
 import { notRun } from "../core/request/outcome.ts";
+import {
+  pickAnyPair,
+  pickPairBySlots,
+} from "../core/routing/candidate_pairs.ts";
 import { cachedRouteIndex, hostOfAuthority } from "../core/routes/routes.ts";
 import type { AnswerKeyReport } from "../ports/key_reports.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
@@ -47,6 +51,10 @@
   type BodyAdmissionTask,
   startBodyAdmission,
 } from "../tasks/body_admission_task.ts";
+import {
+  type ColdTargetTask,
+  startColdTarget,
+} from "../tasks/cold_target_task.ts";
 import { type Coordinator, startCoordinator } from "../tasks/coordinator.ts";
 import { desiredStateSource } from "../tasks/desired_state_source.ts";
 import {
@@ -136,6 +144,7 @@
   readonly answerKeys: AnswerKeyReport | null;
   readonly coordinator: Coordinator;
   readonly admission: AdmissionTask;
+  readonly coldTarget: ColdTargetTask;
   readonly bodyAdmission: BodyAdmissionTask;
   readonly serve: ServeTask;
   readonly entry: EntryTask;
@@ -192,6 +201,7 @@
     });
     tasks.registration.stop();
     tasks.departures.stop();
+    tasks.coldTarget.stop();
     tasks.admission.stop();
     tasks.bodyAdmission.stop();
     for (const listener of others) listener.close();
@@ -274,9 +284,13 @@
     address: settings.target,
     identity: () => registration.target()?.id ?? null,
     now: monotonicNow,
-    onConnectionRefused: () => registration.recordRefusal(),
+    onConnectionRefused() {
+      registration.recordRefusal();
+      coldTarget.refresh();
+    },
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
+    onInvalidLoad: () => metrics.count("load_reports_ignored"),
   });
   const targetKeys = connectTargetKeys(settings, {
     events,
@@ -285,6 +299,18 @@
   const admission = startAdmission({
     settings: admissionSettings(1),
     tickMilliseconds: admissionTickMilliseconds,
+    onColdStartDelayed: () => metrics.count("cold_starts_delayed"),
+  });
+  const coldTarget = startColdTarget({
+    target: registration.target,
+    coldStart() {
+      if (settings.bounds.coldRate === null) return null;
+      return serviceNamed(configuration, settings.service)?.coldStart ?? null;
+    },
+    heartbeatMilliseconds: settings.heartbeatMilliseconds,
+    admission,
+    publish: (slots) => coordinator.gossip.describeTarget({ slots }),
+    events,
   });
   const coordinator = startCoordinator({
     agent,
@@ -310,10 +336,12 @@
     }),
     startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
+    weightLimit: admission.coldRequestsPerSecond,
     eventsAfter: (time) => events.after(time),
     onConfiguration(next) {
       configuration = next;
       configureAdmission();
+      coldTarget.refresh();
     },
   });
 
@@ -331,8 +359,11 @@
   function updateTargetState(serving: boolean): void {
     const reported = registration.target();
     if (reported !== null) {
-      coordinator.gossip.describeTarget({ slots: reported.slots });
       configureAdmission();
+      // A cold target must not be told to others as a warm one first.
+      coldTarget.refresh();
+      const slots = coldTarget.slots(reported);
+      coordinator.gossip.describeTarget({ slots });
     }
     coordinator.setLeaving(!serving);
     // Keyed requests are served on until their keys have moved.
@@ -395,6 +426,7 @@
     hash: hashText,
     place,
     random: Math.random,
+    pickPair: settings.bounds.coldRate === null ? pickAnyPair : pickPairBySlots,
     readPendingInput: adapters.pendingInput.readPending,
     retries: () => retrySettings(settings, coordinator.gossip.agents().length),
     minTableAgeMilliseconds: minTableAgeMilliseconds,
@@ -406,6 +438,7 @@
     answerKeys: targetKeys.answerKeys,
     coordinator,
     admission,
+    coldTarget,
     bodyAdmission,
     serve,
     entry,
@@ -544,7 +577,11 @@
     target: settings.target,
     events,
     handler: {
-      report: registration.report,
+      report(report) {
+        const rank = registration.report(report);
+        tasks.coldTarget.refresh();
+        return rank;
+      },
       answerKeys: tasks.answerKeys,
       deregister: registration.leave,
       departuresKept: registration.departuresKept,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -11,17 +11,23 @@
   countWaiting,
   createAdmission,
   type FinishKind,
+  nextStartDelay,
   stepAdmission,
   throughput,
+  waitsForColdStart,
 } from "../core/admission/admission.ts";
+import { describeSlowness } from "../core/load/target_load.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
 import { monotonicNow } from "./time.ts";
 
 /** Permission to use one of the target's slots. */
 export interface AdmissionSlot {
-  /** Must be called once, when the target has finished with the request. */
-  finish(kind: FinishKind): void;
+  /**
+   * Must be called once, when the target has finished with the request, with
+   * the slowness that it has reported, if any.
+   */
+  finish(kind: FinishKind, slowness?: number | null): void;
 }
 
 /** The running admission task. */
@@ -44,7 +50,15 @@
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
+  /** Requests per second that a cold target gets; null for one that isn't. */
+  coldRequestsPerSecond(): number | null;
+  /** What limits the target at this moment, for log lines. */
+  describeLimits(): Readonly<Record<string, number>>;
+  /** Mean time of a request in the target. */
+  usualMilliseconds(): number;
   configure(settings: AdmissionSettings): void;
+  /** Limits the starts of a target that is cold; null for one that is not. */
+  limitColdStarts(requestsPerSecond: number | null): void;
   /** Refuses all waiting requests. */
   refuseWaiting(): void;
   /** Refuses all waiting and all further requests. */
@@ -60,6 +74,8 @@
 export function startAdmission(options: {
   readonly settings: AdmissionSettings;
   readonly tickMilliseconds: number;
+  /** Called for each request that waits because the target is cold. */
+  readonly onColdStartDelayed?: () => void;
 }): AdmissionTask {
   let state = createAdmission(options.settings);
   let nextId = 1;
@@ -85,20 +101,31 @@
 
   function slotOf(id: number): AdmissionSlot {
     return {
-      finish: (finish) =>
-        mailbox.send({ kind: "finished", id, finish, now: monotonicNow() }),
+      finish(finish, slowness = null) {
+        const now = monotonicNow();
+        mailbox.send({ kind: "finished", id, finish, slowness, now });
+      },
     };
   }
 
+  function coldRequestsPerSecond(): number | null {
+    return state.coldStarts?.requestsPerSecond ?? null;
+  }
+
   let timer: ReturnType<typeof setTimeout> | null = null;
 
   /** Ticks only while requests wait, so that an idle agent has no timer. */
   function tickWhileWaiting(): void {
     if (timer !== null || countWaiting(state) === 0) return;
+    const now = monotonicNow();
+    // The next start of a cold target may be free before the next tick.
+    const delay = waitsForColdStart(state, now)
+      ? Math.min(options.tickMilliseconds, nextStartDelay(state, now))
+      : options.tickMilliseconds;
     timer = setTimeout(() => {
       timer = null;
       mailbox.send({ kind: "tick", now: monotonicNow() });
-    }, options.tickMilliseconds);
+    }, delay);
   }
 
   return {
@@ -128,12 +155,26 @@
           now,
         });
         if (!callbacks.has(id)) return;
+        if (waitsForColdStart(state, now)) options.onColdStartDelayed?.();
         signal.addEventListener("abort", withdraw, { once: true });
       });
     },
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
+    coldRequestsPerSecond,
+    describeLimits() {
+      const rate = coldRequestsPerSecond();
+      return {
+        ...(rate === null ? {} : { coldRequestsPerSecond: rate }),
+        ...describeSlowness(state.slowness, monotonicNow()),
+      };
+    },
+    usualMilliseconds: () => state.meanMilliseconds,
     configure: (settings) => mailbox.send({ kind: "settings", settings }),
+    limitColdStarts(requestsPerSecond) {
+      const now = monotonicNow();
+      mailbox.send({ kind: "coldRate", requestsPerSecond, now });
+    },
     refuseWaiting: () => mailbox.send({ kind: "refuseWaiting" }),
     close: () => mailbox.send({ kind: "close" }),
     stop() {
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -19,6 +19,7 @@
   ProxyAnswer,
   ProxyRequest,
   Target,
+  TargetFailure,
 } from "../ports/upstream.ts";
 import type { AdmissionSlot, AdmissionTask } from "./admission_task.ts";
 import { onAnswerEnd } from "./answer_end.ts";
@@ -156,7 +157,7 @@
     });
     const done = (kind: FinishKind) => {
       metrics.time("target_duration", monotonicNow() - startedAt);
-      slot.finish(kind);
+      slot.finish(kind, result.isOk ? result.value.slowness : null);
       release();
     };
     if (result.isErr) {
@@ -173,6 +174,7 @@
     onAnswerEnd(answer.body, ({ whole }) => {
       done(whole ? "answered" : "failed");
     });
+    // All requests pass here, so the own count is newer than the target's.
     return Result.ok({ ...answer, load: admission.load() });
   }
 
@@ -190,6 +192,7 @@
       reason: failure.reason,
       load: admission.load(),
       runsPerSecond: admission.throughput(),
+      ...admission.describeLimits(),
       retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
     });
     return Result.err(failure);
@@ -199,8 +202,11 @@
 }
 
 /** Only a refusal by the target itself shows that the target is full. */
-function finishKindOf({ outcome, reason }: Failure): FinishKind {
+function finishKindOf(
+  { outcome, reason, misdirected = false }: TargetFailure,
+): FinishKind {
   if (outcome !== "not-run") return "failed";
+  if (misdirected) return "misdirected";
   return reason === "target-refused" ? "refused" : "unused";
 }
 
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -6,7 +6,9 @@
  */
 import { Result } from "true-myth";
 import type { Agent, AgentId } from "../core/agent.ts";
+import { describeSlowness } from "../core/load/target_load.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
+import { pickAnyPair, type PickPair } from "../core/routing/candidate_pairs.ts";
 import {
   chooseTarget,
   createRouting,
@@ -75,6 +77,8 @@
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
+  /** Draws the targets to compare; any of them when left out. */
+  readonly pickPair?: PickPair;
   readonly readPendingInput: ReadPendingInput;
   readonly sendTo: (
     destination: Destination,
@@ -82,7 +86,7 @@
     body: Body,
   ) => Promise<Result<ProxyAnswer, Failure>>;
 }): UnkeyedAttempts {
-  const { agent, random } = options;
+  const { agent, random, pickPair = pickAnyPair } = options;
   let routing = createRouting();
 
   const mailbox = openMailbox<RoutingEvent>((event) => {
@@ -161,10 +165,14 @@
       bodyBytes: work.bytes,
       now: monotonicNow(),
       random,
+      pickPair,
     };
     const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
-    return { target, choiceDetail: { targets: query.targets.length } };
+    const view = routing.views.get(target?.id ?? "");
+    const slowness = describeSlowness(view?.slowness ?? null, query.now);
+    const choiceDetail = { targets: query.targets.length, ...slowness };
+    return { target, choiceDetail };
   }
 
   /** Offers a large body; null when it may be sent, else the reason why not. */
@@ -198,11 +206,12 @@
     const now = monotonicNow();
     const took = { rank, milliseconds: now - sentAt };
     if (result.isOk) {
-      const { load, body, status } = result.value;
+      const { load, slowness = null, body, status } = result.value;
       const failure = status >= minFailureStatus;
       onAnswerEnd(body, () => {
         const now = monotonicNow();
-        mailbox.send({ kind: "replied", id, load, took, failure, now });
+        const reported = { load, slowness };
+        mailbox.send({ kind: "replied", id, ...reported, took, failure, now });
       });
       return;
     }
