The port of the store gives the era with each result

Store-Era was not read. A conditional write is for an era: answered in another one it fails as a conflict, since the revision may have been given out again. A store without the header has era 0, and all is as before.

The stand-in of the store can state an era and go back to a copy.

--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -31,6 +31,8 @@
   readonly latest: DesiredState | null;
   /** The version for the next call. */
   readonly version: string;
+  /** The era of the store that has answered; left out for era 0. */
+  readonly era?: number | undefined;
 }
 
 /** The agents that have started, as each described itself at its start. */
--- a/source/ports/store.ts
+++ b/source/ports/store.ts
@@ -21,6 +21,12 @@
 export interface Versioned<Value> {
   readonly value: Value;
   readonly version: string;
+  /**
+   * The era of the store in which it was read; left out for era 0. When the
+   * store goes back to an older copy, its era rises, and it assigns versions
+   * again that it had assigned before.
+   */
+  readonly era?: number | undefined;
 }
 
 /** Objects of one kind. */
@@ -29,12 +35,18 @@
   read(name: string): Promise<Result<Versioned<Value> | null, StoreFault>>;
   /**
    * Writes an object if it still has `version` or, with null, if it does not
-   * exist. Returns the new version.
+   * exist. Returns the new version. A write that the store answers in another
+   * era than `era` fails as a conflict, though it may have taken effect: the
+   * version may be that of another object's state.
    */
   write(
     name: string,
     value: Value,
-    options: { readonly version: string | null },
+    options: {
+      readonly version: string | null;
+      /** Not compared if left out. */
+      readonly era?: number | undefined;
+    },
   ): Promise<Result<string, StoreFault>>;
 }
 
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -1,7 +1,8 @@
 /**
  * A stand-in for the users' platform's store by its published protocol:
  * objects by kind and name with revisions, conditional writes, and watches
- * that wait. It can be down, or lose the replies of writes.
+ * that wait. It can be down, lose the replies of writes, or go back to an older
+ * copy.
  *
  * @module
  */
@@ -24,11 +25,24 @@
   setFaults(faults: Partial<PlatformStoreFaults>): void;
   /** Writes an object as operators do. */
   put(kind: string, name: string, spec: unknown): void;
+  /** Copies all objects. */
+  copy(): StoreCopy;
+  /**
+   * Goes back to a copy, in the next era. Connections are broken off, and
+   * revisions are given out again.
+   */
+  returnTo(copy: StoreCopy): void;
   /** Calls so far, a waiting watch as one. */
   calls(): number;
   close(): Promise<void>;
 }
 
+/** A copy of all objects of a store. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  readonly revision: number;
+}
+
 interface StoredObject {
   readonly kind: string;
   readonly name: string;
@@ -47,8 +61,11 @@
 /** Starts a store on a port; 0 takes any that is free. */
 export async function startPlatformStore(options: {
   readonly port: number;
+  /** The era that each answer states; left out, the store states none. */
+  readonly era?: number;
 }): Promise<PlatformStoreStandIn> {
-  const objects = new Map<string, StoredObject>();
+  let objects = new Map<string, StoredObject>();
+  let era = options.era ?? null;
   const watchers = new Set<() => void>();
   let revision = 1;
   let calls = 0;
@@ -65,6 +82,7 @@
     response: ServerResponse,
   ): Promise<void> {
     calls += 1;
+    if (era !== null) response.setHeader("store-era", String(era));
     if (faults.down) return void message.socket.destroy();
     const url = new URL(message.url ?? "/", "http://store");
     const match = objectPath.exec(url.pathname);
@@ -123,8 +141,8 @@
       readonly waitMs: number;
     },
   ): void {
-    if (faults.compacted) return send(response, 410, {});
     const { kind, since, waitMs } = options;
+    if (faults.compacted || since > revision) return send(response, 410, {});
     const answer = (): boolean => {
       const changed = ofKind(kind).filter((object) => object.revision > since);
       if (changed.length === 0) return false;
@@ -200,6 +218,14 @@
       if (faults.down) server.closeAllConnections();
     },
     put,
+    copy: () => ({ objects: new Map(objects), revision }),
+    returnTo(copy) {
+      objects = new Map(copy.objects);
+      ({ revision } = copy);
+      era = (era ?? 0) + 1;
+      watchers.clear();
+      server.closeAllConnections();
+    },
     calls: () => calls,
     close: () => closeServer(server),
   };
