Groups keep their grantor and their keys when the store goes back

The store can return from an older copy: with an earlier grantor's delegation, with a roster that lacks servers, or without the group's delegation. The grantor then stopped or was joined by a second one, and a successor that had heard the copy's roster took the keys of servers that it lacks for free.

- Agents know the era by the store's answers and by the record 'era', which exists only after a change.
- The grantor claims its group again, above the record found, with its own roster, and asks its servers, which keep what they report.
- Whoever else claims asks the servers of the record and of gossip first whether they hear a grantor.
What none reports is reserved until the grants of earlier eras have ended.
- Isolated keys and the division of keys come from the newest table that a server has.
- A grantor compares the record's era before each write; a write counts only in the era that it was meant for, also by its mark.

Changed test: grantor_task_test.ts passes the two new options.

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -148,6 +148,7 @@
       }),
     }),
     z.strictObject({ kind: z.literal("desired"), desired }),
+    z.strictObject({ kind: z.literal("era"), era: count }),
   ]),
 });
 
@@ -370,6 +371,8 @@
   hashedSlices: count,
   isolatedKeys,
   writerMark: name,
+  era: count.optional(),
+  unlistedServers: z.boolean().optional(),
 });
 
 /** The store's record of the accepted sections and the refusals. */
--- a/source/core/dissemination/replica.ts
+++ b/source/core/dissemination/replica.ts
@@ -17,7 +17,8 @@
   | { readonly kind: "agent"; readonly agent: Agent }
   | { readonly kind: "section"; readonly section: AcceptedSection }
   | { readonly kind: "index"; readonly index: DocumentIndex }
-  | { readonly kind: "desired"; readonly desired: DesiredState };
+  | { readonly kind: "desired"; readonly desired: DesiredState }
+  | { readonly kind: "era"; readonly era: number };
 
 /** One versioned record. */
 export interface SharedRecord {
@@ -90,6 +91,20 @@
   return { key: desiredKey, version: desired.version, value };
 }
 
+/** The key of the one record of the store's era. */
+export const eraKey = "era";
+
+/** The record of an era of the store that began with a change. */
+export function eraRecord(era: number): SharedRecord {
+  return { key: eraKey, version: era, value: { kind: "era", era } };
+}
+
+/** The era of the last change that agents have told; null for none. */
+export function toldEra(replica: Replica): number | null {
+  const value = recordOf(replica, eraKey)?.value;
+  return value?.kind === "era" ? value.era : null;
+}
+
 /** The desired state that other agents have told; null for none. */
 export function desiredOf(replica: Replica): DesiredState | null {
   const value = recordOf(replica, desiredKey)?.value;
--- a/source/core/ownership/delegation.ts
+++ b/source/core/ownership/delegation.ts
@@ -5,7 +5,8 @@
  * @module
  */
 import type { Address, AgentId } from "../agent.ts";
-import type { IsolatedKey } from "./table.ts";
+import { nextEpoch } from "./store_era.ts";
+import type { IsolatedKey, OwnershipTable } from "./table.ts";
 import type { FencingToken } from "./token.ts";
 
 /** A server that the grantor may grant to. */
@@ -63,24 +64,106 @@
   readonly isolatedKeys: readonly IsolatedKey[];
   /** Unique to each write: after a lost reply, a read shows if it succeeded. */
   readonly writerMark: string;
+  /**
+   * The era of the store in which it was written; left out for era 0. A record
+   * of an earlier era than the store's is a copy, and may be outdated.
+   */
+  readonly era?: number | undefined;
+  /**
+   * Whether servers outside the roster may have grants of an earlier era.
+   * Cleared once these must have ended.
+   */
+  readonly unlistedServers?: boolean | undefined;
+}
+
+/** What is known of a group whose record may have been lost by the store. */
+export interface LostRecord {
+  /** Servers that may have grants, besides those of the record. */
+  readonly servers: readonly RosterEntry[];
+  /** The newest table that a server of the group has; null for none. */
+  readonly table: OwnershipTable | null;
+  /** The highest epoch that is known to have been accepted; 0 for none. */
+  readonly acceptedEpoch: number;
 }
 
 /** The delegation with which a group is claimed after `previous`, if any. */
 export function successorDelegation(
   previous: Delegation | null,
-  claim: Omit<Delegation, "epoch" | "earlierGrantors" | keyof Checkpoint>,
+  claim: Omit<
+    Delegation,
+    "epoch" | "earlierGrantors" | "unlistedServers" | keyof Checkpoint
+  >,
+  lost: LostRecord | null = null,
 ): Delegation {
-  return {
+  const epoch = nextEpoch(
+    previous === null ? null : { epoch: previous.epoch, era: eraOf(previous) },
+    { era: claim.era ?? 0, acceptedEpoch: lost?.acceptedEpoch ?? 0 },
+  );
+  const successor: Delegation = {
     ...claim,
-    epoch: (previous?.epoch ?? 0) + 1,
-    hashedSlices: previous?.hashedSlices ?? claim.hashedSlices,
+    epoch,
+    hashedSlices: previous?.hashedSlices ?? lost?.table?.hashedSlices ??
+      claim.hashedSlices,
     roster: previous?.roster ?? [],
     earlierMayGrant: previous !== null,
     earlierGrantors: previous === null ? [] : earlierGrantorsOf(previous),
     isolatedKeys: previous?.isolatedKeys ?? [],
+    ...(previous?.unlistedServers === true ? { unlistedServers: true } : {}),
+  };
+  return lost === null ? successor : {
+    ...successor,
+    roster: rosterAfterLoss(successor, lost.servers),
+    earlierMayGrant: true,
+    isolatedKeys: newestIsolatedKeys(previous, lost.table),
+    unlistedServers: true,
   };
 }
 
+/** The era in which a delegation was written. */
+export function eraOf(delegation: Pick<Delegation, "era">): number {
+  return delegation.era ?? 0;
+}
+
+/**
+ * All servers that may have grants. What they were granted before is reserved
+ * for them only as long as their lease lasts: the lost record may not have had
+ * them any more, so that their slices were given on.
+ */
+function rosterAfterLoss(
+  { roster, epoch }: Pick<Delegation, "roster" | "epoch">,
+  servers: readonly RosterEntry[],
+): readonly RosterEntry[] {
+  const since = { epoch, sequence: 0 };
+  return mergeRosters(roster, servers).map(({ id, peerAddress }) => ({
+    id,
+    peerAddress,
+    since,
+  }));
+}
+
+/** The servers of both rosters. */
+export function mergeRosters(
+  roster: readonly RosterEntry[],
+  others: readonly RosterEntry[],
+): readonly RosterEntry[] {
+  return [...roster, ...others.filter(({ id }) => !inRoster(roster, id))];
+}
+
+/**
+ * A server that was granted a slice has a table that was no older, so that the
+ * newest table has each key whose slice may have been moved.
+ */
+function newestIsolatedKeys(
+  previous: Delegation | null,
+  table: OwnershipTable | null,
+): readonly IsolatedKey[] {
+  const stored = previous?.isolatedKeys ?? [];
+  if (table === null || table.version.epoch < (previous?.epoch ?? 0)) {
+    return stored;
+  }
+  return table.isolatedKeys;
+}
+
 /** The grantors that may still grant once `previous` has been replaced. */
 export function earlierGrantorsOf(previous: Delegation): readonly AgentId[] {
   const before = previous.earlierMayGrant ? previous.earlierGrantors : [];
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -34,7 +34,11 @@
 import { formerAgents, inheritSlices } from "./agent_restart.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
 import { compareTokens, noToken } from "./token.ts";
-import { freeUnreportedSlices, isUnreported } from "./unreported_slices.ts";
+import {
+  freeUnreportedSlices,
+  hasAllReports,
+  isUnreported,
+} from "./unreported_slices.ts";
 
 /** Fewer stripes than this for each server would divide the keys unevenly. */
 const minStripesPerServer = 4;
@@ -86,7 +90,9 @@
  */
 function shortenReservations(state: GrantorState, now: Clocks): GrantorState {
   const { leaseMilliseconds, longestDeadlineMilliseconds } = state.settings;
-  const end = now.monotonic + leaseMilliseconds + longestDeadlineMilliseconds;
+  const leasesEnd = now.monotonic + leaseMilliseconds +
+    longestDeadlineMilliseconds;
+  const end = Math.max(leasesEnd, state.unlistedUntil ?? leasesEnd);
   const slices = state.slices.map((slice): Slice =>
     slice.kind === "reserved" && slice.owner === null
       ? { ...slice, availableAt: Math.min(slice.availableAt, end) }
@@ -261,7 +267,7 @@
   const unresponsive = new Set(state.unresponsive);
   unresponsive.delete(id);
   const next = { ...state, unresponsive };
-  return unresponsive.size > 0 ? next : freeUnreportedSlices(next);
+  return hasAllReports(next) ? freeUnreportedSlices(next) : next;
 }
 
 /**
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -128,6 +128,12 @@
   readonly holders: ReadonlyMap<AgentId, Holder>;
   /** Servers of the roster that have not answered the takeover or renewed. */
   readonly unresponsive: ReadonlySet<AgentId>;
+  /**
+   * Until when servers outside the roster may have grants of an earlier era of
+   * the store, on the monotonic clock; null if none may. Slices that no server
+   * has reported are reserved until then.
+   */
+  readonly unlistedUntil: number | null;
   readonly slices: readonly Slice[];
   readonly isolatedKeys: readonly IsolatedKey[];
   /** Requests a second by slice; slices without a report are left out. */
--- a/source/core/ownership/roster_poll.ts
+++ b/source/core/ownership/roster_poll.ts
@@ -38,13 +38,23 @@
  */
 export function evaluateClaim(
   replies: readonly RosterReply[],
-  former: { readonly epoch: number; readonly renewed: boolean },
+  former: {
+    readonly epoch: number;
+    readonly renewed: boolean;
+    /**
+     * Whether the store may have lost later claims: the grantor that servers
+     * hear may then have an epoch that the store doesn't know.
+     */
+    readonly mayBeLost?: boolean;
+  },
 ): ClaimVerdict {
+  const { mayBeLost = false } = former;
   const living = replies.filter((reply) => reply.kind !== "ended");
   const answers = living.filter((reply) => reply.kind === "answered");
-  if (answers.some(({ epoch }) => epoch > former.epoch)) return "replaced";
+  const isReplaced = answers.some(({ epoch }) => epoch > former.epoch);
+  if (isReplaced && !mayBeLost) return "replaced";
   const reaching = answers.filter(({ epoch, hears }) =>
-    hears && epoch === former.epoch
+    hears && (epoch === former.epoch || mayBeLost)
   );
   if (reaching.length > 0 && reaching.length * 2 >= answers.length) {
     return "heard";
@@ -78,16 +88,22 @@
  */
 export function isDecided(
   replies: readonly RosterReply[],
-  asked: { readonly servers: number; readonly epoch: number },
+  asked: {
+    readonly servers: number;
+    readonly epoch: number;
+    readonly mayBeLost?: boolean;
+  },
 ): boolean {
+  const { mayBeLost = false } = asked;
   let reaching = 0;
   let cutOff = 0;
   let ended = 0;
   for (const reply of replies) {
     if (reply.kind === "ended") ended += 1;
     if (reply.kind !== "answered") continue;
-    if (reply.epoch > asked.epoch) return true;
-    if (reply.hears && reply.epoch === asked.epoch) reaching += 1;
+    if (reply.epoch > asked.epoch && !mayBeLost) return true;
+    const isFormer = reply.epoch === asked.epoch || mayBeLost;
+    if (reply.hears && isFormer) reaching += 1;
     else cutOff += 1;
   }
   const living = asked.servers - ended;
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -18,7 +18,11 @@
   type Holder,
   type Slice,
 } from "./grantor_state.ts";
-import { freeUnreportedSlices, sliceFromBase } from "./unreported_slices.ts";
+import {
+  freeUnreportedSlices,
+  hasAllReports,
+  sliceFromBase,
+} from "./unreported_slices.ts";
 import type { Grant, TakeoverAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import { compareTokens, type FencingToken, noToken } from "./token.ts";
@@ -40,6 +44,8 @@
   /** When the store was asked for the epoch. */
   readonly askedAt: Clocks;
   readonly isolatedKeys: readonly IsolatedKey[];
+  /** Until when servers outside the roster may have grants; null for none. */
+  readonly unlistedUntil?: number | null;
   readonly now: Clocks;
 }
 
@@ -67,6 +73,7 @@
     applicantsSince: null,
     holders,
     unresponsive: unresponsiveServers(takeover),
+    unlistedUntil: takeover.unlistedUntil ?? null,
     slices,
     isolatedKeys: takeover.isolatedKeys,
     busyKeys: [],
@@ -76,7 +83,7 @@
     rosterChanged: false,
     unconfirmed: null,
   };
-  return state.unresponsive.size === 0 ? freeUnreportedSlices(state) : state;
+  return hasAllReports(state) ? freeUnreportedSlices(state) : state;
 }
 
 /** Sequence of the tokens for grants that are restored after an ended lease. */
@@ -186,6 +193,7 @@
   const former = takeover.earlierStopped
     ? 0
     : takeover.formerDelegationMilliseconds;
-  return takeover.now.monotonic + former + settings.leaseMilliseconds +
+  const end = takeover.now.monotonic + former + settings.leaseMilliseconds +
     settings.longestDeadlineMilliseconds;
+  return Math.max(end, takeover.unlistedUntil ?? end);
 }
--- a/source/core/ownership/unreported_slices.ts
+++ b/source/core/ownership/unreported_slices.ts
@@ -30,6 +30,16 @@
   return { ...state, slices, sequence };
 }
 
+/**
+ * Whether every server that may have grants has responded, so that a slice that
+ * none has reported is nobody's.
+ */
+export function hasAllReports(
+  state: Pick<GrantorState, "unresponsive" | "unlistedUntil">,
+): boolean {
+  return state.unresponsive.size === 0 && state.unlistedUntil === null;
+}
+
 /** Whether a slice is reserved for servers that have not responded. */
 export function isUnreported(slice: Slice | undefined): boolean {
   return slice?.kind === "reserved" && slice.owner === null;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -59,6 +59,7 @@
   startRegistration,
 } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { startStoreEra } from "../tasks/store_era_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
 import { monotonicNow, pause } from "../tasks/time.ts";
 import { observeRequests } from "./observe.ts";
@@ -112,7 +113,12 @@
   options: PlatformAgentOptions & { readonly id: string },
 ) {
   const common = openCommonAdapters({ ...options, connections });
-  const store = openPlatformStore({ address: settings.store, ...common });
+  const storeEra = startStoreEra(common);
+  const store = openPlatformStore({
+    address: settings.store,
+    ...common,
+    onEra: storeEra.handleAnswer,
+  });
   const forwarder = openHopLinks({
     settings: links,
     now: monotonicNow,
@@ -122,7 +128,7 @@
     onSilence: reportSilence(common.events),
     largeBodyForwarder: common.forwarder,
   });
-  return { ...common, forwarder, store };
+  return { ...common, forwarder, store, storeEra };
 }
 
 type AgentAdapters = ReturnType<typeof openAdapters>;
@@ -258,7 +264,7 @@
   },
 ): AgentTasks {
   const { adapters } = options;
-  const { events, metrics, peers, store } = adapters;
+  const { events, metrics, peers, store, storeEra } = adapters;
   const place = placeByNumber({ count: keyCount });
   const agent = describeAgent(settings, options);
   let configuration: Configuration = emptyConfiguration;
@@ -291,6 +297,7 @@
     times: coordinatorTimes,
     group: groupSettings,
     delegations: store.delegations,
+    storeEra,
     peers,
     events,
     hash: hashText,
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -15,14 +15,21 @@
   hasDeparted,
   hasEnded,
 } from "../core/agent.ts";
-import type { Replica, SharedRecord } from "../core/dissemination/replica.ts";
+import {
+  eraRecord,
+  type Replica,
+  type SharedRecord,
+  toldEra,
+} from "../core/dissemination/replica.ts";
 import {
   type Configuration,
   emptyConfiguration,
   type Service,
   serviceNamed,
 } from "../core/document/document.ts";
+import type { RosterEntry } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import { unknownEra } from "../core/ownership/store_era.ts";
 import {
   grantorCandidates,
   groupOfHost,
@@ -52,6 +59,7 @@
   type GossipTimes,
   startGossip,
 } from "./gossip_task.ts";
+import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, startTicker } from "./time.ts";
 
 /** Durations of the coordination tasks, in milliseconds. */
@@ -114,6 +122,8 @@
   readonly times: CoordinatorTimes;
   readonly group: GroupSettings;
   readonly delegations: Store["delegations"];
+  /** Left out for a store that never goes back to an older copy. */
+  readonly storeEra?: StoreEraTask;
   readonly peers: Peers;
   readonly events: Events;
   readonly hash: KeyHash;
@@ -200,7 +210,11 @@
     events,
     hash,
     random: options.random,
-    onChange: (replica) => source?.handleReplicaChange(replica),
+    onChange(replica) {
+      const told = toldEra(replica);
+      if (told !== null) options.storeEra?.handleTold(told);
+      source?.handleReplicaChange(replica);
+    },
     fresh: () => source?.fresh() ?? false,
     revision: () => configuration.revision,
     onRevision: (revision) => source?.handlePeerRevision(revision),
@@ -262,8 +276,23 @@
     return grantorCandidates(group, { agents: gossip.agents(), hash });
   }
 
+  function serversOf(group: string): readonly RosterEntry[] {
+    return gossip.agents()
+      .filter((other) => other.group === group && other.phase !== "lost")
+      .map(({ id, peerAddress }) => ({ id, peerAddress }));
+  }
+
+  function newestTable(group: string): OwnershipTable | null {
+    const held = gossip.self().group === group ? holder?.table() : null;
+    return grantors.table(group) ?? held ?? null;
+  }
+
   const grantors = startGrantors({
     agent,
+    delegationMilliseconds: times.delegationMilliseconds,
+    storeEra: () => options.storeEra?.current() ?? unknownEra,
+    members: serversOf,
+    tableOf: newestTable,
     times: times.grantor,
     delegations: options.delegations,
     peers,
@@ -282,6 +311,11 @@
       candidatesFor(group).filter((address) => address !== agent.peerAddress),
   });
 
+  options.storeEra?.onChange((era) => {
+    gossip.publish([eraRecord(era)]);
+    grantors.handleEraChange();
+  });
+
   const relocation = startTicker(relocateGrantors, {
     intervalMilliseconds: times.relocationMilliseconds,
   });
@@ -362,10 +396,7 @@
     configuration: () => configuration,
     fresh: () => started.fresh(),
     holder: () => holder,
-    table(group) {
-      const held = gossip.self().group === group ? holder?.table() : null;
-      return grantors.table(group) ?? held ?? null;
-    },
+    table: newestTable,
     setLeaving(leaving) {
       holder?.setLeaving(leaving);
       gossip.setPhase(leaving ? "leaving" : "serving");
--- a/source/tasks/epoch_claim.ts
+++ b/source/tasks/epoch_claim.ts
@@ -9,11 +9,18 @@
 import {
   type Delegation,
   earlierGrantorsOf,
+  eraOf,
+  type LostRecord,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import type { Handover } from "../core/ownership/handover_message.ts";
 import type { TakeoverAnswer } from "../core/ownership/renewal.ts";
+import {
+  earlierErasEndAt,
+  epochLimit,
+  type StoreEra,
+} from "../core/ownership/store_era.ts";
 import type { Events } from "../ports/events.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
@@ -39,6 +46,13 @@
   readonly newWriterMark: () => string;
   /** The stored delegation that the new grantor succeeds; null for none. */
   readonly former: Versioned<Delegation> | null;
+  /**
+   * What is known of the group otherwise, where the store may have lost that
+   * delegation or a later one; null where it has not.
+   */
+  readonly lost: LostRecord | null;
+  /** The era of the store, as far as this agent knows. */
+  readonly storeEra: () => StoreEra;
   /** False when the grantor of that delegation has just failed to answer. */
   readonly formerReachable: boolean;
   /** The handover state of this agent's own grantor of an epoch, or null. */
@@ -88,6 +102,7 @@
 ): Promise<ClaimedEpoch | null> {
   const { delegations, group, agent, settings } = options;
   const { former } = options;
+  const era = former === null ? options.storeEra().era : former.era ?? 0;
   const value = successorDelegation(former?.value ?? null, {
     group,
     grantor: agent.id,
@@ -95,25 +110,65 @@
     durationMilliseconds: settings.delegationMilliseconds,
     hashedSlices: settings.hashedSlices,
     writerMark: options.newWriterMark(),
-  });
+    ...(era === 0 ? {} : { era }),
+  }, options.lost);
+  if (value.epoch >= epochLimit) {
+    const { epoch } = value;
+    const reason = "epoch-limit";
+    options.events.record("takeover-declined", { group, epoch, reason });
+    return null;
+  }
   const askedAt = readClocks();
   const version = former?.version ?? null;
-  const written = await delegations.write(group, value, { version });
+  const written = await delegations.write(group, value, { version, era });
   const stored = written.isOk
-    ? { value, version: written.value }
+    ? { value, version: written.value, era }
     : await findOwnWrite(options, value.writerMark);
   if (stored === null) return null;
   return { stored, askedAt, former: former?.value ?? null };
 }
 
-/** Finds out by its marker whether a write with a lost reply took effect. */
+/**
+ * Finds out by its marker whether a write with a lost reply took effect. In
+ * another era it doesn't count: it may have replaced a state of the object that
+ * it wasn't meant for.
+ */
 async function findOwnWrite(
   options: GrantorOptions,
   mark: string,
 ): Promise<Versioned<Delegation> | null> {
   const read = await options.delegations.read(options.group);
   if (read.isErr || read.value === null) return null;
-  return read.value.value.writerMark === mark ? read.value : null;
+  const { value, era = 0 } = read.value;
+  return value.writerMark === mark && eraOf(value) === era ? read.value : null;
+}
+
+/** Whether the store has gone back since the claimed record was written. */
+export function isFormerOutdated(
+  { former, stored }: Pick<ClaimedEpoch, "former" | "stored">,
+): boolean {
+  return former !== null && eraOf(former) < eraOf(stored.value);
+}
+
+/**
+ * Until when servers outside the stored roster may have grants, on the
+ * monotonic clock; null if none may.
+ */
+export function unlistedServersUntil(
+  options: Pick<GrantorOptions, "settings" | "storeEra">,
+  claim: ClaimedEpoch,
+): number | null {
+  if (claim.stored.value.unlistedServers !== true) return null;
+  const { settings } = options;
+  const changedAt = options.storeEra().changedAt ?? claim.askedAt.monotonic;
+  const end = earlierErasEndAt(changedAt, {
+    ...settings,
+    delegationMilliseconds: Math.max(
+      settings.delegationMilliseconds,
+      claim.former?.durationMilliseconds ?? 0,
+    ),
+  });
+  return end > claim.askedAt.monotonic ? end : null;
 }
 
 /** The result of asking the former grantor to stop. */
--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -11,6 +11,8 @@
 import {
   type Checkpoint,
   type Delegation,
+  eraOf,
+  mergeRosters,
   type RosterEntry,
 } from "../core/ownership/delegation.ts";
 import { delegationEnded, stepGrantor } from "../core/ownership/grantor.ts";
@@ -22,16 +24,18 @@
 import type { Renewal, RenewalAnswer } from "../core/ownership/renewal.ts";
 import { createGrantor } from "../core/ownership/takeover.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
-import { formatToken } from "../core/ownership/token.ts";
 import type { Versioned } from "../ports/store.ts";
 import {
   announceEpoch,
   claimEpoch,
   findUnendedGrantors,
   type GrantorOptions,
+  isFormerOutdated,
   sealFormerGrantor,
   type SealResult,
+  unlistedServersUntil,
 } from "./epoch_claim.ts";
+import { recordGrantorEffect } from "./grantor_events.ts";
 import { openMailbox } from "./mailbox.ts";
 import { removeStoppedGrantor } from "./stopped_grantor.ts";
 import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
@@ -41,6 +45,10 @@
 export interface GrantorTask {
   readonly group: string;
   readonly epoch: number;
+  /** The era of the store in which the epoch was claimed. */
+  readonly era: number;
+  /** All servers that may have grants of this grantor. */
+  roster(): readonly RosterEntry[];
   /** Null once the grantor has stopped. */
   renew(renewal: Renewal): RenewalAnswer | null;
   /** Stops this grantor if `epoch` is later than its own. */
@@ -88,6 +96,9 @@
   const sealed = former.stopped ? claim.former?.grantor : undefined;
   const earlierStopped =
     findUnendedGrantors(options, claim, sealed).length === 0;
+  // Later grantors, which the store has lost, may have granted since.
+  const handover = isFormerOutdated(claim) ? null : former.handover;
+  const unlistedUntil = unlistedServersUntil(options, claim);
   const state = createGrantor({
     group: options.group,
     epoch: claim.stored.value.epoch,
@@ -102,7 +113,8 @@
     formerDelegationMilliseconds: claim.former?.durationMilliseconds ?? 0,
     askedAt: claim.askedAt,
     isolatedKeys: claim.stored.value.isolatedKeys,
-    handover: former.handover ?? undefined,
+    handover: handover ?? undefined,
+    unlistedUntil,
     now: readClocks(),
   });
   options.events.record("grantor-begun", {
@@ -111,7 +123,8 @@
     answered: answers.length,
     asked: state.roster.length,
     earlierStopped,
-    handedOver: former.handover !== null,
+    handedOver: handover !== null,
+    unlistedServers: unlistedUntil !== null,
     unheard: state.slices.filter((slice) => slice.kind === "reserved").length,
   });
   return runGrantor(options, {
@@ -122,7 +135,10 @@
     stopped: sealed === undefined
       ? [options.agent.id]
       : [options.agent.id, sealed],
-    sealFormer: () => sealFormerGrantor(options, claim),
+    sealFormer: async () => {
+      const sealed = await sealFormerGrantor(options, claim);
+      return isFormerOutdated(claim) ? { ...sealed, handover: null } : sealed;
+    },
   });
 }
 
@@ -142,6 +158,7 @@
 ): GrantorTask {
   const { events, group } = options;
   let { state, stored } = takeover;
+  const era = eraOf(stored.value);
   let stopped = false;
   /** Whether the task was stopped; it then no longer writes to the store. */
   let finished = false;
@@ -169,43 +186,10 @@
       case "nudge":
         return nudge(effect.peerAddresses);
       default:
-        return report(effect);
-    }
-  }
-
-  function report(
-    effect: Exclude<
-      GrantorEffect,
-      { readonly kind: "answer" | "refuse" | "writeCheckpoint" | "nudge" }
-    >,
-  ): void {
-    const common = { group, epoch: state.epoch };
-    switch (effect.kind) {
-      case "lapsed":
-        return events.record("holder-lapsed", {
-          ...common,
-          holder: effect.id,
-          slices: effect.slices,
-        });
-      case "granted":
-        return events.record("slice-granted", {
-          ...common,
-          slice: effect.slice,
-          holder: effect.owner,
-          token: formatToken(effect.token),
-        });
-      case "moveStarted":
-        return events.record("move-started", {
-          ...common,
-          slice: effect.slice,
-          from: effect.owner,
-          to: effect.destination,
-        });
-      case "isolated":
-        return events.record("key-isolated", {
-          ...common,
-          key: effect.key,
-          slice: effect.slice,
+        return recordGrantorEffect(effect, {
+          group,
+          epoch: state.epoch,
+          events,
         });
     }
   }
@@ -238,13 +222,21 @@
       earlierGrantors: stored.value.earlierGrantors.filter((id) =>
         !stoppedGrantors.includes(id)
       ),
+      unlistedServers: mayHaveUnlistedServers() ? true : undefined,
       writerMark: options.newWriterMark(),
     };
     const firstAskedAt = readClocks();
     while (!stopped && !delegationEnded(state, readClocks())) {
       const askedAt = readClocks();
+      const comparison = await compareStored();
+      if (comparison === "other-era") return;
+      if (comparison === "unknown") {
+        await pause(options.times.storeRetryMilliseconds);
+        continue;
+      }
       const result = await options.delegations.write(group, value, {
         version: stored.version,
+        era,
       });
       if (result.isOk) {
         stored = { value, version: result.value };
@@ -252,6 +244,8 @@
       }
       const found = await options.delegations.read(group);
       if (found.isOk && found.value !== null) {
+        // This agent claims the group again.
+        if (isOfOtherEra(found.value)) return;
         if (found.value.value.writerMark === value.writerMark) {
           stored = found.value;
           return confirmWrite(firstAskedAt);
@@ -262,6 +256,31 @@
     }
   }
 
+  function mayHaveUnlistedServers(): boolean {
+    return state.unlistedUntil !== null && monotonicNow() < state.unlistedUntil;
+  }
+
+  function isOfOtherEra(found: Versioned<Delegation>): boolean {
+    return (found.era ?? 0) !== era;
+  }
+
+  /**
+   * Compares the record with the one that the next write is meant for. After
+   * the store has gone back, another record may have been given its version. A
+   * store without eras never goes back.
+   */
+  async function compareStored(): Promise<
+    "same-era" | "other-era" | "unknown"
+  > {
+    if (options.storeEra().era !== era) return "other-era";
+    if (era === 0) return "same-era";
+    const found = await options.delegations.read(group);
+    if (found.isErr) return "unknown";
+    if (options.storeEra().era !== era) return "other-era";
+    if (found.value === null) return "same-era";
+    return isOfOtherEra(found.value) ? "other-era" : "same-era";
+  }
+
   /**
    * Adopts a delegation written by others; false if this grantor is superseded.
    */
@@ -327,7 +346,8 @@
     const found = await options.delegations.read(group);
     // A write that has started meanwhile reads the store itself if needed.
     if (stopped || state.unconfirmed !== null || found.isErr) return;
-    if (found.value !== null) adoptStored(found.value);
+    if (found.value === null || isOfOtherEra(found.value)) return;
+    adoptStored(found.value);
   }
 
   let askedFormerGrantorAt = -Infinity;
@@ -406,6 +426,8 @@
   return {
     group,
     epoch: state.epoch,
+    era,
+    roster: () => mergeRosters(state.roster, state.unconfirmed?.roster ?? []),
     renew(renewal) {
       stopIfSuperseded(renewal.epoch);
       if (stopped) return null;
@@ -419,7 +441,8 @@
     handover: () => stopped ? handoverOf(state, monotonicNow()) : null,
     table: () => tableOf(state),
     stopped: () => stopped,
-    allResponded: () => state.unresponsive.size === 0,
+    allResponded: () =>
+      state.unresponsive.size === 0 && !mayHaveUnlistedServers(),
     async stop() {
       finished = true;
       halt("stopped");
--- a/source/tasks/grantor_task_test.ts
+++ b/source/tasks/grantor_task_test.ts
@@ -7,6 +7,7 @@
   type Delegation,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
+import { unknownEra } from "../core/ownership/store_era.ts";
 import { startGrantor } from "./grantor_task.ts";
 
 const formerSlices = testGrantorSettings.hashedSlices / 2;
@@ -43,6 +44,8 @@
     events: { record: () => undefined },
     newWriterMark: () => "mark-2",
     former: { value: former, version: "1" },
+    lost: null,
+    storeEra: () => unknownEra,
     formerReachable: false,
     ownHandover: () => null,
     hasEnded: () => true,
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -17,10 +17,20 @@
   LocateRequest,
 } from "../ports/peers.ts";
 import type { Store, Versioned } from "../ports/store.ts";
-import { pollRoster, type RosterPollResult } from "./roster_poll_task.ts";
+import {
+  pollRoster,
+  type RosterPollResult,
+  rosterPollTimeoutCalls,
+} from "./roster_poll_task.ts";
 import type { GrantorOptions } from "./epoch_claim.ts";
 import { type GrantorTask, startGrantor } from "./grantor_task.ts";
 import { createGroupTransfer } from "./group_transfer.ts";
+import {
+  createGroupRecovery,
+  type GrantorStatus,
+  type GroupKnowledge,
+  mayBeLost,
+} from "./group_recovery.ts";
 import { monotonicNow, pause } from "./time.ts";
 
 /** The grantors that run in one agent. */
@@ -40,6 +50,11 @@
   }): Handover | null;
   /** Null when this agent does not grant in the group. */
   table(group: string): OwnershipTable | null;
+  /**
+   * Claims each group in which this agent grants again: the store has gone back
+   * to an older copy.
+   */
+  handleEraChange(): void;
   /** The groups in which this agent grants. */
   groups(): readonly string[];
   /** Passes a group to another agent, once all its servers have responded. */
@@ -61,22 +76,14 @@
   readonly settled: Promise<void>;
 }
 
-/** The state of a delegation's grantor, as its agent reports it. */
-type GrantorStatus = "grants" | "stopped" | "unreachable";
-
 /** A version of a delegation and when this agent first read it. */
 interface SeenVersion {
+  /** With its era. */
   readonly version: string;
   /** On the monotonic clock. */
   readonly since: number;
 }
 
-/**
- * Timeout of a roster poll, in call timeouts: servers may ask their grantor
- * before they answer.
- */
-const rosterPollTimeoutCalls = 3;
-
 /** A reachable grantor has usually answered after this time. */
 const typicalAnswerMilliseconds = 100;
 
@@ -97,6 +104,7 @@
       | "settings"
       | "former"
       | "formerReachable"
+      | "lost"
       | "ownHandover"
       | "onClaimed"
     >
@@ -106,7 +114,8 @@
       readonly settingsOf: (group: string) => GrantorSettings | null;
       /** Agents that could grant in a group, the best first. */
       readonly successors: (group: string) => readonly string[];
-    },
+    }
+    & GroupKnowledge,
 ): GrantorsTask {
   const { agent, delegations, peers, times } = options;
   const grantors = new Map<string, GrantorTask>();
@@ -168,6 +177,9 @@
     const read = await reading;
     if (read.isErr) return null;
     const former = read.value;
+    if (mayBeLost(former, options.storeEra())) {
+      return await recovery.takeOverIfUnheard(question.group, former);
+    }
     if (former === null || former.value.grantor === agent.id) {
       return await takeOver(question.group, { former, formerReachable: true });
     }
@@ -219,6 +231,14 @@
     if (options.hasEnded(grantor) || options.hasDeparted(grantor)) return true;
     const poll = await pendingPoll;
     if (poll === null || poll.verdict === "may-claim") return true;
+    recordDeclined({ group, epoch }, poll);
+    return false;
+  }
+
+  function recordDeclined(
+    { group, epoch }: Pick<Delegation, "group" | "epoch">,
+    poll: RosterPollResult,
+  ): void {
     const answers = poll.replies.filter((reply) => reply.kind === "answered");
     options.events.record("takeover-declined", {
       group,
@@ -228,11 +248,12 @@
       answered: answers.length,
       hearing: answers.filter(({ hears }) => hears).length,
     });
-    return false;
   }
 
   /** Whether the grantor may have renewed its delegation in time. */
-  function mayHaveRenewed({ version, value }: Versioned<Delegation>): boolean {
+  function mayHaveRenewed(found: Versioned<Delegation>): boolean {
+    const { value, era = 0 } = found;
+    const version = `${era}/${found.version}`;
     const now = monotonicNow();
     const former = seenVersions.get(value.group);
     const since = former?.version === version ? former.since : now;
@@ -254,23 +275,30 @@
 
   async function takeOver(
     group: string,
-    claim: Pick<GrantorOptions, "former" | "formerReachable">,
+    claim:
+      & Pick<GrantorOptions, "former" | "formerReachable">
+      & Partial<Pick<GrantorOptions, "lost">>,
   ): Promise<GrantorLocation | null> {
     const settings = options.settingsOf(group);
     if (settings === null || closing) return null;
     // Stops its own former grantor, whose answers must not count for the new
-    // epoch.
-    void grantors.get(group)?.stop();
+    // epoch. One that claims again grants until it has the new epoch.
+    const { lost = null } = claim;
+    if (lost === null) void grantors.get(group)?.stop();
     let settle = () => {};
     const settled = new Promise<void>((resolve) => settle = resolve);
     try {
       const grantor = await startGrantor({
         ...options,
         ...claim,
+        lost,
         group,
         settings,
         ownHandover: (epoch) => handoverOf(group, epoch),
-        onClaimed: (epoch) => pendingGrantors.set(group, { epoch, settled }),
+        onClaimed(epoch) {
+          pendingGrantors.set(group, { epoch, settled });
+          void grantors.get(group)?.stop();
+        },
       });
       if (!await adoptGrantor(group, grantor)) return null;
     } finally {
@@ -294,6 +322,8 @@
     const former = grantors.get(group);
     grantors.set(group, grantor);
     await former?.stop();
+    // The era may have changed during the takeover.
+    void recovery.restore(group);
     return true;
   }
 
@@ -310,6 +340,15 @@
     return grantor?.epoch === epoch ? grantor.handover() : null;
   }
 
+  const recovery = createGroupRecovery({
+    ...options,
+    running: (group) => closing ? null : running(group),
+    mayHaveRenewed,
+    askGrantor,
+    recordDeclined,
+    takeOver,
+  });
+
   const transfer = createGroupTransfer({
     peers,
     times,
@@ -341,6 +380,9 @@
       return true;
     },
     handover: ({ group, epoch }) => handoverOf(group, epoch),
+    handleEraChange() {
+      for (const group of grantors.keys()) void recovery.restore(group);
+    },
     table: (group) => running(group)?.table() ?? null,
     groups: () => [...grantors.keys()].filter((group) => running(group)),
     async relocate(group) {
--- /dev/null
+++ b/source/tasks/group_recovery.ts
@@ -0,0 +1,242 @@
+/**
+ * How a group goes on after the store has gone back to an older copy, which has
+ * no record of the group or an outdated one: its grantor claims it again, and
+ * if that is lost, another agent does, by what the group's servers know.
+ *
+ * @module
+ */
+import type { Agent } from "../core/agent.ts";
+import { isRenewedInTime } from "../core/ownership/checkpoint.ts";
+import {
+  type Delegation,
+  eraOf,
+  type LostRecord,
+  mergeRosters,
+  type RosterEntry,
+} from "../core/ownership/delegation.ts";
+import type { RosterReply } from "../core/ownership/roster_poll.ts";
+import type { StoreEra } from "../core/ownership/store_era.ts";
+import { newerTable, type OwnershipTable } from "../core/ownership/table.ts";
+import type { Events } from "../ports/events.ts";
+import type { GrantorLocation, Peers } from "../ports/peers.ts";
+import type { Repository, Versioned } from "../ports/store.ts";
+import type { GrantorOptions, GrantorTimes } from "./epoch_claim.ts";
+import type { GrantorTask } from "./grantor_task.ts";
+import {
+  pollRoster,
+  type RosterPollResult,
+  rosterPollTimeoutCalls,
+} from "./roster_poll_task.ts";
+import { monotonicNow, pause } from "./time.ts";
+
+/** What an agent knows of a group without the store. */
+export interface GroupKnowledge {
+  /** How long the delegations of this release last. */
+  readonly delegationMilliseconds: number;
+  /** The servers of a group that are known to run. */
+  readonly members: (group: string) => readonly RosterEntry[];
+  /** The newest table of a group that this agent has; null for none. */
+  readonly tableOf: (group: string) => OwnershipTable | null;
+}
+
+/** The state of a delegation's grantor, as its agent reports it. */
+export type GrantorStatus = "grants" | "stopped" | "unreachable";
+
+/** A group's record in the store; null for none. */
+type Found = Versioned<Delegation> | null;
+
+/**
+ * Whether the store may have lost a claim of the group that came after the
+ * record that it has, or instead of none.
+ */
+export function mayBeLost(found: Found, known: StoreEra): boolean {
+  if (found === null) return known.changedAt !== null;
+  return eraOf(found.value) < (found.era ?? 0);
+}
+
+/** The recovery of an agent's groups. */
+export interface GroupRecovery {
+  /**
+   * Takes a group over, unless its servers hear a grantor: that one claims the
+   * group again itself.
+   */
+  takeOverIfUnheard(
+    group: string,
+    found: Found,
+  ): Promise<GrantorLocation | null>;
+  /** Claims a group again in which this agent grants. */
+  restore(group: string): Promise<void>;
+}
+
+/** Returns the recovery of groups for one agent. */
+export function createGroupRecovery(
+  options: GroupKnowledge & {
+    readonly agent: Agent;
+    readonly delegations: Repository<Delegation>;
+    readonly peers: Peers;
+    readonly events: Events;
+    readonly times: GrantorTimes;
+    readonly storeEra: () => StoreEra;
+    /** This agent's grantor of a group; null if it has none, or stops. */
+    readonly running: (group: string) => GrantorTask | null;
+    readonly mayHaveRenewed: (found: Versioned<Delegation>) => boolean;
+    readonly askGrantor: (
+      group: string,
+      location: GrantorLocation,
+    ) => Promise<GrantorStatus>;
+    readonly recordDeclined: (
+      former: Pick<Delegation, "group" | "epoch">,
+      poll: RosterPollResult,
+    ) => void;
+    readonly takeOver: (
+      group: string,
+      claim: Pick<GrantorOptions, "former" | "formerReachable" | "lost">,
+    ) => Promise<GrantorLocation | null>;
+  },
+): GroupRecovery {
+  const { agent, peers, events, times, delegations, storeEra } = options;
+  const timeoutMilliseconds = times.callTimeoutMilliseconds;
+  /** Groups that are being claimed again. */
+  const restoring = new Set<string>();
+
+  /** Whether a grantor may still write the delegation that the store lost. */
+  function mayHaveClaimed(): boolean {
+    const { changedAt } = storeEra();
+    return changedAt !== null &&
+      isRenewedInTime(
+        monotonicNow() - changedAt,
+        options.delegationMilliseconds,
+      );
+  }
+
+  /** All servers that may have grants, as far as is known here. */
+  function serversOf(
+    group: string,
+    found: Found,
+    own: readonly RosterEntry[],
+  ): readonly RosterEntry[] {
+    const stored = found?.value.roster ?? [];
+    return mergeRosters(mergeRosters(stored, own), options.members(group));
+  }
+
+  /** Asks the servers for their tables, and returns what is known. */
+  async function collectLost(
+    group: string,
+    known: {
+      readonly servers: readonly RosterEntry[];
+      readonly replies: readonly RosterReply[];
+    },
+  ): Promise<LostRecord> {
+    const answers = await Promise.all(
+      known.servers.map(({ peerAddress }) =>
+        peers.call(peerAddress, "table", {
+          message: { group },
+          timeoutMilliseconds,
+        })
+      ),
+    );
+    const received = answers.map((answer) => answer.isOk ? answer.value : null);
+    const tables = [options.tableOf(group), ...received]
+      .filter((table) => table !== null);
+    const [first = null, ...others] = tables;
+    const table = first === null ? null : others.reduce(newerTable, first);
+    const accepted = known.replies.map((reply) =>
+      reply.kind === "answered" ? reply.epoch : 0
+    );
+    return {
+      servers: known.servers,
+      table,
+      acceptedEpoch: Math.max(0, table?.version.epoch ?? 0, ...accepted),
+    };
+  }
+
+  async function takeOverIfUnheard(
+    group: string,
+    found: Found,
+  ): Promise<GrantorLocation | null> {
+    const epoch = found?.value.epoch ?? 0;
+    const servers = serversOf(group, found, []);
+    const poll = await pollRoster({ group, epoch, roster: servers }, {
+      peers,
+      timeoutMilliseconds: timeoutMilliseconds * rosterPollTimeoutCalls,
+      renewed: found === null
+        ? mayHaveClaimed()
+        : options.mayHaveRenewed(found),
+      mayBeLost: true,
+    });
+    if (poll.verdict !== "may-claim") {
+      options.recordDeclined({ group, epoch }, poll);
+      return found === null ? null : await locationIfGranting(found.value);
+    }
+    const lost = await collectLost(group, { servers, replies: poll.replies });
+    const claim = { former: found, formerReachable: false, lost };
+    return await options.takeOver(group, claim);
+  }
+
+  async function locationIfGranting(
+    { group, grantorAddress, epoch }: Delegation,
+  ): Promise<GrantorLocation | null> {
+    if (grantorAddress === agent.peerAddress) return null;
+    const location = { address: grantorAddress, epoch };
+    const status = await options.askGrantor(group, location);
+    return status === "grants" ? location : null;
+  }
+
+  /** False if this agent grants as before, and must try again. */
+  async function restoreOver(
+    grantor: GrantorTask,
+    found: Found,
+  ): Promise<boolean> {
+    const { group } = grantor;
+    if (found !== null && isSupersededBy(grantor, found)) {
+      const epoch = Math.max(found.value.epoch, grantor.epoch + 1);
+      grantor.stopIfSuperseded(epoch);
+      return true;
+    }
+    const servers = serversOf(group, found, grantor.roster());
+    const lost = await collectLost(group, { servers, replies: [] });
+    const acceptedEpoch = Math.max(lost.acceptedEpoch, grantor.epoch);
+    const location = await options.takeOver(group, {
+      former: found,
+      formerReachable: false,
+      lost: { ...lost, acceptedEpoch },
+    });
+    if (location === null) return false;
+    events.record("delegation-restored", {
+      group,
+      epoch: location.epoch,
+      former: grantor.epoch,
+      formerEra: grantor.era,
+      stored: found?.value.epoch ?? 0,
+      storedEra: found === null ? 0 : eraOf(found.value),
+      era: storeEra().era,
+    });
+    return true;
+  }
+
+  /** Whether another agent has a later epoch, or has claimed in this era. */
+  function isSupersededBy(
+    grantor: GrantorTask,
+    found: Versioned<Delegation>,
+  ): boolean {
+    if (found.value.grantor === agent.id) return false;
+    return found.value.epoch > grantor.epoch || !mayBeLost(found, storeEra());
+  }
+
+  return {
+    takeOverIfUnheard,
+    async restore(group) {
+      if (restoring.has(group)) return;
+      restoring.add(group);
+      for (;;) {
+        const grantor = options.running(group);
+        if (grantor === null || grantor.era >= storeEra().era) break;
+        const read = await delegations.read(group);
+        if (options.running(group) !== grantor) continue;
+        const restored = read.isOk && await restoreOver(grantor, read.value);
+        if (!restored) await pause(times.storeRetryMilliseconds);
+      }
+      restoring.delete(group);
+    },
+  };
+}
--- a/source/tasks/roster_poll_task.ts
+++ b/source/tasks/roster_poll_task.ts
@@ -19,9 +19,15 @@
   readonly replies: readonly RosterReply[];
 }
 
+/**
+ * Timeout of a roster poll, in call timeouts: servers may ask their grantor
+ * before they answer.
+ */
+export const rosterPollTimeoutCalls = 3;
+
 /** Asks each server once; resolves no later than the timeout. */
 export async function pollRoster(
-  delegation: Delegation,
+  delegation: Pick<Delegation, "roster" | "group" | "epoch">,
   options: {
     readonly peers: Peers;
     readonly timeoutMilliseconds: number;
@@ -29,9 +35,12 @@
      * Whether the grantor may still be renewing its delegation in the store.
      */
     readonly renewed: boolean;
+    /** Whether the store may have lost the record of a later grantor. */
+    readonly mayBeLost?: boolean;
   },
 ): Promise<RosterPollResult> {
   const { roster, group, epoch } = delegation;
+  const { renewed, mayBeLost = false } = options;
   const replies: RosterReply[] = roster.map(() => ({ kind: "silent" }));
 
   async function ask(entry: RosterEntry): Promise<RosterReply> {
@@ -46,13 +55,14 @@
   }
 
   await new Promise<void>((resolve) => {
-    const decided = () => isDecided(replies, { servers: roster.length, epoch });
+    const decided = () =>
+      isDecided(replies, { servers: roster.length, epoch, mayBeLost });
     const all = roster.map(async (entry, index) => {
       replies[index] = await ask(entry);
       if (decided()) resolve();
     });
     void Promise.all(all).then(() => resolve());
   });
-  const verdict = evaluateClaim(replies, { epoch, renewed: options.renewed });
+  const verdict = evaluateClaim(replies, { epoch, renewed, mayBeLost });
   return { verdict, replies: [...replies] };
 }
--- a/source/tasks/stopped_grantor.ts
+++ b/source/tasks/stopped_grantor.ts
@@ -42,8 +42,8 @@
         ),
         writerMark: options.newWriterMark(),
       };
-      const { version } = found;
-      const written = await delegations.write(group, value, { version });
+      const { version, era } = found;
+      const written = await delegations.write(group, value, { version, era });
       if (written.isOk) return;
     }
     await pause(options.retryMilliseconds);
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -10,6 +10,7 @@
 import { hashText } from "../source/adapters/hashing.ts";
 import { readDocument } from "../source/adapters/document/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
+import type { Delegation } from "../source/core/ownership/delegation.ts";
 import type { EventKind, Events } from "../source/ports/events.ts";
 import type { PeerMethod, PeerMethods, Peers } from "../source/ports/peers.ts";
 import type {
@@ -25,6 +26,7 @@
   type GroupSettings,
   startCoordinator,
 } from "../source/tasks/coordinator.ts";
+import { startStoreEra } from "../source/tasks/store_era_task.ts";
 import { documentSource } from "../source/tasks/document_source.ts";
 import { placeByHash } from "../source/core/ownership/table.ts";
 import { seededRandom } from "../standins/load.ts";
@@ -122,6 +124,8 @@
   /** Whether the targets reject requests with outdated fencing tokens. */
   readonly checksFencing?: boolean;
   readonly seed?: number;
+  /** The first era of the store; left out, it states none. */
+  readonly era?: number;
 }): FakeMesh {
   const clock = pauseClock();
   const random = seededRandom(options.seed ?? 7);
@@ -141,7 +145,10 @@
     return isLinked(from, to) && !isLost(from) && !isLost(to);
   }
 
-  const store = startFakeStore({ reaches: (from) => reaches(from, "store") });
+  const store = startFakeStore({
+    reaches: (from) => reaches(from, "store"),
+    era: options.era ?? 0,
+  });
   store.putDocument(options.document);
 
   function peersOf(host: string, isGone: () => boolean): Peers {
@@ -203,12 +210,18 @@
       },
     };
     const isGone = () => [...lost].some((other) => other.agent === agent);
-    const nodeStore = store.storeOf(node.host, isGone);
+    const storeEra = startStoreEra({ events: recorder });
+    const nodeStore = store.storeOf(
+      node.host,
+      isGone,
+      storeEra.handleAnswer,
+    );
     const coordinator = startCoordinator({
       agent,
       times,
       group: options.group ?? defaultGroupSettings,
       delegations: nodeStore.delegations,
+      storeEra,
       peers: peersOf(node.host, isGone),
       events: recorder,
       hash: hashText,
@@ -318,18 +331,36 @@
 /** An in-memory store that all nodes of a mesh share. */
 export interface FakeStore {
   /** The store as seen by a process on this host; unreachable once gone. */
-  storeOf(host: string, isGone: () => boolean): Store;
+  storeOf(
+    host: string,
+    isGone: () => boolean,
+    onEra?: (era: number) => void,
+  ): Store;
   putDocument(text: string): void;
   setDown(down: boolean): void;
   /** The next `count` writes take effect, but their replies are lost. */
   loseReplies(count: number): void;
   writeCount(): number;
+  /** Copies all objects, but for those of the kinds left out. */
+  copy(leftOut?: readonly string[]): StoreCopy;
+  /** Goes back to a copy, in the next era; versions are given out again. */
+  returnTo(copy: StoreCopy): void;
+  /** The delegation of a group; null for none. */
+  delegation(group: string): Delegation | null;
+}
+
+/** A copy of a fake store. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, Versioned<unknown>>;
+  readonly version: number;
 }
 
 function startFakeStore(options: {
   readonly reaches: (from: string) => boolean;
+  readonly era: number;
 }): FakeStore {
-  const objects = new Map<string, Versioned<unknown>>();
+  let objects = new Map<string, Versioned<unknown>>();
+  let { era } = options;
   let version = 0;
   let down = false;
   let repliesToLose = 0;
@@ -337,12 +368,19 @@
   const storeTimeoutMilliseconds = 1_000;
 
   function repository<Value>(
-    reaches: () => boolean,
+    surroundings: {
+      readonly reaches: () => boolean;
+      readonly onEra: (era: number) => void;
+    },
     kind: string,
   ): Repository<Value> {
+    const { reaches, onEra } = surroundings;
     async function reach(): Promise<StoreFault | null> {
       await sleep(latencyMilliseconds);
-      if (!down && reaches()) return null;
+      if (!down && reaches()) {
+        onEra(era);
+        return null;
+      }
       await sleep(storeTimeoutMilliseconds);
       return { kind: "uncertain", detail: "no answer" };
     }
@@ -351,9 +389,10 @@
         const fault = await reach();
         if (fault !== null) return Result.err(fault);
         const found = objects.get(`${kind}/${name}`);
-        return Result.ok(found as Versioned<Value> | undefined ?? null);
+        if (found === undefined) return Result.ok(null);
+        return Result.ok({ ...found as Versioned<Value>, era });
       },
-      async write(name, value, { version: expected }) {
+      async write(name, value, { version: expected, era: expectedEra }) {
         const fault = await reach();
         if (fault !== null) return Result.err(fault);
         const former = objects.get(`${kind}/${name}`)?.version ?? null;
@@ -366,29 +405,40 @@
           await sleep(storeTimeoutMilliseconds);
           return Result.err({ kind: "uncertain", detail: "reply lost" });
         }
+        if (expectedEra !== undefined && era !== expectedEra) {
+          return Result.err({ kind: "conflict" });
+        }
         return Result.ok(String(version));
       },
     };
   }
 
-  function storeOf(host: string, isGone: () => boolean): Store {
+  function storeOf(
+    host: string,
+    isGone: () => boolean,
+    onEra: (era: number) => void = () => undefined,
+  ): Store {
     const reaches = () => !isGone() && options.reaches(host);
+    const surroundings = { reaches, onEra };
     return {
-      documents: repository(reaches, "documents"),
-      acceptances: repository(reaches, "acceptances"),
-      delegations: repository(reaches, "delegations"),
-      statuses: repository(reaches, "statuses"),
-      seeds: repository(reaches, "seeds"),
+      documents: repository(surroundings, "documents"),
+      acceptances: repository(surroundings, "acceptances"),
+      delegations: repository(surroundings, "delegations"),
+      statuses: repository(surroundings, "statuses"),
+      seeds: repository(surroundings, "seeds"),
       async awaitChange() {
         const seen = objects.get("documents/main")?.version;
         const end = performance.now() + 30_000;
+        const startedIn = era;
         while (performance.now() < end) {
           if (down || !reaches()) {
             return Result.err({ kind: "uncertain", detail: "no answer" });
           }
           if (objects.get("documents/main")?.version !== seen) break;
+          if (era !== startedIn) break;
           await sleep(50);
         }
+        onEra(era);
         return Result.ok(null);
       },
     };
@@ -408,5 +458,21 @@
       repliesToLose = count;
     },
     writeCount: () => writes,
+    copy: (leftOut = []) => ({
+      objects: new Map(
+        [...objects].filter(([path]) =>
+          !leftOut.some((kind) => path.startsWith(`${kind}/`))
+        ),
+      ),
+      version,
+    }),
+    returnTo(copy) {
+      objects = new Map(copy.objects);
+      ({ version } = copy);
+      era += 1;
+    },
+    delegation: (group) =>
+      objects.get(`delegations/${group}`)?.value as Delegation | undefined ??
+        null,
   };
 }
