Members, departures and the watch go on after the store has gone back

What agents have written since the copy is lost: other agents then don't find them when they start, and a departure that was acknowledged is only kept by witnesses. A watch from a revision that was given out again misses changes.

A watch that is answered in a later era ends, and the desired state is read anew; only a higher version replaces the one in force, as before.

--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -307,6 +307,7 @@
     startSource: desiredStateSource({
       desiredStates: store.desiredStates,
       members: store.members,
+      storeEra,
       seeds: settings.seeds,
       policy: servicePolicy,
       times: desiredStateTimes,
@@ -328,6 +329,7 @@
     agent,
     agents: () => coordinator.gossip.agents(),
     store: store.departures,
+    restore: { storeEra, random: Math.random },
     peers,
     events,
     hash: hashText,
--- a/source/tasks/departures_task.ts
+++ b/source/tasks/departures_task.ts
@@ -15,6 +15,10 @@
 import type { Events } from "../ports/events.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { MemberWritten, TargetDepartures } from "../ports/registry.ts";
+import {
+  type EntryRestoreOptions,
+  startEntryRestore,
+} from "./entry_restore.ts";
 import { pause } from "./time.ts";
 
 /** Durations of the task, in milliseconds. */
@@ -45,6 +49,8 @@
   readonly events: Events;
   readonly hash: KeyHash;
   readonly times: DeparturesTimes;
+  /** Left out for a store that never goes back to an older copy. */
+  readonly restore?: Pick<EntryRestoreOptions, "storeEra" | "random">;
   /**
    * Called with what former processes of this agent have acknowledged, as soon
    * as the store or another agent has answered, and again with later answers.
@@ -55,6 +61,8 @@
   const { host } = options.agent;
   const stopped = new AbortController();
   let latest: readonly RecordedDeparture[] = [];
+  /** What a former process has acknowledged, as last read. */
+  let loaded: readonly RecordedDeparture[] = [];
   let keeping: Promise<boolean> | null = null;
   let handleRegistered: (written: MemberWritten) => void = () => undefined;
   const registered = new Promise<MemberWritten>((resolve) => {
@@ -71,6 +79,19 @@
     return (await store.put(host, departures)).isOk;
   }
 
+  /** Those of a former process are part of the latest once any was kept. */
+  function toRestore(): readonly RecordedDeparture[] {
+    return latest.length > 0 ? latest : loaded;
+  }
+
+  /** False if others were acknowledged meanwhile, or the write has failed. */
+  async function restoreDepartures(): Promise<boolean> {
+    const departures = toRestore();
+    const written = departures.length === 0 ||
+      await writeDepartures(departures);
+    return written && departures === toRestore();
+  }
+
   async function sendToWitness(
     { peerAddress }: Agent,
     departures: readonly RecordedDeparture[],
@@ -147,7 +168,8 @@
         askWitnesses(),
       ]);
       if (stored !== null || witnessed !== null) {
-        options.onLoaded([...stored ?? [], ...witnessed ?? []]);
+        loaded = [...stored ?? [], ...witnessed ?? []];
+        options.onLoaded(loaded);
       }
       if (stored !== null) return;
       await pause(times.retryMilliseconds, stopped.signal);
@@ -155,6 +177,17 @@
   }
 
   void load();
+  if (options.restore !== undefined) {
+    startEntryRestore({
+      ...options.restore,
+      entry: "departures",
+      agents: () => options.agents().length,
+      retryMilliseconds: times.retryMilliseconds,
+      stopped: stopped.signal,
+      events,
+      write: restoreDepartures,
+    });
+  }
 
   return {
     keep,
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -37,7 +37,9 @@
   SourceContext,
   StartSource,
 } from "./coordinator.ts";
+import { startEntryRestore } from "./entry_restore.ts";
 import { trackStoreAvailability } from "./store_availability.ts";
+import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, pause } from "./time.ts";
 import { startWatchReports, type WatchReportTimes } from "./watch_reports.ts";
 
@@ -69,6 +71,8 @@
 export interface DesiredStateSourceOptions {
   readonly desiredStates: DesiredStates;
   readonly members: Members;
+  /** Left out for a store that never goes back to an older copy. */
+  readonly storeEra?: StoreEraTask;
   /** Configured peer addresses of other agents, which may be out of date. */
   readonly seeds: readonly Address[];
   readonly policy: ServicePolicy;
@@ -232,7 +236,7 @@
       }
       const found = await readDesiredState();
       if (found === null) await pauseBeforeRetry(rank);
-      else await watchFrom(found.version);
+      else await watchFrom(found);
     }
   }
 
@@ -244,7 +248,9 @@
   }
 
   /** Resolves once the watch has failed, or others watch. */
-  async function watchFrom(version: string): Promise<void> {
+  async function watchFrom(
+    { version, era = 0 }: Pick<Versioned<DesiredState>, "version" | "era">,
+  ): Promise<void> {
     let from = version;
     for (;;) {
       const rank = ownRank();
@@ -267,6 +273,8 @@
       }
       recordAvailability(true);
       if (result.value.latest !== null) adoptAndSpread(result.value.latest);
+      // The version was one of another era, so that changes may be missing.
+      if ((result.value.era ?? 0) > era) return;
       from = result.value.version;
     }
   }
@@ -281,6 +289,18 @@
   }
 
   void start();
+  if (options.storeEra !== undefined) {
+    startEntryRestore({
+      storeEra: options.storeEra,
+      entry: "member",
+      agents: () => context.agents().length,
+      random: options.random,
+      retryMilliseconds: times.retryMilliseconds,
+      stopped: stopped.signal,
+      events,
+      write: async () => (await members.put(context.agent)).isOk,
+    });
+  }
 
   return {
     async seeds() {
