Requests run only in the regions that their route allows

Change: the entry chooses, offers to and spills to targets in allowed regions only, and refuses a key whose owner is elsewhere, after it has asked for a newer table. The agent beside the target checks again by its own configuration, on arrival and after a wait for a slot. A server in a region that no route to its keyed service allows joins no group; one whose region is no longer allowed gives its slices away with handover.

Tests: redirect_test.ts now knows its two servers as agents, since regions are found by them; its checks are unchanged. The fake mesh can adapt configurations.

--- a/source/core/ownership/membership.ts
+++ b/source/core/ownership/membership.ts
@@ -33,16 +33,20 @@
  */
 export function grantorCandidates(
   group: string,
-  options: { readonly agents: readonly Agent[]; readonly hash: KeyHash },
+  options: {
+    readonly agents: readonly Agent[];
+    readonly hash: KeyHash;
+    readonly mayOwnKeys?: (agent: Agent) => boolean;
+  },
 ): readonly Address[] {
-  const { hash } = options;
+  const { hash, mayOwnKeys } = options;
   const agents = options.agents.filter((agent) => agent.phase !== "lost");
   const most = Math.max(...agents.map(({ processors }) => processors));
   const ranked = agents
     .map((agent) => ({
       agent,
       small: agent.processors < most * minProcessorShare ? 1 : 0,
-      member: mayJoin(agent, group) ? 1 : 0,
+      member: mayJoin(agent, group, mayOwnKeys) ? 1 : 0,
       leaving: agent.phase === "leaving" ? 1 : 0,
       order: hash(`${group}/${agent.host}`, candidateSeed),
     }))
@@ -57,9 +61,14 @@
 
 /**
  * Whether an agent's target is a server of the group, as far as is known: a
- * starting agent tells its service before its group.
+ * starting agent tells its service before its group. One that may not own keys
+ * doesn't join a group.
  */
-export function mayJoin(agent: Agent, group: string): boolean {
+export function mayJoin(
+  agent: Agent,
+  group: string,
+  mayOwnKeys: (agent: Agent) => boolean = () => true,
+): boolean {
   if (agent.group !== null) return agent.group === group;
-  return group.startsWith(groupPrefix(agent.service));
+  return group.startsWith(groupPrefix(agent.service)) && mayOwnKeys(agent);
 }
--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -30,6 +30,7 @@
   | "lease-ended"
   | "no-owner-known"
   | "no-target-known"
+  | "region-not-allowed"
   | "configuration-stale"
   | "connection-lost"
   | "caller-left";
@@ -99,6 +100,7 @@
   "lease-ended": 503,
   "no-owner-known": 503,
   "no-target-known": 503,
+  "region-not-allowed": 503,
   "configuration-stale": 503,
   "connection-lost": 502,
   "caller-left": 499,
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -96,11 +96,14 @@
 ]);
 
 /**
- * Reasons that show a target is gone or leaving: another can run the request.
+ * Reasons that show a target is gone, leaving or in a region that is not
+ * allowed: another can run the request.
  */
 const otherTargetReasons: ReadonlySet<FailureReason> = new Set([
   "target-leaving",
   "target-unreachable",
+  // The agent beside the target has a newer configuration than the entry.
+  "region-not-allowed",
 ]);
 
 /** The part of its objective for which a request may wait for a handover. */
@@ -141,6 +144,7 @@
     const delayMilliseconds = failed.redirected ? 0 : delay;
     return { kind: "retry", delayMilliseconds, budget };
   }
+  if (failed.keyed && reason === "region-not-allowed") return giveUp;
   if (otherTargetReasons.has(reason)) {
     if (failed.attempt >= maxAgentsAsked) return giveUp;
     const delayMilliseconds = failed.keyed ? delay : 0;
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -4,11 +4,13 @@
  *
  * Invariants:
  * - a target that is leaving or lost gets no new requests;
+ * - a target in a region that is not allowed gets none either;
  * - at most half of the targets of one distance are ejected at one time.
  *
  * @module
  */
 import { type Agent, type AgentId, distance, type Place } from "../agent.ts";
+import { allowsRegion } from "../routes/allowed_regions.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -66,6 +68,8 @@
 /** The request that a target is chosen for. */
 export interface RouteQuery {
   readonly from: Place;
+  /** The regions whose targets may run it; empty or left out for all. */
+  readonly allowedRegions?: readonly string[];
   readonly targets: readonly Agent[];
   readonly rank: number;
   readonly bodyBytes: number;
@@ -266,7 +270,8 @@
 ): readonly Agent[] {
   const { query, tier } = options;
   const members = query.targets.filter((agent) =>
-    agent.phase === "serving" && distance(query.from, agent.place) === tier
+    agent.phase === "serving" && distance(query.from, agent.place) === tier &&
+    allowsRegion(query.allowedRegions ?? [], agent.place.region)
   );
   const notEjected = members.filter((agent) =>
     !isEjected(state, agent.id, query.now)
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -33,6 +33,7 @@
   | "lease-restored"
   | "slice-granted"
   | "move-started"
+  | "key-region-changed"
   | "key-isolated"
   | "checkpoint-written"
   | "revision-accepted"
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -44,6 +44,11 @@
   readonly longestBodyBytes: number;
   /** Maximum number of targets that the request reaches; null for no bound. */
   readonly maxAttempts: number | null;
+  /**
+   * The regions whose targets may run it, for the entry; empty or left out for
+   * all. They don't travel on: the next agent finds them by its configuration.
+   */
+  readonly allowedRegions?: readonly string[];
   /** The caller's latency objective, on the monotonic clock; null for none. */
   readonly objectiveAt: number | null;
   /** The deadline on this process's monotonic clock, in milliseconds. */
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -39,7 +39,12 @@
 } from "../core/document/document.ts";
 import { placeByNumber } from "../core/ownership/key_ranges.ts";
 import { notRun } from "../core/request/outcome.ts";
-import { cachedRouteIndex, hostOfAuthority } from "../core/routes/routes.ts";
+import { allowsRegion } from "../core/routes/allowed_regions.ts";
+import {
+  cachedRouteIndex,
+  hostOfAuthority,
+  type Route,
+} from "../core/routes/routes.ts";
 import type { AnswerKeyReport } from "../ports/key_reports.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
 import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
@@ -367,6 +372,7 @@
     tickMilliseconds: bodyAdmissionTickMilliseconds,
   });
   const gate = startStopGate();
+  const routeOf = routeOfRequest(coordinator.configuration);
   const serve = startServing({
     mayBegin: (request) =>
       gate.mayBegin(request) &&
@@ -374,7 +380,12 @@
     service: settings.service,
     holder: coordinator.holder,
     admission,
-    workOf: workByRoute(coordinator.configuration),
+    workOf: (request) => routeOf(request)?.name ?? null,
+    allowsRegion: (request) =>
+      allowsRegion(
+        routeOf(request)?.allowedRegions ?? [],
+        settings.place.region,
+      ),
     accepts: registration.accepts,
     target,
     readPendingInput: adapters.pendingInput.readPending,
@@ -417,16 +428,17 @@
 }
 
 /**
- * Names the kind of work of a request by its route: requests of one route take
- * similar time, those of different routes may not.
+ * Finds the route of a request by the configuration in force here. It names the
+ * kind of work: requests of one route take similar time, those of different
+ * routes may not.
  */
-function workByRoute(
+function routeOfRequest(
   configuration: () => Configuration,
-): (request: ProxyRequest) => string | null {
+): (request: ProxyRequest) => Route | null {
   const routesOf = cachedRouteIndex();
   return ({ authority, path }) => {
     const findRoute = routesOf(configuration().hostRoutes);
-    return findRoute(hostOfAuthority(authority), path)?.name ?? null;
+    return findRoute(hostOfAuthority(authority), path);
   };
 }
 
--- a/source/tasks/body_offers_test.ts
+++ b/source/tasks/body_offers_test.ts
@@ -87,11 +87,12 @@
     }),
     minTableAgeMilliseconds: 0,
   });
-  const send = (bytes: number) =>
+  const send = (bytes: number, allowedRegions: readonly string[] = []) =>
     entry.handle(
       testRequest({
         service: "media",
         maxAttempts: 3,
+        allowedRegions,
         objectiveAt: performance.now() + objectiveMilliseconds,
         deadlineAt: performance.now() + 10_000,
         signal: caller.signal,
@@ -208,6 +209,27 @@
     });
   });
 
+  // Guards against bodies in a region that their route doesn't allow.
+  describe("for the other region only", () => {
+    const { send, asked, sent } = startOffering(() => Result.ok(full(50)));
+
+    it("offers it to no agent elsewhere, though all refuse", async () => {
+      assert.ok((await send(largeBytes, ["siliguri"])).isErr);
+      assert.deepEqual(new Set(asked), new Set(["far-1", "far-2"]));
+    });
+
+    it("refuses it at once where no target is allowed, and a small one", async () => {
+      asked.length = 0;
+      for (const bytes of [largeBytes, 1_000]) {
+        const result = await send(bytes, ["asansol"]);
+        assert.ok(result.isErr);
+        assert.equal(result.error.reason, "region-not-allowed");
+        assert.ok((result.error.retryAfterMilliseconds ?? 0) > 0);
+      }
+      assert.deepEqual([...asked, ...sent], []);
+    });
+  });
+
   describe("and with a small one", () => {
     it("sends the small one without an offer", async () => {
       const { send, asked, sent } = startOffering(() => Result.ok(come));
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -22,6 +22,7 @@
   type Service,
   serviceNamed,
 } from "../core/document/document.ts";
+import { mayOwnKeys } from "../core/routes/allowed_regions.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import {
   grantorCandidates,
@@ -186,6 +187,10 @@
   let configuration: Configuration = emptyConfiguration;
   let holder: HolderTask | null = null;
   let stopping = false;
+  /** Whether the target takes no new work. */
+  let targetLeaves = agent.phase !== "serving";
+  /** Whether the configuration lets the target own keys in its region. */
+  let ownsKeys = true;
   let departures: readonly Agent[] = [];
   let departuresReadAt = -Infinity;
 
@@ -212,8 +217,30 @@
     configuration = next;
     events.record("revision-applied", { revision: next.revision });
     options.onConfiguration(next);
+    updateRegion();
     const service = serviceNamed(next, agent.service);
-    if (service !== null && holder === null) holder = startHolding(service);
+    if (service !== null && holder === null && ownsKeys) {
+      holder = startHolding(service);
+    }
+  }
+
+  /** A target in a region that is no longer allowed gives its keys up. */
+  function updateRegion(): void {
+    const allowed = isOwnerAllowed(agent);
+    if (allowed === ownsKeys) return;
+    ownsKeys = allowed;
+    events.record("key-region-changed", {
+      service: agent.service,
+      region: agent.place.region,
+      allowed,
+      revision: configuration.revision,
+    });
+    holder?.setLeaving(targetLeaves || !ownsKeys);
+  }
+
+  function isOwnerAllowed({ service, place }: Agent): boolean {
+    const { region } = place;
+    return mayOwnKeys(configuration.hostRoutes, { service, region });
   }
 
   function startHolding(service: Service): HolderTask | null {
@@ -233,7 +260,7 @@
       weight: options.weight,
       random: options.random,
       startKeyGrants: options.startKeyGrants,
-      leaving: gossip.self().phase !== "serving",
+      leaving: targetLeaves,
       candidates: () => ({
         members: otherMembers(group),
         grantors: candidatesFor(group),
@@ -259,7 +286,11 @@
   }
 
   function candidatesFor(group: string): readonly Address[] {
-    return grantorCandidates(group, { agents: gossip.agents(), hash });
+    return grantorCandidates(group, {
+      agents: gossip.agents(),
+      hash,
+      mayOwnKeys: isOwnerAllowed,
+    });
   }
 
   const grantors = startGrantors({
@@ -276,7 +307,7 @@
       grantorSettings(group, { times, configuration, sizes: options.group }),
     runningServers: (group) =>
       gossip.agents().filter((other) =>
-        other.phase !== "lost" && mayJoin(other, group)
+        other.phase !== "lost" && mayJoin(other, group, isOwnerAllowed)
       ).length,
     successors: (group) =>
       candidatesFor(group).filter((address) => address !== agent.peerAddress),
@@ -367,7 +398,8 @@
       return grantors.table(group) ?? held ?? null;
     },
     setLeaving(leaving) {
-      holder?.setLeaving(leaving);
+      targetLeaves = leaving;
+      holder?.setLeaving(leaving || !ownsKeys);
       gossip.setPhase(leaving ? "leaving" : "serving");
     },
     async beginStop() {
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -31,6 +31,10 @@
   type RetryDecision,
   type RetrySettings,
 } from "../core/retry/retry.ts";
+import {
+  allowsRegion,
+  regionNotAllowed,
+} from "../core/routes/allowed_regions.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -75,6 +79,18 @@
   "deadline-passed",
 ]);
 
+function isAllowed(
+  { allowedRegions = [] }: ProxyRequest,
+  { region }: Destination,
+): boolean {
+  return allowsRegion(allowedRegions, region);
+}
+
+/** An owner whose region isn't known yet may be in an allowed one. */
+function reasonForRegion({ region }: Destination): Failure {
+  return region === null ? notRun("no-owner-known") : regionNotAllowed();
+}
+
 function ownerMayHaveChanged(failure: Failure): boolean {
   return ownerChangeReasons.has(failure.reason);
 }
@@ -169,7 +185,10 @@
       namedOwner = redirect ?? namedOwner;
       remainingBody = bodyAfterAttempt(remainingBody);
       failure = combineFailures(failure, result.error);
-      const decision = offerRefused ? decideToGiveUp(request) : decideRetry({
+      const refusedHere = to === "" &&
+        result.error.reason === "region-not-allowed";
+      const isFinal = offerRefused || refusedHere;
+      const decision = isFinal ? decideToGiveUp(request) : decideRetry({
         failure,
         attempt,
         reached,
@@ -237,7 +256,8 @@
     const group = groupOf(request, key);
     if (group === null) return unsent(notRun("no-such-service"));
     let owner = tables.ownerOf(group, key, namedOwner);
-    if (owner === null) {
+    // The key may have moved to another region since the table was read.
+    if (owner === null || !isAllowed(request, owner)) {
       await tables.refresh(group);
       await options.readPendingInput();
       if (request.signal.aborted) return unsent(notRun("caller-left"));
@@ -250,6 +270,14 @@
     const choiceDetail = { table: formatToken(version) };
     if (owner === null) return unsent(notRun("no-owner-known"), choiceDetail);
     const to = owner.id;
+    if (!isAllowed(request, owner)) {
+      return unsent(reasonForRegion(owner), {
+        ...choiceDetail,
+        owner: to,
+        region: owner.region ?? "",
+        allowedRegions: request.allowedRegions?.join() ?? "",
+      });
+    }
     const asked = { owner: to, rank: request.rank };
     const decision = ownerAdmission.decide(asked);
     if (decision.kind === "refuse") {
--- a/source/tasks/redirect_test.ts
+++ b/source/tasks/redirect_test.ts
@@ -29,12 +29,29 @@
   Record<string, { owner: string; sequence: number }>
 >;
 
-/** Sends one keyed request through an entry that has only the old table. */
-async function sendInto(namedOwners: NamedOwners) {
+/**
+ * Sends one keyed request through an entry that has only the old table. The
+ * first server is in `near`, the second in `far`.
+ */
+async function sendInto(
+  namedOwners: NamedOwners,
+  options: {
+    readonly allowedRegions?: readonly string[];
+    /** The table that others have. */
+    readonly newTable?: OwnershipTable;
+  } = {},
+) {
+  const { allowedRegions = [], newTable } = options;
   const asked: string[] = [];
   const entry = startEntry({
     agent: testAgent("entry", { service: "none" }),
-    agents: () => [],
+    agents: () =>
+      [["first", "near"], ["second", "far"]].map(([id = "", region = ""]) =>
+        testAgent(id, {
+          group: "timetable.0",
+          place: { dataCenter: region, region },
+        })
+      ),
     configuration: () => ({
       ...emptyConfiguration,
       services: [{
@@ -71,8 +88,11 @@
       close: () => Promise.resolve(),
     },
     peers: {
-      // Fetches of a newer table are never answered.
-      call: () => new Promise(() => undefined),
+      // Without a newer table, fetches are never answered.
+      call: () =>
+        new Promise((resolve) => {
+          if (newTable !== undefined) resolve(Result.ok(newTable as never));
+        }),
       close: () => Promise.resolve(),
     },
     events: { record: () => undefined },
@@ -92,13 +112,15 @@
   const request = testRequest({
     service: "timetable",
     key: "7",
+    allowedRegions,
     deadlineAt: performance.now() + 10_000,
     signal: AbortSignal.timeout(10_000),
   });
   const result = await entry.handle(request, {
     body: { kind: "kept", bytes: new Uint8Array() },
   });
-  return { served: result.isOk, asked };
+  const reason = result.isErr ? result.error.reason : "";
+  return { served: result.isOk, asked, reason };
 }
 
 /**
@@ -131,3 +153,32 @@
     });
   });
 });
+
+// Guards against keyed requests that reach a region that their route doesn't
+// allow, and against a table that is never read again since no owner refuses.
+describe("an entry whose table names an owner that is not allowed", () => {
+  const allowedRegions = ["far"];
+
+  it("sends nothing there, and refuses once it has asked for a newer one", async () => {
+    const { asked, reason } = await sendInto({}, {
+      allowedRegions,
+      newTable: oldTable,
+    });
+    assert.deepEqual({ asked, reason }, {
+      asked: [],
+      reason: "region-not-allowed",
+    });
+  });
+
+  it("sends it to the allowed owner that the newer one names", async () => {
+    const { asked } = await sendInto({}, {
+      allowedRegions,
+      newTable: {
+        ...oldTable,
+        version: { epoch: 1, sequence: 2 },
+        holders: [holderAt("second")],
+      },
+    });
+    assert.deepEqual(asked, ["second"]);
+  });
+});
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -11,6 +11,7 @@
   notRun,
   ownedElsewhere,
 } from "../core/request/outcome.ts";
+import { regionNotAllowed } from "../core/routes/allowed_regions.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -50,6 +51,11 @@
   readonly workOf: (request: ProxyRequest) => string | null;
   /** Whether the target accepts new requests, with a key or without. */
   readonly accepts: (work: { readonly keyed: boolean }) => boolean;
+  /**
+   * Whether the request may run in the target's region, by the configuration of
+   * this agent, which may be newer than the entry's; when left out, all may.
+   */
+  readonly allowsRegion?: (request: ProxyRequest) => boolean;
   readonly target: Target;
   readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
@@ -58,7 +64,7 @@
   readonly mayBegin?: (request: ProxyRequest) => boolean;
 }): ServeTask {
   const { admission, target, events, metrics } = options;
-  const { mayBegin = () => true } = options;
+  const { mayBegin = () => true, allowsRegion = () => true } = options;
   let running = 0;
 
   async function serve(
@@ -67,6 +73,12 @@
   ): Promise<Result<ProxyAnswer, Failure>> {
     const permit = permitFor(request);
     if (permit.isErr) return refuse(request, permit.error);
+    // After the check of ownership, so that a key that has moved to an allowed
+    // region is found there.
+    if (!allowsRegion(request)) {
+      permit.value?.finish();
+      return refuse(request, regionNotAllowed());
+    }
     running += 1;
     const release = () => {
       running -= 1;
@@ -108,6 +120,7 @@
     if (permit !== null && !permit.stillHolds()) return notRun("lease-ended");
     if (monotonicNow() >= request.deadlineAt) return notRun("deadline-passed");
     if (!mayBegin(request)) return notRun("target-leaving");
+    if (!allowsRegion(request)) return regionNotAllowed();
     return request.signal.aborted ? notRun("caller-left") : null;
   }
 
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -6,7 +6,12 @@
  */
 import { Result } from "true-myth";
 import type { Agent, AgentId } from "../core/agent.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
+import {
+  type Failure,
+  type FailureReason,
+  notRun,
+} from "../core/request/outcome.ts";
+import { regionNotAllowed } from "../core/routes/allowed_regions.ts";
 import {
   chooseTarget,
   createRouting,
@@ -39,6 +44,13 @@
 /** Lowest HTTP status that counts as a failure of the target. */
 const minFailureStatus = 500;
 
+/** Reasons that don't show that a target has failed. */
+const reasonsWithoutFailure: ReadonlySet<FailureReason> = new Set([
+  "caller-left",
+  "deadline-passed",
+  "region-not-allowed",
+]);
+
 /** Maximum number of agents to which a body is offered, the nearest first. */
 const maxOffers = 3;
 
@@ -64,6 +76,12 @@
     : Infinity;
 }
 
+function reasonForNoTarget({ allowedRegions = [] }: ProxyRequest): Failure {
+  return allowedRegions.length === 0
+    ? notRun("no-target-known")
+    : regionNotAllowed();
+}
+
 function destinationOf(target: Agent): Destination {
   const { id, peerAddress, place } = target;
   return { id, address: peerAddress, region: place.region };
@@ -99,8 +117,7 @@
     for (let offers = 0; offers < maxOffers; offers += 1) {
       const { target, choiceDetail } = choose(request, { bytes, tried });
       if (target === null) {
-        return refused ??
-          unsent(notRun("no-target-known"), choiceDetail);
+        return refused ?? unsent(reasonForNoTarget(request), choiceDetail);
       }
       // All targets were tried; offering the body again would give the same
       // reply.
@@ -154,8 +171,10 @@
     request: ProxyRequest,
     work: { readonly bytes: number; readonly tried: ReadonlySet<AgentId> },
   ): { readonly target: Agent | null; readonly choiceDetail: EventDetail } {
+    const { allowedRegions = [] } = request;
     const query = {
       from: agent.place,
+      allowedRegions,
       targets: options.targetsOf(request.service),
       rank: request.rank,
       bodyBytes: work.bytes,
@@ -164,7 +183,15 @@
     };
     const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
-    return { target, choiceDetail: { targets: query.targets.length } };
+    return {
+      target,
+      choiceDetail: {
+        targets: query.targets.length,
+        ...(allowedRegions.length === 0
+          ? {}
+          : { allowedRegions: allowedRegions.join() }),
+      },
+    };
   }
 
   /** Offers a large body; null when it may be sent, else the reason why not. */
@@ -207,7 +234,7 @@
       return;
     }
     const { reason } = result.error;
-    if (reason === "caller-left" || reason === "deadline-passed") {
+    if (reasonsWithoutFailure.has(reason)) {
       return mailbox.send({ kind: "abandoned", id, took, now });
     }
     // The time of a refusal does not measure the target's service time.
--- a/source/tasks/waiting_for_slot_test.ts
+++ b/source/tasks/waiting_for_slot_test.ts
@@ -23,8 +23,10 @@
    */
   readonly read: () => void;
   readonly mayBegin?: MayBegin;
+  readonly allowsRegion?: () => boolean;
 }) {
   const ends: (() => void)[] = [];
+  const { mayBegin = () => true, allowsRegion = () => true } = options;
   const sent: string[] = [];
   const admission = startAdmission({
     settings: {
@@ -57,7 +59,8 @@
     },
     events: { record: () => undefined },
     metrics: { count: () => undefined, time: () => undefined },
-    ...(options.mayBegin === undefined ? {} : { mayBegin: options.mayBegin }),
+    mayBegin,
+    allowsRegion,
   });
   return {
     sent,
@@ -129,4 +132,30 @@
       slot.stop();
     });
   });
+
+  describe("at an agent that learns meanwhile that its region is not allowed", () => {
+    // Guards against requests in a region that is not allowed, sent by an entry
+    // with an older configuration.
+    it("is refused, as are those that arrive then", async () => {
+      let allowed = true;
+      const slot = startOneSlot({
+        read: () => undefined,
+        allowsRegion: () => allowed,
+      });
+      const stays = new AbortController().signal;
+      const first = slot.send("first", stays);
+      await rest();
+      const second = slot.send("second", stays);
+      await rest();
+      allowed = false;
+      const third = await slot.send("third", stays);
+      slot.endFirst();
+      for (const result of [await second, third]) {
+        assert.equal(result.isErr && result.error.reason, "region-not-allowed");
+      }
+      assert.ok((await first).isOk);
+      assert.deepEqual(slot.sent, ["first"]);
+      slot.stop();
+    });
+  });
 });
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -10,6 +10,7 @@
 import { hashText } from "../source/adapters/hashing.ts";
 import { readDocument } from "../source/adapters/document/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
+import type { Configuration } from "../source/core/document/document.ts";
 import type { EventKind, Events } from "../source/ports/events.ts";
 import type { PeerMethod, PeerMethods, Peers } from "../source/ports/peers.ts";
 import type {
@@ -24,6 +25,7 @@
   defaultGroupSettings,
   type GroupSettings,
   startCoordinator,
+  type StartSource,
 } from "../source/tasks/coordinator.ts";
 import { documentSource } from "../source/tasks/document_source.ts";
 import { placeByHash } from "../source/core/ownership/table.ts";
@@ -122,10 +124,13 @@
   /** Whether the targets reject requests with outdated fencing tokens. */
   readonly checksFencing?: boolean;
   readonly seed?: number;
+  /** Changes each configuration before it is put into force. */
+  readonly adapt?: (configuration: Configuration) => Configuration;
 }): FakeMesh {
   const clock = pauseClock();
   const random = seededRandom(options.seed ?? 7);
   const times = options.times ?? defaultCoordinatorTimes;
+  const { adapt = (configuration: Configuration) => configuration } = options;
   const nodes: FakeNode[] = [];
   const lost = new Set<FakeNode>();
   const events: FakeEvent[] = [];
@@ -215,15 +220,18 @@
       place: placeByHash(hashText),
       random,
       newWriterMark: () => `mark-${markCount += 1}`,
-      startSource: documentSource({
-        seeds: nodes.slice(0, 2).map((other) => other.address),
-        store: nodeStore,
-        times: documentTimes,
-        freshnessMilliseconds,
-        readDocument,
-        events: recorder,
-        hash: hashText,
-      }),
+      startSource: adaptedSource(
+        adapt,
+        documentSource({
+          seeds: nodes.slice(0, 2).map((other) => other.address),
+          store: nodeStore,
+          times: documentTimes,
+          freshnessMilliseconds,
+          readDocument,
+          events: recorder,
+          hash: hashText,
+        }),
+      ),
       startKeyGrants: null,
       weight: () => agent.slots,
       eventsAfter: () => [],
@@ -291,6 +299,17 @@
   };
 }
 
+function adaptedSource(
+  adapt: (configuration: Configuration) => Configuration,
+  start: StartSource,
+): StartSource {
+  return (context) =>
+    start({
+      ...context,
+      apply: (configuration) => context.apply(adapt(configuration)),
+    });
+}
+
 async function advanceUntilDone(
   clock: PausedClock,
   work: Promise<unknown>,
