No request reaches a target in an evacuated data centre

Change: where the settings have the bound "evacuate", the agents that watch the desired state also watch the evacuations, in the same turns, and distribute the complete list as one record. Its version is made of the store's era (0 until the store client reads it) and revision. The agent beside a target in an evacuated data centre, or one that doesn't know the list yet, treats its target as leaving; entries choose no target there. A data centre that is missing from the list of a new era stays evacuated for 3 s.

--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -23,6 +23,7 @@
   type TakeoverAnswer,
 } from "../core/ownership/renewal.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
+import type { EvacuationList } from "../core/routing/evacuations.ts";
 import type { RecordedDeparture } from "../core/target/departures.ts";
 import type {
   StoredDocument,
@@ -134,6 +135,12 @@
   }),
 });
 
+const evacuations: z.ZodType<EvacuationList> = z.strictObject({
+  era: count,
+  revision: count,
+  dataCenters: z.array(name).max(1_000),
+});
+
 const sharedRecord: z.ZodType<SharedRecord> = z.strictObject({
   key: name,
   version: count,
@@ -148,6 +155,7 @@
       }),
     }),
     z.strictObject({ kind: z.literal("desired"), desired }),
+    z.strictObject({ kind: z.literal("evacuations"), evacuations }),
   ]),
 });
 
--- a/source/core/dissemination/replica.ts
+++ b/source/core/dissemination/replica.ts
@@ -11,13 +11,18 @@
 import type { AcceptedSection, DocumentIndex } from "../document/document.ts";
 import type { KeyHash } from "../ownership/table.ts";
 import type { DesiredState } from "../routes/desired_state.ts";
+import {
+  type EvacuationList,
+  evacuationVersion,
+} from "../routing/evacuations.ts";
 
 /** The content of a record. */
 export type RecordValue =
   | { readonly kind: "agent"; readonly agent: Agent }
   | { readonly kind: "section"; readonly section: AcceptedSection }
   | { readonly kind: "index"; readonly index: DocumentIndex }
-  | { readonly kind: "desired"; readonly desired: DesiredState };
+  | { readonly kind: "desired"; readonly desired: DesiredState }
+  | { readonly kind: "evacuations"; readonly evacuations: EvacuationList };
 
 /** One versioned record. */
 export interface SharedRecord {
@@ -96,6 +101,22 @@
   return value?.kind === "desired" ? value.desired : null;
 }
 
+/** The key of the one record of the evacuated data centres. */
+const evacuationsKey = "evacuations";
+
+/** The record of a list of evacuated data centres. */
+export function evacuationsRecord(evacuations: EvacuationList): SharedRecord {
+  const value = { kind: "evacuations", evacuations } as const;
+  const version = evacuationVersion(evacuations);
+  return { key: evacuationsKey, version, value };
+}
+
+/** The evacuated data centres that other agents have told; null for none. */
+export function evacuationsOf(replica: Replica): EvacuationList | null {
+  const value = recordOf(replica, evacuationsKey)?.value;
+  return value?.kind === "evacuations" ? value.evacuations : null;
+}
+
 /** The record with this key; null when there is none. */
 export function recordOf(replica: Replica, key: string): SharedRecord | null {
   return replica.buckets[bucketOf(replica, key)]?.get(key) ?? null;
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -4,7 +4,8 @@
  *
  * Invariants:
  * - a target that is leaving or lost gets no new requests;
- * - a target in a region that is not allowed gets none either;
+ * - a target in a region that is not allowed, or in an evacuated data centre,
+ *   gets none either;
  * - at most half of the targets of one distance are ejected at one time.
  *
  * @module
@@ -70,6 +71,8 @@
   readonly from: Place;
   /** The regions whose targets may run it; empty or left out for all. */
   readonly allowedRegions?: readonly string[];
+  /** Data centres whose targets may not run it; none when left out. */
+  readonly evacuated?: ReadonlySet<string>;
   readonly targets: readonly Agent[];
   readonly rank: number;
   readonly bodyBytes: number;
@@ -271,7 +274,8 @@
   const { query, tier } = options;
   const members = query.targets.filter((agent) =>
     agent.phase === "serving" && distance(query.from, agent.place) === tier &&
-    allowsRegion(query.allowedRegions ?? [], agent.place.region)
+    allowsRegion(query.allowedRegions ?? [], agent.place.region) &&
+    query.evacuated?.has(agent.place.dataCenter) !== true
   );
   const notEjected = members.filter((agent) =>
     !isEjected(state, agent.id, query.now)
--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -1,7 +1,8 @@
 /**
  * What a platform stores for the agents: the operators' desired state, which
- * the platform has validated and numbered, the list of agents that have
- * started, and the departures of their targets.
+ * the platform has validated and numbered, the data centres that they have
+ * evacuated, the list of agents that have started, and the departures of their
+ * targets.
  *
  * @module
  */
@@ -9,6 +10,10 @@
 import type { Agent } from "../core/agent.ts";
 import type { RecordedDeparture } from "../core/target/departures.ts";
 import type { DesiredState } from "../core/routes/desired_state.ts";
+import type {
+  EvacuationChange,
+  EvacuationList,
+} from "../core/routing/evacuations.ts";
 import type { StoreFault, Versioned } from "./store.ts";
 
 /** The operators' desired state. */
@@ -33,6 +38,19 @@
   readonly version: string;
 }
 
+/** The data centres that operators have evacuated. */
+export interface Evacuations {
+  read(): Promise<Result<EvacuationList, StoreFault>>;
+  /**
+   * Resolves when evacuations have changed since the revision, or after
+   * `maxWaitMilliseconds`. After a failure the list must be read again.
+   */
+  awaitChange(options: {
+    readonly since: number;
+    readonly maxWaitMilliseconds: number;
+  }): Promise<Result<EvacuationChange, StoreFault>>;
+}
+
 /** The agents that have started, as each described itself at its start. */
 export interface Members {
   list(): Promise<Result<readonly Agent[], StoreFault>>;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -58,6 +58,10 @@
   type DeparturesTask,
   startDepartures,
 } from "../tasks/departures_task.ts";
+import {
+  type EvacuationsTask,
+  startEvacuations,
+} from "../tasks/evacuations_task.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import {
   type RegistrationTask,
@@ -136,6 +140,8 @@
 interface AgentTasks {
   readonly agent: Agent;
   readonly registration: RegistrationTask;
+  /** Null where data centres are not evacuated. */
+  readonly evacuations: EvacuationsTask | null;
   readonly departures: DeparturesTask;
   /** Answers the keys that the target reports; null if it reports none. */
   readonly answerKeys: AnswerKeyReport | null;
@@ -196,6 +202,7 @@
       running: tasks.entry.running() + tasks.serve.running(),
     });
     tasks.registration.stop();
+    tasks.evacuations?.stop();
     tasks.departures.stop();
     tasks.admission.stop();
     tasks.bodyAdmission.stop();
@@ -267,8 +274,19 @@
   const place = placeByNumber({ count: keyCount });
   const agent = describeAgent(settings, options);
   let configuration: Configuration = emptyConfiguration;
+  const evacuations = settings.bounds.evacuationMilliseconds === null
+    ? null
+    : startEvacuations({
+      store: store.evacuations,
+      times: desiredStateTimes,
+      events,
+      hash: hashText,
+      random: Math.random,
+      onChange: updateEvacuated,
+    });
   const registration = startRegistration({
     service: settings.service,
+    evacuated: evacuations !== null,
     silenceMilliseconds: settings.heartbeatMilliseconds * maxMissedHeartbeats,
     events,
     onServing: updateTargetState,
@@ -311,6 +329,7 @@
       events,
       hash: hashText,
       random: Math.random,
+      evacuations,
       onRegistered: (written) => departures.handleRegistered(written),
     }),
     startKeyGrants: targetKeys.startKeyGrants,
@@ -333,6 +352,11 @@
     onLoaded: registration.loadDepartures,
   });
 
+  function updateEvacuated(): void {
+    const { dataCenter } = settings.place;
+    registration.setEvacuated(evacuations?.isClosed(dataCenter) ?? false);
+  }
+
   function updateTargetState(serving: boolean): void {
     const reported = registration.target();
     if (reported !== null) {
@@ -393,6 +417,7 @@
     metrics,
   });
   const entry = startEntry({
+    ...(evacuations === null ? {} : { evacuated: evacuations.evacuated }),
     mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.gossip.agents(),
@@ -413,6 +438,7 @@
   return {
     agent,
     registration,
+    evacuations,
     departures,
     answerKeys: targetKeys.answerKeys,
     coordinator,
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -37,6 +37,7 @@
   SourceContext,
   StartSource,
 } from "./coordinator.ts";
+import type { EvacuationsTask, WatchContext } from "./evacuations_task.ts";
 import { trackStoreAvailability } from "./store_availability.ts";
 import { monotonicNow, pause } from "./time.ts";
 import { startWatchReports, type WatchReportTimes } from "./watch_reports.ts";
@@ -77,6 +78,8 @@
   readonly hash: KeyHash;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
+  /** Follows the evacuations in the same turns; null where there are none. */
+  readonly evacuations?: EvacuationsTask | null;
   /** Called when the store has the entry of this agent. */
   readonly onRegistered: (written: MemberWritten) => void;
 }
@@ -217,6 +220,7 @@
       pause(times.maxSilenceMilliseconds, stopped.signal),
     ]);
     await pause(times.introductionMilliseconds, stopped.signal);
+    void options.evacuations?.watch(watchContext);
     await watchDesiredState();
   }
 
@@ -280,6 +284,11 @@
         );
   }
 
+  const watchContext: WatchContext = {
+    ...context,
+    rank: ownRank,
+    stopped: stopped.signal,
+  };
   void start();
 
   return {
@@ -288,6 +297,7 @@
       return options.seeds;
     },
     handleReplicaChange(replica) {
+      options.evacuations?.handleReplicaChange(replica, watchContext);
       const desired = desiredOf(replica);
       if (desired === null || !adopt(desired)) return;
       // The agents near a watcher rely on it, also when its own watch is silent.
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -95,6 +95,8 @@
   return ownerChangeReasons.has(failure.reason);
 }
 
+const noDataCenters: ReadonlySet<string> = new Set();
+
 /** Starts an entry that knows no ownership table. */
 export function startEntry(options: {
   readonly agent: Agent;
@@ -116,6 +118,8 @@
   readonly minTableAgeMilliseconds: number;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: MayBegin;
+  /** The data centres that are evacuated; none when left out. */
+  readonly evacuated?: () => ReadonlySet<string>;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   const { mayBegin = () => true } = options;
@@ -133,6 +137,7 @@
 
   const unkeyed = startUnkeyedAttempts({
     agent,
+    evacuated: options.evacuated ?? (() => noDataCenters),
     targetsOf: index.ofService,
     peers: options.peers,
     random,
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -54,6 +54,11 @@
    * next process of this agent, so that it may be acknowledged.
    */
   departuresKept(): Promise<boolean>;
+  /**
+   * Treats the target as leaving while its data centre is evacuated, or while
+   * that is not known.
+   */
+  setEvacuated(evacuated: boolean): void;
   /** Treats the target as leaving from now on, because the agent stops. */
   stopServing(): void;
   stop(): void;
@@ -67,6 +72,8 @@
   readonly service: string;
   /** A target that has not reported for this long is not considered alive. */
   readonly silenceMilliseconds: number;
+  /** Whether the target counts as evacuated at first; not when left out. */
+  readonly evacuated?: boolean;
   readonly events: Events;
   /** Called when the target starts or stops taking new work. */
   readonly onServing: (serving: boolean) => void;
@@ -81,6 +88,7 @@
   let state: RegistrationState = createRegistration(options);
   let serving = false;
   let stopping = false;
+  let { evacuated = false } = options;
   let formerDeparturesKnown = false;
   let notServingSince = -Infinity;
 
@@ -115,13 +123,15 @@
       phase: serving ? "serving" : "leaving",
       target: state.target?.id ?? "",
       refused: state.target?.refused ?? false,
+      evacuated,
     });
     options.onServing(serving);
   }
 
   /** A report is not believed before what was acknowledged earlier is known. */
   function servesAsKnown(): boolean {
-    return formerDeparturesKnown && serves(state, monotonicNow());
+    return formerDeparturesKnown && !evacuated &&
+      serves(state, monotonicNow());
   }
 
   /** Whether a target that takes no new work serves its keys until they move. */
@@ -184,6 +194,10 @@
     },
     departuresKept: () =>
       options.keepDepartures(acknowledgedDepartures(state, monotonicNow())),
+    setEvacuated(next) {
+      evacuated = next;
+      updateServing();
+    },
     stopServing() {
       stopping = true;
       updateServing();
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -90,6 +90,8 @@
 /** Starts with an empty routing state. */
 export function startUnkeyedAttempts(options: {
   readonly agent: Agent;
+  /** The data centres that are evacuated. */
+  readonly evacuated: () => ReadonlySet<string>;
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
@@ -175,6 +177,7 @@
     const query = {
       from: agent.place,
       allowedRegions,
+      evacuated: options.evacuated(),
       targets: options.targetsOf(request.service),
       rank: request.rank,
       bodyBytes: work.bytes,
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -24,6 +24,8 @@
   setFaults(faults: Partial<PlatformStoreFaults>): void;
   /** Writes an object as operators do. */
   put(kind: string, name: string, spec: unknown): void;
+  /** Removes an object as operators do. */
+  remove(kind: string, name: string): void;
   /** Calls so far, a waiting watch as one. */
   calls(): number;
   close(): Promise<void>;
@@ -49,6 +51,8 @@
   readonly port: number;
 }): Promise<PlatformStoreStandIn> {
   const objects = new Map<string, StoredObject>();
+  /** The last state of each removed object, with the removal's revision. */
+  const removed = new Map<string, StoredObject>();
   const watchers = new Set<() => void>();
   let revision = 1;
   let calls = 0;
@@ -109,8 +113,11 @@
     });
   }
 
-  function ofKind(kind: string): readonly StoredObject[] {
-    return [...objects.values()]
+  function ofKind(
+    kind: string,
+    among = objects,
+  ): readonly StoredObject[] {
+    return [...among.values()]
       .filter((object) => object.kind === kind)
       .sort((left, right) => left.name < right.name ? -1 : 1);
   }
@@ -126,7 +133,9 @@
     if (faults.compacted) return send(response, 410, {});
     const { kind, since, waitMs } = options;
     const answer = (): boolean => {
-      const changed = ofKind(kind).filter((object) => object.revision > since);
+      const changed = [...ofKind(kind), ...ofKind(kind, removed)]
+        .filter((object) => object.revision > since)
+        .sort((left, right) => left.revision - right.revision);
       if (changed.length === 0) return false;
       end(changed);
       return true;
@@ -135,7 +144,7 @@
       clearTimeout(timer);
       watchers.delete(tell);
       const events = changed.map((object) => ({
-        removed: false,
+        removed: removed.get(`${object.kind}/${object.name}`) === object,
         object: shown(object),
       }));
       send(response, 200, { events, storeRevision: revision });
@@ -180,10 +189,21 @@
     revision += 1;
     const object = { kind, name, revision, spec };
     objects.set(`${kind}/${name}`, object);
+    removed.delete(`${kind}/${name}`);
     for (const tell of [...watchers]) tell();
     return object;
   }
 
+  function remove(kind: string, name: string): void {
+    const path = `${kind}/${name}`;
+    const former = objects.get(path);
+    if (former === undefined) return;
+    revision += 1;
+    objects.delete(path);
+    removed.set(path, { ...former, revision });
+    for (const tell of [...watchers]) tell();
+  }
+
   function finish(response: ServerResponse, object: StoredObject): void {
     if (faults.lostReplies > 0) {
       faults = { ...faults, lostReplies: faults.lostReplies - 1 };
@@ -200,6 +220,7 @@
       if (faults.down) server.closeAllConnections();
     },
     put,
+    remove,
     calls: () => calls,
     close: () => closeServer(server),
   };
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -13,11 +13,20 @@
   type Configuration,
   emptyConfiguration,
 } from "../source/core/document/document.ts";
+import type { EvacuationList } from "../source/core/routing/evacuations.ts";
+import { desiredStateTimes } from "../source/programs/platform_policy.ts";
 import type { Peers } from "../source/ports/peers.ts";
-import type { DesiredStateChange } from "../source/ports/registry.ts";
+import type {
+  DesiredStateChange,
+  Evacuations,
+} from "../source/ports/registry.ts";
 import type { StoreFault } from "../source/ports/store.ts";
 import type { ConfigurationSource } from "../source/tasks/coordinator.ts";
 import { desiredStateSource } from "../source/tasks/desired_state_source.ts";
+import {
+  type EvacuationsTask,
+  startEvacuations,
+} from "../source/tasks/evacuations_task.ts";
 import { type GossipTask, startGossip } from "../source/tasks/gossip_task.ts";
 import { seededRandom } from "../standins/load.ts";
 import { testDesiredState } from "./test_desired_state.ts";
@@ -35,10 +44,15 @@
 const mostMilliseconds = 1_000;
 const allMilliseconds = 2_000;
 
+const evacuatedPlace = "dc-2";
+/** The bound of 5 s, less the 1.5 s for which keyed work continues. */
+const evacuatedMilliseconds = 3_500;
+
 interface FleetNode {
   readonly agent: Agent;
   readonly gossip: GossipTask;
   readonly source: ConfigurationSource;
+  readonly evacuations: EvacuationsTask;
   readonly revision: () => number;
 }
 
@@ -60,6 +74,8 @@
   let version = 1;
   let calls = 0;
   let waiting: readonly (() => void)[] = [];
+  let list: EvacuationList = { era: 0, revision: 1, dataCenters: [] };
+  let listCalls = 0;
   /** Replaced when the open connections to the store go silent. */
   let connectionsLifetime = Symbol("connections");
 
@@ -127,6 +143,41 @@
     });
   }
 
+  /** The list answers at once, so that a fault of the store is told alike. */
+  const evacuationsAt = (host: string): Evacuations => ({
+    read() {
+      listCalls += 1;
+      const detail = "turned away";
+      return Promise.resolve(
+        refused.has(host) || isLost(host)
+          ? Result.err({ kind: "refused", detail })
+          : Result.ok(list),
+      );
+    },
+    async awaitChange({ since, maxWaitMilliseconds }) {
+      listCalls += 1;
+      const begun = { era: list.era, connectionsLifetime };
+      for (let waited = 0; waited < maxWaitMilliseconds; waited += 50) {
+        const usable = !refused.has(host) && !isLost(host) &&
+          begun.connectionsLifetime === connectionsLifetime;
+        const changed = list.revision > since || list.era !== begun.era;
+        if (usable && changed) break;
+        await pause(50);
+        if (refused.has(host)) break;
+      }
+      if (refused.has(host) || isLost(host)) {
+        return Result.err({ kind: "uncertain", detail: "no answer" });
+      }
+      if (begun.connectionsLifetime !== connectionsLifetime) {
+        await pause(watchGraceMilliseconds);
+        return Result.err({ kind: "uncertain", detail: "silent" });
+      }
+      const evacuated = list.dataCenters.includes(evacuatedPlace);
+      const changes = [{ dataCenter: evacuatedPlace, evacuated }];
+      return Result.ok({ ...list, changes });
+    },
+  });
+
   function start(index: number): void {
     const host = `host-${index}`;
     const agent = testAgent(`${host}/${Date.now()}`, {
@@ -141,6 +192,14 @@
     let configuration: Configuration = emptyConfiguration;
     let source: ConfigurationSource | null = null;
     const events = { record: () => undefined };
+    const evacuations = startEvacuations({
+      store: evacuationsAt(host),
+      times: desiredStateTimes,
+      events,
+      hash: hashText,
+      random: seededRandom(index),
+      onChange: () => undefined,
+    });
     const gossip = startGossip({
       agent,
       seeds: () => source?.seeds() ?? Promise.resolve([]),
@@ -180,6 +239,7 @@
           return await refusal(host) ?? Result.ok({ replaced });
         },
       },
+      evacuations,
       seeds: [],
       policy: {
         keys: { groups: 1, slicesPerGroup: 8 },
@@ -223,7 +283,8 @@
       census: () => Promise.resolve({ applied: [], missing: [] }),
     });
     const revision = () => configuration.revision;
-    nodes.set(agent.peerAddress, { agent, gossip, source, revision });
+    const node = { agent, gossip, source, evacuations, revision };
+    nodes.set(agent.peerAddress, node);
   }
 
   for (let index = 0; index < count; index += 1) start(index);
@@ -243,6 +304,7 @@
           assert.fail();
       void node.source.stop();
       void node.gossip.stop();
+      node.evacuations.stop();
       nodes.delete(address);
       start(index);
     },
@@ -256,6 +318,15 @@
     behind: () =>
       [...nodes.values()].filter(({ revision }) => revision() < version)
         .map(({ agent }) => agent.host),
+    evacuate(next: Partial<EvacuationList>) {
+      list = { ...list, revision: list.revision + 1, ...next };
+    },
+    /** The number of agents that would let requests to this data centre. */
+    open: (dataCenter: string) =>
+      [...nodes.values()].filter(({ evacuations }) =>
+        !evacuations.isClosed(dataCenter)
+      ).length,
+    listCalls: () => listCalls,
     /** The calls to the store in this time. */
     async callsIn(milliseconds: number): Promise<number> {
       const before = calls;
@@ -263,9 +334,10 @@
       return calls - before;
     },
     async stop() {
-      for (const { source, gossip } of nodes.values()) {
+      for (const { source, gossip, evacuations } of nodes.values()) {
         void source.stop();
         void gossip.stop();
+        evacuations.stop();
       }
       await clock.tickAsync(storeTimeoutMilliseconds);
     },
@@ -448,3 +520,78 @@
     });
   });
 });
+
+// Guards against requests that reach targets in an evacuated data centre (329
+// in one run of a deployment).
+describe("a fleet of 72 agents in 3 regions", () => {
+  const count = 72;
+  let clock: PausedClock;
+  let fleet: Fleet;
+  beforeEach(async () => {
+    clock = pauseClock();
+    fleet = startFleet(clock, count);
+    await clock.tickAsync(watchMilliseconds);
+    assert.equal(fleet.open(evacuatedPlace), count);
+  });
+  afterEach(async () => {
+    await fleet.stop();
+    clock.uninstall();
+  });
+
+  const evacuate = () => fleet.evacuate({ dataCenters: [evacuatedPlace] });
+  const withdraw = () => fleet.evacuate({ dataCenters: [] });
+
+  /** Fails unless all agents have closed it, or opened it again, in time. */
+  async function assertInTime(open: number): Promise<void> {
+    await clock.tickAsync(evacuatedMilliseconds);
+    assert.equal(fleet.open(evacuatedPlace), open);
+  }
+
+  it("has an evacuation in force and withdrawn in time, with few calls", async () => {
+    const before = fleet.listCalls();
+    await clock.tickAsync(watchMilliseconds);
+    assert.ok(fleet.listCalls() - before <= usualDataCenters * 4);
+    evacuate();
+    await assertInTime(0);
+    assert.equal(fleet.open("dc-1"), count);
+    withdraw();
+    await assertInTime(count);
+    assert.ok(fleet.listCalls() - before <= usualDataCenters * 4 * 3);
+  });
+
+  for (const milliseconds of [0, 3_500]) {
+    it(`has it ${milliseconds} ms after its connections went silent`, async () => {
+      fleet.silenceConnections();
+      await clock.tickAsync(milliseconds);
+      evacuate();
+      await assertInTime(0);
+    });
+  }
+
+  for (const trouble of ["refused", "partitioned"] as const) {
+    it(`has it while the watchers are ${trouble}`, async () => {
+      for (const host of fleet.watchers()) fleet[trouble].add(host);
+      evacuate();
+      await assertInTime(0);
+    });
+  }
+
+  it("keeps it without a store, and tells an agent that starts", async () => {
+    evacuate();
+    await clock.tickAsync(evacuatedMilliseconds);
+    for (const { agent } of fleet.nodes()) fleet.refused.add(agent.host);
+    fleet.restart(70);
+    assert.equal(fleet.open("dc-1"), count - 1);
+    await assertInTime(0);
+    assert.equal(fleet.open("dc-1"), count);
+  });
+
+  it("keeps it for 3 s when a store that has gone back lacks it", async () => {
+    evacuate();
+    await clock.tickAsync(evacuatedMilliseconds);
+    fleet.evacuate({ era: 1, revision: 1, dataCenters: [] });
+    await clock.tickAsync(2_800);
+    assert.equal(fleet.open(evacuatedPlace), 0);
+    await assertInTime(count);
+  });
+});
--- a/tests/key_regions_test.ts
+++ b/tests/key_regions_test.ts
@@ -13,6 +13,8 @@
 );
 const keys = Array.from({ length: 200 }, (_, index) => `class-${index}`);
 const servers = 26;
+/** The bound of 5 s, less what an evacuation may take to reach the agents. */
+const movedMilliseconds = 3_500;
 
 describe("a keyed service with 26 targets in 6 data centres and 3 regions", () => {
   let mesh: FakeMesh;
@@ -80,4 +82,18 @@
     await allow([]);
     assert.equal(placesOfKeys("region").size, 3);
   });
+
+  // Guards against keys without an owner after an evacuation: servers that
+  // leave at one moment could be given each other's keys.
+  it("has all keys of an evacuated data centre elsewhere in time", async () => {
+    await start([]);
+    assert.ok(placesOfKeys("dataCenter").has("dc-2"));
+    for (const { agent, coordinator } of mesh.nodes) {
+      if (agent.place.dataCenter === "dc-2") coordinator.setLeaving(true);
+    }
+    await mesh.advance(movedMilliseconds, () => placesOfKeys("dataCenter"));
+    assert.equal(placesOfKeys("dataCenter").size, 5);
+    assert.ok(!placesOfKeys("dataCenter").has("dc-2"));
+    assert.ok(!placesOfKeys("dataCenter").has("none"));
+  });
 });
