--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -4,6 +4,8 @@
  *
  * Invariants:
  * - a target that is leaving or lost gets no new requests;
+ * - a target in a region that is not allowed, or in an evacuated data centre,
+ *   gets none either;
  * - at most half of the targets of one distance are ejected at one time.
  *
  * @module
@@ -15,6 +17,7 @@
   type Slowness,
 } from "../load/target_load.ts";
 import { pickAnyPair, type PickPair } from "./candidate_pairs.ts";
+import { allowsRegion } from "../routes/allowed_regions.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -76,6 +79,10 @@
 /** The request that a target is chosen for. */
 export interface RouteQuery {
   readonly from: Place;
+  /** The regions whose targets may run it; empty or left out for all. */
+  readonly allowedRegions?: readonly string[];
+  /** Data centres whose targets may not run it; none when left out. */
+  readonly evacuated?: ReadonlySet<string>;
   readonly targets: readonly Agent[];
   readonly rank: number;
   readonly bodyBytes: number;
@@ -283,7 +290,9 @@
 ): readonly Agent[] {
   const { query, tier } = options;
   const members = query.targets.filter((agent) =>
-    agent.phase === "serving" && distance(query.from, agent.place) === tier
+    agent.phase === "serving" && distance(query.from, agent.place) === tier &&
+    allowsRegion(query.allowedRegions ?? [], agent.place.region) &&
+    query.evacuated?.has(agent.place.dataCenter) !== true
   );
   const notEjected = members.filter((agent) =>
     !isEjected(state, agent.id, query.now)
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -43,7 +43,12 @@
   pickAnyPair,
   pickPairBySlots,
 } from "../core/routing/candidate_pairs.ts";
-import { cachedRouteIndex, hostOfAuthority } from "../core/routes/routes.ts";
+import { allowsRegion } from "../core/routes/allowed_regions.ts";
+import {
+  cachedRouteIndex,
+  hostOfAuthority,
+  type Route,
+} from "../core/routes/routes.ts";
 import type { AnswerKeyReport } from "../ports/key_reports.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
 import { type AdmissionTask, startAdmission } from "../tasks/admission_task.ts";
@@ -61,6 +66,10 @@
   type DeparturesTask,
   startDepartures,
 } from "../tasks/departures_task.ts";
+import {
+  type EvacuationsTask,
+  startEvacuations,
+} from "../tasks/evacuations_task.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import {
   type RegistrationTask,
@@ -145,6 +154,8 @@
 interface AgentTasks {
   readonly agent: Agent;
   readonly registration: RegistrationTask;
+  /** Null where data centres are not evacuated. */
+  readonly evacuations: EvacuationsTask | null;
   readonly departures: DeparturesTask;
   /** Answers the keys that the target reports; null if it reports none. */
   readonly answerKeys: AnswerKeyReport | null;
@@ -206,6 +217,7 @@
       running: tasks.entry.running() + tasks.serve.running(),
     });
     tasks.registration.stop();
+    tasks.evacuations?.stop();
     tasks.departures.stop();
     tasks.coldTarget.stop();
     tasks.admission.stop();
@@ -278,8 +290,19 @@
   const place = placeByNumber({ count: keyCount });
   const agent = describeAgent(settings, options);
   let configuration: Configuration = emptyConfiguration;
+  const evacuations = settings.bounds.evacuationMilliseconds === null
+    ? null
+    : startEvacuations({
+      store: store.evacuations,
+      times: desiredStateTimes,
+      events,
+      hash: hashText,
+      random: Math.random,
+      onChange: updateEvacuated,
+    });
   const registration = startRegistration({
     service: settings.service,
+    evacuated: evacuations !== null,
     silenceMilliseconds: settings.heartbeatMilliseconds * maxMissedHeartbeats,
     events,
     onServing: updateTargetState,
@@ -340,6 +363,7 @@
       events,
       hash: hashText,
       random: Math.random,
+      evacuations,
       onRegistered: (written) => departures.handleRegistered(written),
     }),
     startKeyGrants: targetKeys.startKeyGrants,
@@ -365,6 +389,11 @@
     onLoaded: registration.loadDepartures,
   });
 
+  function updateEvacuated(): void {
+    const { dataCenter } = settings.place;
+    registration.setEvacuated(evacuations?.isClosed(dataCenter) ?? false);
+  }
+
   function updateTargetState(serving: boolean): void {
     const reported = registration.target();
     if (reported !== null) {
@@ -407,6 +436,7 @@
     tickMilliseconds: bodyAdmissionTickMilliseconds,
   });
   const gate = startStopGate();
+  const routeOf = routeOfRequest(coordinator.configuration);
   const serve = startServing({
     mayBegin: (request) =>
       gate.mayBegin(request) &&
@@ -414,7 +444,12 @@
     service: settings.service,
     holder: coordinator.holder,
     admission,
-    workOf: workByRoute(coordinator.configuration),
+    workOf: (request) => routeOf(request)?.name ?? null,
+    allowsRegion: (request) =>
+      allowsRegion(
+        routeOf(request)?.allowedRegions ?? [],
+        settings.place.region,
+      ),
     accepts: registration.accepts,
     target,
     readPendingInput: adapters.pendingInput.readPending,
@@ -422,6 +457,7 @@
     metrics,
   });
   const entry = startEntry({
+    ...(evacuations === null ? {} : { evacuated: evacuations.evacuated }),
     mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.gossip.agents(),
@@ -443,6 +479,7 @@
   return {
     agent,
     registration,
+    evacuations,
     departures,
     answerKeys: targetKeys.answerKeys,
     coordinator,
@@ -459,16 +496,17 @@
 }
 
 /**
- * Names the kind of work of a request by its route: requests of one route take
- * similar time, those of different routes may not.
+ * Finds the route of a request by the configuration in force here. It names the
+ * kind of work: requests of one route take similar time, those of different
+ * routes may not.
  */
-function workByRoute(
+function routeOfRequest(
   configuration: () => Configuration,
-): (request: ProxyRequest) => string | null {
+): (request: ProxyRequest) => Route | null {
   const routesOf = cachedRouteIndex();
   return ({ authority, path }) => {
     const findRoute = routesOf(configuration().hostRoutes);
-    return findRoute(hostOfAuthority(authority), path)?.name ?? null;
+    return findRoute(hostOfAuthority(authority), path);
   };
 }
 
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -28,6 +28,7 @@
   serviceNamed,
 } from "../core/document/document.ts";
 import type { RosterEntry } from "../core/ownership/delegation.ts";
+import { mayOwnKeys } from "../core/routes/allowed_regions.ts";
 import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import { unknownEra } from "../core/ownership/store_era.ts";
 import {
@@ -198,6 +199,10 @@
   let configuration: Configuration = emptyConfiguration;
   let holder: HolderTask | null = null;
   let stopping = false;
+  /** Whether the target takes no new work. */
+  let targetLeaves = agent.phase !== "serving";
+  /** Whether the configuration lets the target own keys in its region. */
+  let ownsKeys = true;
   let departures: readonly Agent[] = [];
   let departuresReadAt = -Infinity;
 
@@ -228,8 +233,30 @@
     configuration = next;
     events.record("revision-applied", { revision: next.revision });
     options.onConfiguration(next);
+    updateRegion();
     const service = serviceNamed(next, agent.service);
-    if (service !== null && holder === null) holder = startHolding(service);
+    if (service !== null && holder === null && ownsKeys) {
+      holder = startHolding(service);
+    }
+  }
+
+  /** A target in a region that is no longer allowed gives its keys up. */
+  function updateRegion(): void {
+    const allowed = isOwnerAllowed(agent);
+    if (allowed === ownsKeys) return;
+    ownsKeys = allowed;
+    events.record("key-region-changed", {
+      service: agent.service,
+      region: agent.place.region,
+      allowed,
+      revision: configuration.revision,
+    });
+    holder?.setLeaving(targetLeaves || !ownsKeys);
+  }
+
+  function isOwnerAllowed({ service, place }: Agent): boolean {
+    const { region } = place;
+    return mayOwnKeys(configuration.hostRoutes, { service, region });
   }
 
   function startHolding(service: Service): HolderTask | null {
@@ -250,7 +277,7 @@
       weightLimit: options.weightLimit ?? (() => null),
       random: options.random,
       startKeyGrants: options.startKeyGrants,
-      leaving: gossip.self().phase !== "serving",
+      leaving: targetLeaves,
       candidates: () => ({
         members: otherMembers(group),
         grantors: candidatesFor(group),
@@ -276,7 +303,11 @@
   }
 
   function candidatesFor(group: string): readonly Address[] {
-    return grantorCandidates(group, { agents: gossip.agents(), hash });
+    return grantorCandidates(group, {
+      agents: gossip.agents(),
+      hash,
+      mayOwnKeys: isOwnerAllowed,
+    });
   }
 
   function serversOf(group: string): readonly RosterEntry[] {
@@ -308,7 +339,7 @@
       grantorSettings(group, { times, configuration, sizes: options.group }),
     runningServers: (group) =>
       gossip.agents().filter((other) =>
-        other.phase !== "lost" && mayJoin(other, group)
+        other.phase !== "lost" && mayJoin(other, group, isOwnerAllowed)
       ).length,
     successors: (group) =>
       candidatesFor(group).filter((address) => address !== agent.peerAddress),
@@ -401,7 +432,8 @@
     holder: () => holder,
     table: newestTable,
     setLeaving(leaving) {
-      holder?.setLeaving(leaving);
+      targetLeaves = leaving;
+      holder?.setLeaving(leaving || !ownsKeys);
       gossip.setPhase(leaving ? "leaving" : "serving");
     },
     async beginStop() {
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -38,6 +38,7 @@
   StartSource,
 } from "./coordinator.ts";
 import { startEntryRestore } from "./entry_restore.ts";
+import type { EvacuationsTask, WatchContext } from "./evacuations_task.ts";
 import { trackStoreAvailability } from "./store_availability.ts";
 import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, pause } from "./time.ts";
@@ -81,6 +82,8 @@
   readonly hash: KeyHash;
   /** Returns a number from 0 up to but not including 1. */
   readonly random: () => number;
+  /** Follows the evacuations in the same turns; null where there are none. */
+  readonly evacuations?: EvacuationsTask | null;
   /** Called when the store has the entry of this agent. */
   readonly onRegistered: (written: MemberWritten) => void;
 }
@@ -221,6 +224,7 @@
       pause(times.maxSilenceMilliseconds, stopped.signal),
     ]);
     await pause(times.introductionMilliseconds, stopped.signal);
+    void options.evacuations?.watch(watchContext);
     await watchDesiredState();
   }
 
@@ -288,6 +292,11 @@
         );
   }
 
+  const watchContext: WatchContext = {
+    ...context,
+    rank: ownRank,
+    stopped: stopped.signal,
+  };
   void start();
   if (options.storeEra !== undefined) {
     startEntryRestore({
@@ -308,6 +317,7 @@
       return options.seeds;
     },
     handleReplicaChange(replica) {
+      options.evacuations?.handleReplicaChange(replica, watchContext);
       const desired = desiredOf(replica);
       if (desired === null || !adopt(desired)) return;
       // The agents near a watcher rely on it, also when its own watch is silent.
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -32,6 +32,10 @@
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import type { PickPair } from "../core/routing/candidate_pairs.ts";
+import {
+  allowsRegion,
+  regionNotAllowed,
+} from "../core/routes/allowed_regions.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -76,10 +80,24 @@
   "deadline-passed",
 ]);
 
+function isAllowed(
+  { allowedRegions = [] }: ProxyRequest,
+  { region }: Destination,
+): boolean {
+  return allowsRegion(allowedRegions, region);
+}
+
+/** An owner whose region isn't known yet may be in an allowed one. */
+function reasonForRegion({ region }: Destination): Failure {
+  return region === null ? notRun("no-owner-known") : regionNotAllowed();
+}
+
 function ownerMayHaveChanged(failure: Failure): boolean {
   return ownerChangeReasons.has(failure.reason);
 }
 
+const noDataCenters: ReadonlySet<string> = new Set();
+
 /** Starts an entry that knows no ownership table. */
 export function startEntry(options: {
   readonly agent: Agent;
@@ -103,6 +121,8 @@
   readonly minTableAgeMilliseconds: number;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: MayBegin;
+  /** The data centres that are evacuated; none when left out. */
+  readonly evacuated?: () => ReadonlySet<string>;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   const { mayBegin = () => true } = options;
@@ -120,6 +140,7 @@
 
   const unkeyed = startUnkeyedAttempts({
     agent,
+    evacuated: options.evacuated ?? (() => noDataCenters),
     targetsOf: index.ofService,
     peers: options.peers,
     random,
@@ -173,7 +194,10 @@
       namedOwner = redirect ?? namedOwner;
       remainingBody = bodyAfterAttempt(remainingBody);
       failure = combineFailures(failure, result.error);
-      const decision = offerRefused ? decideToGiveUp(request) : decideRetry({
+      const refusedHere = to === "" &&
+        result.error.reason === "region-not-allowed";
+      const isFinal = offerRefused || refusedHere;
+      const decision = isFinal ? decideToGiveUp(request) : decideRetry({
         failure,
         attempt,
         reached,
@@ -241,7 +265,8 @@
     const group = groupOf(request, key);
     if (group === null) return unsent(notRun("no-such-service"));
     let owner = tables.ownerOf(group, key, namedOwner);
-    if (owner === null) {
+    // The key may have moved to another region since the table was read.
+    if (owner === null || !isAllowed(request, owner)) {
       await tables.refresh(group);
       await options.readPendingInput();
       if (request.signal.aborted) return unsent(notRun("caller-left"));
@@ -254,6 +279,14 @@
     const choiceDetail = { table: formatToken(version) };
     if (owner === null) return unsent(notRun("no-owner-known"), choiceDetail);
     const to = owner.id;
+    if (!isAllowed(request, owner)) {
+      return unsent(reasonForRegion(owner), {
+        ...choiceDetail,
+        owner: to,
+        region: owner.region ?? "",
+        allowedRegions: request.allowedRegions?.join() ?? "",
+      });
+    }
     const asked = { owner: to, rank: request.rank };
     const decision = ownerAdmission.decide(asked);
     if (decision.kind === "refuse") {
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -7,7 +7,12 @@
 import { Result } from "true-myth";
 import type { Agent, AgentId } from "../core/agent.ts";
 import { describeSlowness } from "../core/load/target_load.ts";
-import { type Failure, notRun } from "../core/request/outcome.ts";
+import {
+  type Failure,
+  type FailureReason,
+  notRun,
+} from "../core/request/outcome.ts";
+import { regionNotAllowed } from "../core/routes/allowed_regions.ts";
 import { pickAnyPair, type PickPair } from "../core/routing/candidate_pairs.ts";
 import {
   chooseTarget,
@@ -41,6 +46,13 @@
 /** Lowest HTTP status that counts as a failure of the target. */
 const minFailureStatus = 500;
 
+/** Reasons that don't show that a target has failed. */
+const reasonsWithoutFailure: ReadonlySet<FailureReason> = new Set([
+  "caller-left",
+  "deadline-passed",
+  "region-not-allowed",
+]);
+
 /** Maximum number of agents to which a body is offered, the nearest first. */
 const maxOffers = 3;
 
@@ -66,6 +78,12 @@
     : Infinity;
 }
 
+function reasonForNoTarget({ allowedRegions = [] }: ProxyRequest): Failure {
+  return allowedRegions.length === 0
+    ? notRun("no-target-known")
+    : regionNotAllowed();
+}
+
 function destinationOf(target: Agent): Destination {
   const { id, peerAddress, place } = target;
   return { id, address: peerAddress, region: place.region };
@@ -74,6 +92,8 @@
 /** Starts with an empty routing state. */
 export function startUnkeyedAttempts(options: {
   readonly agent: Agent;
+  /** The data centres that are evacuated. */
+  readonly evacuated: () => ReadonlySet<string>;
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
@@ -103,8 +123,7 @@
     for (let offers = 0; offers < maxOffers; offers += 1) {
       const { target, choiceDetail } = choose(request, { bytes, tried });
       if (target === null) {
-        return refused ??
-          unsent(notRun("no-target-known"), choiceDetail);
+        return refused ?? unsent(reasonForNoTarget(request), choiceDetail);
       }
       // All targets were tried; offering the body again would give the same
       // reply.
@@ -158,8 +177,11 @@
     request: ProxyRequest,
     work: { readonly bytes: number; readonly tried: ReadonlySet<AgentId> },
   ): { readonly target: Agent | null; readonly choiceDetail: EventDetail } {
+    const { allowedRegions = [] } = request;
     const query = {
       from: agent.place,
+      allowedRegions,
+      evacuated: options.evacuated(),
       targets: options.targetsOf(request.service),
       rank: request.rank,
       bodyBytes: work.bytes,
@@ -170,9 +192,16 @@
     const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
       chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
     const view = routing.views.get(target?.id ?? "");
-    const slowness = describeSlowness(view?.slowness ?? null, query.now);
-    const choiceDetail = { targets: query.targets.length, ...slowness };
-    return { target, choiceDetail };
+    return {
+      target,
+      choiceDetail: {
+        targets: query.targets.length,
+        ...(allowedRegions.length === 0
+          ? {}
+          : { allowedRegions: allowedRegions.join() }),
+        ...describeSlowness(view?.slowness ?? null, query.now),
+      },
+    };
   }
 
   /** Offers a large body; null when it may be sent, else the reason why not. */
@@ -216,7 +245,7 @@
       return;
     }
     const { reason } = result.error;
-    if (reason === "caller-left" || reason === "deadline-passed") {
+    if (reasonsWithoutFailure.has(reason)) {
       return mailbox.send({ kind: "abandoned", id, took, now });
     }
     // The time of a refusal does not measure the target's service time.
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -32,6 +32,8 @@
    * revisions are given out again.
    */
   returnTo(copy: StoreCopy): void;
+  /** Removes an object as operators do. */
+  remove(kind: string, name: string): void;
   /** Calls so far, a waiting watch as one. */
   calls(): number;
   close(): Promise<void>;
@@ -66,6 +68,8 @@
 }): Promise<PlatformStoreStandIn> {
   let objects = new Map<string, StoredObject>();
   let era = options.era ?? null;
+  /** The last state of each removed object, with the removal's revision. */
+  const removed = new Map<string, StoredObject>();
   const watchers = new Set<() => void>();
   let revision = 1;
   let calls = 0;
@@ -127,8 +131,11 @@
     });
   }
 
-  function ofKind(kind: string): readonly StoredObject[] {
-    return [...objects.values()]
+  function ofKind(
+    kind: string,
+    among = objects,
+  ): readonly StoredObject[] {
+    return [...among.values()]
       .filter((object) => object.kind === kind)
       .sort((left, right) => left.name < right.name ? -1 : 1);
   }
@@ -144,7 +151,9 @@
     const { kind, since, waitMs } = options;
     if (faults.compacted || since > revision) return send(response, 410, {});
     const answer = (): boolean => {
-      const changed = ofKind(kind).filter((object) => object.revision > since);
+      const changed = [...ofKind(kind), ...ofKind(kind, removed)]
+        .filter((object) => object.revision > since)
+        .sort((left, right) => left.revision - right.revision);
       if (changed.length === 0) return false;
       end(changed);
       return true;
@@ -153,7 +162,7 @@
       clearTimeout(timer);
       watchers.delete(tell);
       const events = changed.map((object) => ({
-        removed: false,
+        removed: removed.get(`${object.kind}/${object.name}`) === object,
         object: shown(object),
       }));
       send(response, 200, { events, storeRevision: revision });
@@ -198,10 +207,21 @@
     revision += 1;
     const object = { kind, name, revision, spec };
     objects.set(`${kind}/${name}`, object);
+    removed.delete(`${kind}/${name}`);
     for (const tell of [...watchers]) tell();
     return object;
   }
 
+  function remove(kind: string, name: string): void {
+    const path = `${kind}/${name}`;
+    const former = objects.get(path);
+    if (former === undefined) return;
+    revision += 1;
+    objects.delete(path);
+    removed.set(path, { ...former, revision });
+    for (const tell of [...watchers]) tell();
+  }
+
   function finish(response: ServerResponse, object: StoredObject): void {
     if (faults.lostReplies > 0) {
       faults = { ...faults, lostReplies: faults.lostReplies - 1 };
@@ -221,11 +241,13 @@
     copy: () => ({ objects: new Map(objects), revision }),
     returnTo(copy) {
       objects = new Map(copy.objects);
+      removed.clear();
       ({ revision } = copy);
       era = (era ?? 0) + 1;
       watchers.clear();
       server.closeAllConnections();
     },
+    remove,
     calls: () => calls,
     close: () => closeServer(server),
   };
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -11,6 +11,7 @@
 import { readDocument } from "../source/adapters/document/yaml_document.ts";
 import type { Agent } from "../source/core/agent.ts";
 import type { Delegation } from "../source/core/ownership/delegation.ts";
+import type { Configuration } from "../source/core/document/document.ts";
 import type { EventKind, Events } from "../source/ports/events.ts";
 import type { PeerMethod, PeerMethods, Peers } from "../source/ports/peers.ts";
 import type {
@@ -25,6 +26,7 @@
   defaultGroupSettings,
   type GroupSettings,
   startCoordinator,
+  type StartSource,
 } from "../source/tasks/coordinator.ts";
 import { startStoreEra } from "../source/tasks/store_era_task.ts";
 import { documentSource } from "../source/tasks/document_source.ts";
@@ -126,10 +128,13 @@
   readonly seed?: number;
   /** The first era of the store; left out, it states none. */
   readonly era?: number;
+  /** Changes each configuration before it is put into force. */
+  readonly adapt?: (configuration: Configuration) => Configuration;
 }): FakeMesh {
   const clock = pauseClock();
   const random = seededRandom(options.seed ?? 7);
   const times = options.times ?? defaultCoordinatorTimes;
+  const { adapt = (configuration: Configuration) => configuration } = options;
   const nodes: FakeNode[] = [];
   const lost = new Set<FakeNode>();
   const events: FakeEvent[] = [];
@@ -228,15 +233,18 @@
       place: placeByHash(hashText),
       random,
       newWriterMark: () => `mark-${markCount += 1}`,
-      startSource: documentSource({
-        seeds: nodes.slice(0, 2).map((other) => other.address),
-        store: nodeStore,
-        times: documentTimes,
-        freshnessMilliseconds,
-        readDocument,
-        events: recorder,
-        hash: hashText,
-      }),
+      startSource: adaptedSource(
+        adapt,
+        documentSource({
+          seeds: nodes.slice(0, 2).map((other) => other.address),
+          store: nodeStore,
+          times: documentTimes,
+          freshnessMilliseconds,
+          readDocument,
+          events: recorder,
+          hash: hashText,
+        }),
+      ),
       startKeyGrants: null,
       weight: () => agent.slots,
       eventsAfter: () => [],
@@ -304,6 +312,17 @@
   };
 }
 
+function adaptedSource(
+  adapt: (configuration: Configuration) => Configuration,
+  start: StartSource,
+): StartSource {
+  return (context) =>
+    start({
+      ...context,
+      apply: (configuration) => context.apply(adapt(configuration)),
+    });
+}
+
 async function advanceUntilDone(
   clock: PausedClock,
   work: Promise<unknown>,
