--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -123,7 +123,7 @@
       phase: serving ? "serving" : "leaving",
       target: state.target?.id ?? "",
       refused: state.target?.refused ?? false,
-      evacuated,
+      ...(evacuated ? { evacuated } : {}),
     });
     options.onServing(serving);
   }
