Requests of a rank wait in the order of objectives, not of deadlines

Callers that return have less time left than new ones, so that by deadline they went before them. Under a steady overload nearly every new request then waited until it had to be refused.

The new bound of the test is what equal chances for all tries give.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -62,6 +62,9 @@
   readonly work: string | null;
   readonly keyed: boolean;
   readonly arrivedAt: number;
+  /** When its objective ends, by which requests of a rank are ordered. */
+  readonly orderAt: number;
+  /** Until when its start is worth waiting for; later for short work. */
   readonly objectiveAt: number;
   readonly deadlineAt: number;
 }
@@ -81,7 +84,7 @@
   /** How many requests may run concurrently; at most the target's slots. */
   readonly limit: number;
   readonly running: ReadonlyMap<number, RunningRequest>;
-  /** The waiting requests of each rank, the nearest deadline first. */
+  /** The waiting requests of each rank, the nearest objective first. */
   readonly waiting: readonly (readonly WaitingRequest[])[];
   /** How many starts each rank is owed by its share. */
   readonly credits: readonly number[];
@@ -310,7 +313,8 @@
   const event = isShortWork(before, arrived)
     ? { ...arrived, objectiveAt: arrived.deadlineAt }
     : arrived;
-  const refused = reasonToRefuse(before, event);
+  const orderAt = arrived.objectiveAt ?? arrived.deadlineAt;
+  const refused = reasonToRefuse(before, { ...event, orderAt });
   const state = recordOffered(before, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
@@ -321,13 +325,14 @@
     work,
     keyed,
     arrivedAt: event.now,
+    orderAt,
     deadlineAt,
     objectiveAt,
   };
   const queued = withQueue(
     state,
     rank,
-    insertByDeadline(state.waiting[rank] ?? [], entry),
+    insertByObjective(state.waiting[rank] ?? [], entry),
   );
   const evicted = evictOverflow(queued);
   return startQueued(evicted, event.now);
@@ -360,7 +365,10 @@
 
 function reasonToRefuse(
   state: AdmissionState,
-  event: AdmissionEvent & { readonly kind: "arrived" },
+  event: AdmissionEvent & {
+    readonly kind: "arrived";
+    readonly orderAt: number;
+  },
 ): Refusal | null {
   if (state.closed) return refusal("target-leaving");
   const { now, deadlineAt, objectiveAt = deadlineAt } = event;
@@ -437,7 +445,7 @@
  */
 function expectedWait(
   state: AdmissionState,
-  event: { readonly rank: number; readonly deadlineAt: number },
+  event: { readonly rank: number; readonly orderAt: number },
 ): number {
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
@@ -445,8 +453,8 @@
   let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
     if (rank > event.rank) return;
-    for (const { work, deadlineAt } of queue) {
-      if (rank === event.rank && deadlineAt > event.deadlineAt) continue;
+    for (const { work, orderAt } of queue) {
+      if (rank === event.rank && orderAt > event.orderAt) continue;
       milliseconds += expectedServiceTime(state, { rank, work });
     }
   });
@@ -464,11 +472,16 @@
   return Math.max(0.1, 1 - others);
 }
 
-function insertByDeadline(
+/**
+ * Inserts by objective and not by deadline: callers that return have less time
+ * left than new ones. Ordered by deadline, they kept new requests waiting until
+ * those had to be refused too, and nearly all requests were refused twice.
+ */
+function insertByObjective(
   queue: readonly WaitingRequest[],
   entry: WaitingRequest,
 ): readonly WaitingRequest[] {
-  const index = queue.findIndex((other) => other.deadlineAt > entry.deadlineAt);
+  const index = queue.findIndex((other) => other.orderAt > entry.orderAt);
   return index < 0 ? [...queue, entry] : queue.toSpliced(index, 0, entry);
 }
 
@@ -727,7 +740,7 @@
   );
   for (const queue of state.waiting.slice(count)) {
     const last = waiting[count - 1] ?? [];
-    waiting[count - 1] = queue.reduce(insertByDeadline, last);
+    waiting[count - 1] = queue.reduce(insertByObjective, last);
   }
   return {
     ...state,
--- a/source/core/admission/return_schedule_test.ts
+++ b/source/core/admission/return_schedule_test.ts
@@ -102,6 +102,16 @@
           `${after.served}, before ${before.served}`,
         );
       });
+
+      // Guards against an order by deadline: requests that return have less
+      // time left and went before new ones, until nine tenths of all requests
+      // were refused twice. If each try has the same chance, three of them
+      // serve one request of `load`.
+      it("has as many refused again as by equal chances", () => {
+        const refusedThrice = 1 - 1 / load;
+        const expected = refusedThrice ** (2 / 3);
+        assert.ok(after.refusedAgain <= expected, `${after.refusedAgain}`);
+      });
     });
   }
 });
