More valuable requests go first also in work, and in what refuses them

A crowd of two ranks showed three faults:

- The share of a lower rank was a part of the starts.
Where its requests take ten times as long, 0.05 of the starts is a third of the work, and valuable requests were refused for it.
Shares are now parts of the work.
- Offered load of lower ranks counted as overload for a higher one, so that its requests were refused when they would be late, instead of waiting up to the limit for late ones.
Utilization now counts a rank and those above.
- A request that arrived was refused for the work of late requests of its rank, although it would start before them.

With equal work the shares are as before.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -5,13 +5,19 @@
  * Invariants:
  * - no more requests run than the limit;
  * - every request that arrives is started or refused, exactly once;
- * - a waiting rank that holds a share gets at least that share of the starts,
+ * - a waiting rank that holds a share gets at least that share of the work,
  *   and beyond the shares the most urgent rank goes first.
  *
  * @module
  */
 import type { FailureReason } from "../request/outcome.ts";
-import { maxLateWait, nextToStart, retryDelay } from "./objective_first.ts";
+import {
+  maxLateWait,
+  nextToStart,
+  retryDelay,
+  startsBefore,
+  type TimedRequest,
+} from "./objective_first.ts";
 import {
   addOfferedWork,
   noOfferedWork,
@@ -35,7 +41,7 @@
 /** A rank of requests; ranks are listed with the most urgent first. */
 export interface RankPolicy {
   readonly name: string;
-  /** The part of all starts guaranteed to the rank under overload, 0 to 1. */
+  /** The part of the work guaranteed to the rank under overload, 0 to 1. */
   readonly share: number;
 }
 
@@ -94,8 +100,8 @@
   readonly keyedMilliseconds: number;
   /** Mean time in the target for each kind of work. */
   readonly serviceTimes: ServiceTimes;
-  /** The recent offered load, whether refused or not. */
-  readonly offered: OfferedWork;
+  /** The recent offered load of each rank, whether refused or not. */
+  readonly offered: readonly OfferedWork[];
   /** When refused callers return. */
   readonly returns: ReturnSchedule;
   /** When a request last ended in the target. */
@@ -189,7 +195,7 @@
     serviceMilliseconds: settings.ranks.map(() => 0),
     keyedMilliseconds: defaultServiceMilliseconds,
     serviceTimes: new Map(),
-    offered: noOfferedWork,
+    offered: settings.ranks.map(() => noOfferedWork),
     returns: noReturns,
     measuredAt: 0,
     closed: false,
@@ -345,7 +351,10 @@
   const { work = null, now } = event;
   const rank = Math.min(event.rank, state.waiting.length - 1);
   const milliseconds = expectedServiceTime(state, { rank, work });
-  const offered = addOfferedWork(state.offered, { milliseconds, now });
+  const offered = state.offered.with(
+    rank,
+    addOfferedWork(state.offered[rank] ?? noOfferedWork, { milliseconds, now }),
+  );
   const returns = recordArrival(state.returns, { rank, milliseconds, now });
   return { ...state, offered, returns };
 }
@@ -373,8 +382,15 @@
   if (state.closed) return refusal("target-leaving");
   const { now, deadlineAt, objectiveAt = deadlineAt } = event;
   if (deadlineAt <= now) return refusal("deadline-passed");
-  const waitMilliseconds = expectedWait(state, event);
-  const { rank, work = null } = event;
+  const { rank, work = null, orderAt } = event;
+  const waitMilliseconds = expectedWait(state, {
+    rank,
+    work,
+    orderAt,
+    objectiveAt,
+    deadlineAt,
+    now,
+  });
   const serviceMilliseconds = isMeasurementStale(state, { work, now })
     ? 0
     : expectedServiceTime(state, { rank, work });
@@ -387,14 +403,23 @@
     waitMilliseconds,
     serviceMilliseconds,
     maxLateWaitMilliseconds: state.settings.maxLateWaitMilliseconds ?? Infinity,
-    utilization: offeredUtilization(state.offered, {
-      slots: state.settings.slots,
-      now,
-    }),
+    utilization: utilizationFor(state, rank, now),
   });
   return delay === null ? null : refusal("queue-full", delay);
 }
 
+/** The utilization by a rank and all that go before it. */
+function utilizationFor(
+  { offered, settings: { slots } }: AdmissionState,
+  rank: number,
+  now: number,
+): number {
+  return offered.slice(0, rank + 1).reduce(
+    (sum, work) => sum + offeredUtilization(work, { slots, now }),
+    0,
+  );
+}
+
 /**
  * Whether a request needs a slot for so short a time, compared with what runs,
  * that refusing it saves nothing: it may wait until its deadline.
@@ -439,23 +464,37 @@
   return !running.some((other) => work === null || other.work === work);
 }
 
+/** An arriving request, in the order of its rank. */
+interface Arriving extends TimedRequest {
+  readonly rank: number;
+  readonly work: string | null;
+  readonly orderAt: number;
+  readonly now: number;
+}
+
 /**
  * The time until a slot is free for an arriving request: that of the work ahead
  * of it, lengthened by the starts that go to the shares of other ranks.
  */
-function expectedWait(
-  state: AdmissionState,
-  event: { readonly rank: number; readonly orderAt: number },
-): number {
+function expectedWait(state: AdmissionState, event: Arriving): number {
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
+  const arriving = {
+    ...event,
+    serviceMilliseconds: expectedServiceTime(state, event),
+  };
   // The first in a queue waits for one of the running requests to end.
   let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
     if (rank > event.rank) return;
-    for (const { work, orderAt } of queue) {
-      if (rank === event.rank && orderAt > event.orderAt) continue;
-      milliseconds += expectedServiceTime(state, { rank, work });
+    for (const entry of queue) {
+      const { work } = entry;
+      const serviceMilliseconds = expectedServiceTime(state, { rank, work });
+      const other = { ...entry, serviceMilliseconds };
+      if (rank === event.rank && !startsBefore(other, arriving, event.now)) {
+        continue;
+      }
+      milliseconds += serviceMilliseconds;
     }
   });
   return milliseconds / slots / availableShare(state, event.rank);
@@ -553,13 +592,13 @@
   now: number,
 ): AdmissionTransition {
   const effects: AdmissionEffect[] = [];
-  const { slots, maxLateWaitMilliseconds = Infinity } = state.settings;
-  const utilization = offeredUtilization(state.offered, { slots, now });
-  const maxLateMilliseconds = maxLateWait({
-    utilization,
-    maxLateWaitMilliseconds,
-  });
+  const { maxLateWaitMilliseconds = Infinity } = state.settings;
   const waiting = state.waiting.map((queue, rank) => {
+    if (queue.length === 0) return queue;
+    const maxLateMilliseconds = maxLateWait({
+      utilization: utilizationFor(state, rank, now),
+      maxLateWaitMilliseconds,
+    });
     const evaluated = queue.map((entry) => {
       const serviceMilliseconds = expectedServiceTime(state, {
         rank,
@@ -649,11 +688,27 @@
     if (rank === entry.rank) return Math.max(0, credit - 1);
     if ((state.waiting[rank] ?? []).length === 0) return 0;
     const share = state.settings.ranks[rank]?.share ?? 0;
-    return Math.min(maxCredit, credit + share / (1 - share));
+    const earned = share / (1 - share) * relativeWork(state, entry, rank);
+    return Math.min(maxCredit, credit + earned);
   });
   return { ...state, running, credits };
 }
 
+/**
+ * How many requests of a rank are as much work as this one. Shares are parts of
+ * the work: a twentieth of the starts would be a third of the work if requests
+ * of that rank took ten times as long.
+ */
+function relativeWork(
+  state: AdmissionState,
+  started: { readonly rank: number; readonly work: string | null },
+  rank: number,
+): number {
+  const typical = state.serviceMilliseconds[rank] ?? 0;
+  const milliseconds = expectedServiceTime(state, started);
+  return typical > 0 && milliseconds > 0 ? milliseconds / typical : 1;
+}
+
 function finish(
   state: AdmissionState,
   event: AdmissionEvent & { readonly kind: "finished" },
@@ -747,6 +802,9 @@
     settings,
     waiting,
     limit: resizedLimit(state, settings),
+    offered: settings.ranks.map((_, rank) =>
+      state.offered[rank] ?? noOfferedWork
+    ),
     credits: settings.ranks.map((_, rank) => state.credits[rank] ?? 0),
     serviceMilliseconds: settings.ranks.map((_, rank) =>
       state.serviceMilliseconds[rank] ?? 0
--- /dev/null
+++ b/source/core/admission/competing_classes_test.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type ClassOutcome,
+  type CrowdClass,
+  simulateCrowd,
+} from "../../../tests/crowd_simulation.ts";
+import {
+  type AdmissionSettings,
+  createAdmission,
+  stepAdmission,
+} from "./admission.ts";
+
+const seeds = [1, 2, 3];
+const lowerRankShare = 0.05;
+const settings: AdmissionSettings = {
+  slots: 13,
+  ranks: [
+    { name: "valuable", share: 0 },
+    { name: "usual", share: lowerRankShare },
+  ],
+  queueLength: 64,
+  initialShare: 1,
+  maxLateWaitMilliseconds: 100,
+};
+const short = {
+  workMilliseconds: 40,
+  objectiveMilliseconds: 150,
+  deadlineMilliseconds: 500,
+};
+const long = {
+  workMilliseconds: 400,
+  objectiveMilliseconds: 2_000,
+  deadlineMilliseconds: 10_000,
+};
+
+/** The share of the new requests of a class that has this outcome. */
+function simulate(classes: readonly CrowdClass[]) {
+  const outcomes = seeds.map((seed) =>
+    simulateCrowd({ classes, settings, milliseconds: 20_000, seed })
+  );
+  return (name: string, outcome: keyof ClassOutcome) => {
+    const sum = (of: keyof ClassOutcome) =>
+      outcomes.reduce((sum, map) => sum + (map.get(name)?.[of] ?? 0), 0);
+    return sum(outcome) / sum("asked");
+  };
+}
+
+describe("a keyed target that is asked for more than it can run", () => {
+  const burst = (load: number) => (now: number) =>
+    now % 6_000 < 2_000 ? load : load / 4;
+  const loads = { steadily: (load: number) => () => load, "in bursts": burst };
+  for (const [times, loadOf] of Object.entries(loads)) {
+    describe(`${times}, by two ranks`, () => {
+      // Guards against refusals of valuable requests while others are served.
+      for (
+        const [work, valuable, usual] of [
+          ["short before long", short, long],
+          ["long before short", long, short],
+          ["equal", long, long],
+        ] as const
+      ) {
+        it(`refuses nearly none of the more valuable: ${work}`, () => {
+          const share = simulate([
+            { name: "valuable", rank: 0, ...valuable, load: loadOf(0.7) },
+            { name: "usual", rank: 1, ...usual, load: loadOf(0.9) },
+          ]);
+          const refusals = share("valuable", "refusals");
+          assert.ok(refusals <= 0.02, `${refusals}`);
+          assert.ok(share("usual", "served") > 0.1);
+        });
+      }
+    });
+  }
+
+  describe("by its most valuable rank alone", () => {
+    it("gives the other one no more than its guaranteed share", () => {
+      const load = 1.2;
+      const share = simulate([
+        { name: "valuable", rank: 0, ...long, load: () => load },
+        { name: "usual", rank: 1, ...long, load: () => 0.8 },
+      ]);
+      const served = share("valuable", "served") * load;
+      assert.ok(served >= 1 - lowerRankShare, `${served} of the capacity`);
+      assert.ok(share("usual", "served") > 0, "the other one starves");
+    });
+  });
+});
+
+describe("a request that would start before those that wait", () => {
+  // Guards against a refusal for the work of requests that start after it.
+  it("is not refused for their work", () => {
+    const idle = createAdmission({ ...settings, maxLateWaitMilliseconds: 1e9 });
+    const request = (id: number, objectiveAt: number) => ({
+      kind: "arrived" as const,
+      id,
+      rank: 0,
+      work: "any",
+      objectiveAt,
+      deadlineAt: 60_000,
+      now: 1_000,
+    });
+    const measured = {
+      ...idle,
+      serviceTimes: new Map([["any", {
+        milliseconds: 100,
+        measuredAt: 1_000,
+      }]]),
+    };
+    const late = Array.from({ length: 60 }, (_, index) => request(index, 900));
+    const { state } = late.reduce(
+      (before, event) => stepAdmission(before.state, event),
+      stepAdmission(measured, request(100, 900)),
+    );
+    const bounded = {
+      ...state,
+      settings: { ...settings, maxLateWaitMilliseconds: 0 },
+    };
+    const arrived = stepAdmission(bounded, request(200, 1_250));
+    assert.deepEqual(arrived.effects, []);
+    const next = stepAdmission(arrived.state, {
+      kind: "finished",
+      id: 100,
+      finish: "answered",
+      now: 1_001,
+    });
+    assert.ok(
+      next.effects.some(({ kind, id }) => kind === "start" && id === 200),
+    );
+  });
+});
--- a/source/core/admission/objective_first.ts
+++ b/source/core/admission/objective_first.ts
@@ -63,6 +63,30 @@
   return view.now + shortest <= request.objectiveAt;
 }
 
+/** A request that waits in a queue, or arrives at it. */
+export interface QueuedRequest extends TimedRequest {
+  /** When its objective ends, by which requests of a rank are ordered. */
+  readonly orderAt: number;
+  /** Its expected time in the target. */
+  readonly serviceMilliseconds: number;
+}
+
+/**
+ * Whether a waiting request starts before one that arrives. One that is late
+ * doesn't, if the other can still meet its objective.
+ */
+export function startsBefore(
+  waiting: QueuedRequest,
+  arriving: QueuedRequest,
+  now: number,
+): boolean {
+  const meets = (request: QueuedRequest) =>
+    canMeetObjective(request, { ...request, now });
+  return meets(waiting) === meets(arriving)
+    ? waiting.orderAt <= arriving.orderAt
+    : meets(waiting);
+}
+
 /**
  * The index in a queue of the request to start next: the first that can meet
  * its objective, or else the first. -1 for an empty queue.
--- a/source/core/routes/desired_state.ts
+++ b/source/core/routes/desired_state.ts
@@ -35,7 +35,7 @@
 export interface ServicePolicy {
   readonly keys: KeyPolicy;
   readonly queueLength: number;
-  /** The part of the starts guaranteed to each rank but the first, 0 to 1. */
+  /** The part of the work guaranteed to each rank but the first, 0 to 1. */
   readonly lowerRankShare: number;
   /** The deadline of ranks, and of services to which no route leads. */
   readonly defaultDeadlineMilliseconds: number;
