Clients that compete for a target get fair shares of it

An account or an entry that flooded a target took from all others of its rank: requests were admitted in the order of their objectives, whoever sent them.

While a rank needs nearly all slots, the account with the least recent use starts next, and of its entries the one with the least. Arriving requests expect to wait accordingly, and the last request of the client with most is refused when one with less goes ahead or the queue is full. Use fades within seconds. The entry is the sender of the hop, the account is what the entry states: a field of the request, over links and in geraniumledge-account on other connections; callers can't set it. The line request-refused gives entry, account, their shares and the free slots, and early_returns counts callers that return before capacity.

In hop_links_test.ts the sender of the links got the name that agents have, and one test was added.

--- a/benches/baselines.ts
+++ b/benches/baselines.ts
@@ -54,7 +54,7 @@
           return;
         }
         const failure = notRun("queue-full");
-        resolve(Result.err({ failure, capacityAfterMilliseconds: null }));
+        resolve(Result.err({ failure, shortage: null }));
       });
     },
     throughput: () => 1,
--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -49,6 +49,7 @@
 } from "../hops/request_start.ts";
 import {
   createHopDeduplicator,
+  entryOf,
   type HopCopy,
   parseHop,
 } from "../hops/hop_deduplication.ts";
@@ -237,7 +238,9 @@
     await handle(message, {
       response,
       cancel,
-      request: request.value,
+      request: hop === null
+        ? request.value
+        : { ...request.value, entry: entryOf(hop) },
       arrival,
     });
   }
--- a/source/adapters/callers/request_reader.ts
+++ b/source/adapters/callers/request_reader.ts
@@ -110,6 +110,9 @@
       `${fields.requestId} must be 1 to ${maxIdLength} visible ASCII characters`,
     );
   }
+  const account = options.fromAgent
+    ? firstValue(message.headers, fields.account)
+    : null;
   const key = readKey(options);
   if (key.isErr) return Result.err(key.error);
   const rank = readRank(message, options);
@@ -137,6 +140,7 @@
       : null,
     deadlineAt: options.arrivedAt + deadline.value,
     signal: options.signal,
+    ...(account === null ? {} : { account: decodeFieldText(account) }),
   });
 }
 
--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -26,6 +26,8 @@
   outcome: "geraniumledge-outcome",
   reason: "geraniumledge-reason",
   service: "geraniumledge-service",
+  /** The service that a request comes from, percent-encoded. */
+  account: "geraniumledge-account",
   load: "geraniumledge-load",
   token: "geraniumledge-fencing-token",
   slice: "geraniumledge-slice",
@@ -54,6 +56,7 @@
 /** Fields that only agents may set; not forwarded as they were received. */
 const internalFields: ReadonlySet<string> = new Set([
   fields.service,
+  fields.account,
   fields.objective,
   fields.load,
   fields.token,
--- a/source/adapters/hops/forwarder.ts
+++ b/source/adapters/hops/forwarder.ts
@@ -256,6 +256,9 @@
     host: request.authority,
     [fields.requestId]: request.id,
     [fields.service]: request.service,
+    ...(request.account === undefined
+      ? {}
+      : { [fields.account]: encodeURIComponent(request.account) }),
     [fields.rank]: String(request.rank),
     [fields.departure]: formatDeparture(options.depart()),
     [fields.deadline]: String(left.deadlineMilliseconds),
--- a/source/adapters/hops/hop_deduplication.ts
+++ b/source/adapters/hops/hop_deduplication.ts
@@ -41,6 +41,21 @@
   readonly receiver: AgentId;
 }
 
+/** Ends the name of a sender that sends over links. */
+const linkSenderSuffix = "/link";
+
+/** The name under which an agent sends requests over links. */
+export function linkSenderOf(agent: AgentId): string {
+  return `${agent}${linkSenderSuffix}`;
+}
+
+/** The agent that forwarded a request, over links or not. */
+export function entryOf({ sender }: Pick<HopCopy, "sender">): AgentId {
+  return sender.endsWith(linkSenderSuffix)
+    ? sender.slice(0, -linkSenderSuffix.length)
+    : sender;
+}
+
 /** What happens to a copy that has arrived. */
 export type CopyFate =
   /** It is the first copy to arrive, and starts the request. */
--- a/source/adapters/hops/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -33,6 +33,7 @@
 } from "./request_start.ts";
 import {
   createHopDeduplicator,
+  entryOf,
   type HopCopy,
   type HopDeduplicator,
 } from "./hop_deduplication.ts";
@@ -154,6 +155,7 @@
         : undelayedAt + objectiveMilliseconds,
       deadlineAt: undelayedAt + deadlineMilliseconds,
       signal: copy.cancel.signal,
+      entry: entryOf(message.hop),
     };
     const body = { kind: "kept", bytes: copy.bytes } as const;
     return startIfWanted(request, {
--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -434,6 +434,7 @@
 ): RequestMessage {
   const { request, sentAt } = entry;
   const { method, path, authority, headers, service, key, rank } = request;
+  const { account } = request;
   return {
     kind: "request",
     hop: hopOf(entry, options),
@@ -449,6 +450,7 @@
       key,
       rank,
       idempotent: request.idempotent,
+      ...(account === undefined ? {} : { account }),
     },
     ...timeLeft(request, sentAt),
   };
--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -11,6 +11,7 @@
 import { type Relay, startRelay } from "../../../tests/relay.ts";
 import { testAgentId } from "../../../tests/test_listener.ts";
 import { testRequest } from "../../../tests/test_request.ts";
+import { linkSenderOf } from "./hop_deduplication.ts";
 import { serveHopLinks } from "./hop_link_server.ts";
 import { encodeMessage } from "./hop_messages.ts";
 import { linkPath, openHopLinks } from "./hop_links.ts";
@@ -28,6 +29,7 @@
   let relay: Relay;
   let links: Forwarder;
   let runs: string[] = [];
+  let clients: (readonly (string | undefined)[])[] = [];
   let cancelled: string[] = [];
   let workMilliseconds = 0;
   let silences = 0;
@@ -38,6 +40,7 @@
 
   async function run(request: ProxyRequest) {
     runs.push(request.id);
+    clients.push([request.entry, request.account]);
     request.signal.addEventListener("abort", () => cancelled.push(request.id));
     await new Promise((resolve) => setTimeout(resolve, workMilliseconds));
     if (request.path === "/refused") {
@@ -89,7 +92,7 @@
       now: () => performance.now(),
       clock: startLogicalClock(),
       // The other agent remembers the requests of each sender.
-      sender: `process-${processes += 1}`,
+      sender: linkSenderOf(`host-${processes += 1}/a`),
       depart: testDepartures(`process-${processes}`),
       onSilence: () => silences += 1,
       largeBodyForwarder: {
@@ -103,6 +106,7 @@
     workMilliseconds = 0;
     await send("warm-up");
     runs = [];
+    clients = [];
     cancelled = [];
     silences = 0;
   });
@@ -137,6 +141,13 @@
       assert.deepEqual(answers, ids.map((id) => `201 done ${id}`));
     });
 
+    // Guards against shares by the wrong client: an agent's requests over
+    // links and on connections of their own count together.
+    it("name the agent that sends, and the account that it states", async () => {
+      await send("r-1", { account: "orders" });
+      assert.deepEqual(clients, [[`host-${processes}/a`, "orders"]]);
+    });
+
     it("return a refusal with its retry delay", async () => {
       const request = testRequest({
         path: "/refused",
--- a/source/adapters/logs/metrics.ts
+++ b/source/adapters/logs/metrics.ts
@@ -28,6 +28,7 @@
   requests_retried: ["reason"],
   target_requests_started: ["rank"],
   target_requests_refused: ["rank", "reason"],
+  early_returns: ["rank"],
   region_link_bytes: ["rank"],
   store_calls: ["method", "kind"],
   peer_calls: ["method"],
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -12,8 +12,24 @@
  */
 import type { FailureReason } from "../request/outcome.ts";
 import {
+  type Client,
+  type ClientShares,
+  type FairShares,
+  firstInTurn,
+  hasCompetition,
+  lastOfLargest,
+  noUse,
+  recordUse,
+  sharesOf,
+  unknownClient,
+  workAhead,
+} from "./fair_shares.ts";
+import {
+  competesWith,
+  isFullyUtilized,
   maxLateWait,
   nextToStart,
+  type QueuedRequest,
   retryDelay,
   startsBefore,
   type TimedRequest,
@@ -27,6 +43,7 @@
 import {
   type BookReturn,
   bookReturn,
+  freeSlots,
   noReturns,
   recordArrival,
   type ReturnSchedule,
@@ -67,6 +84,7 @@
   /** The kind of work that it is measured as; null for its whole rank. */
   readonly work: string | null;
   readonly keyed: boolean;
+  readonly client: Client;
   readonly arrivedAt: number;
   /** When its objective ends, by which requests of a rank are ordered. */
   readonly orderAt: number;
@@ -104,6 +122,8 @@
   readonly offered: readonly OfferedWork[];
   /** When refused callers return. */
   readonly returns: ReturnSchedule;
+  /** The recent use of each rank by clients. */
+  readonly use: readonly FairShares[];
   /** When a request last ended in the target. */
   readonly measuredAt: number;
   readonly closed: boolean;
@@ -127,6 +147,8 @@
     readonly work?: string | null;
     /** Whether it has a key; false when left out. */
     readonly keyed?: boolean;
+    /** Whom it comes from; not known when left out. */
+    readonly client?: Client;
     /** The end of its objective; its deadline when left out. */
     readonly objectiveAt?: number;
     readonly deadlineAt: number;
@@ -155,13 +177,21 @@
     readonly reason: FailureReason;
     /** When a retry may be admitted, in milliseconds; null if not known. */
     readonly retryAfterMilliseconds: number | null;
-    /**
-     * For lack of capacity: in how long there is some. Left out for other
-     * reasons. Beyond the time to the retry, the caller can't wait for it.
-     */
-    readonly capacityAfterMilliseconds?: number | null;
+    /** What it competed for; left out if capacity was not the reason. */
+    readonly shortage?: Shortage;
   };
 
+/** Why a request was refused for lack of capacity, for the log. */
+export interface Shortage extends ClientShares {
+  /**
+   * In how long there is capacity for it; null if not known. Beyond the time
+   * to the retry, the caller can't wait for it.
+   */
+  readonly capacityAfterMilliseconds: number | null;
+  /** The slots that more valuable ranks leave to its rank. */
+  readonly freeSlots: number;
+}
+
 type AdmissionTransition = Transition<AdmissionState, AdmissionEffect>;
 
 /** The part of its slots that a target gets before any request has ended. */
@@ -197,6 +227,7 @@
     serviceTimes: new Map(),
     offered: settings.ranks.map(() => noOfferedWork),
     returns: noReturns,
+    use: settings.ranks.map(() => noUse),
     measuredAt: 0,
     closed: false,
   };
@@ -244,8 +275,19 @@
       deadlineAt: request.deadlineAt,
       now: event.now,
     }, capacity);
+    const { retryAfterMilliseconds, capacityAfterMilliseconds } = next.booked;
+    const shares = sharesOf(
+      state.use[request.rank] ?? noUse,
+      request.client,
+      event.now,
+    );
+    const shortage = {
+      ...shares,
+      capacityAfterMilliseconds,
+      freeSlots: freeSlots(returns, request.rank, capacity),
+    };
     returns = next.schedule;
-    return { ...effect, ...next.booked };
+    return { ...effect, retryAfterMilliseconds, shortage };
   });
   return { state: { ...state, returns }, effects: booked };
 }
@@ -264,11 +306,13 @@
     readonly before: AdmissionState;
     readonly event: AdmissionEvent;
   },
-): Pick<RunningRequest, "rank" | "work" | "deadlineAt"> | null {
+):
+  | Pick<WaitingRequest, "work" | "deadlineAt" | "client"> & { rank: number }
+  | null {
   if (event.kind === "arrived" && event.id === id) {
-    const { work = null, deadlineAt } = event;
+    const { work = null, deadlineAt, client = unknownClient } = event;
     const rank = Math.min(event.rank, before.waiting.length - 1);
-    return { rank, work, deadlineAt };
+    return { rank, work, deadlineAt, client };
   }
   for (const [rank, queue] of before.waiting.entries()) {
     const entry = queue.find((entry) => entry.id === id);
@@ -324,12 +368,13 @@
   const state = recordOffered(before, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
-  const { id, work = null, keyed = false } = event;
+  const { id, work = null, keyed = false, client = unknownClient } = event;
   const { deadlineAt, objectiveAt = deadlineAt } = event;
   const entry = {
     id,
     work,
     keyed,
+    client,
     arrivedAt: event.now,
     orderAt,
     deadlineAt,
@@ -340,8 +385,59 @@
     rank,
     insertByObjective(state.waiting[rank] ?? [], entry),
   );
-  const evicted = evictOverflow(queued);
-  return startQueued(evicted, event.now);
+  const evicted = evictOverflow(queued, event.now);
+  const timely = refuseOfLargest(evicted, rank, event.now);
+  return startQueued(timely, event.now);
+}
+
+/** Whether clients compete for what is left to a rank. */
+function isContested(state: AdmissionState, rank: number, now: number) {
+  return isFullyUtilized(utilizationFor(state, rank, now)) &&
+    hasCompetition(state.waiting[rank] ?? []);
+}
+
+/** The last request of the client that has most; null without competition. */
+function largestOf(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): WaitingRequest | null {
+  if (!isContested(state, rank, now)) return null;
+  const waiting = (state.waiting[rank] ?? []).map((entry) => {
+    const { client, work } = entry;
+    const milliseconds = expectedServiceTime(state, { rank, work });
+    return { client, milliseconds, entry };
+  });
+  const use = state.use[rank] ?? noUse;
+  return lastOfLargest(waiting, use, now)?.entry ?? null;
+}
+
+/**
+ * Refuses the last request of the client that has most, if its wait has become
+ * too long since one of a client that has less goes before it.
+ */
+function refuseOfLargest(
+  before: AdmissionTransition,
+  rank: number,
+  now: number,
+): AdmissionTransition {
+  const { state } = before;
+  const entry = largestOf(state, rank, now);
+  if (entry === null) return before;
+  const queue = state.waiting[rank] ?? [];
+  const others = withQueue(state, rank, queue.filter((one) => one !== entry));
+  const refused = reasonToRefuse(others, {
+    ...entry,
+    kind: "arrived",
+    rank,
+    now,
+  });
+  if (refused === null) return before;
+  const effects = [
+    ...before.effects,
+    ...refuse(state, entry.id, refused).effects,
+  ];
+  return { state: others, effects };
 }
 
 function recordOffered(
@@ -382,10 +478,11 @@
   if (state.closed) return refusal("target-leaving");
   const { now, deadlineAt, objectiveAt = deadlineAt } = event;
   if (deadlineAt <= now) return refusal("deadline-passed");
-  const { rank, work = null, orderAt } = event;
+  const { rank, work = null, orderAt, client = unknownClient } = event;
   const waitMilliseconds = expectedWait(state, {
     rank,
     work,
+    client,
     orderAt,
     objectiveAt,
     deadlineAt,
@@ -468,6 +565,7 @@
 interface Arriving extends TimedRequest {
   readonly rank: number;
   readonly work: string | null;
+  readonly client: Client;
   readonly orderAt: number;
   readonly now: number;
 }
@@ -487,19 +585,43 @@
   let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
     if (rank > event.rank) return;
-    for (const entry of queue) {
-      const { work } = entry;
-      const serviceMilliseconds = expectedServiceTime(state, { rank, work });
-      const other = { ...entry, serviceMilliseconds };
-      if (rank === event.rank && !startsBefore(other, arriving, event.now)) {
-        continue;
-      }
-      milliseconds += serviceMilliseconds;
-    }
+    const waiting = queue.map((entry) => ({
+      ...entry,
+      serviceMilliseconds: expectedServiceTime(state, { ...entry, rank }),
+    }));
+    milliseconds += rank === event.rank
+      ? workBefore(state, waiting, arriving)
+      : waiting.reduce((sum, other) => sum + other.serviceMilliseconds, 0);
   });
   return milliseconds / slots / availableShare(state, event.rank);
 }
 
+/** The waiting work of its own rank that starts before an arriving request. */
+function workBefore(
+  state: AdmissionState,
+  waiting: readonly (WaitingRequest & QueuedRequest)[],
+  arriving: Arriving & QueuedRequest,
+): number {
+  const { rank, now, client } = arriving;
+  const isFirst = (other: QueuedRequest) => startsBefore(other, arriving, now);
+  const contested = hasCompetition([...waiting, arriving]) &&
+    isFullyUtilized(utilizationFor(state, rank, now));
+  if (!contested) {
+    return waiting.filter(isFirst).reduce(
+      (sum, other) => sum + other.serviceMilliseconds,
+      0,
+    );
+  }
+  const ahead = waiting
+    .filter((other) => competesWith(other, arriving, now))
+    .map((other) => ({
+      client: other.client,
+      milliseconds: other.serviceMilliseconds,
+      first: isFirst(other),
+    }));
+  return workAhead(ahead, client, { shares: state.use[rank] ?? noUse, now });
+}
+
 /** The part of the starts that is left to a rank while lower ranks wait. */
 function availableShare(state: AdmissionState, rank: number): number {
   let others = 0;
@@ -542,17 +664,21 @@
 
 /**
  * Refuses a request when the queue is full: the last one of the least urgent
- * rank that has more waiting than its share of the queue.
+ * rank that has more waiting than its share of the queue. If clients compete,
+ * it is the last one of the client that has most.
  */
-function evictOverflow(state: AdmissionState): AdmissionTransition {
+function evictOverflow(
+  state: AdmissionState,
+  now: number,
+): AdmissionTransition {
   if (countWaiting(state) <= state.settings.queueLength) {
     return { state, effects: [] };
   }
   const rank = rankToEvict(state);
   const queue = state.waiting[rank] ?? [];
-  const last = queue[queue.length - 1];
+  const last = largestOf(state, rank, now) ?? queue.at(-1);
   if (last === undefined) return { state, effects: [] };
-  const next = withQueue(state, rank, queue.slice(0, -1));
+  const next = withQueue(state, rank, queue.filter((one) => one !== last));
   return refuse(next, last.id, refusal("queue-full"));
 }
 
@@ -636,6 +762,12 @@
       now,
       serviceMillisecondsOf: ({ work }) =>
         expectedServiceTime(current, { rank, work }),
+      ...(isContested(current, rank, now)
+        ? {
+          choose: (requests) =>
+            firstInTurn(requests, current.use[rank] ?? noUse, now),
+        }
+        : {}),
     });
     const first = queue[index];
     if (first === undefined) break;
@@ -673,6 +805,7 @@
     readonly rank: number;
     readonly work: string | null;
     readonly keyed: boolean;
+    readonly client: Client;
     readonly now: number;
     readonly deadlineAt: number;
   },
@@ -691,7 +824,16 @@
     const earned = share / (1 - share) * relativeWork(state, entry, rank);
     return Math.min(maxCredit, credit + earned);
   });
-  return { ...state, running, credits };
+  const used = {
+    milliseconds: expectedServiceTime(state, entry) ||
+      defaultServiceMilliseconds,
+    now: entry.now,
+  };
+  const use = state.use.with(
+    entry.rank,
+    recordUse(state.use[entry.rank] ?? noUse, entry.client, used),
+  );
+  return { ...state, running, credits, use };
 }
 
 /**
@@ -805,6 +947,7 @@
     offered: settings.ranks.map((_, rank) =>
       state.offered[rank] ?? noOfferedWork
     ),
+    use: settings.ranks.map((_, rank) => state.use[rank] ?? noUse),
     credits: settings.ranks.map((_, rank) => state.credits[rank] ?? 0),
     serviceMilliseconds: settings.ranks.map((_, rank) =>
       state.serviceMilliseconds[rank] ?? 0
--- a/source/core/admission/competing_classes_test.ts
+++ b/source/core/admission/competing_classes_test.ts
@@ -1,50 +1,15 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
-  type ClassOutcome,
-  type CrowdClass,
-  simulateCrowd,
+  crowdSettings,
+  longWork,
+  shortWork,
+  simulateSeeds,
 } from "../../../tests/crowd_simulation.ts";
-import {
-  type AdmissionSettings,
-  createAdmission,
-  stepAdmission,
-} from "./admission.ts";
+import { createAdmission, stepAdmission } from "./admission.ts";
 
-const seeds = [1, 2, 3];
 const lowerRankShare = 0.05;
-const settings: AdmissionSettings = {
-  slots: 13,
-  ranks: [
-    { name: "valuable", share: 0 },
-    { name: "usual", share: lowerRankShare },
-  ],
-  queueLength: 64,
-  initialShare: 1,
-  maxLateWaitMilliseconds: 100,
-};
-const short = {
-  workMilliseconds: 40,
-  objectiveMilliseconds: 150,
-  deadlineMilliseconds: 500,
-};
-const long = {
-  workMilliseconds: 400,
-  objectiveMilliseconds: 2_000,
-  deadlineMilliseconds: 10_000,
-};
-
-/** The share of the new requests of a class that has this outcome. */
-function simulate(classes: readonly CrowdClass[]) {
-  const outcomes = seeds.map((seed) =>
-    simulateCrowd({ classes, settings, milliseconds: 20_000, seed })
-  );
-  return (name: string, outcome: keyof ClassOutcome) => {
-    const sum = (of: keyof ClassOutcome) =>
-      outcomes.reduce((sum, map) => sum + (map.get(name)?.[of] ?? 0), 0);
-    return sum(outcome) / sum("asked");
-  };
-}
+const settings = crowdSettings([0, lowerRankShare]);
 
 describe("a keyed target that is asked for more than it can run", () => {
   const burst = (load: number) => (now: number) =>
@@ -55,16 +20,16 @@
       // Guards against refusals of valuable requests while others are served.
       for (
         const [work, valuable, usual] of [
-          ["short before long", short, long],
-          ["long before short", long, short],
-          ["equal", long, long],
+          ["short before long", shortWork, longWork],
+          ["long before short", longWork, shortWork],
+          ["equal", longWork, longWork],
         ] as const
       ) {
         it(`refuses nearly none of the more valuable: ${work}`, () => {
-          const share = simulate([
+          const share = simulateSeeds([
             { name: "valuable", rank: 0, ...valuable, load: loadOf(0.7) },
             { name: "usual", rank: 1, ...usual, load: loadOf(0.9) },
-          ]);
+          ], { settings });
           const refusals = share("valuable", "refusals");
           assert.ok(refusals <= 0.02, `${refusals}`);
           assert.ok(share("usual", "served") > 0.1);
@@ -76,10 +41,10 @@
   describe("by its most valuable rank alone", () => {
     it("gives the other one no more than its guaranteed share", () => {
       const load = 1.2;
-      const share = simulate([
-        { name: "valuable", rank: 0, ...long, load: () => load },
-        { name: "usual", rank: 1, ...long, load: () => 0.8 },
-      ]);
+      const share = simulateSeeds([
+        { name: "valuable", rank: 0, ...longWork, load: () => load },
+        { name: "usual", rank: 1, ...longWork, load: () => 0.8 },
+      ], { settings });
       const served = share("valuable", "served") * load;
       assert.ok(served >= 1 - lowerRankShare, `${served} of the capacity`);
       assert.ok(share("usual", "served") > 0, "the other one starves");
--- /dev/null
+++ b/source/core/admission/fair_shares_test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type CrowdClass,
+  crowdSettings,
+  longWork,
+  shortWork,
+  simulateSeeds,
+} from "../../../tests/crowd_simulation.ts";
+import {
+  type Client,
+  firstInTurn,
+  lastOfLargest,
+  noUse,
+  recordUse,
+} from "./fair_shares.ts";
+
+const usualWork = {
+  workMilliseconds: 150,
+  objectiveMilliseconds: 600,
+  deadlineMilliseconds: 2_500,
+};
+
+/** Requests of an entry for an account, as a multiple of the capacity. */
+function requestsOf(
+  account: string,
+  entry: string,
+  load: number,
+  work = usualWork,
+): CrowdClass {
+  const name = `${account} ${entry}`;
+  return {
+    ...work,
+    rank: 0,
+    name,
+    load: () => load,
+    client: { account, entry },
+  };
+}
+
+const simulate = (classes: readonly CrowdClass[]) =>
+  simulateSeeds(classes, { settings: crowdSettings([0]) });
+
+describe("a target that is asked for more than it can run", () => {
+  /** Nearly all: what a client that asks for less than its share must get. */
+  const nearlyAll = 0.97;
+
+  describe("by an account that floods it", () => {
+    // Guards against refusals of an account that asks for less than its share.
+    for (const [name, work] of Object.entries({ usualWork, longWork })) {
+      it(`serves another one all that it asks for: ${name}`, () => {
+        const share = simulate([
+          requestsOf("flood", "entry-1", 1.5),
+          requestsOf("small", "entry-2", 0.3, work),
+        ]);
+        assert.ok(share("small entry-2", "served") >= nearlyAll);
+        assert.ok(share("small entry-2", "refusals") <= 0.05);
+        assert.ok(share("flood entry-1", "served") * 1.5 >= 0.65);
+      });
+    }
+
+    it("keeps long requests from starving behind short ones", () => {
+      const share = simulate([
+        requestsOf("short", "entry-1", 1, shortWork),
+        requestsOf("long", "entry-2", 0.45, longWork),
+      ]);
+      assert.ok(share("long entry-2", "served") >= nearlyAll);
+    });
+  });
+
+  describe("by an entry that floods it", () => {
+    it("holds the entry to its share of its account", () => {
+      const share = simulate([
+        requestsOf("one", "flood", 1.2),
+        requestsOf("one", "small", 0.2),
+        requestsOf("other", "small", 0.4),
+      ]);
+      assert.ok(share("one small", "served") >= nearlyAll);
+      assert.ok(share("other small", "served") >= nearlyAll);
+    });
+
+    it("doesn't give an account with many entries more", () => {
+      const entries = ["1", "2", "3", "4"].map((entry) =>
+        requestsOf("many", entry, 0.4)
+      );
+      const share = simulate([...entries, requestsOf("one", "5", 0.45)]);
+      assert.ok(share("one 5", "served") >= nearlyAll);
+      const served = entries.map(({ name }) => share(name, "served"));
+      const [least, most] = [Math.min(...served), Math.max(...served)];
+      assert.ok(least >= most * 0.9, `${served}`);
+    });
+  });
+
+  describe("by two accounts that ask for more than their shares", () => {
+    it("serves each about half", () => {
+      const share = simulate([
+        requestsOf("more", "entry-1", 1.4),
+        requestsOf("less", "entry-2", 0.7),
+      ]);
+      // More than half in all, since returning requests are served afterwards.
+      const more = share("more entry-1", "served") * 1.4;
+      const less = share("less entry-2", "served") * 0.7;
+      assert.ok(less >= 0.45 && more <= 0.6, `${more} and ${less}`);
+    });
+  });
+});
+
+describe("a target that can run all requests", () => {
+  // Guards against shares where nobody competes.
+  it("refuses none, however unequal its clients are", () => {
+    const share = simulate([
+      requestsOf("most", "entry-1", 0.7),
+      requestsOf("few", "entry-2", 0.05),
+    ]);
+    assert.equal(share("most entry-1", "refusals"), 0);
+    assert.equal(share("few entry-2", "refusals"), 0);
+  });
+});
+
+describe("fair shares", () => {
+  const request = (account: string, entry: string) => ({
+    client: { account, entry } satisfies Client,
+    milliseconds: 100,
+  });
+  const ofUser = request("a", "1");
+  const ofNew = request("b", "1");
+  const used = recordUse(noUse, ofUser.client, { milliseconds: 100, now: 0 });
+
+  it("give the turn to the client that has used least", () => {
+    assert.equal(firstInTurn([ofUser, ofNew], used, 10), ofNew);
+    assert.equal(lastOfLargest([ofUser, ofNew], used, 10), ofUser);
+  });
+
+  it("count all clients as new after a restart", () => {
+    assert.equal(firstInTurn([ofUser, ofNew], noUse, 10), ofUser);
+  });
+
+  it("fade within seconds", () => {
+    const later = recordUse(used, ofNew.client, {
+      milliseconds: 10,
+      now: 10_000,
+    });
+    assert.equal(firstInTurn([ofNew, ofUser], later, 10_000), ofUser);
+  });
+
+  it("keep a bounded number of clients", () => {
+    let shares = noUse;
+    for (let index = 0; index < 3_000; index += 1) {
+      const client = { account: `a-${index}`, entry: `e-${index}` };
+      shares = recordUse(shares, client, { milliseconds: 1, now: index });
+    }
+    assert.ok(shares.accounts.size <= 1_024 && shares.entries.size <= 1_024);
+  });
+});
--- a/source/core/admission/objective_first.ts
+++ b/source/core/admission/objective_first.ts
@@ -44,12 +44,17 @@
 /** From here on all slots are needed for requests that meet their objective. */
 const fullUtilization = 0.9;
 
+/** Whether all slots are needed, so that requests compete for them. */
+export function isFullyUtilized(utilization: number): boolean {
+  return utilization >= fullUtilization;
+}
+
 /** The longest wait of a request that will miss its objective. */
 export function maxLateWait(
   view: Pick<QueueEstimate, "utilization" | "maxLateWaitMilliseconds">,
 ): number {
   const bounded = Number.isFinite(view.maxLateWaitMilliseconds);
-  return bounded && view.utilization >= fullUtilization
+  return bounded && isFullyUtilized(view.utilization)
     ? 0
     : view.maxLateWaitMilliseconds;
 }
@@ -80,11 +85,23 @@
   arriving: QueuedRequest,
   now: number,
 ): boolean {
-  const meets = (request: QueuedRequest) =>
-    canMeetObjective(request, { ...request, now });
-  return meets(waiting) === meets(arriving)
+  const timely = isTimely(waiting, now);
+  return timely === isTimely(arriving, now)
     ? waiting.orderAt <= arriving.orderAt
-    : meets(waiting);
+    : timely;
+}
+
+/** Whether a waiting request may start before one that arrives, in any order. */
+export function competesWith(
+  waiting: QueuedRequest,
+  arriving: QueuedRequest,
+  now: number,
+): boolean {
+  return isTimely(waiting, now) || !isTimely(arriving, now);
+}
+
+function isTimely(request: QueuedRequest, now: number): boolean {
+  return canMeetObjective(request, { ...request, now });
 }
 
 /**
@@ -97,16 +114,23 @@
     readonly now: number;
     /** The expected time of a request in the target, in milliseconds. */
     readonly serviceMillisecondsOf: (request: Request) => number;
+    /** Chooses one of those that can meet it; the first when left out. */
+    readonly choose?: (requests: readonly Request[]) => Request | undefined;
   },
 ): number {
-  const { now, serviceMillisecondsOf } = view;
-  const first = queue.findIndex((request) =>
+  const { now, serviceMillisecondsOf, choose = firstOf } = view;
+  const timely = queue.filter((request) =>
     canMeetObjective(request, {
       now,
       serviceMilliseconds: serviceMillisecondsOf(request),
     })
   );
-  return first < 0 && queue.length > 0 ? 0 : first;
+  const chosen = choose(timely.length > 0 ? timely : queue);
+  return chosen === undefined ? -1 : queue.indexOf(chosen);
+}
+
+function firstOf<Request>(requests: readonly Request[]): Request | undefined {
+  return requests[0];
 }
 
 /**
--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -149,19 +149,39 @@
   return Math.max(minRetryMilliseconds, left * maxWaitShare);
 }
 
-/** The slots that returning requests of a rank can use. */
-export function spareSlots(
+/** The slots that more valuable ranks and the shares of others leave to one. */
+export function freeSlots(
   schedule: ReturnSchedule,
   rank: number,
-  { slots, shares }: ReturnCapacity,
+  capacity: ReturnCapacity,
 ): number {
-  const lower = shares.slice(rank + 1).reduce((sum, share) => sum + share, 0);
-  const used = schedule.ranks.slice(0, rank + 1).reduce(
+  const used = newWorkUpTo(schedule, rank - 1);
+  return Math.max(0, capacity.slots * (1 - lowerShares(rank, capacity)) - used);
+}
+
+/** New work of a rank and those above, as slots in use. */
+function newWorkUpTo(schedule: ReturnSchedule, rank: number): number {
+  return schedule.ranks.slice(0, rank + 1).reduce(
     (sum, { newMilliseconds }) =>
       sum + Math.max(0, newMilliseconds) / decayMilliseconds,
     0,
   );
-  return Math.max(slots * minReturnShare, slots * (1 - lower) - used);
+}
+
+function lowerShares(rank: number, { shares }: ReturnCapacity): number {
+  return shares.slice(rank + 1).reduce((sum, share) => sum + share, 0);
+}
+
+/** The slots that returning requests of a rank can use. */
+function spareSlots(
+  schedule: ReturnSchedule,
+  rank: number,
+  capacity: ReturnCapacity,
+): number {
+  const { slots } = capacity;
+  const rest = slots * (1 - lowerShares(rank, capacity)) -
+    newWorkUpTo(schedule, rank);
+  return Math.max(slots * minReturnShare, rest);
 }
 
 /** Subtracts what was due to return since then, and decays new work. */
--- a/source/core/admission/return_schedule_test.ts
+++ b/source/core/admission/return_schedule_test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import {
-  type ClassOutcome,
   type CrowdClass,
-  simulateCrowd,
+  crowdSettings,
+  simulateSeeds,
 } from "../../../tests/crowd_simulation.ts";
-import type { AdmissionSettings } from "./admission.ts";
 import {
   type BookedReturn,
   type BookReturn,
@@ -15,14 +14,6 @@
   type RefusedReturn,
 } from "./return_schedule.ts";
 
-const seeds = [1, 2, 3];
-const settings: AdmissionSettings = {
-  slots: 13,
-  ranks: [{ name: "any", share: 0 }],
-  queueLength: 64,
-  initialShare: 1,
-  maxLateWaitMilliseconds: 100,
-};
 const asked: Omit<CrowdClass, "load"> = {
   name: "any",
   rank: 0,
@@ -40,22 +31,16 @@
   },
 });
 
-/** The mean outcome of all seeds, as shares of the new requests. */
 function simulate(load: CrowdClass["load"], book: BookReturn) {
-  const outcomes = seeds.map((seed) =>
-    simulateCrowd({
-      classes: [{ ...asked, load }],
-      settings,
-      milliseconds: 24_000,
-      seed,
-      book,
-    }).get(asked.name)
-  );
-  const sum = (name: keyof ClassOutcome) =>
-    outcomes.reduce((sum, outcome) => sum + (outcome?.[name] ?? 0), 0);
+  const settings = crowdSettings([0]);
+  const share = simulateSeeds([{ ...asked, load }], {
+    settings,
+    milliseconds: 24_000,
+    book,
+  });
   return {
-    served: sum("served") / sum("asked"),
-    refusedAgain: sum("refusedAgain") / sum("asked"),
+    served: share(asked.name, "served"),
+    refusedAgain: share(asked.name, "refusedAgain"),
   };
 }
 
--- a/source/ports/metrics.ts
+++ b/source/ports/metrics.ts
@@ -13,6 +13,7 @@
   | "requests_retried"
   | "target_requests_started"
   | "target_requests_refused"
+  | "early_returns"
   | "region_link_bytes"
   | "store_calls"
   | "peer_calls"
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -50,6 +50,10 @@
   readonly deadlineAt: number;
   /** Aborted when the caller leaves. */
   readonly signal: AbortSignal;
+  /** The agent that forwarded it; this one when left out. */
+  readonly entry?: AgentId;
+  /** The service that it comes from, as its entry states; may be left out. */
+  readonly account?: string;
 }
 
 /** An answer's body: already read completely, or still being received. */
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -370,6 +370,7 @@
   const serve = startServing({
     mayBegin: gate.mayBegin,
     service: settings.service,
+    entry: agent.id,
     holder: coordinator.holder,
     admission,
     workOf: () => null,
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -22,6 +22,7 @@
   type HttpListener,
   openHttpListener,
 } from "../adapters/callers/http_listener.ts";
+import { linkSenderOf } from "../adapters/hops/hop_deduplication.ts";
 import { openHopLinks } from "../adapters/hops/hop_links.ts";
 import type { LogLevel } from "../adapters/logs/log.ts";
 import { servePeers } from "../adapters/hops/peer_server.ts";
@@ -117,7 +118,7 @@
     settings: links,
     now: monotonicNow,
     clock: common.clock,
-    sender: `${options.id}/link`,
+    sender: linkSenderOf(options.id),
     depart: common.stampDeparture,
     onSilence: reportSilence(common.events),
     largeBodyForwarder: common.forwarder,
@@ -372,6 +373,7 @@
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
     service: settings.service,
+    entry: agent.id,
     holder: coordinator.holder,
     admission,
     workOf: workByRoute(coordinator.configuration),
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -11,9 +11,11 @@
   countWaiting,
   createAdmission,
   type FinishKind,
+  type Shortage,
   stepAdmission,
   throughput,
 } from "../core/admission/admission.ts";
+import type { Client } from "../core/admission/fair_shares.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
 import { monotonicNow } from "./time.ts";
@@ -27,11 +29,8 @@
 /** Why a request got no slot; it has not been run. */
 export interface AdmissionRefusal {
   readonly failure: Failure;
-  /**
-   * In how long there is capacity for it; null if not known, or if it was not
-   * refused for lack of capacity.
-   */
-  readonly capacityAfterMilliseconds: number | null;
+  /** What it competed for; null if it wasn't refused for lack of capacity. */
+  readonly shortage: Shortage | null;
 }
 
 /** The running admission task. */
@@ -45,6 +44,8 @@
     readonly work: string | null;
     /** Whether the request has a key. */
     readonly keyed: boolean;
+    /** Whom it comes from; not known when left out. */
+    readonly client?: Client;
     /** The latency objective, on the monotonic clock; null for the deadline. */
     readonly objectiveAt: number | null;
     readonly deadlineAt: number;
@@ -68,9 +69,9 @@
 
 function refusalOf(
   failure: Failure,
-  capacityAfterMilliseconds: number | null = null,
+  shortage: Shortage | null = null,
 ): Result<AdmissionSlot, AdmissionRefusal> {
-  return Result.err({ failure, capacityAfterMilliseconds });
+  return Result.err({ failure, shortage });
 }
 
 /** Starts admission with these settings and all slots free. */
@@ -95,7 +96,7 @@
     if (effect.kind === "refuse") {
       const { reason, retryAfterMilliseconds } = effect;
       const failure = notRun(reason, retryAfterMilliseconds);
-      callback?.(refusalOf(failure, effect.capacityAfterMilliseconds));
+      callback?.(refusalOf(failure, effect.shortage));
     } else {
       callback?.(Result.ok(slotOf(effect.id)));
     }
@@ -120,7 +121,7 @@
   }
 
   return {
-    enter({ rank, work, keyed, objectiveAt, deadlineAt, signal }) {
+    enter({ rank, work, keyed, client, objectiveAt, deadlineAt, signal }) {
       const id = nextId;
       nextId += 1;
       return new Promise((resolve) => {
@@ -141,6 +142,7 @@
           rank,
           work,
           keyed,
+          ...(client === undefined ? {} : { client }),
           objectiveAt: objectiveAt ?? deadlineAt,
           deadlineAt,
           now,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -5,13 +5,15 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { FinishKind } from "../core/admission/admission.ts";
+import type { FinishKind, Shortage } from "../core/admission/admission.ts";
+import type { Client } from "../core/admission/fair_shares.ts";
+import type { AgentId } from "../core/agent.ts";
 import {
   type Failure,
   notRun,
   ownedElsewhere,
 } from "../core/request/outcome.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type {
@@ -41,6 +43,8 @@
 /** Starts the task. */
 export function startServing(options: {
   readonly service: string;
+  /** The name of this agent as an entry; empty when left out. */
+  readonly entry?: AgentId;
   /** Null for a service without keys, and until the configuration is known. */
   readonly holder: () => HolderTask | null;
   readonly admission: AdmissionTask;
@@ -75,13 +79,13 @@
     const arrivedAt = monotonicNow();
     const work = options.workOf(request);
     const keyed = request.key !== null;
-    const slot = await admission.enter({ ...request, work, keyed });
+    const client = clientOf(request);
+    const slot = await admission.enter({ ...request, work, keyed, client });
     const waited = monotonicNow() - arrivedAt;
     metrics.time("queue_duration", waited, rankLabel(request));
     if (slot.isErr) {
       release();
-      const { failure, capacityAfterMilliseconds } = slot.error;
-      return refuse(request, failure, capacityAfterMilliseconds);
+      return refuse(request, slot.error.failure, slot.error.shortage);
     }
     if (waited > negligibleWaitMilliseconds) await options.readPendingInput();
     const failure = reasonNotToSend(request, permit.value);
@@ -177,27 +181,36 @@
     return Result.ok({ ...answer, load: admission.load() });
   }
 
+  /** A request that no other agent forwarded entered at this one. */
+  function clientOf(request: ProxyRequest): Client {
+    return {
+      entry: request.entry ?? options.entry ?? "",
+      account: request.account ?? "",
+    };
+  }
+
   function refuse(
     request: ProxyRequest,
     failure: Failure,
-    capacityAfterMilliseconds: number | null = null,
+    shortage: Shortage | null = null,
   ): Result<ProxyAnswer, Failure> {
-    const retryAfterMilliseconds = failure.retryAfterMilliseconds ?? 0;
     metrics.count("target_requests_refused", {
       ...rankLabel(request),
       reason: failure.reason,
     });
+    const detail = shortage === null ? {} : shortageDetail(shortage, failure);
+    if (detail["returnsEarly"] === true) {
+      metrics.count("early_returns", rankLabel(request));
+    }
     events.record("request-refused", {
       request: request.id,
       rank: request.rank,
       reason: failure.reason,
       load: admission.load(),
       runsPerSecond: admission.throughput(),
-      retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-      ...(capacityAfterMilliseconds === null ? {} : {
-        capacityAfterMilliseconds: Math.round(capacityAfterMilliseconds),
-        returnsEarly: capacityAfterMilliseconds > retryAfterMilliseconds,
-      }),
+      retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
+      ...clientOf(request),
+      ...detail,
     });
     return Result.err(failure);
   }
@@ -211,6 +224,22 @@
   return reason === "target-refused" ? "refused" : "unused";
 }
 
+function shortageDetail(
+  shortage: Shortage,
+  { retryAfterMilliseconds }: Failure,
+): EventDetail {
+  const { capacityAfterMilliseconds: after } = shortage;
+  return {
+    accountShare: Number(shortage.accountShare.toFixed(2)),
+    entryShare: Number(shortage.entryShare.toFixed(2)),
+    freeSlots: Number(shortage.freeSlots.toFixed(1)),
+    ...(after === null ? {} : {
+      capacityAfterMilliseconds: Math.round(after),
+      returnsEarly: after > (retryAfterMilliseconds ?? 0),
+    }),
+  };
+}
+
 function rankLabel(request: ProxyRequest): { readonly rank: string } {
   return { rank: String(request.rank) };
 }
--- a/tests/crowd_simulation.ts
+++ b/tests/crowd_simulation.ts
@@ -11,6 +11,7 @@
   createAdmission,
   stepAdmission,
 } from "../source/core/admission/admission.ts";
+import type { Client } from "../source/core/admission/fair_shares.ts";
 import {
   type BookReturn,
   bookReturn,
@@ -27,11 +28,8 @@
   readonly deadlineMilliseconds: number;
   /** New work as a multiple of what the target can run. */
   readonly load: (now: number) => number;
-  /** The entry and the account of its next request; none when left out. */
-  readonly client?: {
-    readonly entry: string;
-    readonly account: string;
-  };
+  /** Whom its requests come from; not known when left out. */
+  readonly client?: Client;
 }
 
 /** What came of the new requests of one class. */
@@ -69,7 +67,7 @@
 const tickMilliseconds = 10;
 
 /** Plays new requests until `milliseconds`, and the rest to their end. */
-export function simulateCrowd(options: {
+function simulateCrowd(options: {
   readonly classes: readonly CrowdClass[];
   readonly settings: AdmissionSettings;
   readonly milliseconds: number;
@@ -122,7 +120,7 @@
       rank: of.rank,
       work: of.name,
       keyed: true,
-      ...of.client,
+      ...(of.client === undefined ? {} : { client: of.client }),
       objectiveAt: now + Math.min(left, of.objectiveMilliseconds),
       deadlineAt: now + left,
       now,
@@ -173,3 +171,51 @@
   }
   return outcomes;
 }
+
+const seeds = [1, 2, 3];
+
+/** Settings of a target, with the share of each rank. */
+export function crowdSettings(shares: readonly number[]): AdmissionSettings {
+  return {
+    slots: 13,
+    ranks: shares.map((share, rank) => ({ name: `rank-${rank}`, share })),
+    queueLength: 64,
+    initialShare: 1,
+    maxLateWaitMilliseconds: 100,
+  };
+}
+
+/** Work, objective and deadline of a short request, and of a long one. */
+export const shortWork = {
+  workMilliseconds: 40,
+  objectiveMilliseconds: 150,
+  deadlineMilliseconds: 500,
+};
+export const longWork = {
+  workMilliseconds: 400,
+  objectiveMilliseconds: 2_000,
+  deadlineMilliseconds: 10_000,
+};
+
+/**
+ * Plays a crowd with several seeds. The result returns the part of the new
+ * requests of a class that has an outcome.
+ */
+export function simulateSeeds(
+  classes: readonly CrowdClass[],
+  options: {
+    readonly settings: AdmissionSettings;
+    readonly milliseconds?: number;
+    readonly book?: BookReturn;
+  },
+): (name: string, outcome: keyof ClassOutcome) => number {
+  const { milliseconds = 20_000, ...rest } = options;
+  const outcomes = seeds.map((seed) =>
+    simulateCrowd({ ...rest, classes, milliseconds, seed })
+  );
+  return (name, outcome) => {
+    const sum = (of: keyof ClassOutcome) =>
+      outcomes.reduce((sum, map) => sum + (map.get(name)?.[of] ?? 0), 0);
+    return sum(outcome) / sum("asked");
+  };
+}
