--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -577,38 +577,49 @@
 function expectedWait(state: AdmissionState, event: Arriving): number {
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
-  const arriving = {
-    ...event,
-    serviceMilliseconds: expectedServiceTime(state, event),
-  };
   // The first in a queue waits for one of the running requests to end.
   let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
-    if (rank > event.rank) return;
-    const waiting = queue.map((entry) => ({
-      ...entry,
-      serviceMilliseconds: expectedServiceTime(state, { ...entry, rank }),
-    }));
+    if (rank > event.rank || queue.length === 0) return;
+    const waiting = queue.map((entry) => inQueue(state, entry, rank));
     milliseconds += rank === event.rank
-      ? workBefore(state, waiting, arriving)
+      ? workBefore(state, waiting, event)
       : waiting.reduce((sum, other) => sum + other.serviceMilliseconds, 0);
   });
   return milliseconds / slots / availableShare(state, event.rank);
 }
 
+/** A request with what its order depends on. */
+interface Competing extends QueuedRequest {
+  readonly client: Client;
+}
+
+function inQueue(
+  state: AdmissionState,
+  request: Omit<Arriving, "rank" | "now">,
+  rank: number,
+): Competing {
+  const { client, work, orderAt, objectiveAt, deadlineAt } = request;
+  const serviceMilliseconds = expectedServiceTime(state, { rank, work });
+  return { client, serviceMilliseconds, orderAt, objectiveAt, deadlineAt };
+}
+
 /** The waiting work of its own rank that starts before an arriving request. */
 function workBefore(
   state: AdmissionState,
-  waiting: readonly (WaitingRequest & QueuedRequest)[],
-  arriving: Arriving & QueuedRequest,
+  waiting: readonly Competing[],
+  event: Arriving,
 ): number {
-  const { rank, now, client } = arriving;
-  const isFirst = (other: QueuedRequest) => startsBefore(other, arriving, now);
-  const contested = hasCompetition([...waiting, arriving]) &&
-    isFullyUtilized(utilizationFor(state, rank, now));
+  const { rank, now, client } = event;
+  const arriving = inQueue(state, event, rank);
+  const contested = isFullyUtilized(utilizationFor(state, rank, now)) &&
+    hasCompetition(waiting, client);
   if (!contested) {
-    return waiting.filter(isFirst).reduce(
-      (sum, other) => sum + other.serviceMilliseconds,
+    return waiting.reduce(
+      (sum, other) =>
+        startsBefore(other, arriving, now)
+          ? sum + other.serviceMilliseconds
+          : sum,
       0,
     );
   }
@@ -617,7 +628,7 @@
     .map((other) => ({
       client: other.client,
       milliseconds: other.serviceMilliseconds,
-      first: isFirst(other),
+      first: startsBefore(other, arriving, now),
     }));
   return workAhead(ahead, client, { shares: state.use[rank] ?? noUse, now });
 }
--- a/source/core/admission/fair_shares.ts
+++ b/source/core/admission/fair_shares.ts
@@ -66,7 +66,7 @@
 const maxNames = 1_024;
 
 function entryKey({ account, entry }: Client): string {
-  return JSON.stringify([account, entry]);
+  return `${account}\n${entry}`;
 }
 
 function decayed(use: Use | undefined, now: number): number {
@@ -117,11 +117,13 @@
   };
 }
 
-/** Whether requests of more than one client wait. */
-export function hasCompetition(waiting: readonly Competitor[]): boolean {
-  const [first] = waiting;
-  return first !== undefined &&
-    waiting.some(({ client }) => !isSame(client, first.client));
+/** Whether requests of several clients wait, or of others than this one. */
+export function hasCompetition(
+  waiting: readonly Competitor[],
+  client = waiting[0]?.client,
+): boolean {
+  return client !== undefined &&
+    waiting.some((other) => !isSame(other.client, client));
 }
 
 function isSame(one: Client, other: Client): boolean {
--- a/source/core/admission/objective_first.ts
+++ b/source/core/admission/objective_first.ts
@@ -101,7 +101,8 @@
 }
 
 function isTimely(request: QueuedRequest, now: number): boolean {
-  return canMeetObjective(request, { ...request, now });
+  const { serviceMilliseconds } = request;
+  return canMeetObjective(request, { now, serviceMilliseconds });
 }
 
 /**
