Agents lend each other saved retries of a service

The retries that the platform allows were divided equally among the agents: with 60 of them each holds 2.7 of a slack of 160. An agent beside failing targets used its part up at once, while the others needed none.

An agent whose budget falls below half of its part asks another one, of its region if there is one, which gives what it has above half of its own. Retries don't wait for the loan. Only the settings of the users' platform enable it.

--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -60,6 +60,7 @@
     census: procedure("census"),
     events: procedure("events"),
     offerBody: procedure("offerBody"),
+    lendRetries: procedure("lendRetries"),
     roster: procedure("roster"),
   });
 }
--- a/source/adapters/logs/metrics.ts
+++ b/source/adapters/logs/metrics.ts
@@ -26,6 +26,7 @@
   requests_not_run: ["rank", "reason"],
   requests_unknown: ["rank", "reason"],
   requests_retried: ["reason"],
+  retries_borrowed: [],
   target_requests_started: ["rank"],
   target_requests_refused: ["rank", "reason"],
   early_returns: ["rank"],
--- a/source/adapters/schemas.ts
+++ b/source/adapters/schemas.ts
@@ -347,6 +347,10 @@
       }),
     ]),
   },
+  lendRetries: {
+    message: z.strictObject({ service: name, wanted: nonNegative }),
+    answer: z.strictObject({ granted: nonNegative }),
+  },
   roster: {
     message: z.strictObject({}),
     answer: z.array(z.strictObject({ host: name, address })),
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -17,6 +17,8 @@
   /** The longest wait for the end of a handover; the deadline if left out. */
   readonly maxWaitMilliseconds?: number;
   readonly maxDelayMilliseconds: number;
+  /** The longest wait for a loan of another agent; left out, none is asked. */
+  readonly loanTimeoutMilliseconds?: number;
 }
 
 /** How many retries may still be sent. */
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -50,6 +50,7 @@
   | "request-admitted"
   | "request-refused"
   | "request-retried"
+  | "retries-borrowed"
   | "request-given-up"
   | "request-abandoned"
   | "request-failed"
--- a/source/ports/metrics.ts
+++ b/source/ports/metrics.ts
@@ -11,6 +11,7 @@
   | "requests_not_run"
   | "requests_unknown"
   | "requests_retried"
+  | "retries_borrowed"
   | "target_requests_started"
   | "target_requests_refused"
   | "early_returns"
--- a/source/ports/peers.ts
+++ b/source/ports/peers.ts
@@ -157,6 +157,17 @@
     readonly retryAfterMilliseconds: number | null;
   };
 
+/** A request to lend saved retries of a service. */
+export interface RetryLoanRequest {
+  readonly service: string;
+  readonly wanted: number;
+}
+
+/** How many retries are lent; they are the borrower's from then on. */
+export interface RetryLoan {
+  readonly granted: number;
+}
+
 /** Whether an agent that watches the store for others, or may have to, can. */
 export interface WatchReport {
   readonly from: AgentId;
@@ -216,6 +227,8 @@
    * Answered once the body is admitted or refused, no later than its deadline.
    */
   offerBody(question: BodyOfferRequest): Promise<BodyOfferReply>;
+  /** Lends saved retries of a service to the caller. */
+  lendRetries(question: RetryLoanRequest): Promise<RetryLoan>;
   /** Addresses of all agents that the called agent knows. */
   roster(question: Readonly<Record<never, never>>): Promise<
     readonly { readonly host: string; readonly address: Address }[]
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -193,6 +193,7 @@
     methods: {
       ...started.coordinator.methods,
       offerBody: started.bodyAdmission.offer,
+      lendRetries: started.entry.lendRetries,
     },
     clock: adapters.clock,
   });
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -522,7 +522,11 @@
   if (agents.isErr) return Result.err(`agents: ${agents.error}`);
   const peerServer = servePeers({
     server: agents.value.server,
-    methods: { ...coordinator.methods, offerBody: tasks.bodyAdmission.offer },
+    methods: {
+      ...coordinator.methods,
+      offerBody: tasks.bodyAdmission.offer,
+      lendRetries: tasks.entry.lendRetries,
+    },
     clock,
     links: {
       agent: tasks.agent.id,
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -186,6 +186,7 @@
     firstDelayMilliseconds: 20,
     maxDelayMilliseconds: 150,
     maxWaitMilliseconds: 400,
+    loanTimeoutMilliseconds: callTimeoutMilliseconds,
   };
 }
 
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -23,18 +23,15 @@
   notRun,
 } from "../core/request/outcome.ts";
 import {
-  createRetryBudget,
   decideRetry,
-  earnRetry,
   reachedTarget,
-  type RetryBudget,
   type RetryDecision,
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import type { Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
-import type { Peers } from "../ports/peers.ts";
+import type { Peers, RetryLoan, RetryLoanRequest } from "../ports/peers.ts";
 import type {
   Body,
   Forwarder,
@@ -49,6 +46,7 @@
 import type { ServeTask } from "./serve_task.ts";
 import type { MayBegin } from "./stop_gate.ts";
 import { monotonicNow, pause } from "./time.ts";
+import { startRetryBudgets } from "./retry_budgets.ts";
 import { startUnkeyedAttempts } from "./unkeyed_attempts.ts";
 
 /** The running entry. */
@@ -58,6 +56,8 @@
     request: ProxyRequest,
     options: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>>;
+  /** Lends saved retries to another agent. */
+  lendRetries(request: RetryLoanRequest): Promise<RetryLoan>;
   /** The number of requests that entered here and are not finished. */
   running(): number;
 }
@@ -103,11 +103,7 @@
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   const { mayBegin = () => true } = options;
-  /**
-   * Retry budgets by service, so that many failures of one service do not use
-   * up the retries of another.
-   */
-  const budgets = new Map<string, RetryBudget>();
+  const budgets = startRetryBudgets({ ...options, settings: options.retries });
   const ownerAdmission = startOwnerAdmission({ self: agent.id, random });
   let running = 0;
   const index = indexAgents(options.agents, (agents) => {
@@ -124,17 +120,12 @@
     sendTo,
   });
 
-  function budgetOf(service: string): RetryBudget {
-    return budgets.get(service) ?? createRetryBudget(options.retries());
-  }
-
   async function handle(
     request: ProxyRequest,
     { body }: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>> {
     running += 1;
-    const budget = earnRetry(budgetOf(request.service), options.retries());
-    budgets.set(request.service, budget);
+    budgets.earn(request.service);
     const result = await attemptUntilDone(request, body);
     if (result.isErr) running -= 1;
     else onAnswerEnd(result.value.body, () => running -= 1);
@@ -184,7 +175,7 @@
         deadlineAt: request.deadlineAt,
       }, {
         settings: options.retries(),
-        budget: budgetOf(request.service),
+        budget: budgets.of(request.service),
         random,
       });
       budgets.set(request.service, decision.budget);
@@ -208,7 +199,7 @@
   }
 
   function decideToGiveUp(request: ProxyRequest): RetryDecision {
-    return { kind: "giveUp", budget: budgetOf(request.service) };
+    return { kind: "giveUp", budget: budgets.of(request.service) };
   }
 
   async function attemptOnce(
@@ -308,7 +299,11 @@
     metrics.count("region_link_bytes", { rank }, bytes);
   }
 
-  return { handle, running: () => running };
+  return {
+    handle,
+    lendRetries: (loan) => Promise.resolve(budgets.lend(loan)),
+    running: () => running,
+  };
 }
 
 function bodyAfterAttempt(body: Body): Body {
--- a/source/tasks/peer_methods.ts
+++ b/source/tasks/peer_methods.ts
@@ -22,8 +22,14 @@
 import type { HolderTask } from "./holder_task.ts";
 import type { GossipTask } from "./gossip_task.ts";
 
-/** The calls of coordination; another task answers offers of bodies. */
-export type CoordinationMethods = Omit<PeerMethods, "offerBody">;
+/**
+ * The calls of coordination; other tasks answer offers of bodies and requests
+ * for retries.
+ */
+export type CoordinationMethods = Omit<
+  PeerMethods,
+  "offerBody" | "lendRetries"
+>;
 
 /** Maps each call to the task that answers it. */
 export function peerMethods(options: {
