Admission: what refused requests are told, and competition, in own modules

What refused callers are told moves to shortage.ts, and which waiting work goes before an arriving request to competition.ts. No decision changes there.

Of several targets that refuse a request, the earliest time that one of them has stated is passed on also if the last one states none, such as a target that leaves; its caller was told the default of 0.1 s then.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -11,27 +11,20 @@
  * @module
  */
 import type { FailureReason } from "../request/outcome.ts";
+import { type Competing, isContested, workBefore } from "./competition.ts";
 import {
   type Client,
-  type ClientShares,
   type FairShares,
   firstInTurn,
-  hasCompetition,
   lastOfLargest,
   noUse,
   recordUse,
-  sharesOf,
   unknownClient,
-  workAhead,
 } from "./fair_shares.ts";
 import {
-  competesWith,
-  isFullyUtilized,
   maxLateWait,
   nextToStart,
-  type QueuedRequest,
   retryDelay,
-  startsBefore,
   type TimedRequest,
 } from "./objective_first.ts";
 import {
@@ -43,11 +36,15 @@
 import {
   type BookReturn,
   bookReturn,
-  freeSlots,
   noReturns,
   recordArrival,
   type ReturnSchedule,
 } from "./return_schedule.ts";
+import {
+  bookRefusals,
+  type RefusedRequest,
+  type RefuseEffect,
+} from "./shortage.ts";
 import type { Transition } from "../step.ts";
 import {
   recordServiceTime,
@@ -171,26 +168,7 @@
 /** What the task that runs admission has to carry out. */
 export type AdmissionEffect =
   | { readonly kind: "start"; readonly id: number }
-  | {
-    readonly kind: "refuse";
-    readonly id: number;
-    readonly reason: FailureReason;
-    /** When a retry may be admitted, in milliseconds; null if not known. */
-    readonly retryAfterMilliseconds: number | null;
-    /** What it competed for; left out if capacity was not the reason. */
-    readonly shortage?: Shortage;
-  };
-
-/** Why a request was refused for lack of capacity, for the log. */
-export interface Shortage extends ClientShares {
-  /**
-   * In how long there is capacity for it; null if not known. Beyond the time
-   * to the retry, the caller can't wait for it.
-   */
-  readonly capacityAfterMilliseconds: number | null;
-  /** The slots that more valuable ranks leave to its rank. */
-  readonly freeSlots: number;
-}
+  | RefuseEffect;
 
 type AdmissionTransition = Transition<AdmissionState, AdmissionEffect>;
 
@@ -262,61 +240,39 @@
   },
 ): AdmissionTransition {
   const { slots, ranks } = state.settings;
-  const capacity = { slots, shares: ranks.map(({ share }) => share) };
-  let { returns } = state;
-  const booked = effects.map((effect) => {
-    if (effect.kind !== "refuse" || !lacksCapacity(effect)) return effect;
-    const request = refusedRequest(effect.id, { before, event });
-    if (request === null) return effect;
-    const next = book(returns, {
-      rank: request.rank,
-      milliseconds: expectedServiceTime(state, request),
-      waitMilliseconds: effect.retryAfterMilliseconds,
-      deadlineAt: request.deadlineAt,
-      now: event.now,
-    }, capacity);
-    const { retryAfterMilliseconds, capacityAfterMilliseconds } = next.booked;
-    const shares = sharesOf(
-      state.use[request.rank] ?? noUse,
-      request.client,
-      event.now,
-    );
-    const shortage = {
-      ...shares,
-      capacityAfterMilliseconds,
-      freeSlots: freeSlots(returns, request.rank, capacity),
-    };
-    returns = next.schedule;
-    return { ...effect, retryAfterMilliseconds, shortage };
+  const booked = bookRefusals(effects, {
+    returns: state.returns,
+    capacity: { slots, shares: ranks.map(({ share }) => share) },
+    use: state.use,
+    requestOf: (id) => refusedRequest(id, { before, event }),
+    book,
+    now: event.now,
   });
-  return { state: { ...state, returns }, effects: booked };
-}
-
-function lacksCapacity(
-  { reason, retryAfterMilliseconds }: Refusal,
-): boolean {
-  return reason === "queue-full" ||
-    (reason === "deadline-too-near" && retryAfterMilliseconds !== null);
+  return {
+    state: { ...state, returns: booked.returns },
+    effects: booked.effects,
+  };
 }
 
-/** What is known of a request that is refused as it arrives or while it waits. */
 function refusedRequest(
   id: number,
   { before, event }: {
     readonly before: AdmissionState;
     readonly event: AdmissionEvent;
   },
-):
-  | Pick<WaitingRequest, "work" | "deadlineAt" | "client"> & { rank: number }
-  | null {
+): RefusedRequest | null {
   if (event.kind === "arrived" && event.id === id) {
     const { work = null, deadlineAt, client = unknownClient } = event;
     const rank = Math.min(event.rank, before.waiting.length - 1);
-    return { rank, work, deadlineAt, client };
+    const milliseconds = expectedServiceTime(before, { rank, work });
+    return { rank, milliseconds, deadlineAt, client };
   }
   for (const [rank, queue] of before.waiting.entries()) {
     const entry = queue.find((entry) => entry.id === id);
-    if (entry !== undefined) return { ...entry, rank };
+    if (entry === undefined) continue;
+    const { work, deadlineAt, client } = entry;
+    const milliseconds = expectedServiceTime(before, { rank, work });
+    return { rank, milliseconds, deadlineAt, client };
   }
   return null;
 }
@@ -390,20 +346,15 @@
   return startQueued(timely, event.now);
 }
 
-/** Whether clients compete for what is left to a rank. */
-function isContested(state: AdmissionState, rank: number, now: number) {
-  return isFullyUtilized(utilizationFor(state, rank, now)) &&
-    hasCompetition(state.waiting[rank] ?? []);
-}
-
 /** The last request of the client that has most; null without competition. */
 function largestOf(
   state: AdmissionState,
   rank: number,
   now: number,
 ): WaitingRequest | null {
-  if (!isContested(state, rank, now)) return null;
-  const waiting = (state.waiting[rank] ?? []).map((entry) => {
+  const queue = state.waiting[rank] ?? [];
+  if (!isContested(queue, utilizationFor(state, rank, now))) return null;
+  const waiting = queue.map((entry) => {
     const { client, work } = entry;
     const milliseconds = expectedServiceTime(state, { rank, work });
     return { client, milliseconds, entry };
@@ -583,17 +534,16 @@
     if (rank > event.rank || queue.length === 0) return;
     const waiting = queue.map((entry) => inQueue(state, entry, rank));
     milliseconds += rank === event.rank
-      ? workBefore(state, waiting, event)
+      ? workBefore(waiting, inQueue(state, event, rank), {
+        now: event.now,
+        utilization: utilizationFor(state, rank, event.now),
+        use: state.use[rank] ?? noUse,
+      })
       : waiting.reduce((sum, other) => sum + other.serviceMilliseconds, 0);
   });
   return milliseconds / slots / availableShare(state, event.rank);
 }
 
-/** A request with what its order depends on. */
-interface Competing extends QueuedRequest {
-  readonly client: Client;
-}
-
 function inQueue(
   state: AdmissionState,
   request: Omit<Arriving, "rank" | "now">,
@@ -604,35 +554,6 @@
   return { client, serviceMilliseconds, orderAt, objectiveAt, deadlineAt };
 }
 
-/** The waiting work of its own rank that starts before an arriving request. */
-function workBefore(
-  state: AdmissionState,
-  waiting: readonly Competing[],
-  event: Arriving,
-): number {
-  const { rank, now, client } = event;
-  const arriving = inQueue(state, event, rank);
-  const contested = isFullyUtilized(utilizationFor(state, rank, now)) &&
-    hasCompetition(waiting, client);
-  if (!contested) {
-    return waiting.reduce(
-      (sum, other) =>
-        startsBefore(other, arriving, now)
-          ? sum + other.serviceMilliseconds
-          : sum,
-      0,
-    );
-  }
-  const ahead = waiting
-    .filter((other) => competesWith(other, arriving, now))
-    .map((other) => ({
-      client: other.client,
-      milliseconds: other.serviceMilliseconds,
-      first: startsBefore(other, arriving, now),
-    }));
-  return workAhead(ahead, client, { shares: state.use[rank] ?? noUse, now });
-}
-
 /** The part of the starts that is left to a rank while lower ranks wait. */
 function availableShare(state: AdmissionState, rank: number): number {
   let others = 0;
@@ -773,7 +694,7 @@
       now,
       serviceMillisecondsOf: ({ work }) =>
         expectedServiceTime(current, { rank, work }),
-      ...(isContested(current, rank, now)
+      ...(isContested(queue, utilizationFor(current, rank, now))
         ? {
           choose: (requests) =>
             firstInTurn(requests, current.use[rank] ?? noUse, now),
--- /dev/null
+++ b/source/core/admission/shortage.ts
@@ -0,0 +1,105 @@
+/**
+ * What the requests that are refused for lack of capacity are told, and what
+ * the log says of them.
+ *
+ * @module
+ */
+import type { FailureReason } from "../request/outcome.ts";
+import {
+  type Client,
+  type ClientShares,
+  type FairShares,
+  noUse,
+  sharesOf,
+} from "./fair_shares.ts";
+import {
+  type BookReturn,
+  freeSlots,
+  type ReturnCapacity,
+  type ReturnSchedule,
+} from "./return_schedule.ts";
+
+/** Why a request was refused for lack of capacity, for the log. */
+export interface Shortage extends ClientShares {
+  /**
+   * In how long there is capacity for it; null if not known. Beyond the time
+   * to the retry, the caller can't wait for it.
+   */
+  readonly capacityAfterMilliseconds: number | null;
+  /** The slots that more valuable ranks leave to its rank. */
+  readonly freeSlots: number;
+}
+
+/** The refusal of a request. */
+export interface RefuseEffect {
+  readonly kind: "refuse";
+  readonly id: number;
+  readonly reason: FailureReason;
+  /** When a retry may be admitted, in milliseconds; null if not known. */
+  readonly retryAfterMilliseconds: number | null;
+  /** What it competed for; left out if capacity was not the reason. */
+  readonly shortage?: Shortage;
+}
+
+/** A request that is refused as it arrives or while it waits. */
+export interface RefusedRequest {
+  readonly rank: number;
+  /** Expected time in the target. */
+  readonly milliseconds: number;
+  readonly client: Client;
+  readonly deadlineAt: number;
+}
+
+/** Tells each caller that is refused for lack of capacity when to return. */
+export function bookRefusals<Effect extends { readonly kind: string }>(
+  effects: readonly (Effect | RefuseEffect)[],
+  options: {
+    readonly returns: ReturnSchedule;
+    readonly capacity: ReturnCapacity;
+    /** The recent use of each rank by clients. */
+    readonly use: readonly FairShares[];
+    readonly requestOf: (id: number) => RefusedRequest | null;
+    readonly book: BookReturn;
+    readonly now: number;
+  },
+): {
+  readonly effects: readonly (Effect | RefuseEffect)[];
+  readonly returns: ReturnSchedule;
+} {
+  const { capacity, now, use } = options;
+  let { returns } = options;
+  const booked = effects.map((effect) => {
+    if (!isRefusal(effect) || !lacksCapacity(effect)) return effect;
+    const request = options.requestOf(effect.id);
+    if (request === null) return effect;
+    const { rank, client } = request;
+    const waitMilliseconds = effect.retryAfterMilliseconds;
+    const next = options.book(
+      returns,
+      { ...request, waitMilliseconds, now },
+      capacity,
+    );
+    returns = next.schedule;
+    const { retryAfterMilliseconds, capacityAfterMilliseconds } = next.booked;
+    const shortage = {
+      ...sharesOf(use[rank] ?? noUse, client, now),
+      capacityAfterMilliseconds,
+      freeSlots: freeSlots(returns, rank, capacity),
+    };
+    return { ...effect, retryAfterMilliseconds, shortage };
+  });
+  return { effects: booked, returns };
+}
+
+function isRefusal(
+  effect: { readonly kind: string },
+): effect is RefuseEffect {
+  return effect.kind === "refuse";
+}
+
+function lacksCapacity(
+  { reason, retryAfterMilliseconds }: RefuseEffect,
+): boolean {
+  return reason === "queue-full" ||
+    (reason === "deadline-too-near" && retryAfterMilliseconds !== null);
+}
--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -72,17 +72,17 @@
 
 /**
  * The failure of all attempts together: when an earlier attempt may have run,
- * the outcome stays unknown, even if the latest has definitely not run. Of two
- * targets without capacity, the one that expects some sooner says when to retry.
+ * the outcome stays unknown, even if the latest has definitely not run. Of
+ * several targets, the one that expects capacity first says when to retry.
  */
 export function combineFailures(
   earlier: Failure | null,
   latest: Failure,
 ): Failure {
   if (earlier?.outcome === "unknown") return unknownOutcome(latest.reason);
-  const full = earlier?.reason === "queue-full" &&
-    latest.reason === "queue-full";
-  return full ? { ...latest, ...soonerRetry(earlier, latest) } : latest;
+  return earlier === null || latest.outcome === "unknown"
+    ? latest
+    : { ...latest, ...soonerRetry(earlier, latest) };
 }
 
 function soonerRetry(
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -86,6 +86,17 @@
     });
   });
 
+  describe("of a request that several targets refuse", () => {
+    // Guards against a caller that returns before any target has capacity.
+    it("tell its caller the earliest time that one of them has stated", () => {
+      const failures = [notRun("queue-full", 500), notRun("queue-full", 700)];
+      const latest = notRun("target-leaving");
+      const both = [...failures, latest].reduce(combineFailures);
+      assert.equal(both.retryAfterMilliseconds, 500);
+      assert.equal(both.reason, "target-leaving");
+    });
+  });
+
   describe("of a request that has definitely not run", () => {
     it("are sent only if the deadline and the body allow it", () => {
       const failure = notRun("target-unreachable");
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -11,10 +11,10 @@
   countWaiting,
   createAdmission,
   type FinishKind,
-  type Shortage,
   stepAdmission,
   throughput,
 } from "../core/admission/admission.ts";
+import type { Shortage } from "../core/admission/shortage.ts";
 import type { Client } from "../core/admission/fair_shares.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
