--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -26,6 +26,8 @@
   outcome: "geraniumledge-outcome",
   reason: "geraniumledge-reason",
   service: "geraniumledge-service",
+  /** The service that a request comes from, percent-encoded. */
+  account: "geraniumledge-account",
   load: "geraniumledge-load",
   slowness: "geraniumledge-slowness",
   token: "geraniumledge-fencing-token",
@@ -55,6 +57,7 @@
 /** Fields that only agents may set; not forwarded as they were received. */
 const internalFields: ReadonlySet<string> = new Set([
   fields.service,
+  fields.account,
   fields.objective,
   fields.load,
   fields.slowness,
--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -5,7 +5,7 @@
  * Invariants:
  * - no more requests run than the limit;
  * - every request that arrives is started or refused, exactly once;
- * - a waiting rank that holds a share gets at least that share of the starts,
+ * - a waiting rank that holds a share gets at least that share of the work,
  *   and beyond the shares the most urgent rank goes first.
  *
  * @module
@@ -25,13 +25,40 @@
   takeStart,
   usableSlots,
 } from "./cold_start.ts";
-import { maxLateWait, nextToStart, retryDelay } from "./objective_first.ts";
+import { type Competing, isContested, workBefore } from "./competition.ts";
+import {
+  type Client,
+  type FairShares,
+  firstInTurn,
+  lastOfLargest,
+  noUse,
+  recordUse,
+  unknownClient,
+} from "./fair_shares.ts";
+import {
+  maxLateWait,
+  nextToStart,
+  retryDelay,
+  type TimedRequest,
+} from "./objective_first.ts";
 import {
   addOfferedWork,
   noOfferedWork,
   offeredUtilization,
   type OfferedWork,
 } from "./offered_work.ts";
+import {
+  type BookReturn,
+  bookReturn,
+  noReturns,
+  recordArrival,
+  type ReturnSchedule,
+} from "./return_schedule.ts";
+import {
+  bookRefusals,
+  type RefusedRequest,
+  type RefuseEffect,
+} from "./shortage.ts";
 import type { Transition } from "../step.ts";
 import {
   recordServiceTime,
@@ -42,7 +69,7 @@
 /** A rank of requests; ranks are listed with the most urgent first. */
 export interface RankPolicy {
   readonly name: string;
-  /** The part of all starts guaranteed to the rank under overload, 0 to 1. */
+  /** The part of the work guaranteed to the rank under overload, 0 to 1. */
   readonly share: number;
 }
 
@@ -68,7 +95,11 @@
   /** The kind of work that it is measured as; null for its whole rank. */
   readonly work: string | null;
   readonly keyed: boolean;
+  readonly client: Client;
   readonly arrivedAt: number;
+  /** When its objective ends, by which requests of a rank are ordered. */
+  readonly orderAt: number;
+  /** Until when its start is worth waiting for; later for short work. */
   readonly objectiveAt: number;
   readonly deadlineAt: number;
 }
@@ -88,7 +119,7 @@
   /** How many requests may run concurrently; at most the target's slots. */
   readonly limit: number;
   readonly running: ReadonlyMap<number, RunningRequest>;
-  /** The waiting requests of each rank, the nearest deadline first. */
+  /** The waiting requests of each rank, the nearest objective first. */
   readonly waiting: readonly (readonly WaitingRequest[])[];
   /** How many starts each rank is owed by its share. */
   readonly credits: readonly number[];
@@ -104,8 +135,12 @@
   readonly coldStarts: ColdStarts | null;
   /** How slow its machine is, by its own reports; null without any. */
   readonly slowness: Slowness | null;
-  /** The recent offered load, whether refused or not. */
-  readonly offered: OfferedWork;
+  /** The recent offered load of each rank, whether refused or not. */
+  readonly offered: readonly OfferedWork[];
+  /** When refused callers return. */
+  readonly returns: ReturnSchedule;
+  /** The recent use of each rank by clients. */
+  readonly use: readonly FairShares[];
   /** When a request last ended in the target. */
   readonly measuredAt: number;
   readonly closed: boolean;
@@ -131,6 +166,8 @@
     readonly work?: string | null;
     /** Whether it has a key; false when left out. */
     readonly keyed?: boolean;
+    /** Whom it comes from; not known when left out. */
+    readonly client?: Client;
     /** The end of its objective; its deadline when left out. */
     readonly objectiveAt?: number;
     readonly deadlineAt: number;
@@ -161,13 +198,7 @@
 /** What the task that runs admission has to carry out. */
 export type AdmissionEffect =
   | { readonly kind: "start"; readonly id: number }
-  | {
-    readonly kind: "refuse";
-    readonly id: number;
-    readonly reason: FailureReason;
-    /** When a retry may be admitted, in milliseconds; null if not known. */
-    readonly retryAfterMilliseconds: number | null;
-  };
+  | RefuseEffect;
 
 type AdmissionTransition = Transition<AdmissionState, AdmissionEffect>;
 
@@ -205,7 +236,9 @@
     serviceTimes: new Map(),
     coldStarts: null,
     slowness: null,
-    offered: noOfferedWork,
+    offered: settings.ranks.map(() => noOfferedWork),
+    returns: noReturns,
+    use: settings.ranks.map(() => noUse),
     measuredAt: 0,
     closed: false,
   };
@@ -222,6 +255,64 @@
 export function stepAdmission(
   state: AdmissionState,
   event: AdmissionEvent,
+  book: BookReturn = bookReturn,
+): AdmissionTransition {
+  const next = decide(state, event);
+  return "now" in event
+    ? bookRefused(next, { before: state, event, book })
+    : next;
+}
+
+/** Tells each caller that is refused for lack of capacity when to return. */
+function bookRefused(
+  { state, effects }: AdmissionTransition,
+  { before, event, book }: {
+    readonly before: AdmissionState;
+    readonly event: AdmissionEvent & { readonly now: number };
+    readonly book: BookReturn;
+  },
+): AdmissionTransition {
+  const shares = state.settings.ranks.map(({ share }) => share);
+  const booked = bookRefusals(effects, {
+    returns: state.returns,
+    capacity: { slots: slotsInUse(state), shares },
+    use: state.use,
+    requestOf: (id) => refusedRequest(id, { before, event }),
+    book,
+    now: event.now,
+  });
+  return {
+    state: { ...state, returns: booked.returns },
+    effects: booked.effects,
+  };
+}
+
+function refusedRequest(
+  id: number,
+  { before, event }: {
+    readonly before: AdmissionState;
+    readonly event: AdmissionEvent;
+  },
+): RefusedRequest | null {
+  if (event.kind === "arrived" && event.id === id) {
+    const { work = null, deadlineAt, client = unknownClient } = event;
+    const rank = Math.min(event.rank, before.waiting.length - 1);
+    const milliseconds = expectedServiceTime(before, { rank, work });
+    return { rank, milliseconds, deadlineAt, client };
+  }
+  for (const [rank, queue] of before.waiting.entries()) {
+    const entry = queue.find((entry) => entry.id === id);
+    if (entry === undefined) continue;
+    const { work, deadlineAt, client } = entry;
+    const milliseconds = expectedServiceTime(before, { rank, work });
+    return { rank, milliseconds, deadlineAt, client };
+  }
+  return null;
+}
+
+function decide(
+  state: AdmissionState,
+  event: AdmissionEvent,
 ): AdmissionTransition {
   switch (event.kind) {
     case "arrived":
@@ -275,36 +366,91 @@
   const event = isShortWork(before, arrived)
     ? { ...arrived, objectiveAt: arrived.deadlineAt }
     : arrived;
-  const refused = reasonToRefuse(before, event);
+  const orderAt = arrived.objectiveAt ?? arrived.deadlineAt;
+  const refused = reasonToRefuse(before, { ...event, orderAt });
   const state = recordOffered(before, event);
   if (refused !== null) return refuse(state, event.id, refused);
   const rank = Math.min(event.rank, state.waiting.length - 1);
-  const { id, work = null, keyed = false } = event;
+  const { id, work = null, keyed = false, client = unknownClient } = event;
   const { deadlineAt, objectiveAt = deadlineAt } = event;
   const entry = {
     id,
     work,
     keyed,
+    client,
     arrivedAt: event.now,
+    orderAt,
     deadlineAt,
     objectiveAt,
   };
   const queued = withQueue(
     state,
     rank,
-    insertByDeadline(state.waiting[rank] ?? [], entry),
+    insertByObjective(state.waiting[rank] ?? [], entry),
   );
   const evicted = evictOverflow(queued, event.now);
-  return startQueued(evicted, event.now);
+  const timely = refuseOfLargest(evicted, rank, event.now);
+  return startQueued(timely, event.now);
+}
+
+/** The last request of the client that has most; null without competition. */
+function largestOf(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): WaitingRequest | null {
+  const queue = state.waiting[rank] ?? [];
+  if (!isContested(queue, utilizationFor(state, rank, now))) return null;
+  const waiting = queue.map((entry) => {
+    const { client, work } = entry;
+    const milliseconds = expectedServiceTime(state, { rank, work });
+    return { client, milliseconds, entry };
+  });
+  const use = state.use[rank] ?? noUse;
+  return lastOfLargest(waiting, use, now)?.entry ?? null;
+}
+
+/**
+ * Refuses the last request of the client that has most, if its wait has become
+ * too long since one of a client that has less goes before it.
+ */
+function refuseOfLargest(
+  before: AdmissionTransition,
+  rank: number,
+  now: number,
+): AdmissionTransition {
+  const { state } = before;
+  const entry = largestOf(state, rank, now);
+  if (entry === null) return before;
+  const queue = state.waiting[rank] ?? [];
+  const others = withQueue(state, rank, queue.filter((one) => one !== entry));
+  const refused = reasonToRefuse(others, {
+    ...entry,
+    kind: "arrived",
+    rank,
+    now,
+  });
+  if (refused === null) return before;
+  const effects = [
+    ...before.effects,
+    ...refuse(state, entry.id, refused).effects,
+  ];
+  return { state: others, effects };
 }
 
 function recordOffered(
   state: AdmissionState,
-  { rank, work = null, now }: AdmissionEvent & { readonly kind: "arrived" },
+  event: AdmissionEvent & { readonly kind: "arrived" },
 ): AdmissionState {
+  const { work = null, now } = event;
+  const rank = Math.min(event.rank, state.waiting.length - 1);
   const milliseconds = expectedServiceTime(state, { rank, work });
-  const offered = addOfferedWork(state.offered, { milliseconds, now });
-  return { ...state, offered };
+  const offered = state.offered.with(
+    rank,
+    addOfferedWork(state.offered[rank] ?? noOfferedWork, { milliseconds, now }),
+  );
+  const returns = recordArrival(state.returns, { rank, milliseconds, now });
+  return { ...state, offered, returns };
 }
 
 /** Why a request is refused, and when it may be retried. */
@@ -322,13 +468,24 @@
 
 function reasonToRefuse(
   state: AdmissionState,
-  event: AdmissionEvent & { readonly kind: "arrived" },
+  event: AdmissionEvent & {
+    readonly kind: "arrived";
+    readonly orderAt: number;
+  },
 ): Refusal | null {
   if (state.closed) return refusal("target-leaving");
   const { now, deadlineAt, objectiveAt = deadlineAt } = event;
   if (deadlineAt <= now) return refusal("deadline-passed");
-  const waitMilliseconds = expectedWait(state, event);
-  const { rank, work = null } = event;
+  const { rank, work = null, orderAt, client = unknownClient } = event;
+  const waitMilliseconds = expectedWait(state, {
+    rank,
+    work,
+    client,
+    orderAt,
+    objectiveAt,
+    deadlineAt,
+    now,
+  });
   const serviceMilliseconds = isMeasurementStale(state, { work, now })
     ? 0
     : expectedWithSlowness(state.slowness, {
@@ -344,18 +501,30 @@
     waitMilliseconds,
     serviceMilliseconds,
     maxLateWaitMilliseconds: state.settings.maxLateWaitMilliseconds ?? Infinity,
-    utilization: utilizationOf(state, now),
+    utilization: utilizationFor(state, rank, now),
   });
   return delay === null ? null : refusal("queue-full", delay);
 }
 
-/** Offered load over what the target can run. */
-function utilizationOf(state: AdmissionState, now: number): number {
-  const slots = usableSlots(state.coldStarts, {
+/** Offered load of a rank and all that go before it over what can run. */
+function utilizationFor(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): number {
+  const slots = slotsInUse(state);
+  return state.offered.slice(0, rank + 1).reduce(
+    (sum, work) => sum + offeredUtilization(work, { slots, now }),
+    0,
+  );
+}
+
+/** The slots that requests can fill; a fraction of them in a cold target. */
+function slotsInUse(state: AdmissionState): number {
+  return usableSlots(state.coldStarts, {
     slots: state.settings.slots,
     milliseconds: state.meanMilliseconds,
   });
-  return offeredUtilization(state.offered, { slots, now });
 }
 
 /**
@@ -404,15 +573,17 @@
   return !running.some((other) => work === null || other.work === work);
 }
 
-/** A request, by what decides how long it waits. */
-interface QueuedRequest {
+/** An arriving request, in the order of its rank. */
+interface Arriving extends TimedRequest {
   readonly rank: number;
-  readonly deadlineAt: number;
+  readonly work: string | null;
+  readonly client: Client;
+  readonly orderAt: number;
   readonly now: number;
 }
 
 /** The time until an arriving request can start. */
-function expectedWait(state: AdmissionState, event: QueuedRequest): number {
+function expectedWait(state: AdmissionState, event: Arriving): number {
   return Math.max(
     expectedWithSlowness(state.slowness, {
       milliseconds: expectedSlotWait(state, event),
@@ -424,12 +595,12 @@
 
 /**
  * The time until a cold target may be given an arriving request. All waiting
- * requests of its rank count, also those with a later deadline: starts are too
+ * requests of its rank count, also those with a later objective: starts are too
  * few for it to go ahead of them without making them late.
  */
 function expectedStartWait(
   state: AdmissionState,
-  { rank, now }: QueuedRequest,
+  { rank, now }: Arriving,
 ): number {
   if (state.coldStarts === null) return 0;
   const waiting = state.waiting.slice(0, rank + 1).flat().length;
@@ -441,21 +612,35 @@
  * The time until a slot is free for an arriving request: that of the work ahead
  * of it, lengthened by the starts that go to the shares of other ranks.
  */
-function expectedSlotWait(state: AdmissionState, event: QueuedRequest): number {
+function expectedSlotWait(state: AdmissionState, event: Arriving): number {
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
   // The first in a queue waits for one of the running requests to end.
   let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
   state.waiting.forEach((queue, rank) => {
-    if (rank > event.rank) return;
-    for (const { work, deadlineAt } of queue) {
-      if (rank === event.rank && deadlineAt > event.deadlineAt) continue;
-      milliseconds += expectedServiceTime(state, { rank, work });
-    }
+    if (rank > event.rank || queue.length === 0) return;
+    const waiting = queue.map((entry) => inQueue(state, entry, rank));
+    milliseconds += rank === event.rank
+      ? workBefore(waiting, inQueue(state, event, rank), {
+        now: event.now,
+        utilization: utilizationFor(state, rank, event.now),
+        use: state.use[rank] ?? noUse,
+      })
+      : waiting.reduce((sum, other) => sum + other.serviceMilliseconds, 0);
   });
   return milliseconds / slots / availableShare(state, event.rank);
 }
 
+function inQueue(
+  state: AdmissionState,
+  request: Omit<Arriving, "rank" | "now">,
+  rank: number,
+): Competing {
+  const { client, work, orderAt, objectiveAt, deadlineAt } = request;
+  const serviceMilliseconds = expectedServiceTime(state, { rank, work });
+  return { client, serviceMilliseconds, orderAt, objectiveAt, deadlineAt };
+}
+
 /** The part of the starts that is left to a rank while lower ranks wait. */
 function availableShare(state: AdmissionState, rank: number): number {
   let others = 0;
@@ -467,11 +652,16 @@
   return Math.max(0.1, 1 - others);
 }
 
-function insertByDeadline(
+/**
+ * Inserts by objective and not by deadline: callers that return have less time
+ * left than new ones. Ordered by deadline, they kept new requests waiting until
+ * those had to be refused too, and nearly all requests were refused twice.
+ */
+function insertByObjective(
   queue: readonly WaitingRequest[],
   entry: WaitingRequest,
 ): readonly WaitingRequest[] {
-  const index = queue.findIndex((other) => other.deadlineAt > entry.deadlineAt);
+  const index = queue.findIndex((other) => other.orderAt > entry.orderAt);
   return index < 0 ? [...queue, entry] : queue.toSpliced(index, 0, entry);
 }
 
@@ -493,7 +683,8 @@
 
 /**
  * Refuses a request when the queue is full: the last one of the least urgent
- * rank that has more waiting than its share of the queue.
+ * rank that has more waiting than its share of the queue. If clients compete,
+ * it is the last one of the client that has most.
  */
 function evictOverflow(
   state: AdmissionState,
@@ -504,9 +695,9 @@
   }
   const rank = rankToEvict(state);
   const queue = state.waiting[rank] ?? [];
-  const last = queue[queue.length - 1];
+  const last = largestOf(state, rank, now) ?? queue.at(-1);
   if (last === undefined) return { state, effects: [] };
-  const next = withQueue(state, rank, queue.slice(0, -1));
+  const next = withQueue(state, rank, queue.filter((one) => one !== last));
   return refuse(
     next,
     last.id,
@@ -557,11 +748,12 @@
 ): AdmissionTransition {
   const effects: AdmissionEffect[] = [];
   const { maxLateWaitMilliseconds = Infinity } = state.settings;
-  const maxLateMilliseconds = maxLateWait({
-    utilization: utilizationOf(state, now),
-    maxLateWaitMilliseconds,
-  });
   const waiting = state.waiting.map((queue, rank) => {
+    if (queue.length === 0) return queue;
+    const maxLateMilliseconds = maxLateWait({
+      utilization: utilizationFor(state, rank, now),
+      maxLateWaitMilliseconds,
+    });
     const evaluated = queue.map((entry) => {
       const serviceMilliseconds = expectedServiceTime(state, {
         rank,
@@ -603,6 +795,12 @@
       now,
       serviceMillisecondsOf: ({ work }) =>
         expectedServiceTime(current, { rank, work }),
+      ...(isContested(queue, utilizationFor(current, rank, now))
+        ? {
+          choose: (requests) =>
+            firstInTurn(requests, current.use[rank] ?? noUse, now),
+        }
+        : {}),
     });
     const first = queue[index];
     if (first === undefined) break;
@@ -640,6 +838,7 @@
     readonly rank: number;
     readonly work: string | null;
     readonly keyed: boolean;
+    readonly client: Client;
     readonly now: number;
     readonly deadlineAt: number;
   },
@@ -655,12 +854,37 @@
     if (rank === entry.rank) return Math.max(0, credit - 1);
     if ((state.waiting[rank] ?? []).length === 0) return 0;
     const share = state.settings.ranks[rank]?.share ?? 0;
-    return Math.min(maxCredit, credit + share / (1 - share));
+    const earned = share / (1 - share) * relativeWork(state, entry, rank);
+    return Math.min(maxCredit, credit + earned);
   });
   const coldStarts = state.coldStarts === null
     ? null
     : takeStart(state.coldStarts, entry.now);
-  return { ...state, running, credits, coldStarts };
+  const used = {
+    milliseconds: expectedServiceTime(state, entry) ||
+      defaultServiceMilliseconds,
+    now: entry.now,
+  };
+  const use = state.use.with(
+    entry.rank,
+    recordUse(state.use[entry.rank] ?? noUse, entry.client, used),
+  );
+  return { ...state, running, credits, use, coldStarts };
+}
+
+/**
+ * How many requests of a rank are as much work as this one. Shares are parts of
+ * the work: a twentieth of the starts would be a third of the work if requests
+ * of that rank took ten times as long.
+ */
+function relativeWork(
+  state: AdmissionState,
+  started: { readonly rank: number; readonly work: string | null },
+  rank: number,
+): number {
+  const typical = state.serviceMilliseconds[rank] ?? 0;
+  const milliseconds = expectedServiceTime(state, started);
+  return typical > 0 && milliseconds > 0 ? milliseconds / typical : 1;
 }
 
 function finish(
@@ -762,13 +986,17 @@
   );
   for (const queue of state.waiting.slice(count)) {
     const last = waiting[count - 1] ?? [];
-    waiting[count - 1] = queue.reduce(insertByDeadline, last);
+    waiting[count - 1] = queue.reduce(insertByObjective, last);
   }
   return {
     ...state,
     settings,
     waiting,
     limit: resizedLimit(state, settings),
+    offered: settings.ranks.map((_, rank) =>
+      state.offered[rank] ?? noOfferedWork
+    ),
+    use: settings.ranks.map((_, rank) => state.use[rank] ?? noUse),
     credits: settings.ranks.map((_, rank) => state.credits[rank] ?? 0),
     serviceMilliseconds: settings.ranks.map((_, rank) =>
       state.serviceMilliseconds[rank] ?? 0
--- a/source/core/admission/objective_first.ts
+++ b/source/core/admission/objective_first.ts
@@ -44,12 +44,17 @@
 /** From here on all slots are needed for requests that meet their objective. */
 const fullUtilization = 0.9;
 
+/** Whether all slots are needed, so that requests compete for them. */
+export function isFullyUtilized(utilization: number): boolean {
+  return utilization >= fullUtilization;
+}
+
 /** The longest wait of a request that will miss its objective. */
 export function maxLateWait(
   view: Pick<QueueEstimate, "utilization" | "maxLateWaitMilliseconds">,
 ): number {
   const bounded = Number.isFinite(view.maxLateWaitMilliseconds);
-  return bounded && view.utilization >= fullUtilization
+  return bounded && isFullyUtilized(view.utilization)
     ? 0
     : view.maxLateWaitMilliseconds;
 }
@@ -63,6 +68,43 @@
   return view.now + shortest <= request.objectiveAt;
 }
 
+/** A request that waits in a queue, or arrives at it. */
+export interface QueuedRequest extends TimedRequest {
+  /** When its objective ends, by which requests of a rank are ordered. */
+  readonly orderAt: number;
+  /** Its expected time in the target. */
+  readonly serviceMilliseconds: number;
+}
+
+/**
+ * Whether a waiting request starts before one that arrives. One that is late
+ * doesn't, if the other can still meet its objective.
+ */
+export function startsBefore(
+  waiting: QueuedRequest,
+  arriving: QueuedRequest,
+  now: number,
+): boolean {
+  const timely = isTimely(waiting, now);
+  return timely === isTimely(arriving, now)
+    ? waiting.orderAt <= arriving.orderAt
+    : timely;
+}
+
+/** Whether a waiting request may start before one that arrives, in any order. */
+export function competesWith(
+  waiting: QueuedRequest,
+  arriving: QueuedRequest,
+  now: number,
+): boolean {
+  return isTimely(waiting, now) || !isTimely(arriving, now);
+}
+
+function isTimely(request: QueuedRequest, now: number): boolean {
+  const { serviceMilliseconds } = request;
+  return canMeetObjective(request, { now, serviceMilliseconds });
+}
+
 /**
  * The index in a queue of the request to start next: the first that can meet
  * its objective, or else the first. -1 for an empty queue.
@@ -73,16 +115,23 @@
     readonly now: number;
     /** The expected time of a request in the target, in milliseconds. */
     readonly serviceMillisecondsOf: (request: Request) => number;
+    /** Chooses one of those that can meet it; the first when left out. */
+    readonly choose?: (requests: readonly Request[]) => Request | undefined;
   },
 ): number {
-  const { now, serviceMillisecondsOf } = view;
-  const first = queue.findIndex((request) =>
+  const { now, serviceMillisecondsOf, choose = firstOf } = view;
+  const timely = queue.filter((request) =>
     canMeetObjective(request, {
       now,
       serviceMilliseconds: serviceMillisecondsOf(request),
     })
   );
-  return first < 0 && queue.length > 0 ? 0 : first;
+  const chosen = choose(timely.length > 0 ? timely : queue);
+  return chosen === undefined ? -1 : queue.indexOf(chosen);
+}
+
+function firstOf<Request>(requests: readonly Request[]): Request | undefined {
+  return requests[0];
 }
 
 /**
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -193,6 +193,7 @@
     methods: {
       ...started.coordinator.methods,
       offerBody: started.bodyAdmission.offer,
+      lendRetries: started.entry.lendRetries,
     },
     clock: adapters.clock,
   });
@@ -370,6 +371,7 @@
   const serve = startServing({
     mayBegin: gate.mayBegin,
     service: settings.service,
+    entry: agent.id,
     holder: coordinator.holder,
     admission,
     workOf: () => null,
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -22,6 +22,7 @@
   type HttpListener,
   openHttpListener,
 } from "../adapters/callers/http_listener.ts";
+import { linkSenderOf } from "../adapters/hops/hop_deduplication.ts";
 import { openHopLinks } from "../adapters/hops/hop_links.ts";
 import type { LogLevel } from "../adapters/logs/log.ts";
 import { servePeers } from "../adapters/hops/peer_server.ts";
@@ -140,7 +141,7 @@
     settings: links,
     now: monotonicNow,
     clock: common.clock,
-    sender: `${options.id}/link`,
+    sender: linkSenderOf(options.id),
     depart: common.stampDeparture,
     onSilence: reportSilence(common.events),
     largeBodyForwarder: common.forwarder,
@@ -442,6 +443,7 @@
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
     service: settings.service,
+    entry: agent.id,
     holder: coordinator.holder,
     admission,
     workOf: (request) => routeOf(request)?.name ?? null,
@@ -600,7 +602,11 @@
   if (agents.isErr) return Result.err(`agents: ${agents.error}`);
   const peerServer = servePeers({
     server: agents.value.server,
-    methods: { ...coordinator.methods, offerBody: tasks.bodyAdmission.offer },
+    methods: {
+      ...coordinator.methods,
+      offerBody: tasks.bodyAdmission.offer,
+      lendRetries: tasks.entry.lendRetries,
+    },
     clock,
     links: {
       agent: tasks.agent.id,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -17,6 +17,8 @@
   waitsForColdStart,
 } from "../core/admission/admission.ts";
 import { describeSlowness } from "../core/load/target_load.ts";
+import type { Shortage } from "../core/admission/shortage.ts";
+import type { Client } from "../core/admission/fair_shares.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
 import { openMailbox } from "./mailbox.ts";
 import { monotonicNow } from "./time.ts";
@@ -30,9 +32,16 @@
   finish(kind: FinishKind, slowness?: number | null): void;
 }
 
+/** Why a request got no slot; it has not been run. */
+export interface AdmissionRefusal {
+  readonly failure: Failure;
+  /** What it competed for; null if it wasn't refused for lack of capacity. */
+  readonly shortage: Shortage | null;
+}
+
 /** The running admission task. */
 export interface AdmissionTask {
-  /** Waits for a slot. A failure means that the request has not been run. */
+  /** Waits for a slot. */
   enter(entry: {
     readonly rank: number;
     /**
@@ -41,11 +50,13 @@
     readonly work: string | null;
     /** Whether the request has a key. */
     readonly keyed: boolean;
+    /** Whom it comes from; not known when left out. */
+    readonly client?: Client;
     /** The latency objective, on the monotonic clock; null for the deadline. */
     readonly objectiveAt: number | null;
     readonly deadlineAt: number;
     readonly signal: AbortSignal;
-  }): Promise<Result<AdmissionSlot, Failure>>;
+  }): Promise<Result<AdmissionSlot, AdmissionRefusal>>;
   /** The number of requests that run or wait. */
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
@@ -68,7 +79,14 @@
 }
 
 /** Resolves the `enter` call of a waiting request. */
-type SlotCallback = (result: Result<AdmissionSlot, Failure>) => void;
+type SlotCallback = (result: Result<AdmissionSlot, AdmissionRefusal>) => void;
+
+function refusalOf(
+  failure: Failure,
+  shortage: Shortage | null = null,
+): Result<AdmissionSlot, AdmissionRefusal> {
+  return Result.err({ failure, shortage });
+}
 
 /** Starts admission with these settings and all slots free. */
 export function startAdmission(options: {
@@ -93,7 +111,8 @@
     callbacks.delete(effect.id);
     if (effect.kind === "refuse") {
       const { reason, retryAfterMilliseconds } = effect;
-      callback?.(Result.err(notRun(reason, retryAfterMilliseconds)));
+      const failure = notRun(reason, retryAfterMilliseconds);
+      callback?.(refusalOf(failure, effect.shortage));
     } else {
       callback?.(Result.ok(slotOf(effect.id)));
     }
@@ -129,14 +148,14 @@
   }
 
   return {
-    enter({ rank, work, keyed, objectiveAt, deadlineAt, signal }) {
+    enter({ rank, work, keyed, client, objectiveAt, deadlineAt, signal }) {
       const id = nextId;
       nextId += 1;
       return new Promise((resolve) => {
         const withdraw = () => {
           if (!callbacks.delete(id)) return;
           mailbox.send({ kind: "withdrawn", id, now: monotonicNow() });
-          resolve(Result.err(notRun("caller-left")));
+          resolve(refusalOf(notRun("caller-left")));
         };
         callbacks.set(id, (result) => {
           signal.removeEventListener("abort", withdraw);
@@ -150,6 +169,7 @@
           rank,
           work,
           keyed,
+          ...(client === undefined ? {} : { client }),
           objectiveAt: objectiveAt ?? deadlineAt,
           deadlineAt,
           now,
