Entries say when they send a caller back before its owner has room

An entry that refuses a request for a full owner by itself wrote neither the time that it told the caller nor whether there will be room by then. Its line request-given-up with knownFull now has retryAfterMilliseconds and returnsEarly, as the owner's request-refused.

core/routing and tasks pass.

--- a/source/core/routing/overloaded_owners.ts
+++ b/source/core/routing/overloaded_owners.ts
@@ -150,15 +150,19 @@
 ): {
   readonly returnsAt: number | null;
   readonly retryAfterMilliseconds: number | null;
+  readonly returnsEarly: boolean;
 } {
-  if (returnsAt === null) return { returnsAt, retryAfterMilliseconds: null };
+  if (returnsAt === null) {
+    return { returnsAt, retryAfterMilliseconds: null, returnsEarly: false };
+  }
   const { now } = asked;
   const gap = Math.max(minRetryMilliseconds, returnGapMilliseconds);
   const at = Math.max(now, returnsAt) + gap;
   const longest = longestWait(asked);
-  return at - now > longest
-    ? { returnsAt, retryAfterMilliseconds: longest }
-    : { returnsAt: at, retryAfterMilliseconds: at - now };
+  const returnsEarly = at - now > longest;
+  return returnsEarly
+    ? { returnsAt, retryAfterMilliseconds: longest, returnsEarly }
+    : { returnsAt: at, retryAfterMilliseconds: at - now, returnsEarly };
 }
 
 /** Whether an entry sends a request to an owner or refuses it. */
@@ -167,6 +171,8 @@
   | {
     readonly kind: "refuse";
     readonly retryAfterMilliseconds: number | null;
+    /** Whether its caller returns before the owner is expected to have room. */
+    readonly returnsEarly: boolean;
   };
 
 const send: OwnerDecision = { kind: "send" };
@@ -198,12 +204,9 @@
   const share = Math.min(excess / (sent + 1), maxRefusedShare);
   if (random() >= share) return { owners, decision: send };
   const { now, deadlineAt = Infinity } = asked;
-  const { returnsAt, retryAfterMilliseconds } = nextReturn(recent, {
-    now,
-    deadlineAt,
-  });
+  const { returnsAt, ...told } = nextReturn(recent, { now, deadlineAt });
   return {
     owners: new Map(owners).set(name, { ...recent, sent: sent + 1, returnsAt }),
-    decision: { kind: "refuse", retryAfterMilliseconds },
+    decision: { kind: "refuse", ...told },
   };
 }
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -245,8 +245,13 @@
     const asked = { owner: to, rank, deadlineAt };
     const decision = ownerAdmission.decide(asked);
     if (decision.kind === "refuse") {
-      const failure = notRun("queue-full", decision.retryAfterMilliseconds);
-      return unsent(failure, { ...choiceDetail, knownFull: to });
+      const { retryAfterMilliseconds, returnsEarly } = decision;
+      return unsent(notRun("queue-full", retryAfterMilliseconds), {
+        ...choiceDetail,
+        knownFull: to,
+        retryAfterMilliseconds: Math.round(retryAfterMilliseconds ?? 0),
+        returnsEarly,
+      });
     }
     const result = await sendTo(owner, request, body);
     ownerAdmission.recordReply(asked, result);
