An agent that has just started asks others before it claims without a record

Such an agent now exchanges with the oldest agents that it knows and asks the group's servers for a table first; if none answers, it waits until the grants of earlier eras have ended. A store without eras, and a group with a record, are not concerned. What an agent knows of the era now says since when it knows it, which bounds those grants.

--- a/source/core/ownership/store_era.ts
+++ b/source/core/ownership/store_era.ts
@@ -15,14 +15,21 @@
   /** Whether the store has answered, or another agent told the era. */
   readonly known: boolean;
   /**
-   * When this agent learned of the last change, on the monotonic clock in
-   * milliseconds; null if it knows of none. The change was no later.
+   * Since when this agent has known the era, on the monotonic clock in
+   * milliseconds. The era had begun by then.
    */
-  readonly changedAt: number | null;
+  readonly since: number;
+  /** Whether the era is known to have begun with a change. */
+  readonly changed: boolean;
 }
 
 /** Before the store has answered. */
-export const unknownEra: StoreEra = { era: 0, known: false, changedAt: null };
+export const unknownEra: StoreEra = {
+  era: 0,
+  known: false,
+  since: 0,
+  changed: false,
+};
 
 /** An answer of the store states an era. Answers may arrive out of order. */
 export function noteAnsweredEra(
@@ -30,8 +37,8 @@
   era: number,
   now: number,
 ): StoreEra {
-  if (!state.known) return { era, known: true, changedAt: null };
-  return era > state.era ? { era, known: true, changedAt: now } : state;
+  if (state.known && era <= state.era) return state;
+  return { era, known: true, since: now, changed: state.known };
 }
 
 /**
@@ -43,8 +50,10 @@
   era: number,
   now: number,
 ): StoreEra {
-  if (state.known && era <= state.era && state.changedAt !== null) return state;
-  return { era: Math.max(era, state.era), known: true, changedAt: now };
+  if (!state.known || era > state.era) {
+    return { era, known: true, since: now, changed: true };
+  }
+  return state.changed ? state : { ...state, changed: true };
 }
 
 /**
@@ -89,14 +98,14 @@
 }
 
 /**
- * When the last work must have ended that a grantor of an earlier era has
- * allowed. It can't have renewed its delegation since the change of era.
+ * When the last work must have ended that a grantor of an earlier era than the
+ * one known since then has allowed. It can't have renewed its delegation since the change of era.
  */
 export function earlierErasEndAt(
-  changedAt: number,
+  since: number,
   durations: GrantDurations,
 ): number {
-  return changedAt + durations.delegationMilliseconds +
+  return since + durations.delegationMilliseconds +
     durations.leaseMilliseconds + durations.longestDeadlineMilliseconds;
 }
 
--- a/source/core/ownership/store_era_test.ts
+++ b/source/core/ownership/store_era_test.ts
@@ -29,9 +29,14 @@
 describe("the era of the store", () => {
   it("doesn't change with the first answer, nor with a late one", () => {
     const first = noteAnsweredEra(unknownEra, 4, 1_000);
-    assert.equal(first.changedAt, null);
+    assert.ok(!first.changed);
     const next = noteAnsweredEra(first, 5, 2_000);
-    assert.deepEqual(next, { era: 5, known: true, changedAt: 2_000 });
+    assert.deepEqual(next, {
+      era: 5,
+      known: true,
+      since: 2_000,
+      changed: true,
+    });
     assert.equal(noteAnsweredEra(next, 4, 3_000), next);
   });
 
@@ -39,7 +44,8 @@
   // takes a group without a record for one that never had any.
   it("is known to have changed to an agent that started later", () => {
     const started = noteAnsweredEra(unknownEra, 5, 1_000);
-    assert.equal(noteToldEra(started, 5, 2_000).changedAt, 2_000);
+    const told = noteToldEra(started, 5, 2_000);
+    assert.deepEqual(told, { ...started, changed: true });
   });
 });
 
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -293,6 +293,7 @@
     storeEra: () => options.storeEra?.current() ?? unknownEra,
     members: serversOf,
     tableOf: newestTable,
+    consultOthers: () => gossip.consult(),
     times: times.grantor,
     delegations: options.delegations,
     peers,
--- a/source/tasks/departures_task.ts
+++ b/source/tasks/departures_task.ts
@@ -87,8 +87,7 @@
   /** False if others were acknowledged meanwhile, or the write has failed. */
   async function restoreDepartures(): Promise<boolean> {
     const departures = toRestore();
-    const written = departures.length === 0 ||
-      await writeDepartures(departures);
+    const written = await writeDepartures(departures);
     return written && departures === toRestore();
   }
 
@@ -185,6 +184,7 @@
       retryMilliseconds: times.retryMilliseconds,
       stopped: stopped.signal,
       events,
+      exists: () => toRestore().length > 0,
       write: restoreDepartures,
     });
   }
--- a/source/tasks/departures_task_test.ts
+++ b/source/tasks/departures_task_test.ts
@@ -8,6 +8,7 @@
 import { testAgent } from "../../tests/test_agent.ts";
 import { pauseClock, type PausedClock } from "../../tests/test_clock.ts";
 import { startDepartures } from "./departures_task.ts";
+import { startStoreEra } from "./store_era_task.ts";
 import {
   type RegistrationTask,
   startRegistration,
@@ -36,6 +37,8 @@
   const down = new Set<"store" | "other agents">();
   const refused = { kind: "refused", detail: "down" } as const;
   let writes = 0;
+  const storeEra = startStoreEra({ events });
+  storeEra.handleAnswer(1);
   const peers: Peers = {
     call(_address, method, { message }) {
       if (down.has("other agents")) {
@@ -65,13 +68,28 @@
       return Promise.resolve(Result.ok(null));
     },
   };
-  return { down, peers, store, writes: () => writes };
+  return {
+    down,
+    peers,
+    store,
+    storeEra,
+    writes: () => writes,
+    stored: () => stored,
+    /** The store goes back to a copy without departures. */
+    returnFromOlderCopy() {
+      stored = null;
+      storeEra.handleAnswer(storeEra.current().era + 1);
+    },
+  };
 }
 
 type Surroundings = ReturnType<typeof startSurroundings>;
 
 /** One process of the agent, which writes its entry unless the store is down. */
-function startProcess({ peers, store, down }: Surroundings, replaced: boolean) {
+function startProcess(
+  { peers, store, storeEra, down }: Surroundings,
+  replaced: boolean,
+) {
   const registration: RegistrationTask = startRegistration({
     service: "booking",
     silenceMilliseconds: 3_000,
@@ -93,6 +111,7 @@
       callTimeoutMilliseconds: 400,
       retryMilliseconds: 400,
     },
+    restore: { storeEra, random: () => 0.5 },
     onLoaded: registration.loadDepartures,
   });
   if (!down.has("store")) departures.handleRegistered({ replaced });
@@ -184,6 +203,18 @@
     assert.equal(surroundings.writes(), 1);
   });
 
+  it("has that written again once the store has gone back", async () => {
+    leave["by a final notice"]();
+    await former.registration.departuresKept();
+    const stored = surroundings.stored();
+    surroundings.returnFromOlderCopy();
+    surroundings.down.add("store");
+    await clock.tickAsync(2_000);
+    surroundings.down.delete("store");
+    await clock.tickAsync(2_000);
+    assert.deepEqual(surroundings.stored(), stored);
+  });
+
   it("and has not left is used by the next process", async () => {
     assert.ok((await restart()).accepts({ keyed: false }));
   });
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -298,6 +298,7 @@
       retryMilliseconds: times.retryMilliseconds,
       stopped: stopped.signal,
       events,
+      exists: () => true,
       write: async () => (await members.put(context.agent)).isOk,
     });
   }
--- a/source/tasks/desired_state_source_test.ts
+++ b/source/tasks/desired_state_source_test.ts
@@ -11,6 +11,7 @@
 import { testDesiredState } from "../../tests/test_desired_state.ts";
 import { testAgent } from "../../tests/test_agent.ts";
 import { desiredStateSource } from "./desired_state_source.ts";
+import { startStoreEra } from "./store_era_task.ts";
 
 const agent = testAgent("host-1/a", { host: "host-1", phase: "leaving" });
 
@@ -20,27 +21,38 @@
   let started: readonly string[] = [];
   let stored = 3;
   let reads = 0;
-  let report: (latest: DesiredState) => void = () => undefined;
+  let entries = 0;
+  const storeEra = startStoreEra({ events: { record: () => undefined } });
+  storeEra.handleAnswer(1);
+  let report: (latest: DesiredState | null) => void = () => undefined;
   let configuration: Configuration = emptyConfiguration;
   const source = desiredStateSource({
     desiredStates: {
       read() {
         reads += 1;
         const version = String(stored);
+        const { era } = storeEra.current();
         return Promise.resolve(
-          Result.ok({ value: testDesiredState(stored), version }),
+          Result.ok({ value: testDesiredState(stored), version, era }),
         );
       },
       awaitChange: () =>
         new Promise((resolve) => {
-          report = (latest) =>
-            resolve(Result.ok({ latest, version: String(latest.version) }));
+          report = (latest) => {
+            const version = String(latest?.version ?? stored);
+            const { era } = storeEra.current();
+            resolve(Result.ok({ latest, version, era }));
+          };
         }),
     },
     members: {
       list: () => Promise.resolve(Result.ok(members)),
-      put: () => Promise.resolve(Result.ok({ replaced: false })),
+      put() {
+        entries += 1;
+        return Promise.resolve(Result.ok({ replaced: false }));
+      },
     },
+    storeEra,
     seeds: [],
     policy: {
       keys: { groups: 1, slicesPerGroup: 8 },
@@ -62,7 +74,8 @@
     },
     events: { record: () => undefined },
     hash: hashText,
-    random: () => 0.5,
+    // Entries are written again after 5 ms.
+    random: () => 0.005,
     onRegistered: () => undefined,
   })({
     agent,
@@ -83,6 +96,14 @@
   return {
     source,
     store: (version: number) => stored = version,
+    /** The store goes back to a copy with this version; the watch ends. */
+    returnFromOlderCopy(version: number) {
+      stored = version;
+      entries = 0;
+      storeEra.handleAnswer(storeEra.current().era + 1);
+      report(null);
+    },
+    entries: () => entries,
     /** The watch reports this version. */
     report: (version: number) => report(testDesiredState(version)),
     revision: () => configuration.revision,
@@ -155,3 +176,32 @@
     await source.stop();
   });
 });
+
+describe("an agent whose store goes back to an older copy", () => {
+  // Guards against CONFIG: the copy has an older desired state, and a watch
+  // goes on from a version that was given out again.
+  it("reads anew, and keeps the desired state until a newer one", async () => {
+    const { source, reads, revision, returnFromOlderCopy } = startSilent();
+    await settle();
+    returnFromOlderCopy(2);
+    await settle();
+    assert.deepEqual([revision(), reads()], [3, 2]);
+    returnFromOlderCopy(4);
+    await settle();
+    assert.deepEqual([revision(), reads()], [4, 3]);
+    await source.stop();
+  });
+
+  // Guards against an agent that others don't find when they start.
+  it("writes its entry again, unless it stops", async () => {
+    const { source, entries, returnFromOlderCopy } = startSilent();
+    await settle();
+    returnFromOlderCopy(3);
+    await settle();
+    assert.equal(entries(), 1);
+    returnFromOlderCopy(3);
+    await source.stop();
+    await settle();
+    assert.equal(entries(), 0);
+  });
+});
--- a/source/tasks/entry_restore.ts
+++ b/source/tasks/entry_restore.ts
@@ -21,7 +21,9 @@
   readonly retryMilliseconds: number;
   readonly stopped: AbortSignal;
   readonly events: Events;
-  /** Whether the store has the entry, or there is none. */
+  /** Whether there is anything to write. */
+  readonly exists: () => boolean;
+  /** Whether it was written as it is now. */
   readonly write: () => Promise<boolean>;
 }
 
@@ -35,7 +37,8 @@
       stopped,
     );
     // A later change starts this anew.
-    while (!stopped.aborted && storeEra.current().era === era) {
+    const isCurrent = () => !stopped.aborted && storeEra.current().era === era;
+    while (isCurrent() && options.exists()) {
       if (await options.write()) {
         return events.record("entries-restored", { entry, era });
       }
--- a/source/tasks/epoch_claim.ts
+++ b/source/tasks/epoch_claim.ts
@@ -160,8 +160,7 @@
 ): number | null {
   if (claim.stored.value.unlistedServers !== true) return null;
   const { settings } = options;
-  const changedAt = options.storeEra().changedAt ?? claim.askedAt.monotonic;
-  const end = earlierErasEndAt(changedAt, {
+  const end = earlierErasEndAt(options.storeEra().since, {
     ...settings,
     delegationMilliseconds: Math.max(
       settings.delegationMilliseconds,
--- a/source/tasks/epoch_claim_test.ts
+++ b/source/tasks/epoch_claim_test.ts
@@ -1,13 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
-import { testAgent } from "../../tests/test_agent.ts";
-import { testGrantorSettings } from "../../tests/test_grantor.ts";
+import { testGrantorOptions } from "../../tests/test_grantor.ts";
 import {
   type Delegation,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
-import { unknownEra } from "../core/ownership/store_era.ts";
 import type { Repository } from "../ports/store.ts";
 import { claimEpoch } from "./epoch_claim.ts";
 
@@ -34,34 +32,10 @@
       return Promise.resolve(Result.err({ kind: "uncertain", detail: "lost" }));
     },
   };
-  return await claimEpoch({
-    agent: testAgent("successor", { service: "none" }),
-    group: "timetable.0",
-    settings: testGrantorSettings,
-    times: {
-      tickMilliseconds: 100,
-      callTimeoutMilliseconds: 100,
-      storeRetryMilliseconds: 100,
-    },
+  return await claimEpoch(testGrantorOptions({
     delegations,
-    peers: {
-      call: () =>
-        Promise.resolve(Result.err({ kind: "unreachable", detail: "" })),
-      close: () => Promise.resolve(),
-    },
-    events: { record: () => undefined },
-    newWriterMark: () => "mark-2",
     former: { value: former, version: "7", era: 2 },
-    lost: null,
-    storeEra: () => ({ ...unknownEra, era: 2, known: true }),
-    formerReachable: false,
-    ownHandover: () => null,
-    hasEnded: () => true,
-    hasDeparted: () => false,
-    isToldDeparted: () => false,
-    runningServers: () => 0,
-    onClaimed: () => undefined,
-  });
+  }));
 }
 
 describe("a claim whose reply is lost", () => {
--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -49,6 +49,9 @@
   readonly callTimeoutMilliseconds: number;
 }
 
+/** Whether any other agent has answered an exchange; alone if none is known. */
+export type Consultation = "answered" | "unanswered" | "alone";
+
 /** The running gossip task of one agent. */
 export interface GossipTask {
   /** The shared records as known here. */
@@ -77,6 +80,11 @@
    * Exchanges with a few agents at once; resolves when these calls have ended.
    */
   announceNow(): Promise<void>;
+  /**
+   * Exchanges with the agents that have run for longest, a few of those known,
+   * and again if it learns of older ones.
+   */
+  consult(): Promise<Consultation>;
   /**
    * Announces to a few agents that this process has stopped as planned. Must be
    * called only when it no longer holds or grants anything.
@@ -377,6 +385,33 @@
     await Promise.all(partners.map((agent) => exchangeWith(agent.peerAddress)));
   }
 
+  /** Agents that have run for longest know most of what was before. */
+  async function oldestAddresses(): Promise<readonly Address[]> {
+    const others = agents.filter((agent) =>
+      agent.host !== self.host && agent.phase !== "lost"
+    ).toSorted((left, right) => left.incarnation - right.incarnation);
+    const known = others.map(({ peerAddress }) => peerAddress);
+    const addresses = known.length > 0 ? known : await options.seeds();
+    return addresses
+      .filter((address) => address !== self.peerAddress)
+      .slice(0, maxAnnouncementPartners);
+  }
+
+  async function consult(): Promise<Consultation> {
+    const asked = new Set<Address>();
+    let answered = false;
+    for (;;) {
+      const addresses = await oldestAddresses();
+      const next = addresses.filter((address) => !asked.has(address));
+      if (next.length === 0) break;
+      for (const address of next) asked.add(address);
+      const ids = await Promise.all(next.map((each) => exchangeWith(each)));
+      answered ||= ids.some((id) => id !== null);
+    }
+    if (asked.size === 0) return "alone";
+    return answered ? "answered" : "unanswered";
+  }
+
   mailbox.send({ kind: "describe", self });
   const running = run();
 
@@ -417,6 +452,7 @@
       return recordsOf(replica, wanted);
     },
     announceNow,
+    consult,
     async depart() {
       mailbox.send({ kind: "describe", self: departedAgent(self) });
       await Promise.race([announceNow(), pause(times.callTimeoutMilliseconds)]);
--- a/source/tasks/grantor_task_test.ts
+++ b/source/tasks/grantor_task_test.ts
@@ -1,13 +1,14 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
-import { testAgent } from "../../tests/test_agent.ts";
-import { testGrantorSettings } from "../../tests/test_grantor.ts";
+import {
+  testGrantorOptions,
+  testGrantorSettings,
+} from "../../tests/test_grantor.ts";
 import {
   type Delegation,
   successorDelegation,
 } from "../core/ownership/delegation.ts";
-import { unknownEra } from "../core/ownership/store_era.ts";
 import { startGrantor } from "./grantor_task.ts";
 
 const formerSlices = testGrantorSettings.hashedSlices / 2;
@@ -23,37 +24,13 @@
 
 /** Starts its successor, whose release divides keys into more slices. */
 async function startSuccessor() {
-  return await startGrantor({
-    agent: testAgent("successor", { service: "none" }),
-    group: "timetable.0",
-    settings: testGrantorSettings,
-    times: {
-      tickMilliseconds: 100,
-      callTimeoutMilliseconds: 100,
-      storeRetryMilliseconds: 100,
-    },
+  return await startGrantor(testGrantorOptions({
     delegations: {
       read: () => Promise.resolve(Result.ok(null)),
       write: () => Promise.resolve(Result.ok("2")),
     },
-    peers: {
-      call: () =>
-        Promise.resolve(Result.err({ kind: "unreachable", detail: "" })),
-      close: () => Promise.resolve(),
-    },
-    events: { record: () => undefined },
-    newWriterMark: () => "mark-2",
     former: { value: former, version: "1" },
-    lost: null,
-    storeEra: () => unknownEra,
-    formerReachable: false,
-    ownHandover: () => null,
-    hasEnded: () => true,
-    hasDeparted: () => false,
-    isToldDeparted: () => false,
-    runningServers: () => 0,
-    onClaimed: () => undefined,
-  });
+  }));
 }
 
 /**
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -177,7 +177,11 @@
     const read = await reading;
     if (read.isErr) return null;
     const former = read.value;
-    if (mayBeLost(former, options.storeEra())) {
+    const lacking = former === null
+      ? await mayLackRecord(question.group)
+      : null;
+    if (lacking === "unknown") return null;
+    if (lacking === "lost" || mayBeLost(former, options.storeEra())) {
       return await recovery.takeOverIfUnheard(question.group, former);
     }
     if (former === null || former.value.grantor === agent.id) {
@@ -186,6 +190,17 @@
     return await takeOverIfLost(former);
   }
 
+  async function mayLackRecord(group: string) {
+    const settings = options.settingsOf(group);
+    if (settings === null) return null;
+    const lacking = await recovery.mayLackRecord(group, settings);
+    if (lacking === "unknown") {
+      const reason = "no-other-agent";
+      options.events.record("takeover-declined", { group, epoch: 0, reason });
+    }
+    return lacking;
+  }
+
   async function takeOverIfLost(
     former: Versioned<Delegation>,
   ): Promise<GrantorLocation | null> {
--- a/source/tasks/group_recovery.ts
+++ b/source/tasks/group_recovery.ts
@@ -14,12 +14,18 @@
   mergeRosters,
   type RosterEntry,
 } from "../core/ownership/delegation.ts";
+import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import type { RosterReply } from "../core/ownership/roster_poll.ts";
-import type { StoreEra } from "../core/ownership/store_era.ts";
+import {
+  earlierErasEndAt,
+  type StoreEra,
+} from "../core/ownership/store_era.ts";
 import { newerTable, type OwnershipTable } from "../core/ownership/table.ts";
+import { compareTokens, noToken } from "../core/ownership/token.ts";
 import type { Events } from "../ports/events.ts";
 import type { GrantorLocation, Peers } from "../ports/peers.ts";
 import type { Repository, Versioned } from "../ports/store.ts";
+import type { Consultation } from "./gossip_task.ts";
 import type { GrantorOptions, GrantorTimes } from "./epoch_claim.ts";
 import type { GrantorTask } from "./grantor_task.ts";
 import {
@@ -37,6 +43,8 @@
   readonly members: (group: string) => readonly RosterEntry[];
   /** The newest table of a group that this agent has; null for none. */
   readonly tableOf: (group: string) => OwnershipTable | null;
+  /** Exchanges what is known with a few other agents, the oldest ones. */
+  readonly consultOthers: () => Promise<Consultation>;
 }
 
 /** The state of a delegation's grantor, as its agent reports it. */
@@ -50,12 +58,26 @@
  * record that it has, or instead of none.
  */
 export function mayBeLost(found: Found, known: StoreEra): boolean {
-  if (found === null) return known.changedAt !== null;
+  if (found === null) return known.changed;
   return eraOf(found.value) < (found.era ?? 0);
 }
 
+/** Whether a table comes from a grantor; a server begins with an empty one. */
+function isGranted(table: OwnershipTable): boolean {
+  return compareTokens(table.version, noToken) > 0;
+}
+
 /** The recovery of an agent's groups. */
 export interface GroupRecovery {
+  /**
+   * Whether the store may have lost the only record of a group. Unknown while
+   * an agent that has just started can ask no other one: it doesn't know
+   * whether the era began with a change.
+   */
+  mayLackRecord(
+    group: string,
+    settings: GrantorSettings,
+  ): Promise<"lost" | "never-written" | "unknown">;
   /**
    * Takes a group over, unless its servers hear a grantor: that one claims the
    * group again itself.
@@ -101,12 +123,10 @@
 
   /** Whether a grantor may still write the delegation that the store lost. */
   function mayHaveClaimed(): boolean {
-    const { changedAt } = storeEra();
-    return changedAt !== null &&
-      isRenewedInTime(
-        monotonicNow() - changedAt,
-        options.delegationMilliseconds,
-      );
+    return isRenewedInTime(
+      monotonicNow() - storeEra().since,
+      options.delegationMilliseconds,
+    );
   }
 
   /** All servers that may have grants, as far as is known here. */
@@ -137,7 +157,7 @@
     );
     const received = answers.map((answer) => answer.isOk ? answer.value : null);
     const tables = [options.tableOf(group), ...received]
-      .filter((table) => table !== null);
+      .filter((table) => table !== null && isGranted(table));
     const [first = null, ...others] = tables;
     const table = first === null ? null : others.reduce(newerTable, first);
     const accepted = known.replies.map((reply) =>
@@ -223,7 +243,24 @@
     return found.value.epoch > grantor.epoch || !mayBeLost(found, storeEra());
   }
 
+  async function mayLackRecord(
+    group: string,
+    settings: GrantorSettings,
+  ): Promise<"lost" | "never-written" | "unknown"> {
+    const { era, since, changed } = storeEra();
+    if (changed) return "lost";
+    const endedAt = earlierErasEndAt(since, settings);
+    if (era === 0 || monotonicNow() > endedAt) return "never-written";
+    const consultation = await options.consultOthers();
+    if (storeEra().changed) return "lost";
+    if (consultation === "unanswered") return "unknown";
+    const servers = options.members(group);
+    const { table } = await collectLost(group, { servers, replies: [] });
+    return table === null ? "never-written" : "lost";
+  }
+
   return {
+    mayLackRecord,
     takeOverIfUnheard,
     async restore(group) {
       if (restoring.has(group)) return;
--- a/source/tasks/store_era_task.ts
+++ b/source/tasks/store_era_task.ts
@@ -42,7 +42,7 @@
     const former = state;
     const note = kind === "answered" ? noteAnsweredEra : noteToldEra;
     state = note(state, era, monotonicNow());
-    if (state === former || state.changedAt === null) return;
+    if (state === former || !state.changed) return;
     options.events.record("store-era-changed", {
       era: state.era,
       former: former.known ? former.era : "unknown",
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -126,12 +126,18 @@
   readonly serviceMilliseconds: number;
   /** Whether targets learn their keys from answers to their heartbeats. */
   readonly keysByHeartbeat?: boolean;
+  /** The era that the store states; left out, it states none. */
+  readonly era?: number;
   /** The program to run as agent; the sources when not stated. */
   readonly program?: readonly string[];
   /** Brings the ports that its agents listen on; usually any free ones. */
   readonly givePort?: GivePort;
 }): Promise<PlatformMesh> {
-  const store = await startPlatformStore({ port: 0 });
+  const { era } = options;
+  const store = await startPlatformStore({
+    port: 0,
+    ...(era === undefined ? {} : { era }),
+  });
   store.put("config", "main", exampleDesiredState(1));
   const folder = mkdtempSync(join(tmpdir(), "geraniumledge-"));
   const { givePort = freePort, program = agentProgram } = options;
--- a/tests/store_eras_test.ts
+++ b/tests/store_eras_test.ts
@@ -201,6 +201,20 @@
       assert.ok(stored().epoch > former.epoch);
     });
 
+    // Guards against two holders (OWNER): the only agent that claims has started
+    // after the change, and takes the group for one that never had a grantor.
+    // Found by random runs.
+    it("serves the keys on where an agent that has just started claims", async () => {
+      copy = mesh.store.copy(["delegations"]);
+      const reachesStore = (host: string) => host === "timetable-4";
+      mesh.setLinks((from, to) => to !== "store" || reachesStore(from));
+      returnWithout();
+      mesh.add(server("timetable-4"));
+      const gap = await measureMaxGap(10_000);
+      assert.ok(gap <= servedAgainMilliseconds, `${gap} ms`);
+      assert.deepEqual(mesh.grantors(), ["timetable-4"]);
+    });
+
     // Guards against two holders (OWNER): the successor hears every server of
     // the copy's roster, and takes the keys of the one that it lacks for free.
     it("gives nothing on of a server that the copy lacks and that is cut off", async () => {
--- a/tests/test_grantor.ts
+++ b/tests/test_grantor.ts
@@ -3,11 +3,15 @@
  *
  * @module
  */
+import { Result } from "true-myth";
 import type { Clocks } from "../source/core/clocks.ts";
 import type { GrantorSettings } from "../source/core/ownership/grantor_state.ts";
 import type { Renewal } from "../source/core/ownership/renewal.ts";
+import { unknownEra } from "../source/core/ownership/store_era.ts";
 import type { Takeover } from "../source/core/ownership/takeover.ts";
 import { noToken } from "../source/core/ownership/token.ts";
+import type { GrantorOptions } from "../source/tasks/epoch_claim.ts";
+import { testAgent } from "./test_agent.ts";
 
 /** Settings of a small group whose grantor grants at once. */
 export const testGrantorSettings: GrantorSettings = {
@@ -72,3 +76,38 @@
     ...overrides,
   };
 }
+
+/** Options of a grantor that reaches nobody; `overrides` replaces some. */
+export function testGrantorOptions(
+  overrides:
+    & Pick<GrantorOptions, "delegations" | "former">
+    & Partial<GrantorOptions>,
+): GrantorOptions {
+  return {
+    agent: testAgent("successor", { service: "none" }),
+    group: "timetable.0",
+    settings: testGrantorSettings,
+    times: {
+      tickMilliseconds: 100,
+      callTimeoutMilliseconds: 100,
+      storeRetryMilliseconds: 100,
+    },
+    peers: {
+      call: () =>
+        Promise.resolve(Result.err({ kind: "unreachable", detail: "" })),
+      close: () => Promise.resolve(),
+    },
+    events: { record: () => undefined },
+    newWriterMark: () => "mark-2",
+    lost: null,
+    storeEra: () => unknownEra,
+    formerReachable: false,
+    ownHandover: () => null,
+    hasEnded: () => true,
+    hasDeparted: () => false,
+    isToldDeparted: () => false,
+    runningServers: () => 0,
+    onClaimed: () => undefined,
+    ...overrides,
+  };
+}
