--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -307,6 +307,7 @@
       retryMilliseconds: times.retryMilliseconds,
       stopped: stopped.signal,
       events,
+      exists: () => true,
       write: async () => (await members.put(context.agent)).isOk,
     });
   }
