A grantor claims again only by a read of the newest era known

A read that was answered before the change and arrives late would have led to a claim that can't count, and to another one at once.

--- a/source/tasks/group_recovery.ts
+++ b/source/tasks/group_recovery.ts
@@ -208,6 +208,8 @@
     found: Found,
   ): Promise<boolean> {
     const { group } = grantor;
+    // A late answer of the former era; a claim in it would not count.
+    if (found !== null && (found.era ?? 0) < storeEra().era) return false;
     if (found !== null && isSupersededBy(grantor, found)) {
       const epoch = Math.max(found.value.epoch, grantor.epoch + 1);
       grantor.stopIfSuperseded(epoch);
