--- a/standins/http_server.ts
+++ b/standins/http_server.ts
@@ -7,6 +7,7 @@
   createServer,
   type IncomingMessage,
   type Server,
+  type ServerOptions,
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Server as SocketServer } from "node:net";
@@ -14,8 +15,9 @@
 /** Serves with this; a message that can't be served is broken off. */
 export function serverOf(
   serve: (message: IncomingMessage, response: ServerResponse) => Promise<void>,
+  options: ServerOptions = {},
 ): Server {
-  return createServer((message, response) => {
+  return createServer(options, (message, response) => {
     void serve(message, response).catch(() => response.destroy());
   });
 }
--- a/standins/platform_mesh.ts
+++ b/standins/platform_mesh.ts
@@ -41,6 +41,14 @@
   restart(): Promise<void>;
 }
 
+/** Limits of a machine, as the settings of its agent state them. */
+export interface MachineLimits {
+  readonly cpuShare: number;
+  readonly cores: number;
+  readonly memoryMb: number;
+  readonly maxFds: number;
+}
+
 /** A running mesh. */
 export interface PlatformMesh {
   readonly store: PlatformStoreStandIn;
@@ -128,6 +136,8 @@
   readonly keysByHeartbeat?: boolean;
   /** The program to run as agent; the sources when not stated. */
   readonly program?: readonly string[];
+  /** The limits of each agent's machine; none when not stated. */
+  readonly limits?: MachineLimits;
   /** Brings the ports that its agents listen on; usually any free ones. */
   readonly givePort?: GivePort;
 }): Promise<PlatformMesh> {
@@ -177,6 +187,7 @@
         seeds: [],
         heartbeat: "300ms",
         grants: keysByHeartbeat ? "heartbeat" : "unary",
+        ...(options.limits === undefined ? {} : { limits: options.limits }),
         platform: { address: store.address },
         bounds: [
           "drain=2000ms",
--- a/standins/platform_target.ts
+++ b/standins/platform_target.ts
@@ -35,6 +35,8 @@
   readonly address: string;
   readonly id: string;
   runs(): readonly PlatformRun[];
+  /** Names and values of the header lines of the latest run, in turn. */
+  latestHeaders(): readonly string[];
   holds(key: number): boolean;
   /** Orders to hold are answered, or take effect and lose their answer. */
   setSilent(silent: boolean): void;
@@ -62,6 +64,14 @@
 /** A later answer acknowledges nothing. */
 const acknowledgeMilliseconds = 1_000;
 
+/** Above what the desired state allows, with the fields that agents add. */
+const maxHeaderBytes = 65_536;
+
+/** The length that a path asks of its answer, as in `?bytes=1000`; 0 if none. */
+function statedBytes(path: string): number {
+  return Number(/[?&]bytes=(\d{1,8})/.exec(path)?.[1] ?? 0);
+}
+
 /** Starts a target; its heartbeats go to the address of its agent. */
 export async function startPlatformTarget(options: {
   readonly id: string;
@@ -92,7 +102,10 @@
     ? startHeartbeatKeys(id)
     : null;
 
-  const server = serverOf(serve);
+  const server = serverOf(serve, { maxHeaderSize: maxHeaderBytes });
+  // Without this, lines beyond 2,000 are dropped.
+  server.maxHeadersCount = 0;
+  let latestHeaders: readonly string[] = [];
 
   async function serve(
     message: IncomingMessage,
@@ -177,6 +190,7 @@
       key,
       callerService: String(message.headers["caller-service"] ?? ""),
     });
+    latestHeaders = message.rawHeaders;
     await readText(message);
     await new Promise((resolve) =>
       setTimeout(resolve, options.serviceMilliseconds)
@@ -188,7 +202,8 @@
       "response-signature": `signed-by-${id}`,
       "server-load": `${running},0,${options.slots}`,
     });
-    response.end(`answer of ${id} to ${request}`);
+    const text = `answer of ${id} to ${request}`;
+    response.end(text.padEnd(statedBytes(message.url ?? "")));
   }
 
   const port = await listen(server, options.port);
@@ -265,6 +280,7 @@
     address,
     id,
     runs: () => runs,
+    latestHeaders: () => latestHeaders,
     holds: holdsKey,
     setSilent(value) {
       silent = value;
