Forward every header line of a request

Node drops header lines beyond 2,000 without a word, and its header object leaves out second lines of some names and names that a plain object inherits. The listeners now accept any number of lines within maxHeaderBytes, and what is forwarded is read from the lines themselves. Lines of one name are forwarded as separate lines.

The listener for other agents of the agent on an operators' document takes the larger header of a forwarded request: each line may get one byte longer, and agents add lines.

--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -166,6 +166,8 @@
       void answer(message, response);
     },
   );
+  // By default, header lines beyond 2,000 are dropped without a word.
+  server.maxHeadersCount = 0;
   server.keepAliveTimeout = keepAliveMilliseconds;
   server.requestTimeout = 0;
   server.on("clientError", refuseInvalidHttp);
--- a/source/adapters/callers/request_reader.ts
+++ b/source/adapters/callers/request_reader.ts
@@ -17,6 +17,7 @@
   fields,
   firstValue,
   forwardableHeaders,
+  receivedHeaders,
 } from "../headers.ts";
 import type { MatchRoute } from "./route_matcher.ts";
 
@@ -125,7 +126,7 @@
     method: message.method ?? "GET",
     path: message.url ?? "/",
     authority: message.headers.host ?? "",
-    headers: forwardableHeaders(message.headers),
+    headers: forwardableHeaders(receivedHeaders(message)),
     service: service.name,
     key: key.value,
     rank: rank.value,
--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { IncomingHttpHeaders } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import {
   type Failure,
   isFailureReason,
@@ -64,12 +64,37 @@
   fields.departure,
 ]);
 
+/**
+ * All header lines of a received message, by lower-case name. Node's own
+ * `headers` leaves out the second line of some names, and names that a plain
+ * object has without being given them.
+ */
+export function receivedHeaders(
+  { rawHeaders }: Pick<IncomingMessage, "rawHeaders">,
+): Headers {
+  const received = emptyHeaders();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] ?? "").toLowerCase();
+    const value = rawHeaders[index + 1] ?? "";
+    const former = received[name];
+    if (former === undefined) received[name] = value;
+    else if (typeof former === "string") received[name] = [former, value];
+    else former.push(value);
+  }
+  return received;
+}
+
+/** Has no name yet, and none that it inherits. */
+function emptyHeaders(): Record<string, string | string[]> {
+  return Object.create(null) as Record<string, string | string[]>;
+}
+
 /** Returns the fields of a message that are forwarded to the next hop. */
 export function forwardableHeaders(
   headers: IncomingHttpHeaders | Headers,
 ): Headers {
   const dropped = fieldsOfConnection(headers);
-  const kept: Record<string, string | readonly string[]> = {};
+  const kept: Record<string, string | readonly string[]> = emptyHeaders();
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || connectionFields.has(name)) continue;
     if (internalFields.has(name) || dropped.has(name)) continue;
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -269,6 +269,7 @@
   }
   const agents = await openHttpListener({
     ...common,
+    maxHeaderBytes: hopHeaderBytes(settings.longestHeaders),
     ...settings.peerListen,
     kind: "agents",
     pages: operatorPages({
@@ -461,3 +462,13 @@
     queueLength: service?.queueLength ?? defaultQueueLength,
   };
 }
+
+/**
+ * Upper bound of the header fields of a forwarded request. Each line may be a
+ * byte longer than it was received, with a space before its value, and agents
+ * add lines of their own.
+ */
+function hopHeaderBytes(longestHeaders: number): number {
+  const linesOfOwn = 4_096;
+  return 2 * longestHeaders + linesOfOwn;
+}
