Bound what a process holds for its callers

A process ran out of memory by requests of legal size with very many header lines, and by requests sent ahead whose answers nobody read: up to 256 requests waited on each of any number of connections, with their whole answers.

A pure module accounts for requests (bytes, and a cost for each header line) and answers of each connection and in total. It decides to stop reading from a connection, to refuse a request with 503 (memory-full), or to close the connection that holds most. The agent beside a target starts nothing while answers wait on its links.

Log lines caller-request-refused and caller-connection-closed; three counters.

--- /dev/null
+++ b/source/adapters/callers/caller_load.ts
@@ -0,0 +1,302 @@
+/**
+ * Bounds what callers make the process hold: connections, requests and answers
+ * that they don't read. Carries out what `held_memory.ts` decides.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import {
+  bytesHeldBy,
+  connectionToClose,
+  type HeldMemoryBounds,
+  type HeldMemoryEffect,
+  type HeldMemoryEvent,
+  mayStartRequest,
+  memoryOfRequest,
+  nothingHeld,
+  stepHeldMemory,
+} from "../../core/load/held_memory.ts";
+import type { Events } from "../../ports/events.ts";
+import type { Metrics } from "../../ports/metrics.ts";
+
+/** Bounds of what callers make a process hold. */
+export interface CallerBounds extends HeldMemoryBounds {
+  readonly maxConnections: number;
+  /** A connection of which nothing is read for so long is closed. */
+  readonly maxUnreadMilliseconds: number;
+}
+
+/** What bounding callers needs. */
+export interface CallerLoadOptions {
+  readonly bounds: CallerBounds;
+  readonly events: Events;
+  readonly metrics: Metrics;
+  /** Called with the bytes of each request and each answer. */
+  readonly countPassedBytes: (bytes: number) => void;
+}
+
+/** What is held for callers. */
+export interface CallerLoad {
+  /** Counts a request that has been read; false if it is not to be run. */
+  read(response: ServerResponse, maxKeptBytes: number): boolean;
+  /** Resolves when the answer can be held, or its request is given up. */
+  mayStart(response: ServerResponse, signal: AbortSignal): Promise<void>;
+  /** Counts an answer until it has been taken. */
+  hold(response: ServerResponse, bytes: number): void;
+}
+
+/** A connection. */
+interface Entry {
+  readonly connection: number;
+  readonly socket: Socket;
+  /** Responses that are not finished, with what is held for them. */
+  readonly responses: Map<ServerResponse, Held>;
+  /** The request that was read last. */
+  latest: IncomingMessage | null;
+  stopped: boolean;
+  /** Requests that wait until answers have been taken. */
+  waiting: readonly (() => void)[];
+}
+
+interface Held {
+  readonly requestBytes: number;
+  answerBytes: number;
+}
+
+/** Bounds what the callers of a server make this process hold. */
+export function boundCallers(
+  server: Server,
+  { bounds, events, metrics, countPassedBytes }: CallerLoadOptions,
+): CallerLoad {
+  const entries = new Map<number, Entry>();
+  const bySocket = new WeakMap<Socket, Entry>();
+  let held = nothingHeld;
+  let connections = 0;
+
+  function accept(socket: Socket): Entry {
+    connections += 1;
+    const entry: Entry = {
+      connection: connections,
+      socket,
+      responses: new Map(),
+      latest: null,
+      stopped: false,
+      waiting: [],
+    };
+    entries.set(entry.connection, entry);
+    bySocket.set(socket, entry);
+    socket.once("close", () => {
+      entries.delete(entry.connection);
+      apply({ kind: "closed", connection: entry.connection });
+      startWaiting(entry);
+    });
+    // Reading the body of a request resumes its connection.
+    socket.on("resume", () => pauseIfStopped(entry));
+    return entry;
+  }
+
+  server.on("connection", (socket: Socket) => {
+    accept(socket);
+    if (entries.size <= bounds.maxConnections) return;
+    const open = [...entries.values()].map(({ connection, responses }) => ({
+      connection,
+      busy: responses.size > 0,
+    }));
+    const closed = connectionToClose(open);
+    if (closed !== null) close(closed, "too-many-connections");
+  });
+  server.timeout = bounds.maxUnreadMilliseconds;
+  // With a listener the server does not close connections that time out.
+  server.on("timeout", (socket: Socket) => {
+    const entry = bySocket.get(socket);
+    if (entry === undefined || entry.responses.size === 0) {
+      return void socket.destroy();
+    }
+    const unread = [...entry.responses.values()].some(({ answerBytes }) =>
+      answerBytes > 0
+    );
+    if (unread) close(entry.connection, "answer-unread");
+  });
+
+  function apply(event: HeldMemoryEvent): readonly HeldMemoryEffect[] {
+    const before = held;
+    const { state, effects } = stepHeldMemory(held, event, bounds);
+    held = state;
+    for (const effect of effects) {
+      const entry = entries.get(effect.connection);
+      if (entry === undefined) continue;
+      if (effect.kind === "close") {
+        close(effect.connection, "memory-full", before.totalBytes);
+      } else if (effect.kind === "stop-reading") {
+        metrics.count("caller_reads_stopped");
+        entry.stopped = true;
+        pauseIfStopped(entry);
+      } else if (effect.kind === "read-on") {
+        entry.stopped = false;
+        entry.socket.resume();
+      }
+    }
+    return effects;
+  }
+
+  function close(
+    connection: number,
+    reason: string,
+    totalBytes = held.totalBytes,
+  ): void {
+    const entry = entries.get(connection);
+    if (entry === undefined) return;
+    metrics.count("caller_connections_closed", { reason });
+    events.record("caller-connection-closed", {
+      reason,
+      unanswered: entry.responses.size,
+      heldBytes: sum(entry),
+      totalBytes,
+      connections: entries.size,
+    });
+    entry.socket.destroy();
+  }
+
+  /** Stops reading once the rest of the request that is read now has come. */
+  function pauseIfStopped(entry: Entry): void {
+    if (!entry.stopped) return;
+    const { latest } = entry;
+    if (latest !== null && !latest.complete && hasBody(latest)) {
+      latest.once("close", () => pauseIfStopped(entry));
+      return;
+    }
+    entry.socket.pause();
+  }
+
+  function startWaiting(entry: Entry): void {
+    const { connection, socket } = entry;
+    while (entry.waiting.length > 0) {
+      const may = mayStartRequest(held, connection, bounds);
+      if (!may && !socket.destroyed) return;
+      const [start, ...rest] = entry.waiting;
+      entry.waiting = rest;
+      start?.();
+    }
+  }
+
+  function release(entry: Entry, response: ServerResponse): void {
+    const released = entry.responses.get(response);
+    if (released === undefined) return;
+    entry.responses.delete(response);
+    const { connection } = entry;
+    apply({ kind: "released", connection, ...released });
+    startWaiting(entry);
+  }
+
+  return {
+    read(response, maxKeptBytes) {
+      const { req: message } = response;
+      const entry = bySocket.get(message.socket) ?? accept(message.socket);
+      entry.latest = message;
+      const bytes = memoryOfMessage(message, maxKeptBytes);
+      const { connection } = entry;
+      countPassedBytes(bytes);
+      const effects = apply({ kind: "request-read", connection, bytes });
+      const refused = effects.some(({ kind }) => kind === "refuse");
+      entry.responses.set(response, {
+        requestBytes: refused ? 0 : bytes,
+        answerBytes: 0,
+      });
+      response.once("close", () => release(entry, response));
+      if (!refused) return true;
+      // Its answer may wait for others, and must hold little meanwhile.
+      message.rawHeaders = [];
+      metrics.count("caller_requests_refused");
+      events.record("caller-request-refused", {
+        reason: "memory-full",
+        bytes,
+        heldBytes: bytesHeldBy(held, connection),
+        totalBytes: held.totalBytes,
+        connections: entries.size,
+      });
+      return false;
+    },
+    mayStart(response, signal) {
+      const entry = bySocket.get(response.req.socket);
+      if (entry === undefined || entry.socket.destroyed) {
+        return Promise.resolve();
+      }
+      const first = entry.waiting.length === 0;
+      if (first && mayStartRequest(held, entry.connection, bounds)) {
+        return Promise.resolve();
+      }
+      return new Promise((resolve) => {
+        const start = () => resolve();
+        entry.waiting = [...entry.waiting, start];
+        signal.addEventListener("abort", start, { once: true });
+      });
+    },
+    hold(response, bytes) {
+      const entry = bySocket.get(response.req.socket);
+      const former = entry?.responses.get(response);
+      if (entry === undefined || former === undefined) return;
+      countPassedBytes(bytes);
+      former.answerBytes += bytes;
+      apply({ kind: "answer-held", connection: entry.connection, bytes });
+    },
+  };
+}
+
+function sum(entry: Entry): number {
+  return [...entry.responses.values()].reduce(
+    (bytes, held) => bytes + held.requestBytes + held.answerBytes,
+    0,
+  );
+}
+
+function hasBody(message: IncomingMessage): boolean {
+  return isChunked(message) || statedLength(message) > 0;
+}
+
+/**
+ * The value of a header field. Node's `headers` would keep an object of all
+ * lines for as long as the message exists.
+ */
+function fieldOf({ rawHeaders }: IncomingMessage, name: string): string | null {
+  const index = rawHeaders.findIndex((text, index) =>
+    index % 2 === 0 && text.length === name.length &&
+    text.toLowerCase() === name
+  );
+  return index < 0 ? null : rawHeaders[index + 1] ?? null;
+}
+
+function isChunked(message: IncomingMessage): boolean {
+  return fieldOf(message, "transfer-encoding") !== null;
+}
+
+function statedLength(message: IncomingMessage): number {
+  return Number(fieldOf(message, "content-length") ?? 0);
+}
+
+function memoryOfMessage(
+  message: IncomingMessage,
+  maxKeptBytes: number,
+): number {
+  const { rawHeaders } = message;
+  const headerBytes = rawHeaders.reduce(
+    (bytes, text) => bytes + text.length,
+    message.url?.length ?? 0,
+  );
+  return memoryOfRequest({
+    headerBytes,
+    lines: rawHeaders.length / 2,
+    bodyBytes: keptBodyBytes(message, maxKeptBytes),
+  });
+}
+
+/** The part of a body of unstated length that is assumed to be buffered. */
+const unstatedShare = 1 / 4;
+/** Buffered of a body that is streamed. */
+const streamedBytes = 65_536;
+
+function keptBodyBytes(message: IncomingMessage, maxKeptBytes: number): number {
+  if (isChunked(message)) return maxKeptBytes * unstatedShare;
+  const length = statedLength(message);
+  return length > maxKeptBytes ? streamedBytes : length;
+}
--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -31,6 +31,7 @@
   productCallerProtocol,
 } from "./caller_protocol.ts";
 import { trackCallerConnections } from "./caller_connections.ts";
+import { boundCallers, type CallerLoadOptions } from "./caller_load.ts";
 import { fields, firstValue } from "../headers.ts";
 import {
   createHopProgressTracker,
@@ -54,7 +55,11 @@
 } from "../hops/hop_deduplication.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
 import type { PendingInputGate } from "./pending_input.ts";
-import { readBody, readForwardedRequest } from "./request_reader.ts";
+import {
+  defaultMaxKeptBytes,
+  readBody,
+  readForwardedRequest,
+} from "./request_reader.ts";
 import { discardAfterAnswer } from "./unread_body.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
 import {
@@ -124,6 +129,8 @@
   readonly callerProtocol?: CallerProtocol;
   /** Bodies up to this size are buffered, so that they can be sent again. */
   readonly maxRetainedBodyBytes?: number;
+  /** Bounds what callers make this process hold; when left out, nothing does. */
+  readonly callerLoad?: CallerLoadOptions;
 }
 
 /** Longer than other agents keep an idle connection to this one open. */
@@ -171,6 +178,10 @@
   server.keepAliveTimeout = keepAliveMilliseconds;
   server.requestTimeout = 0;
   server.on("clientError", refuseInvalidHttp);
+  const load = options.callerLoad === undefined
+    ? null
+    : boundCallers(server, options.callerLoad);
+  const maxKeptBytes = options.maxRetainedBodyBytes ?? defaultMaxKeptBytes;
 
   /**
    * Announces, while draining, that the connection closes after this answer.
@@ -192,6 +203,14 @@
   ): Promise<void> {
     const page = options.pages.get(message.url ?? "");
     if (page !== undefined) return writePage(response, await page());
+    if (load?.read(response, maxKeptBytes) === false) {
+      const failure = notRun("memory-full");
+      return writeFailureImmediately(
+        response,
+        { failure, text: "", id: "" },
+        writeContext,
+      );
+    }
     const name = options.kind === "agents"
       ? firstValue(message.headers, fields.hop)
       : null;
@@ -264,11 +283,10 @@
       : arrivals.track(arrival.hop, { message, response });
     const body = await readBody(message, {
       maxBytes: request.longestBodyBytes,
-      ...(options.maxRetainedBodyBytes === undefined
-        ? {}
-        : { maxKeptBytes: options.maxRetainedBodyBytes }),
+      maxKeptBytes,
     });
     markComplete?.();
+    await load?.mayStart(response, cancel.signal);
     const result = body === null
       ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
       : await handleOnce(request, { body, arrival });
@@ -295,6 +313,7 @@
       response.on("close", () => clearTimeout(last));
     }
     setClockField(response);
+    load?.hold(response, heldBytes(result.value));
     writeAnswer(response, {
       answer: result.value,
       headers: protocol.answerHeaders(result.value, request.id),
@@ -387,6 +406,13 @@
   };
 }
 
+/** Buffered of an answer that is streamed. */
+const streamedBytes = 65_536;
+
+function heldBytes({ body }: ProxyAnswer): number {
+  return body.kind === "whole" ? body.bytes.length : streamedBytes;
+}
+
 function observeClock(
   message: IncomingMessage,
   options: HttpListenerOptions,
--- a/source/adapters/callers/request_reader.ts
+++ b/source/adapters/callers/request_reader.ts
@@ -28,7 +28,7 @@
 }
 
 /** Bodies up to this size are buffered, so that the request can be retried. */
-const defaultMaxKeptBytes = 65_536;
+export const defaultMaxKeptBytes = 65_536;
 
 const maxKeyLength = 1_024;
 const maxIdLength = 128;
--- a/source/adapters/hops/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -65,16 +65,29 @@
   "cancel",
 ]);
 
+/** The links that other agents have opened. */
+export interface ServedLinks {
+  /** Bytes of answers that have not been sent yet, on all links. */
+  backlogBytes(): number;
+}
+
 /** Serves the links that this listener accepts. */
 export function serveHopLinks(
   sockets: WebSocketServer,
   options: HopLinkServerOptions,
-): void {
+): ServedLinks {
   const deduplicator = createHopDeduplicator(options.agent);
   const cancels = createHopCancellations();
   sockets.on("connection", (socket) => {
     serveLink(socket, { ...options, deduplicator, cancels });
   });
+  return {
+    backlogBytes() {
+      let bytes = 0;
+      for (const { bufferedAmount } of sockets.clients) bytes += bufferedAmount;
+      return bytes;
+    },
+  };
 }
 
 interface LinkContext extends HopLinkServerOptions {
--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -67,6 +67,13 @@
 /** The type of the router, which clients are type-checked against. */
 export type PeerRouter = ReturnType<typeof buildPeerRouter>;
 
+/** Serves other agents. */
+export interface PeerServer {
+  /** Bytes of answers that have not been sent yet, on all links. */
+  backlogBytes(): number;
+  close(): void;
+}
+
 /**
  * Serves calls, and links if wanted, on an HTTP server. Closing terminates the
  * WebSockets, and leaves the HTTP server open.
@@ -77,7 +84,7 @@
   readonly clock: LogicalClock;
   /** Absent when requests are forwarded by HTTP only. */
   readonly links?: HopLinkServerOptions;
-}): { close(): void } {
+}): PeerServer {
   const { calls, links } = acceptUpgrades(options.server, {
     calls: {
       path: null,
@@ -90,7 +97,9 @@
       compressed: false,
     },
   });
-  if (options.links !== undefined) serveHopLinks(links, options.links);
+  const served = options.links === undefined
+    ? null
+    : serveHopLinks(links, options.links);
   calls.on(
     "connection",
     (socket) => socket.on("error", () => socket.terminate()),
@@ -100,6 +109,7 @@
     router: buildPeerRouter(options.methods, options.clock),
   });
   return {
+    backlogBytes: () => served?.backlogBytes() ?? 0,
     close() {
       closeSockets(calls);
       closeSockets(links);
--- a/source/adapters/logs/log.ts
+++ b/source/adapters/logs/log.ts
@@ -39,6 +39,8 @@
   "request-abandoned",
   "request-retried",
   "request-refused",
+  "caller-connection-closed",
+  "caller-request-refused",
   "target-answer-spoilt",
   "target-grant-failed",
   "connection-silent",
--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -19,6 +19,8 @@
   | "no-such-service"
   | "body-too-large"
   | "queue-full"
+  /** The process holds as much for callers as its memory allows. */
+  | "memory-full"
   | "deadline-too-near"
   | "deadline-passed"
   | "target-leaving"
@@ -88,6 +90,7 @@
   "no-such-service": 404,
   "body-too-large": 413,
   "queue-full": 503,
+  "memory-full": 503,
   "deadline-too-near": 503,
   "deadline-passed": 504,
   "target-leaving": 503,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -55,6 +55,8 @@
   | "request-failed"
   | "request-target-failed"
   | "request-answered"
+  | "caller-connection-closed"
+  | "caller-request-refused"
   | "connection-silent"
   | "copy-received"
   | "request-held-up"
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -16,6 +16,7 @@
 import type { PlatformSettings } from "../../platform/settings.ts";
 import { openPlatformStore } from "../../platform/store.ts";
 import { openPlatformTarget } from "../../platform/target.ts";
+import { openCollector } from "../adapters/garbage.ts";
 import { hashText } from "../adapters/hashing.ts";
 import {
   type HandleRequest,
@@ -72,6 +73,8 @@
 import {
   admissionTickMilliseconds,
   bodyAdmissionTickMilliseconds,
+  callerBounds,
+  collectionBounds,
   connections,
   coordinatorTimes,
   departuresTimes,
@@ -82,6 +85,7 @@
   links,
   maxHeaderBytes,
   maxLateWaitMilliseconds,
+  maxLinkBacklogBytes,
   maxMissedHeartbeats,
   maxRetainedBodyBytes,
   minTableAgeMilliseconds,
@@ -122,7 +126,10 @@
     onSilence: reportSilence(common.events),
     largeBodyForwarder: common.forwarder,
   });
-  return { ...common, forwarder, store };
+  const countPassedBytes = openCollector(collectionBounds(settings));
+  // Known once the listener for other agents is open.
+  const linkBacklog = { bytes: () => 0 };
+  return { ...common, forwarder, store, countPassedBytes, linkBacklog };
 }
 
 type AgentAdapters = ReturnType<typeof openAdapters>;
@@ -277,6 +284,7 @@
     onConnectionRefused: () => registration.recordRefusal(),
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
+    onAnswerRead: adapters.countPassedBytes,
   });
   const targetKeys = connectTargetKeys(settings, {
     events,
@@ -371,6 +379,8 @@
     mayBegin: (request) =>
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
+    hasMemory: () =>
+      adapters.linkBacklog.bytes() <= maxLinkBacklogBytes(settings),
     service: settings.service,
     holder: coordinator.holder,
     admission,
@@ -492,6 +502,10 @@
       ownService: options.ownService,
       random: Math.random,
     }),
+    callerLoad: {
+      ...adapters,
+      bounds: callerBounds(settings),
+    },
     pages: new Map(),
     handle: observeRequests(handleEntry, {
       ...adapters,
@@ -534,6 +548,7 @@
       onMalformed: () => events.record("peer-message-refused"),
     },
   });
+  adapters.linkBacklog.bytes = peerServer.backlogBytes;
   const readiness = await listenForReadiness({
     address: settings.readiness,
     ready: options.ready,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -56,9 +56,11 @@
   readonly metrics: Metrics;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: (request: ProxyRequest) => boolean;
+  /** Whether a further answer can be held; when left out, all can. */
+  readonly hasMemory?: () => boolean;
 }): ServeTask {
   const { admission, target, events, metrics } = options;
-  const { mayBegin = () => true } = options;
+  const { mayBegin = () => true, hasMemory = () => true } = options;
   let running = 0;
 
   async function serve(
@@ -108,6 +110,7 @@
     if (permit !== null && !permit.stillHolds()) return notRun("lease-ended");
     if (monotonicNow() >= request.deadlineAt) return notRun("deadline-passed");
     if (!mayBegin(request)) return notRun("target-leaving");
+    if (!hasMemory()) return notRun("memory-full");
     return request.signal.aborted ? notRun("caller-left") : null;
   }
 
