Accept no answer that was reset before its end, or without a status

Two faults of answers, each checked for both kinds of agent and both ways between agents.

An answer without a length that is reset (while its upload is written) was passed on as complete by the agent on an operators' document, and by requests that are forwarded over connections for large bodies: undici takes ECONNRESET for the end of such an answer. The connector gives a reset its own code now, so that undici fails the answer. An answer that ends with its connection is still complete there. The agent on the users' platform accepts no answer without a length, so it did not have the fault. Links carry whole answers only.

A status outside of 200 to 599 was passed on by both kinds of agent and on both ways. 000 itself doesn't get that far over HTTP, as undici's parser refuses it; over a link it did. It leaves the outcome unknown now.

--- a/build/undici.cjs
+++ b/build/undici.cjs
@@ -3,10 +3,11 @@
 "use strict";
 const api = require("../node_modules/undici/lib/api/index.js");
 const Client = require("../node_modules/undici/lib/dispatcher/client.js");
+const buildConnector = require("../node_modules/undici/lib/core/connect.js");
 const Dispatcher = require(
   "../node_modules/undici/lib/dispatcher/dispatcher.js",
 );
 const Pool = require("../node_modules/undici/lib/dispatcher/pool.js");
 
 Object.assign(Dispatcher.prototype, api);
-module.exports = { Client, Pool };
+module.exports = { buildConnector, Client, Pool };
--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -43,6 +43,7 @@
 } from "./hop_deduplication.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
 import { timeLeft } from "./time_left.ts";
+import { isAnswerStatus } from "../targets/exchange.ts";
 import type { StampDeparture } from "./transit.ts";
 
 /** Settings of the links to all agents. */
@@ -243,6 +244,9 @@
       );
     }
     const { status, headers, load } = message;
+    if (!isAnswerStatus(status)) {
+      return entry.settle(Result.err(unknownOutcome("connection-lost")));
+    }
     const body = { kind: "whole", bytes } as const;
     entry.settle(Result.ok({ status, headers, load, body }));
   }
--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -45,7 +45,8 @@
     }
     const bytes = new TextEncoder().encode(`done ${request.id}`);
     const body = { kind: "whole", bytes } as const;
-    return Result.ok({ status: 201, headers: { a: "b" }, body, load: 3 });
+    const status = request.path === "/invalid" ? 0 : 201;
+    return Result.ok({ status, headers: { a: "b" }, body, load: 3 });
   }
 
   before(async () => {
@@ -151,6 +152,12 @@
       assert.deepEqual(result.error, notRun("queue-full", 120));
     });
 
+    // Guards against a process that ends: such a status can't be written.
+    it("leave open whether a request ran whose answer has no status", async () => {
+      const outcome = await send("invalid", { path: "/invalid" });
+      assert.equal(outcome, "unknown connection-lost");
+    });
+
     it("notify the other agent that a caller has left", async () => {
       workMilliseconds = 150;
       const caller = new AbortController();
--- a/source/adapters/targets/connection_pool.ts
+++ b/source/adapters/targets/connection_pool.ts
@@ -5,6 +5,7 @@
  */
 import { Pool } from "undici";
 import type { Address } from "../../core/agent.ts";
+import { createConnector } from "./connector.ts";
 
 /** Settings of the connections to one kind of next hop. */
 export interface ConnectionSettings {
@@ -22,7 +23,7 @@
   return new Pool(`http://${address}`, {
     connections: settings.maxConnections,
     pipelining: 1,
-    connect: { timeout: settings.connectTimeoutMilliseconds },
+    connect: createConnector(settings.connectTimeoutMilliseconds),
     keepAliveTimeout: settings.idleMilliseconds,
     keepAliveMaxTimeout: settings.idleMilliseconds,
     headersTimeout: 0,
--- a/source/adapters/targets/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -79,6 +79,10 @@
       onInfo: () => heard?.(),
       responseHeaders: null,
     });
+    if (!isAnswerStatus(response.statusCode)) {
+      response.body.on("error", () => undefined).destroy();
+      return Result.err(unknownOutcome("connection-lost"));
+    }
     return Result.ok({
       status: response.statusCode,
       headers: response.headers as Headers,
@@ -90,6 +94,11 @@
   }
 }
 
+/** Whether a status can be that of an answer, which is then passed on. */
+export function isAnswerStatus(status: number): boolean {
+  return Number.isInteger(status) && status >= 200 && status <= 599;
+}
+
 /**
  * Returns an undici interceptor that calls `onStart` when the writing of a
  * request starts, after any wait for a connection of the pool.
--- a/source/adapters/targets/renewing_pool.ts
+++ b/source/adapters/targets/renewing_pool.ts
@@ -8,6 +8,7 @@
 import { Readable } from "node:stream";
 import { Pool } from "undici";
 import type { Address } from "../../core/agent.ts";
+import { createConnector } from "./connector.ts";
 import {
   exchangeWhole,
   type OutgoingRequest,
@@ -57,7 +58,7 @@
     const pool = new Pool(`http://${options.address}`, {
       connections: options.maxConnections,
       pipelining: 1,
-      connect: { timeout: options.connectTimeoutMilliseconds },
+      connect: createConnector(options.connectTimeoutMilliseconds),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
