--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -31,6 +31,7 @@
   productCallerProtocol,
 } from "./caller_protocol.ts";
 import { trackCallerConnections } from "./caller_connections.ts";
+import { boundCallers, type CallerLoadOptions } from "./caller_load.ts";
 import { fields, firstValue } from "../headers.ts";
 import {
   createHopProgressTracker,
@@ -55,7 +56,11 @@
 } from "../hops/hop_deduplication.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
 import type { PendingInputGate } from "./pending_input.ts";
-import { readBody, readForwardedRequest } from "./request_reader.ts";
+import {
+  defaultMaxKeptBytes,
+  readBody,
+  readForwardedRequest,
+} from "./request_reader.ts";
 import { discardAfterAnswer } from "./unread_body.ts";
 import { compileRoutes, type MatchRoute } from "./route_matcher.ts";
 import {
@@ -125,6 +130,8 @@
   readonly callerProtocol?: CallerProtocol;
   /** Bodies up to this size are buffered, so that they can be sent again. */
   readonly maxRetainedBodyBytes?: number;
+  /** Bounds what callers make this process hold; when left out, nothing does. */
+  readonly callerLoad?: CallerLoadOptions;
 }
 
 /** Longer than other agents keep an idle connection to this one open. */
@@ -167,9 +174,15 @@
       void answer(message, response);
     },
   );
+  // By default, header lines beyond 2,000 are dropped without a word.
+  server.maxHeadersCount = 0;
   server.keepAliveTimeout = keepAliveMilliseconds;
   server.requestTimeout = 0;
   server.on("clientError", refuseInvalidHttp);
+  const load = options.callerLoad === undefined
+    ? null
+    : boundCallers(server, options.callerLoad);
+  const maxKeptBytes = options.maxRetainedBodyBytes ?? defaultMaxKeptBytes;
 
   /**
    * Announces, while draining, that the connection closes after this answer.
@@ -191,6 +204,14 @@
   ): Promise<void> {
     const page = options.pages.get(message.url ?? "");
     if (page !== undefined) return writePage(response, await page());
+    if (load?.read(response, maxKeptBytes) === false) {
+      const failure = notRun("memory-full");
+      return writeFailureImmediately(
+        response,
+        { failure, text: "", id: "" },
+        writeContext,
+      );
+    }
     const name = options.kind === "agents"
       ? firstValue(message.headers, fields.hop)
       : null;
@@ -265,11 +286,10 @@
       : arrivals.track(arrival.hop, { message, response });
     const body = await readBody(message, {
       maxBytes: request.longestBodyBytes,
-      ...(options.maxRetainedBodyBytes === undefined
-        ? {}
-        : { maxKeptBytes: options.maxRetainedBodyBytes }),
+      maxKeptBytes,
     });
     markComplete?.();
+    await load?.mayStart(response, cancel.signal);
     const result = body === null
       ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
       : await handleOnce(request, { body, arrival });
@@ -296,6 +316,7 @@
       response.on("close", () => clearTimeout(last));
     }
     setClockField(response);
+    load?.hold(response, heldBytes(result.value));
     writeAnswer(response, {
       answer: result.value,
       headers: protocol.answerHeaders(result.value, request.id),
@@ -388,6 +409,13 @@
   };
 }
 
+/** Buffered of an answer that is streamed. */
+const streamedBytes = 65_536;
+
+function heldBytes({ body }: ProxyAnswer): number {
+  return body.kind === "whole" ? body.bytes.length : streamedBytes;
+}
+
 function observeClock(
   message: IncomingMessage,
   options: HttpListenerOptions,
--- a/source/adapters/callers/request_reader.ts
+++ b/source/adapters/callers/request_reader.ts
@@ -17,6 +17,7 @@
   fields,
   firstValue,
   forwardableHeaders,
+  receivedHeaders,
 } from "../headers.ts";
 import type { MatchRoute } from "./route_matcher.ts";
 
@@ -27,7 +28,7 @@
 }
 
 /** Bodies up to this size are buffered, so that the request can be retried. */
-const defaultMaxKeptBytes = 65_536;
+export const defaultMaxKeptBytes = 65_536;
 
 const maxKeyLength = 1_024;
 const maxIdLength = 128;
@@ -128,7 +129,7 @@
     method: message.method ?? "GET",
     path: message.url ?? "/",
     authority: message.headers.host ?? "",
-    headers: forwardableHeaders(message.headers),
+    headers: forwardableHeaders(receivedHeaders(message)),
     service: service.name,
     key: key.value,
     rank: rank.value,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -65,6 +65,8 @@
   | "request-failed"
   | "request-target-failed"
   | "request-answered"
+  | "caller-connection-closed"
+  | "caller-request-refused"
   | "connection-silent"
   | "copy-received"
   | "request-held-up"
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -16,6 +16,7 @@
 import type { PlatformSettings } from "../../platform/settings.ts";
 import { openPlatformStore } from "../../platform/store.ts";
 import { openPlatformTarget } from "../../platform/target.ts";
+import { openCollector } from "../adapters/garbage.ts";
 import { hashText } from "../adapters/hashing.ts";
 import {
   type HandleRequest,
@@ -91,6 +92,8 @@
 import {
   admissionTickMilliseconds,
   bodyAdmissionTickMilliseconds,
+  callerBounds,
+  collectionBounds,
   connections,
   coordinatorTimes,
   departuresTimes,
@@ -101,6 +104,7 @@
   links,
   maxHeaderBytes,
   maxLateWaitMilliseconds,
+  maxLinkBacklogBytes,
   maxMissedHeartbeats,
   maxRetainedBodyBytes,
   minTableAgeMilliseconds,
@@ -146,7 +150,17 @@
     onSilence: reportSilence(common.events),
     largeBodyForwarder: common.forwarder,
   });
-  return { ...common, forwarder, store, storeEra };
+  const countPassedBytes = openCollector(collectionBounds(settings));
+  // Known once the listener for other agents is open.
+  const linkBacklog = { bytes: () => 0 };
+  return {
+    ...common,
+    forwarder,
+    store,
+    storeEra,
+    countPassedBytes,
+    linkBacklog,
+  };
 }
 
 type AgentAdapters = ReturnType<typeof openAdapters>;
@@ -321,6 +335,7 @@
     onInvalidAnswer: (request, fault) =>
       events.record("target-answer-spoilt", { request, fault }),
     onInvalidLoad: () => metrics.count("load_reports_ignored"),
+    onAnswerRead: adapters.countPassedBytes,
   });
   const targetKeys = connectTargetKeys(settings, {
     events,
@@ -442,6 +457,8 @@
     mayBegin: (request) =>
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
+    hasMemory: () =>
+      adapters.linkBacklog.bytes() <= maxLinkBacklogBytes(settings),
     service: settings.service,
     entry: agent.id,
     holder: coordinator.holder,
@@ -574,6 +591,10 @@
       ownService: options.ownService,
       random: Math.random,
     }),
+    callerLoad: {
+      ...adapters,
+      bounds: callerBounds(settings),
+    },
     pages: new Map(),
     handle: observeRequests(handleEntry, {
       ...adapters,
@@ -620,6 +641,7 @@
       onMalformed: () => events.record("peer-message-refused"),
     },
   });
+  adapters.linkBacklog.bytes = peerServer.backlogBytes;
   const readiness = await listenForReadiness({
     address: settings.readiness,
     ready: options.ready,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -68,9 +68,15 @@
   readonly metrics: Metrics;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: (request: ProxyRequest) => boolean;
+  /** Whether a further answer can be held; when left out, all can. */
+  readonly hasMemory?: () => boolean;
 }): ServeTask {
   const { admission, target, events, metrics } = options;
-  const { mayBegin = () => true, allowsRegion = () => true } = options;
+  const {
+    mayBegin = () => true,
+    allowsRegion = () => true,
+    hasMemory = () => true,
+  } = options;
   let running = 0;
 
   async function serve(
@@ -128,6 +134,7 @@
     if (monotonicNow() >= request.deadlineAt) return notRun("deadline-passed");
     if (!mayBegin(request)) return notRun("target-leaving");
     if (!allowsRegion(request)) return regionNotAllowed();
+    if (!hasMemory()) return notRun("memory-full");
     return request.signal.aborted ? notRun("caller-left") : null;
   }
 
