Admission is split into modules with one concept each

Its queue, its estimates and its starts could only be read together.

Repeated logic has one place each: the refuse effect, removal from a queue, whether the clients of a rank compete, the defaults of an arrived request, and refusing all waiting requests for which there is a reason. No decision changes. Tests change in their imports only.

--- a/source/core/admission/admission_test.ts
+++ b/source/core/admission/admission_test.ts
@@ -1,14 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import {
-  type AdmissionEvent,
-  type AdmissionSettings,
-  type AdmissionState,
-  countWaiting,
-  createAdmission,
-  stepAdmission,
-} from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import type { AdmissionEvent } from "./events.ts";
+import { countWaiting } from "./queue.ts";
+import type { AdmissionSettings } from "./settings.ts";
+import { type AdmissionState, createAdmission } from "./state.ts";
 
 const settings: AdmissionSettings = {
   slots: 4,
--- a/source/core/admission/atypical_measurements_test.ts
+++ b/source/core/admission/atypical_measurements_test.ts
@@ -1,13 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-  type AdmissionEvent,
-  type AdmissionSettings,
-  type AdmissionState,
-  createAdmission,
-  stepAdmission,
-  throughput,
-} from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import { throughput } from "./estimates.ts";
+import type { AdmissionEvent } from "./events.ts";
+import type { AdmissionSettings } from "./settings.ts";
+import { type AdmissionState, createAdmission } from "./state.ts";
 
 const settings: AdmissionSettings = {
   slots: 4,
--- a/source/core/admission/cold_start_test.ts
+++ b/source/core/admission/cold_start_test.ts
@@ -1,13 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { seededRandom } from "../../../standins/load.ts";
-import {
-  type AdmissionEvent,
-  type AdmissionSettings,
-  createAdmission,
-  type FinishKind,
-  stepAdmission,
-} from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import type { FinishKind } from "./concurrency_limit.ts";
+import type { AdmissionEvent } from "./events.ts";
+import type { AdmissionSettings } from "./settings.ts";
+import { createAdmission } from "./state.ts";
 
 const requestsPerSecond = 9.8;
 /** The platform's bound for any one second: the rate x 1.5 + 8. */
--- a/source/core/admission/competing_classes_test.ts
+++ b/source/core/admission/competing_classes_test.ts
@@ -6,7 +6,8 @@
   shortWork,
   simulateSeeds,
 } from "../../../tests/crowd_simulation.ts";
-import { createAdmission, stepAdmission } from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import { createAdmission } from "./state.ts";
 
 const lowerRankShare = 0.05;
 const settings = crowdSettings([0, lowerRankShare]);
--- /dev/null
+++ b/source/core/admission/estimates.ts
@@ -0,0 +1,156 @@
+/**
+ * What admission expects of the target by what it has measured: how long work
+ * takes, how many slots requests can fill, and how much of them is asked for.
+ *
+ * Invariant: only requests that have run in the target are measured. A service
+ * time that no running request can correct is stale after a while, and refuses
+ * nothing then.
+ *
+ * @module
+ */
+import { usableSlots } from "./cold_start.ts";
+import { isContested } from "./competition.ts";
+import {
+  addOfferedWork,
+  noOfferedWork,
+  offeredUtilization,
+} from "./offered_work.ts";
+import { recordArrival } from "./return_schedule.ts";
+import { recordServiceTime, updateMean } from "./service_times.ts";
+import type { AdmissionState, RunningRequest } from "./state.ts";
+
+/** A request, as its service time is measured. */
+export interface Work {
+  readonly rank: number;
+  readonly work: string | null;
+}
+
+/** Work is short up to this part of the mean expected time of what runs. */
+const shortWorkShare = 1 / 3;
+/** After this time without a measurement, a service time is stale. */
+const measurementLifetimeMilliseconds = 2_000;
+
+/** The expected time of this work in the target; 0 until measured. */
+export function expectedServiceTime(
+  state: AdmissionState,
+  { rank, work }: Work,
+): number {
+  return work === null
+    ? state.serviceMilliseconds[rank] ?? 0
+    : state.serviceTimes.get(work)?.milliseconds ?? 0;
+}
+
+/**
+ * Whether a service time is too old to refuse requests by. Only requests that
+ * run can correct it, so that one by which all are refused would stay wrong.
+ */
+export function isMeasurementStale(
+  state: AdmissionState,
+  { work, now }: { readonly work: string | null; readonly now: number },
+): boolean {
+  const measuredAt = work === null
+    ? state.measuredAt
+    : state.serviceTimes.get(work)?.measuredAt ?? 0;
+  if (now - measuredAt <= measurementLifetimeMilliseconds) return false;
+  const running = [...state.running.values()];
+  return !running.some((other) => work === null || other.work === work);
+}
+
+/**
+ * Whether a request needs a slot for so short a time, compared with what runs,
+ * that refusing it saves nothing: it may wait until its deadline.
+ */
+export function isShortWork(state: AdmissionState, work: Work): boolean {
+  // A short request uses as much of a cold target's rate as a long one.
+  if (state.coldStarts !== null) return false;
+  const running = [...state.running.values()];
+  if (running.length === 0) return false;
+  const sum = running.reduce(
+    (sum, other) => sum + expectedServiceTime(state, other),
+    0,
+  );
+  const mean = sum / running.length;
+  return expectedServiceTime(state, work) <= mean * shortWorkShare;
+}
+
+/** Offered load of a rank and all that go before it over what can run. */
+export function utilizationFor(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): number {
+  const slots = slotsInUse(state);
+  return state.offered.slice(0, rank + 1).reduce(
+    (sum, work) => sum + offeredUtilization(work, { slots, now }),
+    0,
+  );
+}
+
+/** Whether the clients of the waiting requests of a rank compete. */
+export function isRankContested(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): boolean {
+  const queue = state.waiting[rank] ?? [];
+  return isContested(queue, utilizationFor(state, rank, now));
+}
+
+/** The slots that requests can fill; a fraction of them in a cold target. */
+export function slotsInUse(state: AdmissionState): number {
+  return usableSlots(state.coldStarts, {
+    slots: state.settings.slots,
+    milliseconds: state.meanMilliseconds,
+  });
+}
+
+/**
+ * Requests with a key per second that the target runs when all its slots are in
+ * use. Other requests, such as a few short ones, don't tell how long those take.
+ */
+export function throughput(state: AdmissionState): number {
+  return state.settings.slots * 1_000 / state.keyedMilliseconds;
+}
+
+/** Records the work that arrives, whether it is refused or not. */
+export function recordOffered(
+  state: AdmissionState,
+  { rank, work, now }: Work & { readonly now: number },
+): AdmissionState {
+  const milliseconds = expectedServiceTime(state, { rank, work });
+  const offered = state.offered.with(
+    rank,
+    addOfferedWork(state.offered[rank] ?? noOfferedWork, { milliseconds, now }),
+  );
+  const returns = recordArrival(state.returns, { rank, milliseconds, now });
+  return { ...state, offered, returns };
+}
+
+/** Measures a request that the target has run. */
+export function recordMeasurement(
+  state: AdmissionState,
+  ended: RunningRequest,
+  now: number,
+): AdmissionState {
+  const { rank, work, keyed, startedAt, deadlineAt } = ended;
+  // What ends after its deadline was delayed by something else, such as a
+  // suspension of the host.
+  const milliseconds = Math.min(now, deadlineAt) - startedAt;
+  const next = updateMean(state.serviceMilliseconds[rank] ?? 0, milliseconds);
+  return {
+    ...state,
+    serviceMilliseconds: state.serviceMilliseconds.with(rank, next),
+    keyedMilliseconds: keyed
+      ? updateMean(state.keyedMilliseconds, milliseconds)
+      : state.keyedMilliseconds,
+    meanMilliseconds: updateMean(state.meanMilliseconds, milliseconds),
+    serviceTimes: work === null
+      ? state.serviceTimes
+      : recordServiceTime(state.serviceTimes, {
+        kind: work,
+        milliseconds,
+        now,
+      }),
+    measuredAt: now,
+  };
+}
--- /dev/null
+++ b/source/core/admission/expected_waits.ts
@@ -0,0 +1,121 @@
+/**
+ * How long an arriving request is expected to wait: for a slot, and for a start
+ * of a cold target. Whichever takes longer decides.
+ *
+ * @module
+ */
+import { expectedWithSlowness } from "../load/target_load.ts";
+import { isStartFree, startDelay } from "./cold_start.ts";
+import { type Competing, workBefore } from "./competition.ts";
+import { expectedServiceTime, utilizationFor } from "./estimates.ts";
+import { type Client, noUse } from "./fair_shares.ts";
+import type { TimedRequest } from "./objective_first.ts";
+import { countWaiting } from "./queue.ts";
+import type { AdmissionState } from "./state.ts";
+
+/** A request that waits, or would have to. */
+export interface Queued extends TimedRequest {
+  readonly work: string | null;
+  readonly client: Client;
+  readonly orderAt: number;
+}
+
+/** An arriving request, in the order of its rank. */
+export interface Arriving extends Queued {
+  readonly rank: number;
+  readonly now: number;
+}
+
+/** A rank is expected to be left at least this part of the starts. */
+const minAvailableShare = 0.1;
+
+/** The time until an arriving request can start. */
+export function expectedWait(state: AdmissionState, event: Arriving): number {
+  return Math.max(
+    expectedWithSlowness(state.slowness, {
+      milliseconds: expectedSlotWait(state, event),
+      now: event.now,
+    }),
+    expectedStartWait(state, event),
+  );
+}
+
+/**
+ * The time until a cold target may be given an arriving request. All waiting
+ * requests of its rank count, also those with a later objective: starts are too
+ * few for it to go ahead of them without making them late.
+ */
+function expectedStartWait(
+  state: AdmissionState,
+  { rank, now }: Arriving,
+): number {
+  if (state.coldStarts === null) return 0;
+  const waiting = state.waiting.slice(0, rank + 1).flat().length;
+  const ahead = waiting / availableShare(state, rank);
+  return startDelay(state.coldStarts, { ahead, now });
+}
+
+/**
+ * The time until a slot is free for an arriving request: that of the work ahead
+ * of it, lengthened by the starts that go to the shares of other ranks.
+ */
+function expectedSlotWait(state: AdmissionState, event: Arriving): number {
+  const slots = Math.max(1, Math.floor(state.limit));
+  if (state.running.size < slots) return 0;
+  // The first in a queue waits for one of the running requests to end.
+  let milliseconds = state.serviceMilliseconds[event.rank] ?? 0;
+  state.waiting.forEach((queue, rank) => {
+    if (rank > event.rank || queue.length === 0) return;
+    const waiting = queue.map((entry) => inQueue(state, entry, rank));
+    milliseconds += rank === event.rank
+      ? workBefore(waiting, inQueue(state, event, rank), {
+        now: event.now,
+        utilization: utilizationFor(state, rank, event.now),
+        use: state.use[rank] ?? noUse,
+      })
+      : waiting.reduce((sum, other) => sum + other.serviceMilliseconds, 0);
+  });
+  return milliseconds / slots / availableShare(state, event.rank);
+}
+
+function inQueue(
+  state: AdmissionState,
+  request: Queued,
+  rank: number,
+): Competing {
+  const { client, work, orderAt, objectiveAt, deadlineAt } = request;
+  const serviceMilliseconds = expectedServiceTime(state, { rank, work });
+  return { client, serviceMilliseconds, orderAt, objectiveAt, deadlineAt };
+}
+
+/** The part of the starts that is left to a rank while lower ranks wait. */
+function availableShare(state: AdmissionState, rank: number): number {
+  let others = 0;
+  state.waiting.forEach((queue, index) => {
+    if (index > rank && queue.length > 0) {
+      others += state.settings.ranks[index]?.share ?? 0;
+    }
+  });
+  return Math.max(minAvailableShare, 1 - others);
+}
+
+/** When a cold target has a start that no waiting request will use. */
+export function coldRetryDelay(
+  state: AdmissionState,
+  now: number,
+): number | null {
+  if (state.coldStarts === null) return null;
+  return startDelay(state.coldStarts, { ahead: countWaiting(state), now });
+}
+
+/** Milliseconds until a cold target may be given its next request. */
+export function nextStartDelay(state: AdmissionState, now: number): number {
+  const { coldStarts } = state;
+  return coldStarts === null ? 0 : startDelay(coldStarts, { ahead: 0, now });
+}
+
+/** Whether requests wait for a start of a cold target, not for a slot. */
+export function waitsForColdStart(state: AdmissionState, now: number): boolean {
+  return state.running.size < Math.floor(state.limit) &&
+    countWaiting(state) > 0 && !isStartFree(state.coldStarts, now);
+}
--- a/source/core/admission/objective_first_test.ts
+++ b/source/core/admission/objective_first_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-  type AdmissionSettings,
-  type AdmissionState,
-  createAdmission,
-  stepAdmission,
-} from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import type { AdmissionSettings } from "./settings.ts";
+import { type AdmissionState, createAdmission } from "./state.ts";
 import { nextToStart, retryDelay } from "./objective_first.ts";
 
 const serviceMilliseconds = 100;
--- a/source/core/admission/service_times_test.ts
+++ b/source/core/admission/service_times_test.ts
@@ -1,12 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-  type AdmissionEffect,
-  type AdmissionEvent,
-  type AdmissionSettings,
-  createAdmission,
-  stepAdmission,
-} from "./admission.ts";
+import { stepAdmission } from "./admission.ts";
+import type { AdmissionEffect, AdmissionEvent } from "./events.ts";
+import type { AdmissionSettings } from "./settings.ts";
+import { createAdmission } from "./state.ts";
 import { recordServiceTime, type ServiceTimes } from "./service_times.ts";
 
 const settings: AdmissionSettings = {
--- /dev/null
+++ b/source/core/admission/settings.ts
@@ -0,0 +1,28 @@
+/**
+ * The settings of admission.
+ *
+ * @module
+ */
+
+/** A rank of requests; ranks are listed with the most urgent first. */
+export interface RankPolicy {
+  readonly name: string;
+  /** The part of the work guaranteed to the rank under overload, 0 to 1. */
+  readonly share: number;
+}
+
+/** The settings of admission. */
+export interface AdmissionSettings {
+  /** How many requests the target states that it runs concurrently. */
+  readonly slots: number;
+  readonly ranks: readonly RankPolicy[];
+  /** The maximum number of waiting requests, over all ranks. */
+  readonly queueLength: number;
+  /** The part of its slots that a new target is given at first, 0 to 1. */
+  readonly initialShare?: number;
+  /**
+   * The longest wait of a request that can no longer meet its objective; only
+   * its deadline bounds it when left out.
+   */
+  readonly maxLateWaitMilliseconds?: number;
+}
--- a/source/core/document/document.ts
+++ b/source/core/document/document.ts
@@ -11,7 +11,7 @@
  *
  * @module
  */
-import type { RankPolicy } from "../admission/admission.ts";
+import type { RankPolicy } from "../admission/settings.ts";
 import type { RequestLimits, Route } from "../routes/routes.ts";
 
 /** Why a section is refused; shown to its owner. */
--- a/source/core/load/target_load_test.ts
+++ b/source/core/load/target_load_test.ts
@@ -1,10 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import {
-  type AdmissionEvent,
-  createAdmission,
-  stepAdmission,
-} from "../admission/admission.ts";
+import { stepAdmission } from "../admission/admission.ts";
+import type { AdmissionEvent } from "../admission/events.ts";
+import { createAdmission } from "../admission/state.ts";
 import {
   expectedWithSlowness,
   recordSlowness,
--- a/source/mod.ts
+++ b/source/mod.ts
@@ -10,15 +10,19 @@
  *
  * @module
  */
+export { stepAdmission } from "./core/admission/admission.ts";
+export type {
+  AdmissionEffect,
+  AdmissionEvent,
+} from "./core/admission/events.ts";
+export type {
+  AdmissionSettings,
+  RankPolicy,
+} from "./core/admission/settings.ts";
 export {
-  type AdmissionEffect,
-  type AdmissionEvent,
-  type AdmissionSettings,
   type AdmissionState,
   createAdmission,
-  type RankPolicy,
-  stepAdmission,
-} from "./core/admission/admission.ts";
+} from "./core/admission/state.ts";
 export type { Agent, AgentId, Place } from "./core/agent.ts";
 export {
   addMilliseconds,
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -16,7 +16,7 @@
 import { openStore } from "../adapters/store/store_client.ts";
 import { openTarget } from "../adapters/targets/http_target.ts";
 import { readDocument } from "../adapters/document/yaml_document.ts";
-import type { AdmissionSettings } from "../core/admission/admission.ts";
+import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { type Agent, agentIdOf } from "../core/agent.ts";
 import {
   type Configuration,
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -26,7 +26,7 @@
 import { openHopLinks } from "../adapters/hops/hop_links.ts";
 import type { LogLevel } from "../adapters/logs/log.ts";
 import { servePeers } from "../adapters/hops/peer_server.ts";
-import type { AdmissionSettings } from "../core/admission/admission.ts";
+import type { AdmissionSettings } from "../core/admission/settings.ts";
 import {
   type Address,
   type Agent,
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -4,18 +4,20 @@
  * @module
  */
 import { Result } from "true-myth";
+import { stepAdmission } from "../core/admission/admission.ts";
+import type { FinishKind } from "../core/admission/concurrency_limit.ts";
+import { throughput } from "../core/admission/estimates.ts";
+import type {
+  AdmissionEffect,
+  AdmissionEvent,
+} from "../core/admission/events.ts";
 import {
-  type AdmissionEffect,
-  type AdmissionEvent,
-  type AdmissionSettings,
-  countWaiting,
-  createAdmission,
-  type FinishKind,
   nextStartDelay,
-  stepAdmission,
-  throughput,
   waitsForColdStart,
-} from "../core/admission/admission.ts";
+} from "../core/admission/expected_waits.ts";
+import { countWaiting } from "../core/admission/queue.ts";
+import type { AdmissionSettings } from "../core/admission/settings.ts";
+import { createAdmission } from "../core/admission/state.ts";
 import { describeSlowness } from "../core/load/target_load.ts";
 import type { Shortage } from "../core/admission/shortage.ts";
 import type { Client } from "../core/admission/fair_shares.ts";
--- a/source/tasks/serve_finish_test.ts
+++ b/source/tasks/serve_finish_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { Result } from "true-myth";
 import { testRequest } from "../../tests/test_request.ts";
-import type { FinishKind } from "../core/admission/admission.ts";
+import type { FinishKind } from "../core/admission/concurrency_limit.ts";
 import {
   type FailureReason,
   notRun,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Result } from "true-myth";
-import type { FinishKind } from "../core/admission/admission.ts";
+import type { FinishKind } from "../core/admission/concurrency_limit.ts";
 import type { Shortage } from "../core/admission/shortage.ts";
 import type { Client } from "../core/admission/fair_shares.ts";
 import type { AgentId } from "../core/agent.ts";
--- a/tests/crowd_simulation.ts
+++ b/tests/crowd_simulation.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
+import { stepAdmission } from "../source/core/admission/admission.ts";
+import type { AdmissionEvent } from "../source/core/admission/events.ts";
+import type { AdmissionSettings } from "../source/core/admission/settings.ts";
 import {
-  type AdmissionEvent,
-  type AdmissionSettings,
   type AdmissionState,
   createAdmission,
-  stepAdmission,
-} from "../source/core/admission/admission.ts";
+} from "../source/core/admission/state.ts";
 import type { Client } from "../source/core/admission/fair_shares.ts";
 import {
   type BookReturn,
