The wiring of the platform agent has a module for each side

Besides the connections between the tasks it held the listeners, the adapters, the departure and the settings of admission.

Nothing is started or closed in another order.

No test changes.

--- /dev/null
+++ b/source/programs/platform_adapters.ts
@@ -0,0 +1,48 @@
+/**
+ * The adapters of an agent on the platform: the common ones, the links to other
+ * agents, and the store.
+ *
+ * @module
+ */
+import type { PlatformSettings } from "../../platform/settings.ts";
+import { openPlatformStore } from "../../platform/store.ts";
+import { linkSenderOf } from "../adapters/hops/hop_deduplication.ts";
+import { openHopLinks } from "../adapters/hops/hop_links.ts";
+import type { LogLevel } from "../adapters/logs/log.ts";
+import { startStoreEra } from "../tasks/store_era_task.ts";
+import { monotonicNow } from "../tasks/time.ts";
+import { openCommonAdapters, reportSilence } from "./common_adapters.ts";
+import { connections, links } from "./platform_policy.ts";
+
+interface AdapterOptions {
+  readonly id: string;
+  readonly logLevel: LogLevel;
+  readonly writeLog: (line: string) => void;
+}
+
+/** Opens the common adapters, the links to other agents and the store. */
+export function openPlatformAdapters(
+  settings: PlatformSettings,
+  options: AdapterOptions,
+) {
+  const common = openCommonAdapters({ ...options, connections });
+  const storeEra = startStoreEra(common);
+  const store = openPlatformStore({
+    address: settings.store,
+    ...common,
+    onEra: storeEra.handleAnswer,
+  });
+  const forwarder = openHopLinks({
+    settings: links,
+    now: monotonicNow,
+    clock: common.clock,
+    sender: linkSenderOf(options.id),
+    depart: common.stampDeparture,
+    onSilence: reportSilence(common.events),
+    largeBodyForwarder: common.forwarder,
+  });
+  return { ...common, forwarder, store, storeEra };
+}
+
+/** The adapters of an agent on the platform. */
+export type PlatformAdapters = ReturnType<typeof openPlatformAdapters>;
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -7,6 +7,8 @@
 import type { PlatformSettings } from "../../platform/settings.ts";
 import type { HopLinkSettings } from "../adapters/hops/hop_links.ts";
 import type { ConnectionSettings } from "../adapters/targets/connection_pool.ts";
+import type { AdmissionSettings } from "../core/admission/settings.ts";
+import { type Configuration, serviceNamed } from "../core/document/document.ts";
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
 import type { RetrySettings } from "../core/retry/retry.ts";
 import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
@@ -121,14 +123,30 @@
  * The share of its slots that a new target is given at once. Targets report
  * their slots and refuse requests beyond them, so no warm-up is needed.
  */
-export const initialSlotShare = 1;
+const initialSlotShare = 1;
 /** Maximum wait for a slot of a request that has missed its objective. */
-export const maxLateWaitMilliseconds = 100;
+const maxLateWaitMilliseconds = 100;
 /** More than any desired state allows callers to send. */
 export const maxHeaderBytes = 65_536;
 /** Bodies up to this size are retained, so that they can be sent again. */
 export const maxRetainedBodyBytes = 524_288;
 
+/** Settings of the admission of a service's target with so many slots. */
+export function admissionSettings(
+  configuration: Configuration,
+  target: { readonly service: string; readonly slots: number },
+): AdmissionSettings {
+  const service = serviceNamed(configuration, target.service);
+  const { ranks } = configuration;
+  return {
+    slots: target.slots,
+    ranks: ranks.length > 0 ? ranks : [{ name: "any", share: 0 }],
+    queueLength: service?.queueLength ?? servicePolicy.queueLength,
+    initialShare: initialSlotShare,
+    maxLateWaitMilliseconds,
+  };
+}
+
 /** The maximum time between sending an order to a target and its effect. */
 const maxOrderDelayMilliseconds = 12_500;
 /** The share by which the clock of a target may run slow. */
--- /dev/null
+++ b/source/programs/platform_requests.ts
@@ -0,0 +1,136 @@
+/**
+ * The tasks of an agent on the platform through which requests pass: the entry
+ * for callers, and what serves requests with the target beside the agent.
+ *
+ * @module
+ */
+import type { PlatformSettings } from "../../platform/settings.ts";
+import { hashText } from "../adapters/hashing.ts";
+import type { Agent } from "../core/agent.ts";
+import type { Configuration } from "../core/document/document.ts";
+import { allowsRegion } from "../core/routes/allowed_regions.ts";
+import {
+  cachedRouteIndex,
+  hostOfAuthority,
+  type Route,
+} from "../core/routes/routes.ts";
+import {
+  pickAnyPair,
+  pickPairBySlots,
+} from "../core/routing/candidate_pairs.ts";
+import type { ProxyRequest } from "../ports/upstream.ts";
+import type { AdmissionTask } from "../tasks/admission_task.ts";
+import {
+  type BodyAdmissionTask,
+  startBodyAdmission,
+} from "../tasks/body_admission_task.ts";
+import type { Coordinator } from "../tasks/coordinator.ts";
+import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
+import type { EvacuationsTask } from "../tasks/evacuations_task.ts";
+import type { RegistrationTask } from "../tasks/registration_task.ts";
+import { type ServeTask, startServing } from "../tasks/serve_task.ts";
+import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
+import type { PlatformAdapters } from "./platform_adapters.ts";
+import {
+  bodyAdmissionTickMilliseconds,
+  minTableAgeMilliseconds,
+  retrySettings,
+} from "./platform_policy.ts";
+
+/** The tasks through which requests pass. */
+export interface RequestTasks {
+  readonly bodyAdmission: BodyAdmissionTask;
+  readonly serve: ServeTask;
+  readonly entry: EntryTask;
+  readonly gate: StopGate;
+}
+
+type ServingOptions = Parameters<typeof startServing>[0];
+type EntryOptions = Parameters<typeof startEntry>[0];
+
+/** What these tasks use of the agent. */
+interface RequestTaskOptions {
+  readonly adapters: PlatformAdapters;
+  readonly agent: Agent;
+  readonly registration: RegistrationTask;
+  /** Null where data centres are not evacuated. */
+  readonly evacuations: EvacuationsTask | null;
+  readonly coordinator: Coordinator;
+  readonly admission: AdmissionTask;
+  readonly target: ServingOptions["target"];
+  readonly place: EntryOptions["place"];
+}
+
+/** Starts the tasks through which requests pass. */
+export function startRequestTasks(
+  settings: PlatformSettings,
+  options: RequestTaskOptions,
+): RequestTasks {
+  const { agent, registration, evacuations, coordinator } = options;
+  const { admission, target, place } = options;
+  const { events, metrics, peers, forwarder, pendingInput } = options.adapters;
+  const bodyAdmission = startBodyAdmission({
+    service: settings.service,
+    accepts: registration.accepts,
+    events,
+    tickMilliseconds: bodyAdmissionTickMilliseconds,
+  });
+  const gate = startStopGate();
+  const routeOf = routeOfRequest(coordinator.configuration);
+  const serve = startServing({
+    mayBegin: (request) =>
+      gate.mayBegin(request) &&
+      registration.acceptsWaiting({ keyed: request.key !== null }),
+    service: settings.service,
+    entry: agent.id,
+    holder: coordinator.holder,
+    admission,
+    workOf: (request) => routeOf(request)?.name ?? null,
+    allowsRegion: (request) =>
+      allowsRegion(
+        routeOf(request)?.allowedRegions ?? [],
+        settings.place.region,
+      ),
+    accepts: registration.accepts,
+    target,
+    readPendingInput: pendingInput.readPending,
+    events,
+    metrics,
+  });
+  const entry = startEntry({
+    ...(evacuations === null ? {} : { evacuated: evacuations.evacuated }),
+    mayBegin: gate.mayBegin,
+    agent,
+    agents: () => coordinator.gossip.agents(),
+    configuration: coordinator.configuration,
+    localTable: coordinator.table,
+    serve,
+    forwarder,
+    peers,
+    events,
+    metrics,
+    hash: hashText,
+    place,
+    random: Math.random,
+    pickPair: settings.bounds.coldRate === null ? pickAnyPair : pickPairBySlots,
+    readPendingInput: pendingInput.readPending,
+    retries: () => retrySettings(settings, coordinator.gossip.agents().length),
+    minTableAgeMilliseconds,
+  });
+  return { bodyAdmission, serve, entry, gate };
+}
+
+/**
+ * Finds the route of a request by the configuration in force here. It names the
+ * kind of work: requests of one route take similar time, those of different
+ * routes may not.
+ */
+function routeOfRequest(
+  configuration: () => Configuration,
+): (request: ProxyRequest) => Route | null {
+  const routesOf = cachedRouteIndex();
+  return ({ authority, path }) => {
+    const findRoute = routesOf(configuration().hostRoutes);
+    return findRoute(hostOfAuthority(authority), path);
+  };
+}
