Measure the gap between an owner's returns without pauses

The gap between two returns of callers that an owner refused was counted from the owner's last return, however long ago. After a pause of seconds the mean gap was more than a second, and callers that the entry refused itself were told a third of their time for the whole next burst. Replies that were themselves the longest wait of their callers counted as well, though the owner has booked nothing for these.

The gap counts from the later one of the owner's last return and the reply, and is at most 250 ms. After 5 s without a return it is forgotten. A reply that is within 5 ms of its caller's longest wait (hops take 5 ms off the deadline) still moves the last return, as a lower bound, but not the gap. So that this can be seen, the entry gives the deadline with the reply.

--- a/source/core/routing/overloaded_owners.ts
+++ b/source/core/routing/overloaded_owners.ts
@@ -48,6 +48,8 @@
   /** Whether it was refused because the queue was full. */
   readonly full: boolean;
   readonly retryAfterMilliseconds: number | null;
+  /** The deadline of the request; not known when left out. */
+  readonly deadlineAt?: number;
   readonly now: number;
 }
 
@@ -68,6 +70,18 @@
 const maxOwners = 1_024;
 /** The part of a newly observed gap between returns in their mean. */
 const gapSmoothingFactor = 0.2;
+/**
+ * A longer gap shows a pause between refusals or the wait for the first return,
+ * not the distance of two returns.
+ */
+const maxGapMilliseconds = 250;
+/** Returns that lie this far back say nothing about the next ones. */
+const gapRetentionMilliseconds = 5_000;
+/**
+ * How much sooner than by the entry's own calculation a caller may have to
+ * return at the latest: hops take some time off its deadline.
+ */
+const longestWaitToleranceMilliseconds = 5;
 
 function keyOf({ owner, rank }: OwnerRank): string {
   return `${owner} ${rank}`;
@@ -110,7 +124,7 @@
     accepted: current.accepted + (full ? 0 : 1),
     countedAt: now,
     ...(full && retryAfterMilliseconds !== null
-      ? returnsAfterRefusal(current, now + retryAfterMilliseconds)
+      ? returnsAfterRefusal(current, { ...reply, retryAfterMilliseconds })
       : returnsOf(current)),
   });
   const [oldest] = next.keys();
@@ -129,17 +143,51 @@
   return { returnsAt, ownerReturnsAt, returnGapMilliseconds };
 }
 
-function returnsAfterRefusal(recent: Returns, toldAt: number): Returns {
-  const { ownerReturnsAt, returnGapMilliseconds } = recent;
-  const gap = Math.max(0, toldAt - (ownerReturnsAt ?? toldAt));
+function returnsAfterRefusal(
+  recent: Returns,
+  reply: {
+    readonly retryAfterMilliseconds: number;
+    readonly deadlineAt?: number;
+    readonly now: number;
+  },
+): Returns {
+  const { retryAfterMilliseconds, deadlineAt = Infinity, now } = reply;
+  const toldAt = now + retryAfterMilliseconds;
+  const { ownerReturnsAt, returnGapMilliseconds } = withoutOldGap(recent, now);
+  const returnsAt = Math.max(recent.returnsAt ?? toldAt, toldAt);
+  // The longest wait of a caller isn't a time that the owner has booked.
+  const longest = longestWait({ deadlineAt, now }) -
+    longestWaitToleranceMilliseconds;
+  if (retryAfterMilliseconds >= longest) {
+    return { returnsAt, ownerReturnsAt, returnGapMilliseconds };
+  }
+  if (ownerReturnsAt === null) {
+    return { returnsAt, ownerReturnsAt: toldAt, returnGapMilliseconds };
+  }
+  // Nobody was due to return between the owner's last return and now.
+  const sinceLast = toldAt - Math.max(ownerReturnsAt, now);
+  const gap = Math.min(maxGapMilliseconds, Math.max(0, sinceLast));
   return {
-    returnsAt: Math.max(recent.returnsAt ?? toldAt, toldAt),
+    returnsAt,
     ownerReturnsAt: toldAt,
     returnGapMilliseconds: returnGapMilliseconds +
       (gap - returnGapMilliseconds) * gapSmoothingFactor,
   };
 }
 
+/** Forgets a gap that was observed long ago. */
+function withoutOldGap(recent: Returns, now: number): Returns {
+  const { ownerReturnsAt } = recent;
+  const isOld = ownerReturnsAt !== null &&
+    now - ownerReturnsAt > gapRetentionMilliseconds;
+  if (!isOld) return recent;
+  return {
+    ...recent,
+    ownerReturnsAt: null,
+    returnGapMilliseconds: minRetryMilliseconds,
+  };
+}
+
 /**
  * Gives a caller that the entry refuses the next time to return. One that can't
  * wait for it returns as late as it can, and takes no time from the others.
--- a/source/core/routing/overloaded_owners_test.ts
+++ b/source/core/routing/overloaded_owners_test.ts
@@ -167,4 +167,55 @@
       return delay;
     }, lastByOwner);
   });
+
+  const name = { owner: "host-1/a", rank: 0 };
+
+  // Guards against gaps measured over the pause between two bursts: from the
+  // second one on, all callers were told a third of their time.
+  for (const pauseMilliseconds of [2_000, 7_000]) {
+    it(`wait no longer after a pause of ${pauseMilliseconds} ms`, () => {
+      const random = seededRandom(31);
+      let owners = noOverloadedOwners;
+      const medians = [0, 1, 2, 3].map((burst) => {
+        const from = burst * (1_000 + pauseMilliseconds);
+        const delays: number[] = [];
+        for (let now = from; now < from + 1_000; now += 20) {
+          const asked = { ...name, now, deadlineAt: now + 4_000 };
+          const next = decideSending(owners, asked, random);
+          owners = next.owners;
+          if (next.decision.kind === "refuse") {
+            delays.push(next.decision.retryAfterMilliseconds ?? 0);
+            continue;
+          }
+          const reply = { full: true, retryAfterMilliseconds: 18 };
+          owners = recordReply(owners, { ...asked, ...reply });
+        }
+        return delays.sort((a, b) => a - b)[delays.length >> 1] ?? 0;
+      });
+      const [first = 0, ...later] = medians;
+      assert.ok(later.every((delay) => delay <= first * 1.5), medians.join());
+    });
+  }
+
+  // Guards against gaps between bookings of the owner and the longest waits of
+  // callers for which it has booked nothing.
+  it("are as far apart as callers that the owner has given a time", () => {
+    let owners = noOverloadedOwners;
+    for (let now = 0; now < 400; now += 10) {
+      const isShort = now % 20 === 0;
+      const deadlineAt = now + (isShort ? 600 : 10_000);
+      // The hop takes 5 ms off the deadline.
+      const retryAfterMilliseconds = isShort ? 595 / 3 : 1_000 + now * 1.5;
+      const reply = { ...name, full: true, retryAfterMilliseconds };
+      owners = recordReply(owners, { ...reply, deadlineAt, now });
+    }
+    const asked = { ...name, now: 400, deadlineAt: 20_000 };
+    const first = decideSending(owners, asked, () => 0);
+    const second = decideSending(first.owners, asked, () => 0);
+    const delays = [first, second].map(({ decision }) =>
+      decision.kind === "refuse" ? decision.retryAfterMilliseconds ?? 0 : 0
+    );
+    const distance = (delays[1] ?? 0) - (delays[0] ?? 0);
+    assert.ok(distance >= 40 && distance <= 60, delays.join());
+  });
 });
--- a/source/tasks/owner_admission.ts
+++ b/source/tasks/owner_admission.ts
@@ -21,9 +21,17 @@
 /** Decides on requests to owners by how earlier ones ended. */
 export interface OwnerAdmission {
   /** Whether a request may be sent to its owner. */
-  decide(request: OwnerRank & { readonly deadlineAt: number }): OwnerDecision;
+  decide(request: OwnerRequest): OwnerDecision;
   /** Must be called with the result of each request sent to its owner. */
-  recordReply(request: OwnerRank, result: Result<ProxyAnswer, Failure>): void;
+  recordReply(
+    request: OwnerRequest,
+    result: Result<ProxyAnswer, Failure>,
+  ): void;
+}
+
+/** What is used of a request for an owner. */
+export interface OwnerRequest extends OwnerRank {
+  readonly deadlineAt: number;
 }
 
 /** Reasons of failures that do not show whether the owner is overloaded. */
