Ask less often for loans of retries that bring nothing

Under a general overload the budgets of all agents are low. Each failed attempt then asked an agent that had nothing to lend, up to ten times a second for each service and agent, also after decisions that don't depend on the budget, such as a retry at the end of a handover.

The interval between two calls doubles with each one that brings nothing, from 100 ms to 3 s, and is 100 ms again after a loan. Only decisions that took a retry from the budget or only lacked one ask. A decision says so in usesBudget; for that, the number of allowed attempts is checked before the budget, which changes no outcome.

--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -55,8 +55,15 @@
     readonly kind: "retry";
     readonly delayMilliseconds: number;
     readonly budget: RetryBudget;
+    /** Whether the retry was taken from the budget. */
+    readonly usesBudget: boolean;
   }
-  | { readonly kind: "giveUp"; readonly budget: RetryBudget };
+  | {
+    readonly kind: "giveUp";
+    readonly budget: RetryBudget;
+    /** Whether only the budget was missing for a retry. */
+    readonly usesBudget: boolean;
+  };
 
 /** The budget that an agent starts with. */
 export function createRetryBudget(settings: RetrySettings): RetryBudget {
@@ -135,7 +142,8 @@
 ): RetryDecision {
   const { budget } = options;
   const { reason, outcome } = failed.failure;
-  const giveUp: RetryDecision = { kind: "giveUp", budget };
+  const giveUp: RetryDecision = { kind: "giveUp", budget, usesBudget: false };
+  const free = { kind: "retry", budget, usesBudget: false } as const;
   if (finalReasons.has(reason) || !failed.bodyRepeatable) return giveUp;
   if (outcome === "unknown" && !failed.idempotent) return giveUp;
   const delay = retryDelay(failed.attempt, options);
@@ -144,23 +152,24 @@
     const waited = failed.now - failed.beganAt;
     if (waited > maxHandoverWait(failed, options.settings)) return giveUp;
     const delayMilliseconds = failed.redirected ? 0 : delay;
-    return { kind: "retry", delayMilliseconds, budget };
+    return { ...free, delayMilliseconds };
   }
   if (failed.keyed && reason === "region-not-allowed") return giveUp;
   if (otherTargetReasons.has(reason)) {
     if (failed.attempt >= maxAgentsAsked) return giveUp;
     const delayMilliseconds = failed.keyed ? delay : 0;
-    return { kind: "retry", delayMilliseconds, budget };
+    return { ...free, delayMilliseconds };
   }
   if (failed.keyed && reason === "queue-full") return giveUp;
-  if (budget.saved < 1) return giveUp;
   if (failed.maxAttempts !== null && failed.reached >= failed.maxAttempts) {
     return giveUp;
   }
+  if (budget.saved < 1) return { ...giveUp, usesBudget: true };
   return {
     kind: "retry",
     delayMilliseconds: delay,
     budget: { saved: budget.saved - 1 },
+    usesBudget: true,
   };
 }
 
--- a/source/core/retry/retry_loans.ts
+++ b/source/core/retry/retry_loans.ts
@@ -13,6 +13,11 @@
 /** A part of its budget that an agent keeps, and below which it borrows. */
 const keptShare = 0.5;
 
+/** A budget borrows no more often than this. */
+export const minLoanIntervalMilliseconds = 100;
+/** The longest interval: retries are lent again soon after an overload ends. */
+const maxLoanIntervalMilliseconds = 3_000;
+
 /** How many retries to borrow; null when the budget is not low. */
 export function loanWanted(
   { saved }: RetryBudget,
@@ -42,6 +47,18 @@
   return { saved: Math.max(budget.saved, saved) };
 }
 
+/**
+ * The time from one request for a loan to the next. It grows while nothing is
+ * granted: under a general overload no agent has anything to lend.
+ */
+export function nextLoanInterval(
+  lastMilliseconds: number,
+  granted: number,
+): number {
+  if (granted > 0) return minLoanIntervalMilliseconds;
+  return Math.min(maxLoanIntervalMilliseconds, lastMilliseconds * 2);
+}
+
 /**
  * Whom to ask: a random other agent, in the own region if there is one, since
  * links between regions are the most expensive. Null without any.
--- a/source/core/retry/retry_test.ts
+++ b/source/core/retry/retry_test.ts
@@ -19,7 +19,7 @@
 const firstAttempt = {
   attempt: 1,
   reached: 1,
-  maxAttempts: null,
+  maxAttempts: null as number | null,
   idempotent: false,
   keyed: false,
   redirected: false,
@@ -107,6 +107,15 @@
   });
 
   describe("of requests that are all refused", () => {
+    // Guards against calls for loans that would allow no further retry.
+    it("use the budget unless they are free or not allowed", () => {
+      const full = notRun("queue-full");
+      assert.equal(decide(full).usesBudget, true);
+      assert.equal(decide(full, { maxAttempts: 1 }).usesBudget, false);
+      assert.equal(decide(notRun("moving")).usesBudget, false);
+      assert.equal(decide(notRun("deadline-passed")).usesBudget, false);
+    });
+
     it("stay within the budget for any number of requests", () => {
       fc.assert(
         fc.property(fc.integer({ min: 100, max: 2_000 }), (requests) => {
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -206,7 +206,7 @@
         budget: budgets.of(request.service),
         random,
       });
-      budgets.set(request.service, decision.budget);
+      if (decision.usesBudget) budgets.set(request.service, decision.budget);
       const givesUp = decision.kind === "giveUp" || request.signal.aborted;
       events.record(givesUp ? "request-given-up" : "request-retried", {
         request: request.id,
@@ -227,7 +227,8 @@
   }
 
   function decideToGiveUp(request: ProxyRequest): RetryDecision {
-    return { kind: "giveUp", budget: budgets.of(request.service) };
+    const budget = budgets.of(request.service);
+    return { kind: "giveUp", budget, usesBudget: false };
   }
 
   async function attemptOnce(
--- a/source/tasks/retry_budgets.ts
+++ b/source/tasks/retry_budgets.ts
@@ -17,6 +17,8 @@
   chooseLender,
   lendRetries,
   loanWanted,
+  minLoanIntervalMilliseconds,
+  nextLoanInterval,
 } from "../core/retry/retry_loans.ts";
 import type { Events } from "../ports/events.ts";
 import type { Metrics } from "../ports/metrics.ts";
@@ -28,15 +30,15 @@
   of(service: string): RetryBudget;
   /** Adds what one request earns. */
   earn(service: string): void;
-  /** Replaces a budget after a decision on it. */
+  /**
+   * Replaces a budget after a decision that took from it or found it empty, and
+   * asks for a loan if it is low.
+   */
   set(service: string, budget: RetryBudget): void;
   /** Lends to another agent. */
   lend(request: RetryLoanRequest): RetryLoan;
 }
 
-/** A budget borrows no more often than this. */
-const minLoanIntervalMilliseconds = 100;
-
 /** Starts with a full budget for each service. */
 export function startRetryBudgets(options: {
   readonly agent: Agent;
@@ -50,12 +52,18 @@
   const budgets = new Map<string, RetryBudget>();
   /** When each service last asked for a loan. */
   const askedAt = new Map<string, number>();
+  /** How long each service waits before it asks again. */
+  const intervals = new Map<string, number>();
   const borrowing = new Set<string>();
 
   function of(service: string): RetryBudget {
     return budgets.get(service) ?? createRetryBudget(options.settings());
   }
 
+  function intervalOf(service: string): number {
+    return intervals.get(service) ?? minLoanIntervalMilliseconds;
+  }
+
   function set(service: string, budget: RetryBudget): void {
     budgets.set(service, budget);
     const settings = options.settings();
@@ -63,7 +71,7 @@
     const wanted = loanWanted(budget, settings);
     if (loanTimeoutMilliseconds === undefined || wanted === null) return;
     const sinceLast = monotonicNow() - (askedAt.get(service) ?? -Infinity);
-    if (sinceLast < minLoanIntervalMilliseconds) return;
+    if (sinceLast < intervalOf(service)) return;
     if (borrowing.has(service)) return;
     const lender = chooseLender(
       options.agent,
@@ -88,6 +96,7 @@
     });
     borrowing.delete(service);
     const granted = reply.isOk ? reply.value.granted : 0;
+    intervals.set(service, nextLoanInterval(intervalOf(service), granted));
     if (granted <= 0) return;
     const budget = addLoan(of(service), granted, options.settings());
     budgets.set(service, budget);
