Keep new work at or above zero when callers don't return

Work that was due to return was subtracted from the work that arrived even if its callers had gone elsewhere. New work fell below zero and made up for later requests, so that returns were booked too close together. It now stops at zero. The due returns are kept in order of time, as their doc comment says; settling uses that.

Ten callers of 100 ms that don't come back, then 1,500 ms of new work on two slots: the next two returns were 64 ms apart, and are 111 ms apart, which is 100 ms of work in the 0.9 slots that are left.

--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -22,7 +22,7 @@
 }
 
 interface RankReturns {
-  /** New work that has arrived, as time in a slot; decays. */
+  /** New work that has arrived, as time in a slot, at least 0; decays. */
   readonly newMilliseconds: number;
   /** Until when capacity for returning requests is booked. */
   readonly bookedUntil: number;
@@ -162,8 +162,7 @@
 /** New work of a rank and those above, as slots in use. */
 function newWorkUpTo(schedule: ReturnSchedule, rank: number): number {
   return schedule.ranks.slice(0, rank + 1).reduce(
-    (sum, { newMilliseconds }) =>
-      sum + Math.max(0, newMilliseconds) / decayMilliseconds,
+    (sum, { newMilliseconds }) => sum + newMilliseconds / decayMilliseconds,
     0,
   );
 }
@@ -193,25 +192,30 @@
     newMilliseconds: rank.newMilliseconds * factor,
   }));
   const settledAt = Math.max(schedule.settledAt, now);
-  const isDue = ({ at }: DueReturns) => at <= now;
-  const due = schedule.due.filter((returns) => !isDue(returns));
-  return schedule.due.filter(isDue).reduce<ReturnSchedule>(
+  const later = schedule.due.findIndex(({ at }) => at > now);
+  const count = later < 0 ? schedule.due.length : later;
+  const due = schedule.due.slice(count);
+  return schedule.due.slice(0, count).reduce<ReturnSchedule>(
     (settled, { rank, milliseconds }) =>
       addNewWork(settled, rank, -milliseconds),
     { ranks, due, settledAt },
   );
 }
 
+/**
+ * Adds to the new work of a rank. Callers that were due may have gone elsewhere,
+ * so what is subtracted for them is at most what has arrived.
+ */
 function addNewWork(
   schedule: ReturnSchedule,
   rank: number,
   milliseconds: number,
 ): ReturnSchedule {
-  const ranks = withRank(schedule.ranks, rank).map((other, index) =>
-    index === rank
-      ? { ...other, newMilliseconds: other.newMilliseconds + milliseconds }
-      : other
-  );
+  const ranks = withRank(schedule.ranks, rank).map((other, index) => {
+    if (index !== rank) return other;
+    const sum = Math.max(0, other.newMilliseconds + milliseconds);
+    return { ...other, newMilliseconds: sum };
+  });
   return { ...schedule, ranks };
 }
 
@@ -238,8 +242,8 @@
     const due = schedule.due.with(same, { rank, at: end, milliseconds: sum });
     return { ...schedule, due };
   }
-  return {
-    ...schedule,
-    due: [...schedule.due, { rank, at: end, milliseconds }],
-  };
+  const later = schedule.due.findIndex((other) => other.at > end);
+  const index = later < 0 ? schedule.due.length : later;
+  const added = { rank, at: end, milliseconds };
+  return { ...schedule, due: schedule.due.toSpliced(index, 0, added) };
 }
--- a/source/core/admission/return_schedule_test.ts
+++ b/source/core/admission/return_schedule_test.ts
@@ -10,6 +10,7 @@
   type BookReturn,
   bookReturn,
   noReturns,
+  recordArrival,
   type RefusedReturn,
 } from "./return_schedule.ts";
 
@@ -144,6 +145,41 @@
     });
   });
 
+  describe("whose callers go elsewhere instead of returning", () => {
+    // Guards against returns that are booked too close together: work that did
+    // not come was taken from that of later requests.
+    it("leaves new work the capacity that it needs", () => {
+      const ten = Array.from({ length: 10 }, () => refused);
+      const returns = ten.reduce(
+        (schedule, next) => bookReturn(schedule, next, capacity).schedule,
+        noReturns,
+      );
+      const now = 1_600;
+      // It keeps one of the two slots in use.
+      const work = { rank: 0, milliseconds: 1_500, now };
+      const busy = recordArrival(returns, work);
+      const first = bookReturn(busy, { ...refused, now }, capacity);
+      const second = bookReturn(first.schedule, { ...refused, now }, capacity);
+      const [from = 0, to = 0] = delays([first.booked, second.booked]);
+      // 100 ms in what is left of two slots, without the lower rank's share.
+      assert.equal(to - from, Math.round(100 / (2 * 0.95 - 1)));
+    });
+  });
+
+  describe("that are booked out of order", () => {
+    it("are kept in order of time", () => {
+      const waits = [400, 40, 200, 90];
+      const { due } = waits.reduce((schedule, waitMilliseconds, index) => {
+        const next = { ...refused, rank: 3 - index, waitMilliseconds };
+        const shares = [0, 0, 0, 0];
+        return bookReturn(schedule, next, { ...capacity, shares }).schedule;
+      }, noReturns);
+      const times = due.map(({ at }) => at);
+      assert.equal(times.length, waits.length);
+      assert.deepEqual(times, times.toSorted((a, b) => a - b));
+    });
+  });
+
   describe("beyond what the caller can wait", () => {
     it("has it return as late as it can, and says when there is room", () => {
       const booked = bookAll([{ waitMilliseconds: 500, deadlineAt: 1_300 }]);
