--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -110,13 +110,13 @@
   // With a listener the server does not close connections that time out.
   server.on("timeout", (socket: Socket) => {
     const entry = bySocket.get(socket);
-    if (entry === undefined || entry.responses.size === 0) {
-      return void socket.destroy();
+    const [first] = entry?.responses.values() ?? [];
+    if (entry === undefined || first === undefined) {
+      // Idle after an answer; a new connection has the time for its head.
+      if (socket.timeout !== server.timeout) socket.destroy();
+    } else if (first.answerBytes > 0) {
+      close(entry.connection, "answer-unread");
     }
-    const unread = [...entry.responses.values()].some(({ answerBytes }) =>
-      answerBytes > 0
-    );
-    if (unread) close(entry.connection, "answer-unread");
   });
 
   function apply(event: HeldMemoryEvent): readonly HeldMemoryEffect[] {
--- a/tests/test_listener.ts
+++ b/tests/test_listener.ts
@@ -10,7 +10,9 @@
   type ListenerKind,
   openHttpListener,
 } from "../source/adapters/callers/http_listener.ts";
+import type { CallerBounds } from "../source/adapters/callers/caller_load.ts";
 import { startLogicalClock } from "../source/adapters/logs/logical_clock.ts";
+import { startMetrics } from "../source/adapters/logs/metrics.ts";
 import { startPendingInputGate } from "../source/adapters/callers/pending_input.ts";
 import { createTransitDelayMeter } from "../source/adapters/hops/transit.ts";
 import type { Configuration } from "../source/core/document/document.ts";
@@ -24,6 +26,8 @@
   readonly configuration: Configuration;
   readonly maxHeaderBytes: number;
   readonly handle: HandleRequest;
+  /** Bounds for callers; none when left out. */
+  readonly callerBounds?: CallerBounds;
 }): Promise<HttpListener> {
   const opened = await openHttpListener({
     ...options,
@@ -38,6 +42,14 @@
     pendingInput: startPendingInputGate(),
     onAbandoned: () => undefined,
     clock: startLogicalClock(),
+    ...(options.callerBounds === undefined ? {} : {
+      callerLoad: {
+        bounds: options.callerBounds,
+        events: { record: () => undefined },
+        metrics: startMetrics(),
+        countPassedBytes: () => undefined,
+      },
+    }),
   });
   assert.ok(opened.isOk);
   return opened.value;
