Bound the rank of running requests when ranks are removed

A request of the last rank that ended after the configuration had removed its rank threw a RangeError out of the mailbox: the service time was set beyond the end of the list, and the slot stayed in use. An arriving request of a removed rank was judged by its raw index, for which no service time is known, so that it could wait in vain.

Running requests now move to the last rank with the waiting ones, and an arriving request is judged by the rank at which it waits. The lists for each rank (offered, use, credits, serviceMilliseconds) are then only read and set by ranks that exist.

Measured: both new tests fail before and pass after.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -115,7 +115,7 @@
 ): RefusedRequest | null {
   if (event.kind === "arrived" && event.id === id) {
     const rank = waitingRank(before, event);
-    return describeRefused(before, arrivedRequest(before, event), rank);
+    return describeRefused(before, arrivedRequest(before, event, rank), rank);
   }
   for (const [rank, queue] of before.waiting.entries()) {
     const entry = queue.find((entry) => entry.id === id);
@@ -138,9 +138,9 @@
   event: EventOf<"arrived">,
 ): AdmissionTransition {
   const { now } = event;
-  const entry = arrivedRequest(before, event);
-  const refused = reasonToRefuse(before, entry, event);
   const rank = waitingRank(before, event);
+  const entry = arrivedRequest(before, event, rank);
+  const refused = reasonToRefuse(before, entry, { rank, now });
   const state = recordOffered(before, { rank, work: entry.work, now });
   if (refused !== null) return { state, effects: [refuse(entry, refused)] };
   const evicted = evictOverflow(enqueue(state, rank, entry), now);
@@ -153,8 +153,9 @@
 function arrivedRequest(
   state: AdmissionState,
   event: EventOf<"arrived">,
+  rank: number,
 ): WaitingRequest {
-  const { id, rank, work = null, keyed = false, deadlineAt } = event;
+  const { id, work = null, keyed = false, deadlineAt } = event;
   const { client = unknownClient, objectiveAt: orderAt = deadlineAt } = event;
   const isShort = isShortWork(state, { rank, work });
   const objectiveAt = isShort ? deadlineAt : orderAt;
@@ -206,8 +207,8 @@
 }
 
 /**
- * Ranks may change with the configuration. Waiting requests keep the index of
- * their rank; those of removed ranks move to the last one.
+ * Ranks may change with the configuration. Requests keep the index of their
+ * rank; those of removed ranks, waiting or running, move to the last one.
  */
 function applySettings(
   state: AdmissionState,
@@ -217,6 +218,7 @@
   return {
     ...state,
     settings,
+    running: withinRanks(state.running, ranks.length),
     waiting: resizeQueues(state.waiting, ranks.length),
     limit: resizedLimit(state, settings),
     offered: ranks.map((_, rank) => state.offered[rank] ?? noOfferedWork),
@@ -228,6 +230,17 @@
   };
 }
 
+/** Moves the running requests of removed ranks to the last one. */
+function withinRanks(
+  running: AdmissionState["running"],
+  count: number,
+): AdmissionState["running"] {
+  const moved = [...running].map(([id, request]) =>
+    [id, { ...request, rank: Math.min(request.rank, count - 1) }] as const
+  );
+  return new Map(moved);
+}
+
 /** Refuses the waiting requests that a target that became cold can't start. */
 function applyColdRate(
   state: AdmissionState,
--- a/source/core/admission/admission_test.ts
+++ b/source/core/admission/admission_test.ts
@@ -146,6 +146,39 @@
     });
   });
 
+  describe("after a rank was removed", () => {
+    const removed = { ...settings, ranks: settings.ranks.slice(0, 2) };
+
+    // Guards against a slot that stays in use: the end of the request failed.
+    it("ends a running request of it and measures it as the last", () => {
+      const times = { deadlineAt: 1_000, now: 10 };
+      const arrived = { kind: "arrived", id: 1, rank: 2, ...times } as const;
+      const events: readonly AdmissionEvent[] = [
+        arrived,
+        { kind: "settings", settings: removed },
+        { kind: "finished", id: 1, finish: "answered", now: 60 },
+      ];
+      const state = events.reduce<AdmissionState>(
+        (state, event) => stepAdmission(state, event).state,
+        createAdmission(settings),
+      );
+      assert.equal(state.running.size, 0);
+      assert.deepEqual(state.serviceMilliseconds, [0, 50]);
+    });
+
+    // Guards against requests that wait in vain: no time was known for them.
+    it("judges an arriving request of it by the last", () => {
+      const state = {
+        ...createAdmission(removed),
+        serviceMilliseconds: [50, 50],
+      };
+      const times = { deadlineAt: 30, now: 0 };
+      const arrived = { kind: "arrived", id: 1, rank: 2, ...times } as const;
+      const { effects } = stepAdmission(state, arrived);
+      assert.deepEqual(effects.map(({ kind }) => kind), ["refuse"]);
+    });
+  });
+
   describe("under any order of events", () => {
     const events = fc.array(
       fc.oneof(
