Count the requests ahead on a cold target by turn while clients compete

The wait for a start of a cold target counted every waiting request of the rank, whoever sent it. A client that asked for less than its share was refused on arrival for the requests of one that floods the target, and never competed with it.

While clients compete, the starts ahead are counted by fair shares, and each start is the same use, as starts are the limit and not slots. The client that has most, and whose last request is refused, is found by the same measure.

The new test fails before.

The simulation of crowds can make its target cold.

--- a/source/core/admission/cold_start.ts
+++ b/source/core/admission/cold_start.ts
@@ -85,6 +85,11 @@
   return Math.min(target.slots, filled);
 }
 
+/** The time between two starts of a cold target. */
+export function startInterval({ requestsPerSecond }: ColdStarts): number {
+  return intervalOf(requestsPerSecond);
+}
+
 function intervalOf(requestsPerSecond: number): number {
   return 1_000 / requestsPerSecond;
 }
--- a/source/core/admission/estimates.ts
+++ b/source/core/admission/estimates.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { usableSlots } from "./cold_start.ts";
+import { startInterval, usableSlots } from "./cold_start.ts";
 import { isContested } from "./competition.ts";
 import {
   addOfferedWork,
@@ -40,6 +40,19 @@
     : state.serviceTimes.get(work)?.milliseconds ?? 0;
 }
 
+/**
+ * What a request takes of the target, as time in a slot. A cold target is limited
+ * by its starts, of which a short request uses as much as a long one.
+ */
+export function occupiedMilliseconds(
+  state: AdmissionState,
+  work: Work,
+): number {
+  return state.coldStarts === null
+    ? expectedServiceTime(state, work)
+    : startInterval(state.coldStarts);
+}
+
 /**
  * Whether a service time is too old to refuse requests by. Only requests that
  * run can correct it, so that one by which all are refused would stay wrong.
--- a/source/core/admission/evictions.ts
+++ b/source/core/admission/evictions.ts
@@ -9,6 +9,7 @@
 import {
   expectedServiceTime,
   isRankContested,
+  occupiedMilliseconds,
   utilizationFor,
 } from "./estimates.ts";
 import type { AdmissionEffect, AdmissionTransition } from "./events.ts";
@@ -63,7 +64,7 @@
   if (!isRankContested(state, rank, now)) return null;
   const waiting = queueOf(state, rank).map((entry) => {
     const { client, work } = entry;
-    const milliseconds = expectedServiceTime(state, { rank, work });
+    const milliseconds = occupiedMilliseconds(state, { rank, work });
     return { client, milliseconds, entry };
   });
   const use = state.use[rank] ?? noUse;
--- a/source/core/admission/expected_waits.ts
+++ b/source/core/admission/expected_waits.ts
@@ -6,9 +6,13 @@
  */
 import { expectedWithSlowness } from "../load/target_load.ts";
 import { isStartFree, startDelay } from "./cold_start.ts";
-import { type Competing, workBefore } from "./competition.ts";
-import { expectedServiceTime, utilizationFor } from "./estimates.ts";
-import { type Client, noUse } from "./fair_shares.ts";
+import { type Competing, isContested, workBefore } from "./competition.ts";
+import {
+  expectedServiceTime,
+  occupiedMilliseconds,
+  utilizationFor,
+} from "./estimates.ts";
+import { type Client, noUse, workAhead } from "./fair_shares.ts";
 import { isFullyUtilized, type TimedRequest } from "./objective_first.ts";
 import { countWaiting, queueOf } from "./queue.ts";
 import type { AdmissionState } from "./state.ts";
@@ -42,19 +46,39 @@
 
 /**
  * The time until a cold target may be given an arriving request. All waiting
- * requests of its rank count, also those with a later objective: starts are too
- * few for it to go ahead of them without making them late.
+ * requests of the ranks above count, and those of its own that start before it.
  */
-function expectedStartWait(
-  state: AdmissionState,
-  { rank, now }: Arriving,
-): number {
+function expectedStartWait(state: AdmissionState, event: Arriving): number {
+  const { rank, now } = event;
   if (state.coldStarts === null) return 0;
-  const waiting = state.waiting.slice(0, rank + 1).flat().length;
+  const above = state.waiting.slice(0, rank).flat().length;
+  const waiting = above + startsBeforeInRank(state, event);
   const ahead = waiting / availableShare(state, rank);
   return startDelay(state.coldStarts, { ahead, now });
 }
 
+/**
+ * The starts of a cold target that go to its rank before an arriving request.
+ * All waiting requests count, also those with a later objective: starts are too
+ * few for it to go ahead of them without making them late. While clients compete,
+ * they count by turn.
+ */
+function startsBeforeInRank(state: AdmissionState, event: Arriving): number {
+  const { rank, client, now } = event;
+  const queue = queueOf(state, rank);
+  if (!isContested(queue, utilizationFor(state, rank, now), client)) {
+    return queue.length;
+  }
+  const waiting = queue.map(({ client, work }) => ({
+    client,
+    milliseconds: occupiedMilliseconds(state, { rank, work }),
+    first: true,
+  }));
+  const shares = state.use[rank] ?? noUse;
+  return workAhead(waiting, client, { shares, now }) /
+    occupiedMilliseconds(state, event);
+}
+
 /**
  * The time until a slot is free for an arriving request: that of the work ahead
  * of it or, while more valuable ranks need all slots, until its rank is owed a
--- a/source/core/admission/fair_shares_test.ts
+++ b/source/core/admission/fair_shares_test.ts
@@ -92,6 +92,20 @@
   });
 });
 
+describe("a cold target that an account floods", () => {
+  // Guards against refusals on arrival for the waiting requests of others: an
+  // account that asked for a fifth of the rate lost more than half of its own.
+  it("serves another account all that it asks for", () => {
+    const perSecond = 1_000 / usualWork.workMilliseconds * 13;
+    const share = simulateSeeds([
+      requestsOf("flood", "entry-1", 40 / perSecond),
+      requestsOf("small", "entry-2", 2 / perSecond),
+    ], { settings: crowdSettings([0]), coldRate: 10 });
+    assert.ok(share("small entry-2", "served") >= 0.97);
+    assert.ok(share("small entry-2", "refusals") <= 0.05);
+  });
+});
+
 describe("a target that can run all requests", () => {
   // Guards against shares where nobody competes.
   it("refuses none, however unequal its clients are", () => {
--- a/source/core/admission/starts.ts
+++ b/source/core/admission/starts.ts
@@ -14,6 +14,7 @@
 import {
   expectedServiceTime,
   isRankContested,
+  occupiedMilliseconds,
   type Work,
 } from "./estimates.ts";
 import type { AdmissionTransition } from "./events.ts";
@@ -97,7 +98,7 @@
   { rank, now }: { readonly rank: number; readonly now: number },
 ): AdmissionState {
   const request = { rank, work, keyed, startedAt: now, deadlineAt };
-  const milliseconds = expectedServiceTime(state, request) ||
+  const milliseconds = occupiedMilliseconds(state, request) ||
     defaultServiceMilliseconds;
   const use = recordUse(state.use[rank] ?? noUse, client, {
     milliseconds,
--- a/tests/crowd_simulation.ts
+++ b/tests/crowd_simulation.ts
@@ -70,8 +70,10 @@
   readonly milliseconds: number;
   readonly seed: number;
   readonly book?: BookReturn;
+  /** The rate of a target that is cold; it is warm when left out. */
+  readonly coldRate?: number;
 }): ReadonlyMap<string, ClassOutcome> {
-  const { classes, settings, book = bookReturn } = options;
+  const { classes, settings, book = bookReturn, coldRate = null } = options;
   const random = seededRandom(options.seed);
   let state: AdmissionState = createAdmission(settings);
   const outcomes = new Map(classes.map(({ name }) => [name, none]));
@@ -147,6 +149,7 @@
     );
   }
 
+  feed({ kind: "coldRate", requestsPerSecond: coldRate, now });
   for (; now < options.milliseconds || agenda.size > 0; now += 1) {
     for (const action of agenda.get(now) ?? []) action();
     agenda.delete(now);
@@ -202,6 +205,7 @@
     readonly settings: AdmissionSettings;
     readonly milliseconds?: number;
     readonly book?: BookReturn;
+    readonly coldRate?: number;
   },
 ): (name: string, outcome: keyof ClassOutcome) => number {
   const { milliseconds = 20_000, ...rest } = options;
