Move booked returns when a target becomes cold or warm

Bookings made at the capacity of a cold target stayed in force when it was warm again: refused callers were put off by up to 5 s although there was capacity. In the other direction, the spacing of a warm target was used for one that takes few requests.

On a change of the rate, what is booked ahead is now scaled by the ratio of the capacities, within the existing bound of 5 s.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -34,7 +34,11 @@
 import { noOfferedWork } from "./offered_work.ts";
 import { enqueue, resizeQueues, withoutRequest } from "./queue.ts";
 import { reasonToRefuse, refuse } from "./refusal.ts";
-import { type BookReturn, bookReturn } from "./return_schedule.ts";
+import {
+  type BookReturn,
+  bookReturn,
+  rescaleBookings,
+} from "./return_schedule.ts";
 import type { AdmissionSettings } from "./settings.ts";
 import { bookRefusals, type RefusedRequest } from "./shortage.ts";
 import { startQueued } from "./starts.ts";
@@ -248,8 +252,24 @@
 ): AdmissionTransition {
   const { now } = event;
   const coldStarts = changeColdRate(state.coldStarts, event);
-  const changed = { ...state, coldStarts };
-  return coldStarts === null || coldStarts === state.coldStarts
+  if (coldStarts === state.coldStarts) {
+    return startQueued({ state, effects: [] }, now);
+  }
+  const changed = withColdStarts(state, coldStarts, now);
+  return coldStarts === null
     ? startQueued({ state: changed, effects: [] }, now)
     : startQueued(queueAgain(changed, now), now);
 }
+
+/** Changes the starts, and what depends on how much the target can run. */
+function withColdStarts(
+  state: AdmissionState,
+  coldStarts: AdmissionState["coldStarts"],
+  now: number,
+): AdmissionState {
+  const changed = { ...state, coldStarts };
+  const slots = slotsInUse(changed);
+  const ratio = slots > 0 ? slotsInUse(state) / slots : 1;
+  const returns = rescaleBookings(state.returns, { ratio, now });
+  return { ...changed, returns };
+}
--- a/source/core/admission/cold_start_test.ts
+++ b/source/core/admission/cold_start_test.ts
@@ -5,7 +5,7 @@
 import type { FinishKind } from "./concurrency_limit.ts";
 import type { AdmissionEvent } from "./events.ts";
 import type { AdmissionSettings } from "./settings.ts";
-import { createAdmission } from "./state.ts";
+import { type AdmissionState, createAdmission } from "./state.ts";
 
 const requestsPerSecond = 9.8;
 /** The platform's bound for any one second: the rate x 1.5 + 8. */
@@ -136,4 +136,44 @@
       }
     });
   });
+
+  describe("that becomes warm or cold while returns are booked", () => {
+    /** How far ahead returns are booked after a change of the rate. */
+    const bookedAfterChange = (
+      before: number | null,
+      after: number | null,
+    ): number => {
+      const measured = {
+        ...createAdmission({ ...settings, queueLength: 0 }),
+        serviceMilliseconds: [100],
+      };
+      const events: AdmissionEvent[] = [
+        { kind: "coldRate", requestsPerSecond: before, now: 0 },
+        ...Array.from({ length: 60 }, (_, index) => ({
+          kind: "arrived" as const,
+          id: index,
+          rank: 0,
+          deadlineAt: 10_000,
+          now: 1,
+        })),
+        { kind: "coldRate", requestsPerSecond: after, now: 10 },
+      ];
+      const { returns } = events.reduce<AdmissionState>(
+        (state, event) => stepAdmission(state, event).state,
+        measured,
+      );
+      return (returns.ranks[0]?.bookedUntil ?? 0) - 10;
+    };
+
+    // Guards against callers that are put off although there is capacity, and
+    // against many that return at once to a target that takes few.
+    it("moves the bookings by the change of the capacity", () => {
+      const asCold = bookedAfterChange(requestsPerSecond, requestsPerSecond);
+      const becomesWarm = bookedAfterChange(requestsPerSecond, null);
+      const asWarm = bookedAfterChange(null, null);
+      const becomesCold = bookedAfterChange(null, requestsPerSecond);
+      assert.ok(asCold > 3_000 && becomesWarm < asCold / 10, `${becomesWarm}`);
+      assert.ok(becomesCold > 3_000 && becomesCold > asWarm, `${becomesCold}`);
+    });
+  });
 });
--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -105,6 +105,27 @@
   return addNewWork(settled, arrived.rank, arrived.milliseconds);
 }
 
+/**
+ * Moves what is booked to where a changed capacity ends it: callers that were
+ * put off by a slow target would wait although a fast one has capacity.
+ */
+export function rescaleBookings(
+  schedule: ReturnSchedule,
+  change: {
+    /** The capacity before, as a multiple of the one from now on. */
+    readonly ratio: number;
+    readonly now: number;
+  },
+): ReturnSchedule {
+  const { ratio, now } = change;
+  const ranks = schedule.ranks.map((rank) => {
+    const ahead = Math.max(0, rank.bookedUntil - now) * ratio;
+    const bookedUntil = now + Math.min(maxAheadMilliseconds, ahead);
+    return { ...rank, bookedUntil };
+  });
+  return { ...schedule, ranks };
+}
+
 /** Books the return of a refused request. */
 export function bookReturn(
   schedule: ReturnSchedule,
