Count requests to a cold target by its starts

The offered work and the returns of a cold target were counted in milliseconds of work, while starts are what limits it. Short requests seemed to need little of it: 40 requests of 28 ms at a rate of 9.8, with a mean work of 450 ms, were told to return within the time of 3 starts.

While the target is cold, each request now counts as the time between two starts, in offered work, returns, shares of ranks and the capacity, which is one slot, or less where the slots can not use the rate. On a change between cold and warm, what is counted is converted by the usual request of each rank.

Measured in the new test: the last of these 40 callers was told 372 ms before; it now fails the check unless it is at least the time of 39 starts, 3,980 ms.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -16,11 +16,12 @@
   resizedLimit,
 } from "./concurrency_limit.ts";
 import {
-  expectedServiceTime,
   isShortWork,
+  occupiedMilliseconds,
   recordMeasurement,
   recordOffered,
   slotsInUse,
+  typicalMilliseconds,
 } from "./estimates.ts";
 import type { AdmissionEvent, AdmissionTransition, EventOf } from "./events.ts";
 import {
@@ -31,7 +32,7 @@
   refuseWaiting,
 } from "./evictions.ts";
 import { noUse, unknownClient } from "./fair_shares.ts";
-import { noOfferedWork } from "./offered_work.ts";
+import { noOfferedWork, scaledOffered } from "./offered_work.ts";
 import { enqueue, resizeQueues, withoutRequest } from "./queue.ts";
 import { reasonToRefuse, refuse } from "./refusal.ts";
 import {
@@ -133,7 +134,7 @@
   { work, deadlineAt, client }: WaitingRequest,
   rank: number,
 ): RefusedRequest {
-  const milliseconds = expectedServiceTime(state, { rank, work });
+  const milliseconds = occupiedMilliseconds(state, { rank, work });
   return { rank, milliseconds, deadlineAt, client };
 }
 
@@ -270,6 +271,14 @@
   const changed = { ...state, coldStarts };
   const slots = slotsInUse(changed);
   const ratio = slots > 0 ? slotsInUse(state) / slots : 1;
-  const returns = rescaleBookings(state.returns, { ratio, now });
-  return { ...changed, returns };
+  const factorOf = (rank: number) =>
+    typicalMilliseconds(changed, rank) / typicalMilliseconds(state, rank);
+  const ratioOf = (rank: number) => ratio * factorOf(rank);
+  return {
+    ...changed,
+    offered: state.offered.map((offered, rank) =>
+      scaledOffered(offered, factorOf(rank))
+    ),
+    returns: rescaleBookings(state.returns, { ratioOf, factorOf, now }),
+  };
 }
--- a/source/core/admission/cold_start_test.ts
+++ b/source/core/admission/cold_start_test.ts
@@ -176,4 +176,32 @@
       assert.ok(becomesCold > 3_000 && becomesCold > asWarm, `${becomesCold}`);
     });
   });
+
+  describe("that refuses short requests", () => {
+    // Guards against returns before there is a start: the returns were spaced
+    // by the work of the requests, and 40 came back in the time of 3 starts.
+    it("spaces their returns by its starts", () => {
+      let state: AdmissionState = {
+        ...createAdmission({ ...settings, queueLength: 0 }),
+        serviceMilliseconds: [28],
+        meanMilliseconds: 450,
+      };
+      const feed = (event: AdmissionEvent) => {
+        const next = stepAdmission(state, event);
+        state = next.state;
+        return next.effects;
+      };
+      feed({ kind: "coldRate", requestsPerSecond, now: 0 });
+      const returns = Array.from(
+        { length: 40 },
+        (_, id) =>
+          feed({ kind: "arrived", id, rank: 0, deadlineAt: 60_000, now: 1 }),
+      ).flat().flatMap((effect) =>
+        effect.kind === "refuse" ? [effect.retryAfterMilliseconds ?? 0] : []
+      );
+      assert.equal(returns.length, 40);
+      const last = Math.max(...returns);
+      assert.ok(last >= 39 * 1_000 / requestsPerSecond, `${last}`);
+    });
+  });
 });
--- a/source/core/admission/estimates.ts
+++ b/source/core/admission/estimates.ts
@@ -109,12 +109,28 @@
   return isContested(queue, utilizationFor(state, rank, now));
 }
 
-/** The slots that requests can fill; a fraction of them in a cold target. */
+/**
+ * The slots that requests can fill, in the measure of `occupiedMilliseconds`: at
+ * most one in a cold target, which its starts fill.
+ */
 export function slotsInUse(state: AdmissionState): number {
-  return usableSlots(state.coldStarts, {
-    slots: state.settings.slots,
-    milliseconds: state.meanMilliseconds,
+  const { coldStarts, meanMilliseconds } = state;
+  const { slots } = state.settings;
+  if (coldStarts === null) return slots;
+  const usable = usableSlots(coldStarts, {
+    slots,
+    milliseconds: meanMilliseconds,
   });
+  return usable * startInterval(coldStarts) / meanMilliseconds;
+}
+
+/** What a typical request of a rank takes, as time in a slot. */
+export function typicalMilliseconds(
+  state: AdmissionState,
+  rank: number,
+): number {
+  return occupiedMilliseconds(state, { rank, work: null }) ||
+    state.meanMilliseconds;
 }
 
 /**
@@ -130,7 +146,7 @@
   state: AdmissionState,
   { rank, work, now }: Work & { readonly now: number },
 ): AdmissionState {
-  const milliseconds = expectedServiceTime(state, { rank, work });
+  const milliseconds = occupiedMilliseconds(state, { rank, work });
   const offered = state.offered.with(
     rank,
     addOfferedWork(state.offered[rank] ?? noOfferedWork, { milliseconds, now }),
--- a/source/core/admission/offered_work.ts
+++ b/source/core/admission/offered_work.ts
@@ -25,6 +25,14 @@
   return { milliseconds: remaining + request.milliseconds, at: request.now };
 }
 
+/** The same work in another measure. */
+export function scaledOffered(
+  offered: OfferedWork,
+  factor: number,
+): OfferedWork {
+  return { ...offered, milliseconds: offered.milliseconds * factor };
+}
+
 /** Offered load over the capacity of so many slots; 1 when all are needed. */
 export function offeredUtilization(
   offered: OfferedWork,
--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -113,17 +113,24 @@
   schedule: ReturnSchedule,
   change: {
     /** The capacity before, as a multiple of the one from now on. */
-    readonly ratio: number;
+    readonly ratioOf: (rank: number) => number;
+    /** The time in a slot of a request, as a multiple of the one before. */
+    readonly factorOf: (rank: number) => number;
     readonly now: number;
   },
 ): ReturnSchedule {
-  const { ratio, now } = change;
-  const ranks = schedule.ranks.map((rank) => {
-    const ahead = Math.max(0, rank.bookedUntil - now) * ratio;
+  const { ratioOf, factorOf, now } = change;
+  const ranks = schedule.ranks.map((former, rank) => {
+    const ahead = Math.max(0, former.bookedUntil - now) * ratioOf(rank);
     const bookedUntil = now + Math.min(maxAheadMilliseconds, ahead);
-    return { ...rank, bookedUntil };
+    const newMilliseconds = former.newMilliseconds * factorOf(rank);
+    return { newMilliseconds, bookedUntil };
   });
-  return { ...schedule, ranks };
+  const due = schedule.due.map((former) => ({
+    ...former,
+    milliseconds: former.milliseconds * factorOf(former.rank),
+  }));
+  return { ...schedule, ranks, due };
 }
 
 /** Books the return of a refused request. */
--- a/source/core/admission/starts.ts
+++ b/source/core/admission/starts.ts
@@ -139,7 +139,7 @@
   started: Work,
   rank: number,
 ): number {
-  const typical = state.serviceMilliseconds[rank] ?? 0;
-  const milliseconds = expectedServiceTime(state, started);
+  const typical = occupiedMilliseconds(state, { rank, work: null });
+  const milliseconds = occupiedMilliseconds(state, started);
   return typical > 0 && milliseconds > 0 ? milliseconds / typical : 1;
 }
