Give no time to return for a passed deadline

A waiting request whose deadline had passed on a cold target was refused with the time of the next free start. That time was not booked and could exceed a third of the time that the caller had left, which is none.

The reason deadline-passed now has no Retry-After, as it has where a request passes its deadline as it arrives or starts.

Measured: the new test fails before and passes after.

--- a/source/core/admission/cold_start_test.ts
+++ b/source/core/admission/cold_start_test.ts
@@ -204,4 +204,25 @@
       assert.ok(last >= 39 * 1_000 / requestsPerSecond, `${last}`);
     });
   });
+
+  describe("when a waiting request has passed its deadline", () => {
+    // Guards against a wait that the caller has no time for.
+    it("refuses it without a time to return", () => {
+      const events: readonly AdmissionEvent[] = [
+        { kind: "coldRate", requestsPerSecond: 1, now: 0 },
+        { kind: "arrived", id: 1, rank: 0, deadlineAt: 1_005, now: 0 },
+      ];
+      const state = events.reduce<AdmissionState>(
+        (state, event) => stepAdmission(state, event).state,
+        createAdmission(settings),
+      );
+      const { effects } = stepAdmission(state, { kind: "tick", now: 1_010 });
+      assert.deepEqual(effects, [{
+        kind: "refuse",
+        id: 1,
+        reason: "deadline-passed",
+        retryAfterMilliseconds: null,
+      }]);
+    });
+  });
 });
--- a/source/core/admission/evictions.ts
+++ b/source/core/admission/evictions.ts
@@ -106,7 +106,9 @@
       const serviceMilliseconds = expectedServiceTime(state, { rank, work });
       const view = { now, serviceMilliseconds, maxLateMilliseconds };
       const reason = reasonToGiveUp(entry, view);
-      return reason === null ? null : refusal(reason, retryAfter);
+      if (reason === null) return null;
+      // No time is left in which the caller could return.
+      return refusal(reason, reason === "deadline-passed" ? null : retryAfter);
     };
   });
 }
