Leave busy targets to the requests that are restricted to their region

An entry now avoids the targets of restricted regions for unrestricted requests while these are busy, by their lately reported load. Nothing changes where no route is restricted.

--- a/source/core/routes/allowed_regions.ts
+++ b/source/core/routes/allowed_regions.ts
@@ -27,6 +27,39 @@
   return notRun("region-not-allowed", retryMilliseconds);
 }
 
+const noRegions: ReadonlySet<string> = new Set();
+
+/**
+ * The regions that some route to a service is restricted to, while its other
+ * routes may use further ones. Its requests depend on the targets there.
+ */
+export function restrictedRegions(
+  routes: readonly Route[],
+  service: string,
+): ReadonlySet<string> {
+  const regions = routes
+    .filter(({ destinations }) =>
+      destinations.some((destination) => destination.service === service)
+    )
+    .flatMap(({ allowedRegions }) => allowedRegions);
+  return regions.length === 0 ? noRegions : new Set(regions);
+}
+
+/** Caches {@link restrictedRegions} for each list of routes. */
+export function cachedRestrictedRegions(): typeof restrictedRegions {
+  const byRoutes = new WeakMap<
+    readonly Route[],
+    Map<string, ReadonlySet<string>>
+  >();
+  return (routes, service) => {
+    const cached = byRoutes.get(routes) ?? new Map();
+    byRoutes.set(routes, cached);
+    const regions = cached.get(service) ?? restrictedRegions(routes, service);
+    cached.set(service, regions);
+    return regions;
+  };
+}
+
 /**
  * Whether targets of a service in this region may own keys: whether some route
  * to the service allows the region, or no route leads to the service.
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -17,6 +17,7 @@
   type Slowness,
 } from "../load/target_load.ts";
 import { pickAnyPair, type PickPair } from "./candidate_pairs.ts";
+import { busyRestrictedRegions } from "./restricted_regions.ts";
 import { allowsRegion } from "../routes/allowed_regions.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
@@ -81,6 +82,11 @@
   readonly from: Place;
   /** The regions whose targets may run it; empty or left out for all. */
   readonly allowedRegions?: readonly string[];
+  /**
+   * The regions that other requests of its service are restricted to, while it
+   * may run anywhere; none when left out.
+   */
+  readonly restrictedRegions?: ReadonlySet<string>;
   /** Data centres whose targets may not run it; none when left out. */
   readonly evacuated?: ReadonlySet<string>;
   readonly targets: readonly Agent[];
@@ -101,6 +107,8 @@
 const maxEjectedShare = 0.5;
 /** From this load over slots on, targets of other regions are considered. */
 const spillThreshold = 1.5;
+/** Added to the time of a target that is left to restricted requests. */
+const restrictedMilliseconds = 100;
 /** What distance adds to the time to an answer, by how links are billed. */
 const distanceMilliseconds = [0, 8, 80] as const;
 /** What each kilobyte of the request adds to that. */
@@ -266,16 +274,23 @@
 /**
  * Chooses the target with the shortest expected time to an answer; null when
  * none is eligible. Other regions are considered only when no near target has
- * capacity.
+ * capacity, or when the near one is left to requests that can't go elsewhere.
  */
 export function chooseTarget(
   state: RoutingState,
   query: RouteQuery,
 ): Agent | null {
+  const avoidedRegions = busyRestrictedRegions(query.restrictedRegions, {
+    targets: query.targets,
+    utilizationOf: ({ id, slots }) =>
+      reportedUtilization(state, id, slots, query),
+  });
   let best: Candidate | null = null;
   for (const tier of [0, 1, 2] as const) {
-    if (tier === 2 && best !== null && best.utilization < spillThreshold) break;
-    const candidate = betterOfTwo(state, { query, tier });
+    const spills = best === null || best.utilization >= spillThreshold ||
+      avoidedRegions.has(best.agent.place.region);
+    if (tier === 2 && !spills) break;
+    const candidate = betterOfTwo(state, { query, tier, avoidedRegions });
     if (candidate === null) continue;
     if (best === null || candidate.milliseconds < best.milliseconds) {
       best = candidate;
@@ -284,9 +299,30 @@
   return best?.agent ?? null;
 }
 
+/** Load over slots as lately reported; null without a recent report. */
+function reportedUtilization(
+  state: RoutingState,
+  id: AgentId,
+  slots: number,
+  { now }: RouteQuery,
+): number | null {
+  const view = state.views.get(id);
+  if (view === undefined) return null;
+  if (now - view.reportedAt >= reportLifetimeMilliseconds) return null;
+  return view.reportedLoad / slots;
+}
+
+/** What a choice among the targets of one distance depends on. */
+interface TierOptions {
+  readonly query: RouteQuery;
+  readonly tier: 0 | 1 | 2;
+  /** Regions whose targets are left to requests that are restricted to them. */
+  readonly avoidedRegions: ReadonlySet<string>;
+}
+
 function eligible(
   state: RoutingState,
-  options: { readonly query: RouteQuery; readonly tier: 0 | 1 | 2 },
+  options: Pick<TierOptions, "query" | "tier">,
 ): readonly Agent[] {
   const { query, tier } = options;
   const members = query.targets.filter((agent) =>
@@ -306,12 +342,24 @@
   return (state.views.get(id)?.ejectedUntil ?? 0) > now;
 }
 
+/** A request that leaves its region has no reason to go to an avoided one. */
+function withoutAvoided(
+  members: readonly Agent[],
+  { tier, avoidedRegions }: TierOptions,
+): readonly Agent[] {
+  if (tier < 2 || avoidedRegions.size === 0) return members;
+  const others = members.filter(({ place }) =>
+    !avoidedRegions.has(place.region)
+  );
+  return others.length > 0 ? others : members;
+}
+
 function betterOfTwo(
   state: RoutingState,
-  options: { readonly query: RouteQuery; readonly tier: 0 | 1 | 2 },
+  options: TierOptions,
 ): Candidate | null {
   const { query } = options;
-  const members = eligible(state, options);
+  const members = withoutAvoided(eligible(state, options), options);
   if (members.length === 0) return null;
   const { pickPair = pickAnyPair } = query;
   const candidates = pickPair(members, query.random).map((agent) =>
@@ -325,15 +373,12 @@
 /** Estimates a target by what this entry has seen of it. */
 function evaluateTarget(
   state: RoutingState,
-  options: {
-    readonly query: RouteQuery;
-    readonly tier: 0 | 1 | 2;
-    readonly agent: Agent;
-  },
+  options: TierOptions & { readonly agent: Agent },
 ): Candidate {
-  const { agent, query } = options;
+  const { agent, query, avoidedRegions } = options;
   const distance = distanceMilliseconds[options.tier] +
-    kilobyteMilliseconds[options.tier] * query.bodyBytes / 1_000;
+    kilobyteMilliseconds[options.tier] * query.bodyBytes / 1_000 +
+    (avoidedRegions.has(agent.place.region) ? restrictedMilliseconds : 0);
   const view = state.views.get(agent.id);
   if (view === undefined) {
     return {
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -31,6 +31,7 @@
 import type { PickPair } from "../core/routing/candidate_pairs.ts";
 import {
   allowsRegion,
+  cachedRestrictedRegions,
   regionNotAllowed,
 } from "../core/routes/allowed_regions.ts";
 import type { Events } from "../ports/events.ts";
@@ -134,9 +135,12 @@
   });
   const tables = startOwnerTables({ ...options, agentById: index.byId });
 
+  const restrictedRegions = cachedRestrictedRegions();
   const unkeyed = startUnkeyedAttempts({
     agent,
     evacuated: options.evacuated ?? (() => noDataCenters),
+    restrictedRegions: (service) =>
+      restrictedRegions(options.configuration().hostRoutes, service),
     targetsOf: index.ofService,
     peers: options.peers,
     random,
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -94,6 +94,8 @@
   readonly agent: Agent;
   /** The data centres that are evacuated. */
   readonly evacuated: () => ReadonlySet<string>;
+  /** The regions that some requests of a service are restricted to. */
+  readonly restrictedRegions: (service: string) => ReadonlySet<string>;
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
@@ -181,6 +183,9 @@
     const query = {
       from: agent.place,
       allowedRegions,
+      ...(allowedRegions.length === 0
+        ? { restrictedRegions: options.restrictedRegions(request.service) }
+        : {}),
       evacuated: options.evacuated(),
       targets: options.targetsOf(request.service),
       rank: request.rank,
