Wait at a cold target only until the rank is owed a start

On a cold target, a request of a lower rank still expected to wait for all starts of the ranks above, also when its rank was owed the next one, and was refused. The rule of warm targets now holds for starts as well.

The new test fails before.

--- a/source/core/admission/competing_classes_test.ts
+++ b/source/core/admission/competing_classes_test.ts
@@ -7,7 +7,7 @@
   simulateSeeds,
 } from "../../../tests/crowd_simulation.ts";
 import { stepAdmission } from "./admission.ts";
-import { createAdmission } from "./state.ts";
+import { type AdmissionState, createAdmission } from "./state.ts";
 
 const lowerRankShare = 0.05;
 const settings = crowdSettings([0, lowerRankShare]);
@@ -71,6 +71,26 @@
     ], { settings: { ...settings, slots }, milliseconds: 60_000 });
     assert.ok(share("few", "served") >= 0.95);
   });
+
+  // Guards against a refusal for requests that would start after it.
+  it("waits at a cold target only until it is owed a start", () => {
+    const owed = { ...createAdmission(settings), credits: [0, 1] };
+    const request = (id: number, rank: number, objectiveAt: number) => {
+      const times = { objectiveAt, deadlineAt: 5_000, now: 1 };
+      return { kind: "arrived", id, rank, ...times } as const;
+    };
+    const requestsPerSecond = 10;
+    const cold = { kind: "coldRate", requestsPerSecond, now: 0 } as const;
+    const waiting = Array.from({ length: 8 }, (_, id) => request(id, 0, 4_000));
+    const state = [cold, ...waiting].reduce<AdmissionState>(
+      (state, event) => stepAdmission(state, event).state,
+      owed,
+    );
+    const arrived = stepAdmission(state, request(8, 1, 500));
+    assert.deepEqual(arrived.effects, []);
+    const next = stepAdmission(arrived.state, { kind: "tick", now: 101 });
+    assert.deepEqual(next.effects, [{ kind: "start", id: 8 }]);
+  });
 });
 
 describe("a request that would start before those that wait", () => {
--- a/source/core/admission/expected_waits.ts
+++ b/source/core/admission/expected_waits.ts
@@ -46,14 +46,18 @@
 
 /**
  * The time until a cold target may be given an arriving request. All waiting
- * requests of the ranks above count, and those of its own that start before it.
+ * requests of the ranks above count, and those of its own that start before it;
+ * while the ranks above need all starts, those until its rank is owed one.
  */
 function expectedStartWait(state: AdmissionState, event: Arriving): number {
   const { rank, now } = event;
   if (state.coldStarts === null) return 0;
   const above = state.waiting.slice(0, rank).flat().length;
-  const waiting = above + startsBeforeInRank(state, event);
-  const ahead = waiting / availableShare(state, rank);
+  const own = startsBeforeInRank(state, event);
+  const ahead = aheadOrByShare(state, event, {
+    inOrder: (above + own) / availableShare(state, rank),
+    byShare: (left) => Math.max(0, own + 1 - (state.credits[rank] ?? 0)) / left,
+  });
   return startDelay(state.coldStarts, { ahead, now });
 }
 
@@ -85,30 +89,43 @@
  * start for it.
  */
 function expectedSlotWait(state: AdmissionState, event: Arriving): number {
-  const { rank, now } = event;
   const slots = Math.max(1, Math.floor(state.limit));
   if (state.running.size < slots) return 0;
-  const inOrder = waitInOrder(state, event, slots);
-  if (rank === 0 || (state.settings.ranks[rank]?.share ?? 0) === 0) {
-    return inOrder;
-  }
-  const byShare = waitForShare(state, event, slots);
-  return isFullyUtilized(utilizationFor(state, rank - 1, now))
-    ? byShare
-    : Math.min(inOrder, byShare);
+  return aheadOrByShare(state, event, {
+    inOrder: waitInOrder(state, event, slots),
+    byShare: (left) => waitForShare(state, event, { slots, left }),
+  });
+}
+
+/**
+ * What an arriving request waits for: all that is ahead of it in the order of
+ * ranks, or less where its rank is owed a start earlier. While the ranks above
+ * need everything, it can only wait for its share.
+ */
+function aheadOrByShare(
+  state: AdmissionState,
+  { rank, now }: Arriving,
+  { inOrder, byShare }: {
+    readonly inOrder: number;
+    /** The wait, by the part of the capacity that is left to the rank. */
+    readonly byShare: (left: number) => number;
+  },
+): number {
+  const share = state.settings.ranks[rank]?.share ?? 0;
+  if (rank === 0 || share === 0) return inOrder;
+  const utilization = utilizationFor(state, rank - 1, now);
+  const owed = byShare(Math.max(share, 1 - utilization));
+  return isFullyUtilized(utilization) ? owed : Math.min(inOrder, owed);
 }
 
 /** The time until the rank of an arriving request is owed a start for it. */
 function waitForShare(
   state: AdmissionState,
   event: Arriving,
-  slots: number,
+  { slots, left }: { readonly slots: number; readonly left: number },
 ): number {
-  const { rank, now } = event;
-  const share = state.settings.ranks[rank]?.share ?? 0;
-  const left = Math.max(share, 1 - utilizationFor(state, rank - 1, now));
-  const typical = state.serviceMilliseconds[rank] ?? 0;
-  const owed = (state.credits[rank] ?? 0) * typical;
+  const typical = state.serviceMilliseconds[event.rank] ?? 0;
+  const owed = (state.credits[event.rank] ?? 0) * typical;
   const missing = workBeforeInRank(state, event) + typical - owed;
   const firstEnd = state.meanMilliseconds / slots;
   return firstEnd + Math.max(0, missing) / slots / left;
