--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -38,7 +38,7 @@
 import {
   type BookReturn,
   bookReturn,
-  rescaleBookings,
+  rescaleReturns,
 } from "./return_schedule.ts";
 import type { AdmissionSettings } from "./settings.ts";
 import { bookRefusals, type RefusedRequest } from "./shortage.ts";
@@ -279,6 +279,6 @@
     offered: state.offered.map((offered, rank) =>
       scaledOffered(offered, factorOf(rank))
     ),
-    returns: rescaleBookings(state.returns, { ratioOf, factorOf, now }),
+    returns: rescaleReturns(state.returns, { ratioOf, factorOf, now }),
   };
 }
--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -106,10 +106,11 @@
 }
 
 /**
- * Moves what is booked to where a changed capacity ends it: callers that were
- * put off by a slow target would wait although a fast one has capacity.
+ * Moves what is booked to where a changed capacity ends it, and converts new
+ * work and due returns to the new measure. Callers that were put off by a slow
+ * target would otherwise wait although a fast one has capacity.
  */
-export function rescaleBookings(
+export function rescaleReturns(
   schedule: ReturnSchedule,
   change: {
     /** The capacity before, as a multiple of the one from now on. */
