Evacuations: end a retention also when its timer fires early

Cause: the end of a retention was checked once, by a timer of exactly 3,000 ms. Node's timers may fire up to 1 ms early by the monotonic clock; the data centre then still counted as evacuated, and nothing checked again until another list arrived.

Change: after each message the task drops ended entries and replaces its one timer, which covers the time to the next end plus 1 ms. A timer that fires early is therefore followed by another, and timers don't pile up.

--- a/source/core/routing/evacuations.ts
+++ b/source/core/routing/evacuations.ts
@@ -131,3 +131,18 @@
     ...held.map(([dataCenter]) => dataCenter),
   ]);
 }
+
+/** The state without the data centres whose retention has ended. */
+export function dropEndedRetention(
+  state: EvacuationState,
+  now: number,
+): EvacuationState {
+  const retained = [...state.retained].filter(([, until]) => now < until);
+  if (retained.length === state.retained.size) return state;
+  return { ...state, retained: new Map(retained) };
+}
+
+/** When the next retention ends; null if nothing is retained. */
+export function nextRetentionEnd({ retained }: EvacuationState): number | null {
+  return retained.size === 0 ? null : Math.min(...retained.values());
+}
--- a/source/tasks/evacuations_task.ts
+++ b/source/tasks/evacuations_task.ts
@@ -21,12 +21,13 @@
 import {
   adoptEvacuations,
   changedList,
+  dropEndedRetention,
   evacuatedDataCenters,
   type EvacuationList,
   type EvacuationState,
   hasSameDataCenters,
   mustDistribute,
-  retentionMilliseconds,
+  nextRetentionEnd,
   unknownEvacuations,
 } from "../core/routing/evacuations.ts";
 import type { Events } from "../ports/events.ts";
@@ -75,6 +76,9 @@
   | { readonly kind: "received"; readonly list: EvacuationList }
   | { readonly kind: "retentionEnded" };
 
+/** Node's timers may fire up to 1 ms early by the monotonic clock. */
+const timerMarginMilliseconds = 1;
+
 /** Starts without any knowledge of evacuations. */
 export function startEvacuations(options: {
   readonly store: Evacuations;
@@ -93,16 +97,18 @@
   let observed: EvacuationList | null = null;
   /** Whether the last read has succeeded. */
   let readable = true;
-  const timers = new Set<ReturnType<typeof setTimeout>>();
+  let retentionTimer: ReturnType<typeof setTimeout> | null = null;
 
   const mailbox = openMailbox<Message>((message) => {
     const before = state;
     if (message.kind === "received") {
       state = adoptEvacuations(state, message.list, monotonicNow());
       if (state === before) return;
-      if (state.retained.size > 0) expectRetentionEnd();
     }
-    const next = evacuatedDataCenters(state, monotonicNow());
+    const now = monotonicNow();
+    state = dropEndedRetention(state, now);
+    expectRetentionEnd(now);
+    const next = evacuatedDataCenters(state, now);
     recordChange(evacuated, next);
     evacuated = next;
     options.onChange();
@@ -123,12 +129,14 @@
     }
   }
 
-  function expectRetentionEnd(): void {
-    const timer = setTimeout(() => {
-      timers.delete(timer);
-      mailbox.send({ kind: "retentionEnded" });
-    }, retentionMilliseconds);
-    timers.add(timer);
+  /** Replaces the timer, so that one is set while anything is retained. */
+  function expectRetentionEnd(now: number): void {
+    if (retentionTimer !== null) clearTimeout(retentionTimer);
+    const end = nextRetentionEnd(state);
+    retentionTimer = end === null ? null : setTimeout(
+      () => mailbox.send({ kind: "retentionEnded" }),
+      end - now + timerMarginMilliseconds,
+    );
   }
 
   /** Distributes what this agent has observed, where others don't know it. */
@@ -234,7 +242,7 @@
     },
     watch,
     stop() {
-      for (const timer of timers) clearTimeout(timer);
+      if (retentionTimer !== null) clearTimeout(retentionTimer);
       mailbox.close();
     },
   };
