Evacuations: extend those retained when the store's era changes again

Cause: on a change of era only the data centres of the latest list were retained. A second change within 3 s found a list that already lacked them, so their retention ended 3 s after the first change.

Change: a change of era extends all data centres that are evacuated then, including those retained that have not ended.

--- a/source/core/routing/evacuations.ts
+++ b/source/core/routing/evacuations.ts
@@ -112,7 +112,9 @@
   if (evacuationVersion(list) <= evacuationVersion(latest)) return state;
   const retained = new Map(state.retained);
   if (list.era !== latest.era) {
-    for (const dataCenter of latest.dataCenters) {
+    // Also those retained from an earlier change: operators that had not yet
+    // written their entries again write them after this change.
+    for (const dataCenter of evacuatedDataCenters(state, now)) {
       retained.set(dataCenter, now + retentionMilliseconds);
     }
   }
--- a/source/core/routing/evacuations_test.ts
+++ b/source/core/routing/evacuations_test.ts
@@ -44,6 +44,12 @@
       assert.equal(evacuatedAfter(lists, 4_000), "");
     });
 
+    it("keeps it for 3 s from a further change of era that comes within these", () => {
+      const again = [...lists, list(2, 5)];
+      assert.equal(evacuatedAfter(again, 4_999), "kol-a");
+      assert.equal(evacuatedAfter(again, 5_000), "");
+    });
+
     it("ends the evacuation once it was written and withdrawn again", () => {
       const again = [...lists, list(1, 21, "kol-a"), list(1, 22)];
       assert.equal(evacuatedAfter(again, 3_000), "");
