Evacuations: stay closed on a start just after the store has gone back

Cause: the first list that an agent learns was believed to be complete. After a change of era it may lack data centres that agents which started earlier retain for 3 s, so a new agent opened an evacuated target.

Change: while the agent knows that the era began with a change, and its first list is at most 3 s older than that knowledge, its target stays closed until 3 s after it learnt of the era. The change may become known after the list; the target closes again then. Agents can't tell how long ago a change was, so in each era that began with one, an agent that starts waits for 3 s.

desired_state_spread_test.ts passes an era task to the evacuations; its checks are unchanged.

--- a/source/core/routing/evacuations.ts
+++ b/source/core/routing/evacuations.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { StoreEra } from "../ownership/store_era.ts";
 
 /** The data centres that operators have evacuated. */
 export interface EvacuationList {
@@ -31,6 +32,8 @@
 export interface EvacuationState {
   /** Null until the agent has learnt a list. */
   readonly latest: EvacuationList | null;
+  /** When the agent has learnt its first list; null until then. */
+  readonly firstLearntAt: number | null;
   /**
    * Data centres that the latest list lacks and that stay evacuated until then.
    */
@@ -40,6 +43,7 @@
 /** The state of an agent that has just started. */
 export const unknownEvacuations: EvacuationState = {
   latest: null,
+  firstLearntAt: null,
   retained: new Map(),
 };
 
@@ -108,7 +112,7 @@
   now: number,
 ): EvacuationState {
   const { latest } = state;
-  if (latest === null) return { ...state, latest: list };
+  if (latest === null) return { ...state, latest: list, firstLearntAt: now };
   if (evacuationVersion(list) <= evacuationVersion(latest)) return state;
   const retained = new Map(state.retained);
   if (list.era !== latest.era) {
@@ -119,7 +123,7 @@
     }
   }
   for (const dataCenter of list.dataCenters) retained.delete(dataCenter);
-  return { latest: list, retained };
+  return { ...state, latest: list, retained };
 }
 
 /** The data centres that are evacuated now. */
@@ -144,6 +148,20 @@
   return { ...state, retained: new Map(retained) };
 }
 
+/**
+ * Until when the list may lack data centres that agents which have started
+ * earlier retain; null if it lacks none. An agent that has started just before
+ * or after a change of era has not learnt what was evacuated before.
+ */
+export function incompleteUntil(
+  { firstLearntAt }: EvacuationState,
+  era: Pick<StoreEra, "changed" | "since">,
+): number | null {
+  if (firstLearntAt === null || !era.changed) return null;
+  if (era.since >= firstLearntAt + retentionMilliseconds) return null;
+  return era.since + retentionMilliseconds;
+}
+
 /** When the next retention ends; null if nothing is retained. */
 export function nextRetentionEnd({ retained }: EvacuationState): number | null {
   return retained.size === 0 ? null : Math.min(...retained.values());
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -187,6 +187,7 @@
     ? null
     : startEvacuations({
       store: store.evacuations,
+      storeEra,
       times: desiredStateTimes,
       events,
       hash: hashText,
--- a/source/tasks/evacuations_task.ts
+++ b/source/tasks/evacuations_task.ts
@@ -26,6 +26,7 @@
   type EvacuationList,
   type EvacuationState,
   hasSameDataCenters,
+  incompleteUntil,
   mustDistribute,
   nextRetentionEnd,
   unknownEvacuations,
@@ -34,6 +35,7 @@
 import type { Evacuations } from "../ports/registry.ts";
 import type { StoreFault } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
+import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, pause } from "./time.ts";
 
 /** Durations of the watch, in milliseconds. */
@@ -60,7 +62,7 @@
 export interface EvacuationsTask {
   /**
    * Whether a target in this data centre may be sent nothing: it is evacuated,
-   * or the evacuations are not known yet.
+   * or the evacuations are not known yet, or not completely.
    */
   isClosed(dataCenter: string): boolean;
   /** The data centres that are known to be evacuated. */
@@ -74,7 +76,8 @@
 
 type Message =
   | { readonly kind: "received"; readonly list: EvacuationList }
-  | { readonly kind: "retentionEnded" };
+  | { readonly kind: "retentionEnded" }
+  | { readonly kind: "eraChanged" };
 
 /** Node's timers may fire up to 1 ms early by the monotonic clock. */
 const timerMarginMilliseconds = 1;
@@ -82,6 +85,7 @@
 /** Starts without any knowledge of evacuations. */
 export function startEvacuations(options: {
   readonly store: Evacuations;
+  readonly storeEra: Pick<StoreEraTask, "current" | "onChange">;
   readonly times: EvacuationWatchTimes;
   readonly events: Events;
   readonly hash: KeyHash;
@@ -90,7 +94,7 @@
   /** Called when data centres were evacuated or are no longer. */
   readonly onChange: () => void;
 }): EvacuationsTask {
-  const { store, times, events } = options;
+  const { store, storeEra, times, events } = options;
   let state: EvacuationState = unknownEvacuations;
   let evacuated: ReadonlySet<string> = new Set();
   /** The list that this agent itself has observed last; null for none. */
@@ -114,6 +118,13 @@
     options.onChange();
   });
 
+  storeEra.onChange(() => mailbox.send({ kind: "eraChanged" }));
+
+  function isIncomplete(): boolean {
+    const until = incompleteUntil(state, storeEra.current());
+    return until !== null && monotonicNow() < until;
+  }
+
   function recordChange(
     former: ReadonlySet<string>,
     next: ReadonlySet<string>,
@@ -132,10 +143,13 @@
   /** Replaces the timer, so that one is set while anything is retained. */
   function expectRetentionEnd(now: number): void {
     if (retentionTimer !== null) clearTimeout(retentionTimer);
-    const end = nextRetentionEnd(state);
-    retentionTimer = end === null ? null : setTimeout(
+    const ends = [
+      nextRetentionEnd(state),
+      incompleteUntil(state, storeEra.current()),
+    ].filter((end) => end !== null).filter((end) => now < end);
+    retentionTimer = ends.length === 0 ? null : setTimeout(
       () => mailbox.send({ kind: "retentionEnded" }),
-      end - now + timerMarginMilliseconds,
+      Math.min(...ends) - now + timerMarginMilliseconds,
     );
   }
 
@@ -225,7 +239,7 @@
 
   return {
     isClosed: (dataCenter) =>
-      state.latest === null || evacuated.has(dataCenter),
+      state.latest === null || evacuated.has(dataCenter) || isIncomplete(),
     evacuated: () => evacuated,
     handleReplicaChange(replica, context) {
       const list = evacuationsOf(replica);
--- a/source/tasks/evacuations_task_test.ts
+++ b/source/tasks/evacuations_task_test.ts
@@ -9,6 +9,7 @@
 } from "../core/dissemination/replica.ts";
 import type { EvacuationList } from "../core/routing/evacuations.ts";
 import { startEvacuations, type WatchContext } from "./evacuations_task.ts";
+import { startStoreEra } from "./store_era_task.ts";
 
 const context: WatchContext = {
   agents: () => [],
@@ -24,7 +25,10 @@
   test.mock.timers.enable({ apis: ["setTimeout"] });
   const fault = { kind: "uncertain", detail: "" } as const;
   const changes: boolean[] = [];
+  const events = { record: () => undefined };
+  const storeEra = startStoreEra({ events });
   const task = startEvacuations({
+    storeEra,
     store: {
       read: () => Promise.resolve(Result.err(fault)),
       awaitChange: () => Promise.resolve(Result.err(fault)),
@@ -35,7 +39,7 @@
       retryMilliseconds: 400,
       substituteRetryMilliseconds: 2_000,
     },
-    events: { record: () => undefined },
+    events,
     hash: hashText,
     random: () => 0.5,
     onChange: () => changes.push(task.isClosed("kol-a")),
@@ -43,6 +47,7 @@
   test.after(() => task.stop());
   return {
     task,
+    storeEra,
     /** What each call of `onChange` has seen. */
     changes,
     learn(era: number, ...dataCenters: readonly string[]) {
@@ -76,4 +81,38 @@
       assert.equal(changes.at(-1), false);
     });
   });
+
+  // Guards against an agent that starts while older ones retain the data
+  // centre, and opens it because its first list lacks it.
+  describe("that has started just after the store has gone back", () => {
+    it("stays closed until 3 s after the change of era", (test) => {
+      const { task, storeEra, changes, learn, pass } = startTask(test);
+      storeEra.handleTold(2);
+      pass(500);
+      learn(2);
+      pass(2_499);
+      assert.ok(task.isClosed("kol-a"));
+      pass(5);
+      assert.equal(changes.at(-1), false);
+    });
+
+    it("closes when it learns of the change only after its first list", (test) => {
+      const { storeEra, changes, learn, pass } = startTask(test);
+      storeEra.handleAnswer(2);
+      learn(2);
+      assert.equal(changes.at(-1), false);
+      storeEra.handleTold(2);
+      assert.equal(changes.at(-1), true);
+      pass(3_002);
+      assert.equal(changes.at(-1), false);
+    });
+
+    it("stays open if the era changes long after its start", (test) => {
+      const { task, storeEra, learn, pass } = startTask(test);
+      learn(1);
+      pass(5_000);
+      storeEra.handleTold(2);
+      assert.ok(!task.isClosed("kol-a"));
+    });
+  });
 });
--- a/tests/desired_state_spread_test.ts
+++ b/tests/desired_state_spread_test.ts
@@ -28,6 +28,7 @@
   startEvacuations,
 } from "../source/tasks/evacuations_task.ts";
 import { type GossipTask, startGossip } from "../source/tasks/gossip_task.ts";
+import { startStoreEra } from "../source/tasks/store_era_task.ts";
 import { seededRandom } from "../standins/load.ts";
 import { testDesiredState } from "./test_desired_state.ts";
 import { testAgent } from "./test_agent.ts";
@@ -194,6 +195,7 @@
     const events = { record: () => undefined };
     const evacuations = startEvacuations({
       store: evacuationsAt(host),
+      storeEra: startStoreEra({ events }),
       times: desiredStateTimes,
       events,
       hash: hashText,
