Serve nothing with the target while no configuration is in force

Cause: the check of allowed regions beside the target takes a request without a known route as unrestricted, also at revision 0, where no route is known at all. By reading, both ways to the task already refuse at revision 0 (`fresh()` for forwarded requests, the request reader for callers), so the fault shows only if one of these checks is lost.

Change: the serve task itself refuses with `configuration-stale` until a revision is in force; platform_requests.ts says when that is.

Measured: the new test of the serve task fails without the check and passes with it.

--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -89,6 +89,7 @@
     holder: coordinator.holder,
     admission,
     workOf: (request) => routeOf(request)?.name ?? null,
+    isConfigured: () => coordinator.configuration().revision > 0,
     allowsRegion: (request) =>
       allowsRegion(
         routeOf(request)?.allowedRegions ?? [],
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -62,6 +62,11 @@
    * this agent, which may be newer than the entry's; when left out, all may.
    */
   readonly allowsRegion?: (request: ProxyRequest) => boolean;
+  /**
+   * Whether a configuration is in force, without which no route is known; when
+   * left out, one is.
+   */
+  readonly isConfigured?: () => boolean;
   readonly target: Target;
   readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
@@ -75,6 +80,7 @@
   const {
     mayBegin = () => true,
     allowsRegion = () => true,
+    isConfigured = () => true,
     hasMemory = () => true,
   } = options;
   let running = 0;
@@ -83,6 +89,7 @@
     request: ProxyRequest,
     { body }: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>> {
+    if (!isConfigured()) return refuse(request, notRun("configuration-stale"));
     const permit = permitFor(request);
     if (permit.isErr) return refuse(request, permit.error);
     // After the check of ownership, so that a key that has moved to an allowed
--- a/source/tasks/waiting_for_slot_test.ts
+++ b/source/tasks/waiting_for_slot_test.ts
@@ -24,9 +24,11 @@
   readonly read: () => void;
   readonly mayBegin?: MayBegin;
   readonly allowsRegion?: () => boolean;
+  readonly isConfigured?: () => boolean;
 }) {
   const ends: (() => void)[] = [];
   const { mayBegin = () => true, allowsRegion = () => true } = options;
+  const { isConfigured = () => true } = options;
   const sent: string[] = [];
   const admission = startAdmission({
     settings: {
@@ -61,6 +63,7 @@
     metrics: { count: () => undefined, time: () => undefined },
     mayBegin,
     allowsRegion,
+    isConfigured,
   });
   return {
     sent,
@@ -82,6 +85,24 @@
   return new Promise((resolve) => setTimeout(resolve, 20));
 }
 
+describe("a request at an agent without a configuration", () => {
+  // Guards against requests in a region that is not allowed, at an agent that
+  // knows no routes yet.
+  it("is refused", async () => {
+    const slot = startOneSlot({
+      read: () => undefined,
+      isConfigured: () => false,
+    });
+    const sending = slot.send("first", new AbortController().signal);
+    await rest();
+    slot.endFirst();
+    const result = await sending;
+    assert.equal(result.isErr && result.error.reason, "configuration-stale");
+    assert.deepEqual(slot.sent, []);
+    slot.stop();
+  });
+});
+
 describe("a request that waits for a slot", () => {
   describe("whose caller has left, as pending input says", () => {
     // Guards against work for callers that have left (GONE): the slot became
