--- a/source/programs/stop.ts
+++ b/source/programs/stop.ts
@@ -12,7 +12,7 @@
 import type { HolderTask } from "../tasks/holder_task.ts";
 import type { ServeTask } from "../tasks/serve_task.ts";
 import type { StopGate } from "../tasks/stop_gate.ts";
-import { evacuationMilliseconds } from "../tasks/target_watch_task.ts";
+import { leavingKeysMilliseconds } from "../tasks/target_watch_task.ts";
 import {
   monotonicNow,
   pause,
@@ -149,8 +149,8 @@
   end: number,
 ): Promise<void> {
   if (holder === null) return;
-  const evacuationEnd = Math.min(end, monotonicNow() + evacuationMilliseconds);
-  while (holder.heldSlices() > 0 && monotonicNow() < evacuationEnd) {
+  const movedBy = Math.min(end, monotonicNow() + leavingKeysMilliseconds);
+  while (holder.heldSlices() > 0 && monotonicNow() < movedBy) {
     await pause(pollMilliseconds);
   }
   const timeoutMilliseconds = Math.max(0, end - monotonicNow());
--- a/source/tasks/registration_task.ts
+++ b/source/tasks/registration_task.ts
@@ -22,7 +22,7 @@
 } from "../core/target/registration.ts";
 import type { Events } from "../ports/events.ts";
 import { openMailbox } from "./mailbox.ts";
-import { evacuationMilliseconds } from "./target_watch_task.ts";
+import { leavingKeysMilliseconds } from "./target_watch_task.ts";
 import { monotonicNow, startTicker } from "./time.ts";
 
 /** The running registration of the local target. */
@@ -138,7 +138,7 @@
   function servesItsKeysOn(): boolean {
     const now = monotonicNow();
     return isAlive(state, now) &&
-      now - notServingSince < evacuationMilliseconds;
+      now - notServingSince < leavingKeysMilliseconds;
   }
 
   const ticker = startTicker(updateServing, {
--- a/source/tasks/target_watch_task.ts
+++ b/source/tasks/target_watch_task.ts
@@ -24,7 +24,7 @@
 /**
  * Time for which a leaving target still serves its keys, until they have moved.
  */
-export const evacuationMilliseconds = 1_500;
+export const leavingKeysMilliseconds = 1_500;
 
 /** Starts watching; `onChange` is called when the target's leaving changes. */
 export function startTargetWatch(options: {
@@ -59,7 +59,7 @@
   return {
     accepts({ keyed }) {
       if (leavingSince === null) return true;
-      return keyed && monotonicNow() - leavingSince < evacuationMilliseconds;
+      return keyed && monotonicNow() - leavingSince < leavingKeysMilliseconds;
     },
     leave() {
       stopped = true;
