State the evacuated data centres in choices and refusals

Cause: log lines of choices and refusals didn't say which data centres the agent believed to be evacuated, nor by which list.

Change: while any is evacuated, the lines of a choice without a key and `request-refused` with reason `target-leaving` have `evacuatedDataCenters`, `evacuationsEra` and `evacuationsRevision`.

--- a/source/core/routing/evacuations.ts
+++ b/source/core/routing/evacuations.ts
@@ -138,6 +138,22 @@
   ]);
 }
 
+/**
+ * What a log line says of the evacuated data centres: their names, and the era
+ * and revision of the latest list; nothing while there are none.
+ */
+export function describeEvacuated(
+  { latest }: EvacuationState,
+  evacuated: ReadonlySet<string>,
+): Readonly<Record<string, string | number>> {
+  if (latest === null || evacuated.size === 0) return {};
+  return {
+    evacuatedDataCenters: [...evacuated].join(),
+    evacuationsEra: latest.era,
+    evacuationsRevision: latest.revision,
+  };
+}
+
 /** The state without the data centres whose retention has ended. */
 export function dropEndedRetention(
   state: EvacuationState,
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -79,6 +79,7 @@
   });
   const gate = startStopGate();
   const routeOf = routeOfRequest(coordinator.configuration);
+  const describeEvacuated = () => evacuations?.describe() ?? {};
   const serve = startServing({
     mayBegin: (request) =>
       gate.mayBegin(request) &&
@@ -96,6 +97,7 @@
         settings.place.region,
       ),
     accepts: registration.accepts,
+    describeEvacuated,
     target,
     readPendingInput: pendingInput.readPending,
     events,
@@ -103,6 +105,7 @@
   });
   const entry = startEntry({
     ...(evacuations === null ? {} : { evacuated: evacuations.evacuated }),
+    describeEvacuated,
     mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.gossip.agents(),
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -33,7 +33,7 @@
   allowsRegion,
   regionNotAllowed,
 } from "../core/routes/allowed_regions.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type { Peers, RetryLoan, RetryLoanRequest } from "../ports/peers.ts";
@@ -123,6 +123,8 @@
   readonly mayBegin?: MayBegin;
   /** The data centres that are evacuated; none when left out. */
   readonly evacuated?: () => ReadonlySet<string>;
+  /** What log lines say of these; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   const { mayBegin = () => true } = options;
@@ -137,6 +139,7 @@
   const unkeyed = startUnkeyedAttempts({
     agent,
     evacuated: options.evacuated ?? (() => noDataCenters),
+    describeEvacuated: options.describeEvacuated ?? (() => ({})),
     targetsOf: index.ofService,
     peers: options.peers,
     random,
--- a/source/tasks/evacuations_task.ts
+++ b/source/tasks/evacuations_task.ts
@@ -21,6 +21,7 @@
 import {
   adoptEvacuations,
   changedList,
+  describeEvacuated,
   dropEndedRetention,
   evacuatedDataCenters,
   type EvacuationList,
@@ -31,7 +32,7 @@
   nextRetentionEnd,
   unknownEvacuations,
 } from "../core/routing/evacuations.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { Evacuations } from "../ports/registry.ts";
 import type { StoreFault } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
@@ -67,6 +68,8 @@
   isClosed(dataCenter: string): boolean;
   /** The data centres that are known to be evacuated. */
   evacuated(): ReadonlySet<string>;
+  /** What log lines say of these; nothing while there are none. */
+  describe(): EventDetail;
   /** Must be called when records of other agents have changed. */
   handleReplicaChange(replica: Replica, context: WatchContext): void;
   /** Watches the store whenever this agent has a rank; resolves when stopped. */
@@ -241,6 +244,7 @@
     isClosed: (dataCenter) =>
       state.latest === null || evacuated.has(dataCenter) || isIncomplete(),
     evacuated: () => evacuated,
+    describe: () => describeEvacuated(state, evacuated),
     handleReplicaChange(replica, context) {
       const list = evacuationsOf(replica);
       if (list === null) return;
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -67,6 +67,8 @@
    * left out, one is.
    */
   readonly isConfigured?: () => boolean;
+  /** What log lines say of evacuated data centres; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
   readonly target: Target;
   readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
@@ -242,6 +244,9 @@
       retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
       ...clientOf(request),
       ...detail,
+      ...(failure.reason === "target-leaving"
+        ? options.describeEvacuated?.()
+        : {}),
     });
     return Result.err(failure);
   }
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -94,6 +94,8 @@
   readonly agent: Agent;
   /** The data centres that are evacuated. */
   readonly evacuated: () => ReadonlySet<string>;
+  /** What log lines say of these; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
@@ -199,6 +201,7 @@
         ...(allowedRegions.length === 0
           ? {}
           : { allowedRegions: allowedRegions.join() }),
+        ...options.describeEvacuated?.(),
         ...describeSlowness(view?.slowness ?? null, query.now),
       },
     };
--- a/source/tasks/waiting_for_slot_test.ts
+++ b/source/tasks/waiting_for_slot_test.ts
@@ -30,6 +30,7 @@
   const { mayBegin = () => true, allowsRegion = () => true } = options;
   const { isConfigured = () => true } = options;
   const sent: string[] = [];
+  const stated: unknown[] = [];
   const admission = startAdmission({
     settings: {
       slots: 1,
@@ -59,7 +60,12 @@
       options.read();
       return Promise.resolve();
     },
-    events: { record: () => undefined },
+    events: {
+      record(kind, detail) {
+        if (kind === "request-refused") stated.push(detail?.["evacuated"]);
+      },
+    },
+    describeEvacuated: () => ({ evacuated: "kol-a" }),
     metrics: { count: () => undefined, time: () => undefined },
     mayBegin,
     allowsRegion,
@@ -67,6 +73,8 @@
   });
   return {
     sent,
+    /** The evacuated data centres that each refusal states. */
+    stated,
     send: (id: string, signal: AbortSignal) =>
       serve(
         testRequest({
@@ -148,6 +156,8 @@
       const result = await second;
       assert.equal(result.isErr && result.error.reason, "target-leaving");
       assert.equal(result.isErr && result.error.outcome, "not-run");
+      // Guards against refusals that don't show the evacuation.
+      assert.deepEqual(slot.stated, ["kol-a"]);
       assert.deepEqual(slot.sent, ["first"]);
       assert.ok((await first).isOk);
       slot.stop();
@@ -174,6 +184,7 @@
       for (const result of [await second, third]) {
         assert.equal(result.isErr && result.error.reason, "region-not-allowed");
       }
+      assert.deepEqual(slot.stated, [undefined, undefined]);
       assert.ok((await first).isOk);
       assert.deepEqual(slot.sent, ["first"]);
       slot.stop();
--- a/tests/platform_places_test.ts
+++ b/tests/platform_places_test.ts
@@ -40,6 +40,7 @@
 describe("agents in two data centres", () => {
   let store: PlatformStoreStandIn;
   const started: Host[] = [];
+  const logged: string[] = [];
   let ids = 0;
 
   async function startHost(index: number): Promise<void> {
@@ -82,7 +83,7 @@
     assert.ok(settings.isOk);
     const agent = await startPlatformAgent(settings.value, {
       logLevel: "info",
-      writeLog: () => undefined,
+      writeLog: (line) => logged.push(line),
     });
     assert.ok(agent.isOk);
     started.push({ zone, callers, target, agent: agent.value });
@@ -164,5 +165,11 @@
     const refusals = await sendAll();
     assert.ok(refusals.has("region-not-allowed"), [...refusals].join());
     assert.ok(!refusals.has("sil-a"), [...refusals].join());
+    // Guards against refusals whose log lines don't show the evacuation.
+    const stated = logged.filter((line) =>
+      line.includes("reason=region-not-allowed") &&
+      line.includes("evacuatedDataCenters=kol-a evacuationsEra=0")
+    );
+    assert.ok(stated.length > 0);
   });
 });
