--- a/source/core/routing/evacuations.ts
+++ b/source/core/routing/evacuations.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { StoreEra } from "../ownership/store_era.ts";
 
 /** The data centres that operators have evacuated. */
 export interface EvacuationList {
@@ -31,6 +32,8 @@
 export interface EvacuationState {
   /** Null until the agent has learnt a list. */
   readonly latest: EvacuationList | null;
+  /** When the agent has learnt its first list; null until then. */
+  readonly firstLearntAt: number | null;
   /**
    * Data centres that the latest list lacks and that stay evacuated until then.
    */
@@ -40,6 +43,7 @@
 /** The state of an agent that has just started. */
 export const unknownEvacuations: EvacuationState = {
   latest: null,
+  firstLearntAt: null,
   retained: new Map(),
 };
 
@@ -108,16 +112,18 @@
   now: number,
 ): EvacuationState {
   const { latest } = state;
-  if (latest === null) return { ...state, latest: list };
+  if (latest === null) return { ...state, latest: list, firstLearntAt: now };
   if (evacuationVersion(list) <= evacuationVersion(latest)) return state;
   const retained = new Map(state.retained);
   if (list.era !== latest.era) {
-    for (const dataCenter of latest.dataCenters) {
+    // Also those retained from an earlier change: operators that had not yet
+    // written their entries again write them after this change.
+    for (const dataCenter of evacuatedDataCenters(state, now)) {
       retained.set(dataCenter, now + retentionMilliseconds);
     }
   }
   for (const dataCenter of list.dataCenters) retained.delete(dataCenter);
-  return { latest: list, retained };
+  return { ...state, latest: list, retained };
 }
 
 /** The data centres that are evacuated now. */
@@ -131,3 +137,48 @@
     ...held.map(([dataCenter]) => dataCenter),
   ]);
 }
+
+/**
+ * What a log line says of the evacuated data centres: their names, and the era
+ * and revision of the latest list; nothing while there are none.
+ */
+export function describeEvacuated(
+  { latest }: EvacuationState,
+  evacuated: ReadonlySet<string>,
+): Readonly<Record<string, string | number>> {
+  if (latest === null || evacuated.size === 0) return {};
+  return {
+    evacuatedDataCenters: [...evacuated].join(),
+    evacuationsEra: latest.era,
+    evacuationsRevision: latest.revision,
+  };
+}
+
+/** The state without the data centres whose retention has ended. */
+export function dropEndedRetention(
+  state: EvacuationState,
+  now: number,
+): EvacuationState {
+  const retained = [...state.retained].filter(([, until]) => now < until);
+  if (retained.length === state.retained.size) return state;
+  return { ...state, retained: new Map(retained) };
+}
+
+/**
+ * Until when the list may lack data centres that agents which have started
+ * earlier retain; null if it lacks none. An agent that has started just before
+ * or after a change of era has not learnt what was evacuated before.
+ */
+export function incompleteUntil(
+  { firstLearntAt }: EvacuationState,
+  era: Pick<StoreEra, "changed" | "since">,
+): number | null {
+  if (firstLearntAt === null || !era.changed) return null;
+  if (era.since >= firstLearntAt + retentionMilliseconds) return null;
+  return era.since + retentionMilliseconds;
+}
+
+/** When the next retention ends; null if nothing is retained. */
+export function nextRetentionEnd({ retained }: EvacuationState): number | null {
+  return retained.size === 0 ? null : Math.min(...retained.values());
+}
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -79,6 +79,7 @@
   });
   const gate = startStopGate();
   const routeOf = routeOfRequest(coordinator.configuration);
+  const describeEvacuated = () => evacuations?.describe() ?? {};
   const serve = startServing({
     mayBegin: (request) =>
       gate.mayBegin(request) &&
@@ -89,12 +90,14 @@
     holder: coordinator.holder,
     admission,
     workOf: (request) => routeOf(request)?.name ?? null,
+    isConfigured: () => coordinator.configuration().revision > 0,
     allowsRegion: (request) =>
       allowsRegion(
         routeOf(request)?.allowedRegions ?? [],
         settings.place.region,
       ),
     accepts: registration.accepts,
+    describeEvacuated,
     target,
     readPendingInput: pendingInput.readPending,
     events,
@@ -102,6 +105,7 @@
   });
   const entry = startEntry({
     ...(evacuations === null ? {} : { evacuated: evacuations.evacuated }),
+    describeEvacuated,
     mayBegin: gate.mayBegin,
     agent,
     agents: () => coordinator.gossip.agents(),
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -34,7 +34,7 @@
   cachedRestrictedRegions,
   regionNotAllowed,
 } from "../core/routes/allowed_regions.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Metrics } from "../ports/metrics.ts";
 import type { Peers, RetryLoan, RetryLoanRequest } from "../ports/peers.ts";
@@ -124,6 +124,8 @@
   readonly mayBegin?: MayBegin;
   /** The data centres that are evacuated; none when left out. */
   readonly evacuated?: () => ReadonlySet<string>;
+  /** What log lines say of these; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
 }): EntryTask {
   const { agent, events, metrics, hash, random } = options;
   const { mayBegin = () => true } = options;
@@ -141,6 +143,7 @@
     evacuated: options.evacuated ?? (() => noDataCenters),
     restrictedRegions: (service) =>
       restrictedRegions(options.configuration().hostRoutes, service),
+    describeEvacuated: options.describeEvacuated ?? (() => ({})),
     targetsOf: index.ofService,
     peers: options.peers,
     random,
--- a/source/tasks/evacuations_task.ts
+++ b/source/tasks/evacuations_task.ts
@@ -21,18 +21,22 @@
 import {
   adoptEvacuations,
   changedList,
+  describeEvacuated,
+  dropEndedRetention,
   evacuatedDataCenters,
   type EvacuationList,
   type EvacuationState,
   hasSameDataCenters,
+  incompleteUntil,
   mustDistribute,
-  retentionMilliseconds,
+  nextRetentionEnd,
   unknownEvacuations,
 } from "../core/routing/evacuations.ts";
-import type { Events } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { Evacuations } from "../ports/registry.ts";
 import type { StoreFault } from "../ports/store.ts";
 import { openMailbox } from "./mailbox.ts";
+import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, pause } from "./time.ts";
 
 /** Durations of the watch, in milliseconds. */
@@ -59,11 +63,13 @@
 export interface EvacuationsTask {
   /**
    * Whether a target in this data centre may be sent nothing: it is evacuated,
-   * or the evacuations are not known yet.
+   * or the evacuations are not known yet, or not completely.
    */
   isClosed(dataCenter: string): boolean;
   /** The data centres that are known to be evacuated. */
   evacuated(): ReadonlySet<string>;
+  /** What log lines say of these; nothing while there are none. */
+  describe(): EventDetail;
   /** Must be called when records of other agents have changed. */
   handleReplicaChange(replica: Replica, context: WatchContext): void;
   /** Watches the store whenever this agent has a rank; resolves when stopped. */
@@ -73,11 +79,16 @@
 
 type Message =
   | { readonly kind: "received"; readonly list: EvacuationList }
-  | { readonly kind: "retentionEnded" };
+  | { readonly kind: "retentionEnded" }
+  | { readonly kind: "eraChanged" };
+
+/** Node's timers may fire up to 1 ms early by the monotonic clock. */
+const timerMarginMilliseconds = 1;
 
 /** Starts without any knowledge of evacuations. */
 export function startEvacuations(options: {
   readonly store: Evacuations;
+  readonly storeEra: Pick<StoreEraTask, "current" | "onChange">;
   readonly times: EvacuationWatchTimes;
   readonly events: Events;
   readonly hash: KeyHash;
@@ -86,28 +97,37 @@
   /** Called when data centres were evacuated or are no longer. */
   readonly onChange: () => void;
 }): EvacuationsTask {
-  const { store, times, events } = options;
+  const { store, storeEra, times, events } = options;
   let state: EvacuationState = unknownEvacuations;
   let evacuated: ReadonlySet<string> = new Set();
   /** The list that this agent itself has observed last; null for none. */
   let observed: EvacuationList | null = null;
   /** Whether the last read has succeeded. */
   let readable = true;
-  const timers = new Set<ReturnType<typeof setTimeout>>();
+  let retentionTimer: ReturnType<typeof setTimeout> | null = null;
 
   const mailbox = openMailbox<Message>((message) => {
     const before = state;
     if (message.kind === "received") {
       state = adoptEvacuations(state, message.list, monotonicNow());
       if (state === before) return;
-      if (state.retained.size > 0) expectRetentionEnd();
     }
-    const next = evacuatedDataCenters(state, monotonicNow());
+    const now = monotonicNow();
+    state = dropEndedRetention(state, now);
+    expectRetentionEnd(now);
+    const next = evacuatedDataCenters(state, now);
     recordChange(evacuated, next);
     evacuated = next;
     options.onChange();
   });
 
+  storeEra.onChange(() => mailbox.send({ kind: "eraChanged" }));
+
+  function isIncomplete(): boolean {
+    const until = incompleteUntil(state, storeEra.current());
+    return until !== null && monotonicNow() < until;
+  }
+
   function recordChange(
     former: ReadonlySet<string>,
     next: ReadonlySet<string>,
@@ -123,12 +143,17 @@
     }
   }
 
-  function expectRetentionEnd(): void {
-    const timer = setTimeout(() => {
-      timers.delete(timer);
-      mailbox.send({ kind: "retentionEnded" });
-    }, retentionMilliseconds);
-    timers.add(timer);
+  /** Replaces the timer, so that one is set while anything is retained. */
+  function expectRetentionEnd(now: number): void {
+    if (retentionTimer !== null) clearTimeout(retentionTimer);
+    const ends = [
+      nextRetentionEnd(state),
+      incompleteUntil(state, storeEra.current()),
+    ].filter((end) => end !== null).filter((end) => now < end);
+    retentionTimer = ends.length === 0 ? null : setTimeout(
+      () => mailbox.send({ kind: "retentionEnded" }),
+      Math.min(...ends) - now + timerMarginMilliseconds,
+    );
   }
 
   /** Distributes what this agent has observed, where others don't know it. */
@@ -217,8 +242,9 @@
 
   return {
     isClosed: (dataCenter) =>
-      state.latest === null || evacuated.has(dataCenter),
+      state.latest === null || evacuated.has(dataCenter) || isIncomplete(),
     evacuated: () => evacuated,
+    describe: () => describeEvacuated(state, evacuated),
     handleReplicaChange(replica, context) {
       const list = evacuationsOf(replica);
       if (list === null) return;
@@ -234,7 +260,7 @@
     },
     watch,
     stop() {
-      for (const timer of timers) clearTimeout(timer);
+      if (retentionTimer !== null) clearTimeout(retentionTimer);
       mailbox.close();
     },
   };
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -62,6 +62,13 @@
    * this agent, which may be newer than the entry's; when left out, all may.
    */
   readonly allowsRegion?: (request: ProxyRequest) => boolean;
+  /**
+   * Whether a configuration is in force, without which no route is known; when
+   * left out, one is.
+   */
+  readonly isConfigured?: () => boolean;
+  /** What log lines say of evacuated data centres; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
   readonly target: Target;
   readonly readPendingInput: ReadPendingInput;
   readonly events: Events;
@@ -75,6 +82,7 @@
   const {
     mayBegin = () => true,
     allowsRegion = () => true,
+    isConfigured = () => true,
     hasMemory = () => true,
   } = options;
   let running = 0;
@@ -83,6 +91,7 @@
     request: ProxyRequest,
     { body }: { readonly body: Body },
   ): Promise<Result<ProxyAnswer, Failure>> {
+    if (!isConfigured()) return refuse(request, notRun("configuration-stale"));
     const permit = permitFor(request);
     if (permit.isErr) return refuse(request, permit.error);
     // After the check of ownership, so that a key that has moved to an allowed
@@ -235,6 +244,9 @@
       retryAfterMilliseconds: Math.round(failure.retryAfterMilliseconds ?? 0),
       ...clientOf(request),
       ...detail,
+      ...(failure.reason === "target-leaving"
+        ? options.describeEvacuated?.()
+        : {}),
     });
     return Result.err(failure);
   }
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -96,6 +96,8 @@
   readonly evacuated: () => ReadonlySet<string>;
   /** The regions that some requests of a service are restricted to. */
   readonly restrictedRegions: (service: string) => ReadonlySet<string>;
+  /** What log lines say of these; nothing when left out. */
+  readonly describeEvacuated?: () => EventDetail;
   readonly targetsOf: (service: string) => readonly Agent[];
   readonly peers: Peers;
   readonly random: () => number;
@@ -204,6 +206,7 @@
         ...(allowedRegions.length === 0
           ? {}
           : { allowedRegions: allowedRegions.join() }),
+        ...options.describeEvacuated?.(),
         ...describeSlowness(view?.slowness ?? null, query.now),
       },
     };
--- a/source/tasks/waiting_for_slot_test.ts
+++ b/source/tasks/waiting_for_slot_test.ts
@@ -24,10 +24,13 @@
   readonly read: () => void;
   readonly mayBegin?: MayBegin;
   readonly allowsRegion?: () => boolean;
+  readonly isConfigured?: () => boolean;
 }) {
   const ends: (() => void)[] = [];
   const { mayBegin = () => true, allowsRegion = () => true } = options;
+  const { isConfigured = () => true } = options;
   const sent: string[] = [];
+  const stated: unknown[] = [];
   const admission = startAdmission({
     settings: {
       slots: 1,
@@ -57,13 +60,21 @@
       options.read();
       return Promise.resolve();
     },
-    events: { record: () => undefined },
+    events: {
+      record(kind, detail) {
+        if (kind === "request-refused") stated.push(detail?.["evacuated"]);
+      },
+    },
+    describeEvacuated: () => ({ evacuated: "kol-a" }),
     metrics: { count: () => undefined, time: () => undefined },
     mayBegin,
     allowsRegion,
+    isConfigured,
   });
   return {
     sent,
+    /** The evacuated data centres that each refusal states. */
+    stated,
     send: (id: string, signal: AbortSignal) =>
       serve(
         testRequest({
@@ -82,6 +93,24 @@
   return new Promise((resolve) => setTimeout(resolve, 20));
 }
 
+describe("a request at an agent without a configuration", () => {
+  // Guards against requests in a region that is not allowed, at an agent that
+  // knows no routes yet.
+  it("is refused", async () => {
+    const slot = startOneSlot({
+      read: () => undefined,
+      isConfigured: () => false,
+    });
+    const sending = slot.send("first", new AbortController().signal);
+    await rest();
+    slot.endFirst();
+    const result = await sending;
+    assert.equal(result.isErr && result.error.reason, "configuration-stale");
+    assert.deepEqual(slot.sent, []);
+    slot.stop();
+  });
+});
+
 describe("a request that waits for a slot", () => {
   describe("whose caller has left, as pending input says", () => {
     // Guards against work for callers that have left (GONE): the slot became
@@ -127,6 +156,8 @@
       const result = await second;
       assert.equal(result.isErr && result.error.reason, "target-leaving");
       assert.equal(result.isErr && result.error.outcome, "not-run");
+      // Guards against refusals that don't show the evacuation.
+      assert.deepEqual(slot.stated, ["kol-a"]);
       assert.deepEqual(slot.sent, ["first"]);
       assert.ok((await first).isOk);
       slot.stop();
@@ -153,6 +184,7 @@
       for (const result of [await second, third]) {
         assert.equal(result.isErr && result.error.reason, "region-not-allowed");
       }
+      assert.deepEqual(slot.stated, [undefined, undefined]);
       assert.ok((await first).isOk);
       assert.deepEqual(slot.sent, ["first"]);
       slot.stop();
