Take no failed call for proof that a group had no record

Cause: an agent that had started after the store had lost a group's record counted another agent as consulted once it had answered the exchange, although the reconciliation after it had failed, and a table call that failed as a server without a table. So it claimed the group with an empty roster and granted what the former servers still held.

Change: only a reconciliation counts, and each known server must answer the call for a table. Where nothing is found, both are repeated after a gossip period, because an agent that has answered may not have learnt of the change yet. The fake mesh times out calls that the other agent has accepted, and delays can depend on the method.

--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -58,6 +58,7 @@
 import {
   type GossipTask,
   type GossipTimes,
+  longestGossipPeriod,
   startGossip,
 } from "./gossip_task.ts";
 import type { StoreEraTask } from "./store_era_task.ts";
@@ -328,6 +329,7 @@
     members: serversOf,
     tableOf: newestTable,
     consultOthers: () => gossip.consult(),
+    gossipMilliseconds: longestGossipPeriod(times.gossip),
     times: times.grantor,
     delegations: options.delegations,
     peers,
--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -49,7 +49,10 @@
   readonly callTimeoutMilliseconds: number;
 }
 
-/** Whether any other agent has answered an exchange; alone if none is known. */
+/**
+ * Whether all that any one other agent knows has been received; alone if none
+ * is known.
+ */
 export type Consultation = "answered" | "unanswered" | "alone";
 
 /** The running gossip task of one agent. */
@@ -93,6 +96,15 @@
   stop(): Promise<void>;
 }
 
+/** The rest between two rounds, as a share of what is left of the period. */
+const minRestShare = 0.75;
+const maxRestShare = 1.25;
+
+/** The longest time from one round to the next, in milliseconds. */
+export function longestGossipPeriod(times: GossipTimes): number {
+  return times.exchangeMilliseconds * maxRestShare;
+}
+
 /** Maximum number of agents to which `announceNow` sends updates. */
 const maxAnnouncementPartners = 4;
 /** Failed calls after which an agent counts as lost. */
@@ -104,6 +116,9 @@
 /** One exchange in this many may go to another data centre. */
 const roundsPerRemote = 4;
 
+/** Reconciled: both have, as of the exchange, all that either of them knows. */
+type ExchangeOutcome = "failed" | "answered" | "reconciled";
+
 type Message =
   | { readonly kind: "merge"; readonly records: readonly SharedRecord[] }
   | { readonly kind: "updatesTaken"; readonly replica: Replica }
@@ -235,7 +250,7 @@
   async function exchangeWith(
     address: Address,
     timeoutMilliseconds: number = times.callTimeoutMilliseconds,
-  ): Promise<AgentId | null> {
+  ): Promise<ExchangeOutcome> {
     const result = await peers.call(address, "exchange", {
       message: {
         from: self.id,
@@ -245,29 +260,34 @@
       },
       timeoutMilliseconds,
     });
-    if (result.isErr) return null;
+    if (result.isErr) return "failed";
     const reply = result.value;
     mailbox.send({ kind: "merge", records: reply.news });
-    if (reply.root !== rootDigest(replica)) await reconcile(address);
+    const reconciled = reply.root === rootDigest(replica) ||
+      await reconcile(address);
     options.onRevision(reply.revision);
     if (reply.fresh) options.onConfirmed();
-    return reply.id;
+    return reconciled ? "reconciled" : "answered";
   }
 
-  async function reconcile(address: Address): Promise<void> {
+  /** False if one of the calls has failed. */
+  async function reconcile(address: Address): Promise<boolean> {
     const compared = await peers.call(address, "compare", {
       message: { digests: replica.digests },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    if (compared.isErr) return;
+    if (compared.isErr) return false;
     const difference = compareVersions(replica, compared.value);
-    if (difference.offered.length + difference.wanted.length === 0) return;
+    if (difference.offered.length + difference.wanted.length === 0) {
+      return true;
+    }
     const received = await peers.call(address, "transfer", {
       message: difference,
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    if (received.isErr) return;
+    if (received.isErr) return false;
     mailbox.send({ kind: "merge", records: received.value });
+    return true;
   }
 
   async function exchangeRound(): Promise<void> {
@@ -281,8 +301,8 @@
       return;
     }
     const series = startSeries(partner);
-    const answered = await exchangeWith(partner.peerAddress);
-    if (answered !== null) return void suspects.delete(partner.id);
+    const outcome = await exchangeWith(partner.peerAddress);
+    if (outcome !== "failed") return void suspects.delete(partner.id);
     if (series !== null) void retryExchange(partner, series);
   }
 
@@ -324,12 +344,12 @@
     for (let failures = 1; failures < failuresBeforeLoss; failures += 1) {
       timeoutMilliseconds *= 2;
       const startedAt = monotonicNow();
-      const answered = await exchangeWith(
+      const outcome = await exchangeWith(
         partner.peerAddress,
         timeoutMilliseconds,
       );
       if (!isCurrent()) return;
-      if (answered !== null) return void suspects.delete(partner.id);
+      if (outcome !== "failed") return void suspects.delete(partner.id);
       // A refused call ends at once, so the next one is delayed.
       const elapsed = monotonicNow() - startedAt;
       await pause(Math.max(0, times.exchangeMilliseconds - elapsed));
@@ -357,7 +377,8 @@
       await exchangeRound();
       const elapsed = monotonicNow() - startedAt;
       const rest = Math.max(0, times.exchangeMilliseconds - elapsed);
-      await pause(rest * (0.75 + random() / 2), wake.signal);
+      const share = minRestShare + random() * (maxRestShare - minRestShare);
+      await pause(rest * share, wake.signal);
     }
   }
 
@@ -405,8 +426,10 @@
       const next = addresses.filter((address) => !asked.has(address));
       if (next.length === 0) break;
       for (const address of next) asked.add(address);
-      const ids = await Promise.all(next.map((each) => exchangeWith(each)));
-      answered ||= ids.some((id) => id !== null);
+      const outcomes = await Promise.all(
+        next.map((address) => exchangeWith(address)),
+      );
+      answered ||= outcomes.includes("reconciled");
     }
     if (asked.size === 0) return "alone";
     return answered ? "answered" : "unanswered";
--- a/source/tasks/group_recovery.ts
+++ b/source/tasks/group_recovery.ts
@@ -45,6 +45,8 @@
   readonly tableOf: (group: string) => OwnershipTable | null;
   /** Exchanges what is known with a few other agents, the oldest ones. */
   readonly consultOthers: () => Promise<Consultation>;
+  /** The longest time between two exchanges of gossip. */
+  readonly gossipMilliseconds: number;
 }
 
 /** The state of a delegation's grantor, as its agent reports it. */
@@ -71,8 +73,9 @@
 export interface GroupRecovery {
   /**
    * Whether the store may have lost the only record of a group. Unknown while
-   * an agent that has just started can ask no other one: it doesn't know
-   * whether the era began with a change.
+   * an agent that has just started has not received all that another one knows,
+   * or the table of each known server: it doesn't know whether the era began
+   * with a change.
    */
   mayLackRecord(
     group: string,
@@ -139,16 +142,17 @@
     return mergeRosters(mergeRosters(stored, own), options.members(group));
   }
 
-  /** Asks the servers for their tables, and returns what is known. */
-  async function collectLost(
+  /** The newest table that this agent or one of the servers has. */
+  async function newestTable(
     group: string,
-    known: {
-      readonly servers: readonly RosterEntry[];
-      readonly replies: readonly RosterReply[];
-    },
-  ): Promise<LostRecord> {
+    servers: readonly RosterEntry[],
+  ): Promise<{
+    readonly table: OwnershipTable | null;
+    readonly allAnswered: boolean;
+  }> {
+    const others = servers.filter(({ id }) => id !== agent.id);
     const answers = await Promise.all(
-      known.servers.map(({ peerAddress }) =>
+      others.map(({ peerAddress }) =>
         peers.call(peerAddress, "table", {
           message: { group },
           timeoutMilliseconds,
@@ -158,8 +162,22 @@
     const received = answers.map((answer) => answer.isOk ? answer.value : null);
     const tables = [options.tableOf(group), ...received]
       .filter((table) => table !== null && isGranted(table));
-    const [first = null, ...others] = tables;
-    const table = first === null ? null : others.reduce(newerTable, first);
+    const [first = null, ...rest] = tables;
+    return {
+      table: first === null ? null : rest.reduce(newerTable, first),
+      allAnswered: answers.every((answer) => answer.isOk),
+    };
+  }
+
+  /** Asks the servers for their tables, and returns what is known. */
+  async function collectLost(
+    group: string,
+    known: {
+      readonly servers: readonly RosterEntry[];
+      readonly replies: readonly RosterReply[];
+    },
+  ): Promise<LostRecord> {
+    const { table } = await newestTable(group, known.servers);
     const accepted = known.replies.map((reply) =>
       reply.kind === "answered" ? reply.epoch : 0
     );
@@ -253,12 +271,23 @@
     if (changed) return "lost";
     const endedAt = earlierErasEndAt(since, settings);
     if (era === 0 || monotonicNow() > endedAt) return "never-written";
+    const first = await askOthers(group);
+    if (first !== "never-written") return first;
+    // Another agent may have answered before it learnt of the change itself.
+    await pause(options.gossipMilliseconds);
+    return await askOthers(group);
+  }
+
+  async function askOthers(
+    group: string,
+  ): Promise<"lost" | "never-written" | "unknown"> {
     const consultation = await options.consultOthers();
     if (storeEra().changed) return "lost";
     if (consultation === "unanswered") return "unknown";
     const servers = options.members(group);
-    const { table } = await collectLost(group, { servers, replies: [] });
-    return table === null ? "never-written" : "lost";
+    const { table, allAnswered } = await newestTable(group, servers);
+    if (table !== null || storeEra().changed) return "lost";
+    return allAnswered ? "never-written" : "unknown";
   }
 
   return {
--- a/tests/fake_mesh.ts
+++ b/tests/fake_mesh.ts
@@ -75,7 +75,9 @@
   /** Sets which hosts reach each other; the store is named "store". */
   setLinks(reaches: (from: string, to: string) => boolean): void;
   /** Sets the additional one-way delay of messages between hosts. */
-  setDelays(milliseconds: (from: string, to: string) => number): void;
+  setDelays(
+    milliseconds: (from: string, to: string, method: PeerMethod) => number,
+  ): void;
   /** Restores all links and removes all delays. */
   heal(): void;
   /** Hosts that consider themselves owners of this key now. */
@@ -117,6 +119,8 @@
 const stepMilliseconds = 50;
 const latencyMilliseconds = 5;
 
+const timedOut = Symbol("timed out");
+
 /** Starts a mesh. It replaces the process's clock until `stop` is called. */
 export function startFakeMesh(options: {
   readonly document: string;
@@ -139,7 +143,8 @@
   const lost = new Set<FakeNode>();
   const events: FakeEvent[] = [];
   let isLinked: (from: string, to: string) => boolean = () => true;
-  let delayBetween: (from: string, to: string) => number = () => 0;
+  let delayBetween: (from: string, to: string, method: PeerMethod) => number =
+    () => 0;
   let markCount = 0;
   function isLost(host: string): boolean {
     const found = nodes.findLast((node) => node.agent.host === host);
@@ -169,8 +174,8 @@
           await sleep(timeoutMilliseconds);
           return Result.err({ kind: "timeout", detail: method });
         }
-        const requestDelay = delayBetween(host, other.agent.host);
-        const replyDelay = delayBetween(other.agent.host, host);
+        const requestDelay = delayBetween(host, other.agent.host, method);
+        const replyDelay = delayBetween(other.agent.host, host, method);
         if (requestDelay + replyDelay > timeoutMilliseconds) {
           // The other agent runs the call although its caller has timed out.
           void sleep(requestDelay).then(() =>
@@ -180,7 +185,14 @@
           return Result.err({ kind: "timeout", detail: method });
         }
         if (requestDelay > 0) await sleep(requestDelay);
-        const answer = await serve(other, { method, message });
+        // The other agent goes on with a call that its caller has given up.
+        const answer = await Promise.race([
+          serve(other, { method, message }),
+          sleep(timeoutMilliseconds - requestDelay).then(() => timedOut),
+        ]);
+        if (answer === timedOut) {
+          return Result.err({ kind: "timeout", detail: method });
+        }
         await sleep(latencyMilliseconds + replyDelay);
         if (!reaches(other.agent.host, host)) {
           await sleep(timeoutMilliseconds);
--- a/tests/store_eras_test.ts
+++ b/tests/store_eras_test.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from "node:fs";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import type { Delegation } from "../source/core/ownership/delegation.ts";
+import type { PeerMethod } from "../source/ports/peers.ts";
 import { defaultCoordinatorTimes } from "./fake_mesh.ts";
 import { type FakeMesh, startFakeMesh, type StoreCopy } from "./fake_mesh.ts";
 
@@ -215,6 +216,35 @@
       assert.deepEqual(mesh.grantors(), ["timetable-4"]);
     });
 
+    // Guards against two holders (OWNER): an agent that has just started counts
+    // failed calls as proof that the group never had a grantor.
+    const failing: readonly (readonly PeerMethod[])[] = [
+      ["compare"],
+      ["transfer"],
+      ["table"],
+      ["compare", "transfer", "table"],
+    ];
+    for (const methods of failing) {
+      it(`claims nothing while ${methods.join(", ")} calls time out`, async () => {
+        copy = mesh.store.copy(["delegations"]);
+        const reachesStore = (host: string) => host === "timetable-4";
+        mesh.setLinks((from, to) => to !== "store" || reachesStore(from));
+        mesh.setDelays((from, _to, method) =>
+          from === "timetable-4" && methods.includes(method) ? 1_000 : 0
+        );
+        returnWithout();
+        mesh.add(server("timetable-4"));
+        await measureMaxGap(2_000);
+        mesh.heal();
+        // What was granted before is reserved until it must have ended.
+        await measureMaxGap(
+          delegationMilliseconds + leaseMilliseconds + 60_000,
+        );
+        const unowned = keys.filter((key) => mesh.owners(key).length === 0);
+        assert.deepEqual(unowned, []);
+      });
+    }
+
     // Guards against two holders (OWNER): the successor hears every server of
     // the copy's roster, and takes the keys of the one that it lacks for free.
     it("gives nothing on of a server that the copy lacks and that is cut off", async () => {
