Don't take a missing member entry for proof of no former process

Cause: after its registration created an entry, an agent took it that it had no former process, and asked neither the store nor the witnesses for departures. A store that has gone back may have lost the entry.

Change: that is concluded only where the store states no era. Else the departures are read, and witnesses asked until one has answered, since the store may have lost the departure too.

--- a/source/ports/registry.ts
+++ b/source/ports/registry.ts
@@ -62,7 +62,10 @@
 
 /** The entry of an agent has been written. */
 export interface MemberWritten {
-  /** Whether it has taken the place of an earlier process's entry. */
+  /**
+   * Whether it has taken the place of an earlier process's entry. If not, there
+   * may have been one that the store lost when it went back to an older copy.
+   */
   readonly replaced: boolean;
 }
 
--- a/source/tasks/departures_task.ts
+++ b/source/tasks/departures_task.ts
@@ -154,23 +154,37 @@
     return held.length === 0 ? null : held.flat();
   }
 
-  /** Goes on until the store has answered: it may know more than others. */
+  /**
+   * Whether the store has every write that it has acknowledged. One that states
+   * an era may have gone back, also before the first era that this process saw.
+   */
+  function losesNothing(): boolean {
+    return (options.restore?.storeEra.current().era ?? 0) === 0;
+  }
+
+  /**
+   * Goes on until the store has answered: it may know more than others. A store
+   * that may have lost departures is not enough: a witness must answer too.
+   */
   async function load(): Promise<void> {
     const written = await Promise.race([
       registered,
       pause(times.storeWaitMilliseconds, stopped.signal).then(() => null),
     ]);
-    if (written?.replaced === false) return options.onLoaded([]);
+    if (written?.replaced === false && losesNothing()) {
+      return options.onLoaded([]);
+    }
+    let stored: readonly RecordedDeparture[] | null = null;
     while (!stopped.signal.aborted) {
-      const [stored, witnessed] = await Promise.all([
-        readStored(),
-        askWitnesses(),
-      ]);
-      if (stored !== null || witnessed !== null) {
+      const known: readonly RecordedDeparture[] | null = stored;
+      const asked = askWitnesses();
+      stored = known ?? await readStored();
+      const witnessed = await asked;
+      if (witnessed !== null || stored !== known) {
         loaded = [...stored ?? [], ...witnessed ?? []];
         options.onLoaded(loaded);
       }
-      if (stored !== null) return;
+      if (stored !== null && (witnessed !== null || losesNothing())) return;
       await pause(times.retryMilliseconds, stopped.signal);
     }
   }
--- a/source/tasks/departures_task_test.ts
+++ b/source/tasks/departures_task_test.ts
@@ -150,9 +150,9 @@
     clock.uninstall();
   });
 
-  async function restart() {
+  async function restart(replaced = true) {
     former.stop();
-    next = startProcess(surroundings, true);
+    next = startProcess(surroundings, replaced);
     next.registration.report(ready);
     await clock.tickAsync(2_500);
     return next.registration;
@@ -217,6 +217,18 @@
     assert.deepEqual(surroundings.stored(), stored);
   });
 
+  // Guards against requests to a target that has left (DRAIN): the store has
+  // gone back to a copy without the agent's entry, which is no proof that the
+  // agent had no former process.
+  it("is not used by the next process that finds no entry in the store", async () => {
+    leave["by a final notice"]();
+    assert.ok(await former.registration.departuresKept());
+    former.stop();
+    surroundings.returnFromOlderCopy();
+    const registration = await restart(false);
+    assert.ok(!registration.accepts({ keyed: false }));
+  });
+
   it("and has not left is used by the next process", async () => {
     assert.ok((await restart()).accepts({ keyed: false }));
   });
