Consult further agents where the oldest ones don't answer

Cause: an agent that has just started asked only the four oldest agents that it knew. Where these were on crashed hosts, nobody claimed a group without a record until they were declared lost.

Change: agents that fail to answer don't count among the four, so that it goes on with the next ones, until four have answered in full or none is left.

--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -84,8 +84,8 @@
    */
   announceNow(): Promise<void>;
   /**
-   * Exchanges with the agents that have run for longest, a few of those known,
-   * and again if it learns of older ones.
+   * Exchanges with the agents that have run for longest, a few of those known
+   * that answer, and again if it learns of older ones.
    */
   consult(): Promise<Consultation>;
   /**
@@ -407,32 +407,34 @@
   }
 
   /** Agents that have run for longest know most of what was before. */
-  async function oldestAddresses(): Promise<readonly Address[]> {
+  async function oldestAddresses(
+    failed: ReadonlySet<Address>,
+  ): Promise<readonly Address[]> {
     const others = agents.filter((agent) =>
       agent.host !== self.host && agent.phase !== "lost"
     ).toSorted((left, right) => left.incarnation - right.incarnation);
     const known = others.map(({ peerAddress }) => peerAddress);
     const addresses = known.length > 0 ? known : await options.seeds();
     return addresses
-      .filter((address) => address !== self.peerAddress)
+      .filter((address) => address !== self.peerAddress && !failed.has(address))
       .slice(0, maxAnnouncementPartners);
   }
 
   async function consult(): Promise<Consultation> {
     const asked = new Set<Address>();
-    let answered = false;
+    const failed = new Set<Address>();
     for (;;) {
-      const addresses = await oldestAddresses();
+      const addresses = await oldestAddresses(failed);
       const next = addresses.filter((address) => !asked.has(address));
       if (next.length === 0) break;
       for (const address of next) asked.add(address);
-      const outcomes = await Promise.all(
-        next.map((address) => exchangeWith(address)),
-      );
-      answered ||= outcomes.includes("reconciled");
+      await Promise.all(next.map(async (address) => {
+        const outcome = await exchangeWith(address);
+        if (outcome !== "reconciled") failed.add(address);
+      }));
     }
     if (asked.size === 0) return "alone";
-    return answered ? "answered" : "unanswered";
+    return failed.size < asked.size ? "answered" : "unanswered";
   }
 
   mailbox.send({ kind: "describe", self });
--- a/source/tasks/gossip_task_test.ts
+++ b/source/tasks/gossip_task_test.ts
@@ -9,7 +9,10 @@
 import { type GossipTask, startGossip } from "./gossip_task.ts";
 import { pause } from "./time.ts";
 
-const agent = testAgent("host-1/a", { host: "host-1" });
+const agent = testAgent("host-1/a", {
+  host: "host-1",
+  peerAddress: "127.0.0.1:9",
+});
 const other = testAgent("host-2/a", { host: "host-2" });
 
 /** How the other agent responds to calls. */
@@ -20,19 +23,29 @@
   readonly refuses?: boolean;
 }
 
+/** Agents that have run for longer than the other one, on lost hosts. */
+const crashed = [11, 12, 13, 14, 15].map((port) =>
+  testAgent(`crashed-${port}/a`, {
+    host: `crashed-${port}`,
+    incarnation: 0,
+    peerAddress: `127.0.0.1:${port}`,
+  })
+);
+
 /** Calls to the other agent; each ends no later than its timeout. */
 function peersOf(behaviour: Behaviour): Peers {
   async function call(
-    _address: string,
-    _method: PeerMethod,
+    address: string,
+    method: PeerMethod,
     { timeoutMilliseconds }: { readonly timeoutMilliseconds: number },
   ): Promise<Result<unknown, PeerFault>> {
-    if (behaviour.refuses) {
+    if (behaviour.refuses || address !== other.peerAddress) {
       return Result.err({ kind: "unreachable", detail: "refused" });
     }
     const inTime = behaviour.milliseconds < timeoutMilliseconds;
     await pause(Math.min(behaviour.milliseconds, timeoutMilliseconds));
     if (!inTime) return Result.err({ kind: "timeout", detail: "exchange" });
+    if (method === "transfer") return Result.ok([]);
     return Result.ok({
       id: other.id,
       news: [],
@@ -128,6 +141,18 @@
     });
   });
 
+  describe("that has run for less long than agents on crashed hosts", () => {
+    // Guards against a group that nobody claims until four crashed hosts have
+    // been declared lost.
+    it("consults it", async () => {
+      const task = start({ milliseconds: 0 });
+      task.publish(crashed.map(initialAgentRecord));
+      const consulted = task.consult();
+      await clock.tickAsync(100);
+      assert.equal(await consulted, "answered");
+    });
+  });
+
   describe("that has ended", () => {
     it("declares it lost within four seconds when its host does not answer", async () => {
       const task = start({ milliseconds: Infinity });
