Ignore answers of the store that lack the era

Cause: an answer without the header counted as era 0. If it was the first one, the next was taken for a change and told to all agents.

The first era that is stated is no change; grantors that started without one claim their groups in it, without telling other agents.

--- a/source/core/ownership/store_era.ts
+++ b/source/core/ownership/store_era.ts
@@ -31,14 +31,18 @@
   changed: false,
 };
 
-/** An answer of the store states an era. Answers may arrive out of order. */
+/**
+ * An answer of the store states an era, or none. Answers may arrive out of
+ * order. The first era that is stated is no change, also after answers without
+ * any: a store goes back only where it states eras.
+ */
 export function noteAnsweredEra(
   state: StoreEra,
   era: number,
   now: number,
 ): StoreEra {
   if (state.known && era <= state.era) return state;
-  return { era, known: true, since: now, changed: state.known };
+  return { era, known: true, since: now, changed: state.era > 0 };
 }
 
 /**
--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -349,7 +349,7 @@
   });
 
   options.storeEra?.onChange((era) => {
-    gossip.publish([eraRecord(era)]);
+    if (options.storeEra?.current().changed) gossip.publish([eraRecord(era)]);
     grantors.handleEraChange();
   });
 
--- a/source/tasks/store_era_task.ts
+++ b/source/tasks/store_era_task.ts
@@ -22,7 +22,10 @@
   handleAnswer(era: number): void;
   /** Must be called with an era that another agent knows to have changed. */
   handleTold(era: number): void;
-  /** Calls the listener after each change that this agent learns of. */
+  /**
+   * Calls the listener after each change that this agent learns of, and when a
+   * store states an era for the first time after answers without any.
+   */
   onChange(listener: (era: number) => void): void;
 }
 
@@ -42,12 +45,14 @@
     const former = state;
     const note = kind === "answered" ? noteAnsweredEra : noteToldEra;
     state = note(state, era, monotonicNow());
-    if (state === former || !state.changed) return;
-    options.events.record("store-era-changed", {
-      era: state.era,
-      former: former.known ? former.era : "unknown",
-      learnedFrom: kind === "answered" ? "store" : "agent",
-    });
+    if (state === former || !(former.known || state.changed)) return;
+    if (state.changed) {
+      options.events.record("store-era-changed", {
+        era: state.era,
+        former: former.known ? former.era : "unknown",
+        learnedFrom: kind === "answered" ? "store" : "agent",
+      });
+    }
     for (const listener of listeners) listener(state.era);
   });
 
--- a/standins/platform_store.ts
+++ b/standins/platform_store.ts
@@ -17,6 +17,8 @@
   readonly lostReplies: number;
   /** The history is gone: watches are answered with 410. */
   readonly compacted: boolean;
+  /** Answers lack their era, as those of a proxy do. */
+  readonly withoutEra: boolean;
 }
 
 /** A running store. */
@@ -77,6 +79,7 @@
     down: false,
     lostReplies: 0,
     compacted: false,
+    withoutEra: false,
   };
 
   const server = serverOf(serve);
@@ -86,7 +89,9 @@
     response: ServerResponse,
   ): Promise<void> {
     calls += 1;
-    if (era !== null) response.setHeader("store-era", String(era));
+    if (era !== null && !faults.withoutEra) {
+      response.setHeader("store-era", String(era));
+    }
     if (faults.down) return void message.socket.destroy();
     const url = new URL(message.url ?? "/", "http://store");
     const match = objectPath.exec(url.pathname);
