State the limit of epochs without a record

Cause: the module's invariant promised rising epochs in all eras, but above era 512 a claim without a record gets the same epoch in each.

Change: the invariant and the design page state the limit and why such a claim isn't declined: a store whose first era is a large number would have no grantor at all. A comment of more than 80 columns is wrapped.

Measured: the new test keeps that case claimable; it passes before too, as the behaviour is unchanged. source/core/ownership passes.

--- a/source/core/ownership/store_era.ts
+++ b/source/core/ownership/store_era.ts
@@ -3,7 +3,10 @@
  * older copy and so loses writes that it has acknowledged.
  *
  * Invariant: an epoch that is claimed in one era is above every epoch that was
- * claimed in an earlier one, also where the store has lost that claim.
+ * claimed in an earlier one, also where the store has lost that claim. Without
+ * a record, and without a server that reports an epoch, this holds up to era
+ * 512 only: epochs have a limit, and later eras aren't told apart. Such a claim
+ * isn't declined, since the first era of a store may be any number.
  *
  * @module
  */
@@ -66,7 +69,7 @@
  */
 const epochsPerEra = 1_024;
 
-/** Eras that are counted; more would lead to the limit at once. */
+/** Eras that are counted: half of all epochs, so that later claims have some. */
 const maxCountedEras = 512;
 
 /**
@@ -103,7 +106,8 @@
 
 /**
  * When the last work must have ended that a grantor of an earlier era than the
- * one known since then has allowed. It can't have renewed its delegation since the change of era.
+ * one known since then has allowed. It can't have renewed its delegation since
+ * the change of era.
  */
 export function earlierErasEndAt(
   since: number,
--- a/source/core/ownership/store_era_test.ts
+++ b/source/core/ownership/store_era_test.ts
@@ -69,6 +69,16 @@
     assert.equal(nextEpoch(null, { era: 0, acceptedEpoch: 0 }), 1);
   });
 
+  // Guards against a store whose first era is a large number, and whose groups
+  // nobody could claim or claim again.
+  it("leaves as many epochs to later claims, whatever the first era is", () => {
+    const first = nextEpoch(null, { era: 10 ** 9, acceptedEpoch: 0 });
+    const record = { epoch: first, era: 10 ** 9 };
+    const next = nextEpoch(record, { era: 10 ** 9 + 1, acceptedEpoch: 0 });
+    assert.ok(next > first + claimsSinceCopy);
+    assert.ok(next < epochLimit);
+  });
+
   it("is above what the servers report", () => {
     assert.equal(nextEpoch(null, { era: 1, acceptedEpoch: 9_000 }), 9_001);
   });
