Name the classification of a missing record for what it returns

Cause: mayLackRecord read like a condition, but has three results.

Change: it is classifyMissingRecord, with the type MissingRecord; a comment in store_era.ts that was too wide is shortened.

Measured: types, linter, and the tests of grantors, source/core/ownership and tests/store_eras pass.

--- a/source/core/ownership/store_era.ts
+++ b/source/core/ownership/store_era.ts
@@ -69,7 +69,7 @@
  */
 const epochsPerEra = 1_024;
 
-/** Eras that are counted: half of all epochs, so that later claims have some. */
+/** Eras that are counted. They take half of all epochs at most. */
 const maxCountedEras = 512;
 
 /**
--- a/source/tasks/grantors_task.ts
+++ b/source/tasks/grantors_task.ts
@@ -177,11 +177,11 @@
     const read = await reading;
     if (read.isErr) return null;
     const former = read.value;
-    const lacking = former === null
-      ? await mayLackRecord(question.group)
+    const missing = former === null
+      ? await classifyMissingRecord(question.group)
       : null;
-    if (lacking === "unknown") return null;
-    if (lacking === "lost" || mayBeLost(former, options.storeEra())) {
+    if (missing === "unknown") return null;
+    if (missing === "lost" || mayBeLost(former, options.storeEra())) {
       return await recovery.takeOverIfUnheard(question.group, former);
     }
     if (former === null || former.value.grantor === agent.id) {
@@ -190,15 +190,15 @@
     return await takeOverIfLost(former);
   }
 
-  async function mayLackRecord(group: string) {
+  async function classifyMissingRecord(group: string) {
     const settings = options.settingsOf(group);
     if (settings === null) return null;
-    const lacking = await recovery.mayLackRecord(group, settings);
-    if (lacking === "unknown") {
+    const missing = await recovery.classifyMissingRecord(group, settings);
+    if (missing === "unknown") {
       const reason = "no-other-agent";
       options.events.record("takeover-declined", { group, epoch: 0, reason });
     }
-    return lacking;
+    return missing;
   }
 
   async function takeOverIfLost(
--- a/source/tasks/group_recovery.ts
+++ b/source/tasks/group_recovery.ts
@@ -52,6 +52,9 @@
 /** The state of a delegation's grantor, as its agent reports it. */
 export type GrantorStatus = "grants" | "stopped" | "unreachable";
 
+/** What has become of a group's record that the store doesn't have. */
+export type MissingRecord = "lost" | "never-written" | "unknown";
+
 /** A group's record in the store; null for none. */
 type Found = Versioned<Delegation> | null;
 
@@ -72,15 +75,15 @@
 /** The recovery of an agent's groups. */
 export interface GroupRecovery {
   /**
-   * Whether the store may have lost the only record of a group. Unknown while
-   * an agent that has just started has not received all that another one knows,
-   * or the table of each known server: it doesn't know whether the era began
-   * with a change.
+   * Says whether the store may have lost a group's only record. Unknown while an
+   * agent that has just started has not received all that another one knows, or
+   * the table of each known server: it doesn't know whether the era began with a
+   * change.
    */
-  mayLackRecord(
+  classifyMissingRecord(
     group: string,
     settings: GrantorSettings,
-  ): Promise<"lost" | "never-written" | "unknown">;
+  ): Promise<MissingRecord>;
   /**
    * Takes a group over, unless its servers hear a grantor: that one claims the
    * group again itself.
@@ -263,10 +266,10 @@
     return found.value.epoch > grantor.epoch || !mayBeLost(found, storeEra());
   }
 
-  async function mayLackRecord(
+  async function classifyMissingRecord(
     group: string,
     settings: GrantorSettings,
-  ): Promise<"lost" | "never-written" | "unknown"> {
+  ): Promise<MissingRecord> {
     const { era, since, changed } = storeEra();
     if (changed) return "lost";
     const endedAt = earlierErasEndAt(since, settings);
@@ -280,7 +283,7 @@
 
   async function askOthers(
     group: string,
-  ): Promise<"lost" | "never-written" | "unknown"> {
+  ): Promise<MissingRecord> {
     const consultation = await options.consultOthers();
     if (storeEra().changed) return "lost";
     if (consultation === "unanswered") return "unknown";
@@ -291,7 +294,7 @@
   }
 
   return {
-    mayLackRecord,
+    classifyMissingRecord,
     takeOverIfUnheard,
     async restore(group) {
       if (restoring.has(group)) return;
