Test a store that states its era only after some answers

Cause: that the first stated era is no change could leave a grantor that started without one unable to renew its delegation.

--- a/source/tasks/group_recovery.ts
+++ b/source/tasks/group_recovery.ts
@@ -75,10 +75,10 @@
 /** The recovery of an agent's groups. */
 export interface GroupRecovery {
   /**
-   * Says whether the store may have lost a group's only record. Unknown while an
-   * agent that has just started has not received all that another one knows, or
-   * the table of each known server: it doesn't know whether the era began with a
-   * change.
+   * Says whether the store may have lost a group's only record. Unknown while
+   * an agent that has just started has not received all that another one knows,
+   * or the table of each known server: it doesn't know whether the era began
+   * with a change.
    */
   classifyMissingRecord(
     group: string,
--- a/tests/store_eras_test.ts
+++ b/tests/store_eras_test.ts
@@ -28,10 +28,10 @@
   };
 }
 
-async function startSettledMesh(): Promise<void> {
+async function startSettledMesh(era: number): Promise<void> {
   mesh = startFakeMesh({
     document,
-    era: 1,
+    era,
     times: { ...defaultCoordinatorTimes, delegationMilliseconds },
     nodes: [
       server("timetable-1"),
@@ -87,8 +87,27 @@
   assert.notDeepEqual(mesh.grantors(), [former]);
 }
 
+// Guards against a grantor that no longer renews its delegation, because its
+// store, or a proxy before it, stated no era in its first answers.
+describe("a group whose store states its era late", () => {
+  beforeEach(() => startSettledMesh(0));
+  afterEach(() => mesh.stop());
+
+  it("keeps its grantor and all keys, and tells nobody of a change", async () => {
+    const before = { owners: ownerByKey(), grantors: mesh.grantors() };
+    mesh.store.returnTo(mesh.store.copy());
+    await mesh.advance(delegationMilliseconds * 2, () => {
+      assert.deepEqual(ownerByKey(), before.owners);
+    });
+    assert.deepEqual(mesh.grantors(), before.grantors);
+    assert.equal(stored().era, 1);
+    const told = mesh.events.some(({ kind }) => kind === "store-era-changed");
+    assert.ok(!told);
+  });
+});
+
 describe("a group whose store goes back to an older copy", () => {
-  beforeEach(startSettledMesh);
+  beforeEach(() => startSettledMesh(1));
   afterEach(() => mesh.stop());
 
   describe("while its grantor runs", () => {
