--- a/source/core/ownership/store_era.ts
+++ b/source/core/ownership/store_era.ts
@@ -3,7 +3,10 @@
  * older copy and so loses writes that it has acknowledged.
  *
  * Invariant: an epoch that is claimed in one era is above every epoch that was
- * claimed in an earlier one, also where the store has lost that claim.
+ * claimed in an earlier one, also where the store has lost that claim. Without
+ * a record, and without a server that reports an epoch, this holds up to era
+ * 512 only: epochs have a limit, and later eras aren't told apart. Such a claim
+ * isn't declined, since the first era of a store may be any number.
  *
  * @module
  */
@@ -31,14 +34,18 @@
   changed: false,
 };
 
-/** An answer of the store states an era. Answers may arrive out of order. */
+/**
+ * An answer of the store states an era, or none. Answers may arrive out of
+ * order. The first era that is stated is no change, also after answers without
+ * any: a store goes back only where it states eras.
+ */
 export function noteAnsweredEra(
   state: StoreEra,
   era: number,
   now: number,
 ): StoreEra {
   if (state.known && era <= state.era) return state;
-  return { era, known: true, since: now, changed: state.known };
+  return { era, known: true, since: now, changed: state.era > 0 };
 }
 
 /**
@@ -62,7 +69,7 @@
  */
 const epochsPerEra = 1_024;
 
-/** Eras that are counted; more would lead to the limit at once. */
+/** Eras that are counted. They take half of all epochs at most. */
 const maxCountedEras = 512;
 
 /**
@@ -99,7 +106,8 @@
 
 /**
  * When the last work must have ended that a grantor of an earlier era than the
- * one known since then has allowed. It can't have renewed its delegation since the change of era.
+ * one known since then has allowed. It can't have renewed its delegation since
+ * the change of era.
  */
 export function earlierErasEndAt(
   since: number,
--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -49,7 +49,10 @@
   readonly callTimeoutMilliseconds: number;
 }
 
-/** Whether any other agent has answered an exchange; alone if none is known. */
+/**
+ * Whether all that any one other agent knows has been received; alone if none
+ * is known.
+ */
 export type Consultation = "answered" | "unanswered" | "alone";
 
 /** The running gossip task of one agent. */
@@ -81,8 +84,8 @@
    */
   announceNow(): Promise<void>;
   /**
-   * Exchanges with the agents that have run for longest, a few of those known,
-   * and again if it learns of older ones.
+   * Exchanges with the agents that have run for longest, a few of those known
+   * that answer, and again if it learns of older ones.
    */
   consult(): Promise<Consultation>;
   /**
@@ -93,6 +96,15 @@
   stop(): Promise<void>;
 }
 
+/** The rest between two rounds, as a share of what is left of the period. */
+const minRestShare = 0.75;
+const maxRestShare = 1.25;
+
+/** The longest time from one round to the next, in milliseconds. */
+export function longestGossipPeriod(times: GossipTimes): number {
+  return times.exchangeMilliseconds * maxRestShare;
+}
+
 /** Maximum number of agents to which `announceNow` sends updates. */
 const maxAnnouncementPartners = 4;
 /** Failed calls after which an agent counts as lost. */
@@ -104,6 +116,9 @@
 /** One exchange in this many may go to another data centre. */
 const roundsPerRemote = 4;
 
+/** Reconciled: both have, as of the exchange, all that either of them knows. */
+type ExchangeOutcome = "failed" | "answered" | "reconciled";
+
 type Message =
   | { readonly kind: "merge"; readonly records: readonly SharedRecord[] }
   | { readonly kind: "updatesTaken"; readonly replica: Replica }
@@ -235,7 +250,7 @@
   async function exchangeWith(
     address: Address,
     timeoutMilliseconds: number = times.callTimeoutMilliseconds,
-  ): Promise<AgentId | null> {
+  ): Promise<ExchangeOutcome> {
     const result = await peers.call(address, "exchange", {
       message: {
         from: self.id,
@@ -245,29 +260,34 @@
       },
       timeoutMilliseconds,
     });
-    if (result.isErr) return null;
+    if (result.isErr) return "failed";
     const reply = result.value;
     mailbox.send({ kind: "merge", records: reply.news });
-    if (reply.root !== rootDigest(replica)) await reconcile(address);
+    const reconciled = reply.root === rootDigest(replica) ||
+      await reconcile(address);
     options.onRevision(reply.revision);
     if (reply.fresh) options.onConfirmed();
-    return reply.id;
+    return reconciled ? "reconciled" : "answered";
   }
 
-  async function reconcile(address: Address): Promise<void> {
+  /** False if one of the calls has failed. */
+  async function reconcile(address: Address): Promise<boolean> {
     const compared = await peers.call(address, "compare", {
       message: { digests: replica.digests },
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    if (compared.isErr) return;
+    if (compared.isErr) return false;
     const difference = compareVersions(replica, compared.value);
-    if (difference.offered.length + difference.wanted.length === 0) return;
+    if (difference.offered.length + difference.wanted.length === 0) {
+      return true;
+    }
     const received = await peers.call(address, "transfer", {
       message: difference,
       timeoutMilliseconds: times.callTimeoutMilliseconds,
     });
-    if (received.isErr) return;
+    if (received.isErr) return false;
     mailbox.send({ kind: "merge", records: received.value });
+    return true;
   }
 
   async function exchangeRound(): Promise<void> {
@@ -281,8 +301,8 @@
       return;
     }
     const series = startSeries(partner);
-    const answered = await exchangeWith(partner.peerAddress);
-    if (answered !== null) return void suspects.delete(partner.id);
+    const outcome = await exchangeWith(partner.peerAddress);
+    if (outcome !== "failed") return void suspects.delete(partner.id);
     if (series !== null) void retryExchange(partner, series);
   }
 
@@ -324,12 +344,12 @@
     for (let failures = 1; failures < failuresBeforeLoss; failures += 1) {
       timeoutMilliseconds *= 2;
       const startedAt = monotonicNow();
-      const answered = await exchangeWith(
+      const outcome = await exchangeWith(
         partner.peerAddress,
         timeoutMilliseconds,
       );
       if (!isCurrent()) return;
-      if (answered !== null) return void suspects.delete(partner.id);
+      if (outcome !== "failed") return void suspects.delete(partner.id);
       // A refused call ends at once, so the next one is delayed.
       const elapsed = monotonicNow() - startedAt;
       await pause(Math.max(0, times.exchangeMilliseconds - elapsed));
@@ -357,7 +377,8 @@
       await exchangeRound();
       const elapsed = monotonicNow() - startedAt;
       const rest = Math.max(0, times.exchangeMilliseconds - elapsed);
-      await pause(rest * (0.75 + random() / 2), wake.signal);
+      const share = minRestShare + random() * (maxRestShare - minRestShare);
+      await pause(rest * share, wake.signal);
     }
   }
 
@@ -386,30 +407,34 @@
   }
 
   /** Agents that have run for longest know most of what was before. */
-  async function oldestAddresses(): Promise<readonly Address[]> {
+  async function oldestAddresses(
+    failed: ReadonlySet<Address>,
+  ): Promise<readonly Address[]> {
     const others = agents.filter((agent) =>
       agent.host !== self.host && agent.phase !== "lost"
     ).toSorted((left, right) => left.incarnation - right.incarnation);
     const known = others.map(({ peerAddress }) => peerAddress);
     const addresses = known.length > 0 ? known : await options.seeds();
     return addresses
-      .filter((address) => address !== self.peerAddress)
+      .filter((address) => address !== self.peerAddress && !failed.has(address))
       .slice(0, maxAnnouncementPartners);
   }
 
   async function consult(): Promise<Consultation> {
     const asked = new Set<Address>();
-    let answered = false;
+    const failed = new Set<Address>();
     for (;;) {
-      const addresses = await oldestAddresses();
+      const addresses = await oldestAddresses(failed);
       const next = addresses.filter((address) => !asked.has(address));
       if (next.length === 0) break;
       for (const address of next) asked.add(address);
-      const ids = await Promise.all(next.map((each) => exchangeWith(each)));
-      answered ||= ids.some((id) => id !== null);
+      await Promise.all(next.map(async (address) => {
+        const outcome = await exchangeWith(address);
+        if (outcome !== "reconciled") failed.add(address);
+      }));
     }
     if (asked.size === 0) return "alone";
-    return answered ? "answered" : "unanswered";
+    return failed.size < asked.size ? "answered" : "unanswered";
   }
 
   mailbox.send({ kind: "describe", self });
