--- a/source/core/admission/estimates.ts
+++ b/source/core/admission/estimates.ts
@@ -99,6 +99,16 @@
   );
 }
 
+/** The utilization by which clients compete; 0 without fair shares. */
+export function competingUtilization(
+  state: AdmissionState,
+  rank: number,
+  now: number,
+): number {
+  const { fairShares = true } = state.settings;
+  return fairShares ? utilizationFor(state, rank, now) : 0;
+}
+
 /** Whether the clients of the waiting requests of a rank compete. */
 export function isRankContested(
   state: AdmissionState,
@@ -106,7 +116,7 @@
   now: number,
 ): boolean {
   const queue = state.waiting[rank] ?? [];
-  return isContested(queue, utilizationFor(state, rank, now));
+  return isContested(queue, competingUtilization(state, rank, now));
 }
 
 /**
--- a/source/core/admission/expected_waits.ts
+++ b/source/core/admission/expected_waits.ts
@@ -8,6 +8,7 @@
 import { isStartFree, startDelay } from "./cold_start.ts";
 import { type Competing, isContested, workBefore } from "./competition.ts";
 import {
+  competingUtilization,
   expectedServiceTime,
   occupiedMilliseconds,
   utilizationFor,
@@ -70,7 +71,8 @@
 function startsBeforeInRank(state: AdmissionState, event: Arriving): number {
   const { rank, client, now } = event;
   const queue = queueOf(state, rank);
-  if (!isContested(queue, utilizationFor(state, rank, now), client)) {
+  const utilization = competingUtilization(state, rank, now);
+  if (!isContested(queue, utilization, client)) {
     return queue.length;
   }
   const waiting = queue.map(({ client, work }) => ({
@@ -162,7 +164,7 @@
   );
   return workBefore(waiting, inQueue(state, event, rank), {
     now,
-    utilization: utilizationFor(state, rank, now),
+    utilization: competingUtilization(state, rank, now),
     use: state.use[rank] ?? noUse,
   });
 }
--- a/source/core/admission/fair_shares_test.ts
+++ b/source/core/admission/fair_shares_test.ts
@@ -106,6 +106,20 @@
   });
 });
 
+describe("a target whose callers are not known to press", () => {
+  // Guards against other orders and refusals where shares are not asked for.
+  it("keeps the order of objectives, whoever asks", () => {
+    const settings = { ...crowdSettings([0]), fairShares: false };
+    const classes = [
+      requestsOf("flood", "entry-1", 1.5),
+      requestsOf("small", "entry-2", 0.3),
+    ];
+    const share = simulateSeeds(classes, { settings });
+    const [flood, small] = classes.map(({ name }) => share(name, "served"));
+    assert.ok(Math.abs((flood ?? 0) - (small ?? 1)) < 0.1, `${flood} ${small}`);
+  });
+});
+
 describe("a target that can run all requests", () => {
   // Guards against shares where nobody competes.
   it("refuses none, however unequal its clients are", () => {
--- a/source/core/admission/settings.ts
+++ b/source/core/admission/settings.ts
@@ -25,4 +25,6 @@
    * its deadline bounds it when left out.
    */
   readonly maxLateWaitMilliseconds?: number;
+  /** Whether clients that compete get fair shares; they do when left out. */
+  readonly fairShares?: boolean;
 }
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -187,7 +187,11 @@
 /** Settings of the admission of a service's target with so many slots. */
 export function admissionSettings(
   configuration: Configuration,
-  target: { readonly service: string; readonly slots: number },
+  target: {
+    readonly service: string;
+    readonly slots: number;
+    readonly callersPress: boolean;
+  },
 ): AdmissionSettings {
   const service = serviceNamed(configuration, target.service);
   const { ranks } = configuration;
@@ -197,6 +201,7 @@
     queueLength: service?.queueLength ?? servicePolicy.queueLength,
     initialShare: initialSlotShare,
     maxLateWaitMilliseconds,
+    fairShares: target.callersPress,
   };
 }
 
