--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -16,6 +16,7 @@
   resizedLimit,
 } from "./concurrency_limit.ts";
 import {
+  callersPress,
   isShortWork,
   occupiedMilliseconds,
   recordMeasurement,
@@ -38,6 +39,7 @@
 import {
   type BookReturn,
   bookReturn,
+  keepDelay,
   rescaleReturns,
 } from "./return_schedule.ts";
 import type { AdmissionSettings } from "./settings.ts";
@@ -101,7 +103,7 @@
     capacity: { slots: slotsInUse(state), shares },
     use: state.use,
     requestOf: (id) => refusedRequest(id, { before, event }),
-    book,
+    book: callersPress(state) ? book : keepDelay,
     now: event.now,
   });
   return {
@@ -161,9 +163,10 @@
   rank: number,
 ): WaitingRequest {
   const { id, work = null, keyed = false, deadlineAt } = event;
-  const { client = unknownClient, objectiveAt: orderAt = deadlineAt } = event;
+  const { client = unknownClient, objectiveAt: stated = deadlineAt } = event;
   const isShort = isShortWork(state, { rank, work });
-  const objectiveAt = isShort ? deadlineAt : orderAt;
+  const objectiveAt = isShort ? deadlineAt : stated;
+  const orderAt = callersPress(state) ? stated : deadlineAt;
   const times = { arrivedAt: event.now, orderAt, objectiveAt, deadlineAt };
   return { id, work, keyed, client, ...times };
 }
--- a/source/core/admission/competition.ts
+++ b/source/core/admission/competition.ts
@@ -44,14 +44,18 @@
     /** The offered load of the rank and those above. */
     readonly utilization: number;
     readonly use: FairShares;
+    /** Whether late requests count although they would start afterwards. */
+    readonly countsLate: boolean;
   },
 ): number {
-  const { now, utilization, use } = view;
+  const { now, utilization, use, countsLate } = view;
   const { client } = arriving;
   if (!isContested(waiting, utilization, client)) {
     return waiting.reduce(
       (sum, other) =>
-        startsBefore(other, arriving, now)
+        (countsLate
+            ? other.orderAt <= arriving.orderAt
+            : startsBefore(other, arriving, now))
           ? sum + other.serviceMilliseconds
           : sum,
       0,
--- a/source/core/admission/estimates.ts
+++ b/source/core/admission/estimates.ts
@@ -99,14 +99,18 @@
   );
 }
 
+/** Whether callers may ask for more than the target has. */
+export function callersPress({ settings }: AdmissionState): boolean {
+  return settings.callersPress ?? true;
+}
+
 /** The utilization by which clients compete; 0 without fair shares. */
 export function competingUtilization(
   state: AdmissionState,
   rank: number,
   now: number,
 ): number {
-  const { fairShares = true } = state.settings;
-  return fairShares ? utilizationFor(state, rank, now) : 0;
+  return callersPress(state) ? utilizationFor(state, rank, now) : 0;
 }
 
 /** Whether the clients of the waiting requests of a rank compete. */
--- a/source/core/admission/expected_waits.ts
+++ b/source/core/admission/expected_waits.ts
@@ -8,6 +8,7 @@
 import { isStartFree, startDelay } from "./cold_start.ts";
 import { type Competing, isContested, workBefore } from "./competition.ts";
 import {
+  callersPress,
   competingUtilization,
   expectedServiceTime,
   occupiedMilliseconds,
@@ -166,6 +167,7 @@
     now,
     utilization: competingUtilization(state, rank, now),
     use: state.use[rank] ?? noUse,
+    countsLate: !callersPress(state),
   });
 }
 
--- a/source/core/admission/fair_shares_test.ts
+++ b/source/core/admission/fair_shares_test.ts
@@ -109,7 +109,7 @@
 describe("a target whose callers are not known to press", () => {
   // Guards against other orders and refusals where shares are not asked for.
   it("keeps the order of objectives, whoever asks", () => {
-    const settings = { ...crowdSettings([0]), fairShares: false };
+    const settings = { ...crowdSettings([0]), callersPress: false };
     const classes = [
       requestsOf("flood", "entry-1", 1.5),
       requestsOf("small", "entry-2", 0.3),
--- a/source/core/admission/return_schedule.ts
+++ b/source/core/admission/return_schedule.ts
@@ -68,6 +68,15 @@
   capacity: ReturnCapacity,
 ) => { readonly schedule: ReturnSchedule; readonly booked: BookedReturn };
 
+/** Books nothing: the caller is told how long it would have waited. */
+export const keepDelay: BookReturn = (schedule, { waitMilliseconds }) => ({
+  schedule,
+  booked: {
+    retryAfterMilliseconds: waitMilliseconds,
+    capacityAfterMilliseconds: null,
+  },
+});
+
 /** Time in which the sum of new work decays to about a third. */
 const decayMilliseconds = 1_500;
 /** Returns are counted in intervals of this length. */
--- a/source/core/admission/return_schedule_test.ts
+++ b/source/core/admission/return_schedule_test.ts
@@ -9,6 +9,7 @@
   type BookedReturn,
   type BookReturn,
   bookReturn,
+  keepDelay,
   noReturns,
   recordArrival,
   type RefusedReturn,
@@ -22,15 +23,6 @@
   deadlineMilliseconds: 6_000,
 };
 
-/** Without a schedule, each caller is told how long it would have waited. */
-const unscheduled: BookReturn = (schedule, { waitMilliseconds }) => ({
-  schedule,
-  booked: {
-    retryAfterMilliseconds: waitMilliseconds,
-    capacityAfterMilliseconds: null,
-  },
-});
-
 function simulate(load: CrowdClass["load"], book: BookReturn) {
   const settings = crowdSettings([0]);
   const share = simulateSeeds([{ ...asked, load }], {
@@ -57,7 +49,7 @@
   ) {
     describe(`of bursts of ${load} times the capacity for ${seconds} s`, () => {
       const burst = (now: number) => now % 8_000 < seconds * 1_000 ? load : 0.5;
-      const before = simulate(burst, unscheduled);
+      const before = simulate(burst, keepDelay);
       const after = simulate(burst, bookReturn);
 
       it("has fewer refused again than without a schedule", () => {
@@ -78,7 +70,7 @@
 
   for (const load of [1.5, 2]) {
     describe(`of a steady load of ${load} times the capacity`, () => {
-      const before = simulate(() => load, unscheduled);
+      const before = simulate(() => load, keepDelay);
       const after = simulate(() => load, bookReturn);
 
       it("has no fewer served than without a schedule", () => {
--- a/source/core/admission/settings.ts
+++ b/source/core/admission/settings.ts
@@ -25,6 +25,9 @@
    * its deadline bounds it when left out.
    */
   readonly maxLateWaitMilliseconds?: number;
-  /** Whether clients that compete get fair shares; they do when left out. */
-  readonly fairShares?: boolean;
+  /**
+   * Whether callers may ask for more than the target has: then clients get fair
+   * shares, and refused callers return one after the other. True when left out.
+   */
+  readonly callersPress?: boolean;
 }
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -201,7 +201,7 @@
     queueLength: service?.queueLength ?? servicePolicy.queueLength,
     initialShare: initialSlotShare,
     maxLateWaitMilliseconds,
-    fairShares: target.callersPress,
+    callersPress: target.callersPress,
   };
 }
 
