Encode heads of messages on links as lists with repeated strings

Traffic between regions is the most expensive resource of these deployments.

A head is now a list. Strings that were sent on the connection before are replaced by their index, and header values that are the same as in the message before are left out. Both ends build the same tables, so nothing is negotiated; the path of the links changes, since agents of the release before can't read them.

The test of delayed requests encodes both messages of its connection with one encoder, as a link does.

--- a/source/adapters/hops/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -21,8 +21,8 @@
 } from "./hop_cancellations.ts";
 import {
   type ClientMessage,
-  decodeMessage,
-  encodeMessage,
+  createDecoder,
+  createEncoder,
   type RequestMessage,
   type ServerMessage,
 } from "./hop_messages.ts";
@@ -99,9 +99,11 @@
 function serveLink(socket: WebSocket, context: LinkContext): void {
   /** Copies that were received over this link and have not ended. */
   const running = new Set<HopCopy>();
+  const encode = createEncoder();
+  const decode = createDecoder<ClientMessage>(messageKinds);
 
   socket.on("message", (data: Buffer) => {
-    const received = decodeMessage<ClientMessage>(data, messageKinds);
+    const received = decode(data);
     if (received === null) {
       context.onMalformed();
       return socket.terminate();
@@ -127,7 +129,7 @@
     message: RequestMessage,
     bytes: Uint8Array,
   ): Promise<void> {
-    const { hop, departure = null } = message;
+    const { hop, departure } = message;
     const cancel = context.cancels.acquire(hop);
     running.add(hop);
     const now = context.now();
@@ -198,7 +200,7 @@
 
   function send(message: ServerMessage, bytes?: Uint8Array): void {
     if (socket.readyState !== socket.OPEN) return;
-    socket.send(encodeMessage(message, bytes), { binary: true });
+    socket.send(encode(message, bytes), { binary: true });
   }
 }
 
--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -31,8 +31,10 @@
   ProxyRequest,
 } from "../../ports/upstream.ts";
 import {
-  decodeMessage,
-  encodeMessage,
+  createDecoder,
+  createEncoder,
+  type DecodeMessage,
+  type EncodeMessage,
   type RequestMessage,
   type ServerMessage,
 } from "./hop_messages.ts";
@@ -85,7 +87,7 @@
  * messages, so that agents of incompatible releases refuse each other before
  * any request is sent.
  */
-export const linkPath = "/-/links/2";
+export const linkPath = "/-/links/3";
 
 type SettleRequest = (result: Result<ProxyAnswer, Failure>) => void;
 
@@ -207,28 +209,29 @@
 ): Link {
   const { settings, now } = options;
   const pending = new Map<number, PendingRequest>();
-  let socket = connect(address, settings);
+  let connection = connect(address, settings);
   let lastReceivedAt = now();
   let timer: ReturnType<typeof setTimeout> | null = null;
   let closed = false;
   let retired = false;
-  listen(socket);
+  listen(connection);
 
-  function listen(opened: WebSocket): void {
-    opened.on("open", () => {
+  function listen(opened: Connection): void {
+    const { socket } = opened;
+    socket.on("open", () => {
       lastReceivedAt = now();
       for (const entry of pending.values()) transmit(entry);
     });
-    opened.on("message", (data: Buffer) => receive(data));
-    opened.on("pong", () => lastReceivedAt = now());
-    opened.on("error", () => fail(opened));
-    opened.on("close", () => fail(opened));
+    socket.on("message", (data: Buffer) => receive(opened, data));
+    socket.on("pong", () => lastReceivedAt = now());
+    socket.on("error", () => fail(opened));
+    socket.on("close", () => fail(opened));
   }
 
-  function receive(data: Buffer): void {
+  function receive(from: Connection, data: Buffer): void {
     lastReceivedAt = now();
-    const received = decodeMessage<ServerMessage>(data, messageKinds);
-    if (received === null) return fail(socket);
+    const received = from.decode(data);
+    if (received === null) return fail(connection);
     const { message, bytes } = received;
     options.clock.observe(message.clock);
     const entry = pending.get(message.hop.sequence);
@@ -243,7 +246,7 @@
         Result.err(failureAfterCopies(entry, failure)),
       );
     }
-    const { status, headers, load, slowness = null } = message;
+    const { status, headers, load, slowness } = message;
     if (!isAnswerStatus(status)) {
       return entry.settle(Result.err(unknownOutcome("connection-lost")));
     }
@@ -253,20 +256,21 @@
 
   function transmit(entry: PendingRequest): void {
     entry.sentAt = now();
+    const { socket, encode } = connection;
     const message = composeRequest(entry, options);
-    socket.send(encodeMessage(message, entry.bytes), { binary: true });
+    socket.send(encode(message, entry.bytes), { binary: true });
   }
 
   /**
    * Closes the link, and fails every request that waits on it. Ignored for a
    * connection that has been replaced.
    */
-  function fail(failed: WebSocket): void {
-    if (failed !== socket || closed) return;
+  function fail(failed: Connection): void {
+    if (failed !== connection || closed) return;
     closed = true;
     options.onClose();
     if (timer !== null) clearTimeout(timer);
-    socket.terminate();
+    failed.socket.terminate();
     for (const entry of [...pending.values()]) {
       const sent = entry.sentAt > 0;
       entry.settle(Result.err(
@@ -275,13 +279,17 @@
     }
   }
 
+  function isOpen(): boolean {
+    return connection.socket.readyState === WebSocket.OPEN;
+  }
+
   /** Checks for silence as long as requests wait on the link. */
   function watch(): void {
     if (timer !== null || closed) return;
     timer = setTimeout(() => {
       timer = null;
       if (pending.size === 0 || closed) return;
-      if (socket.readyState === socket.OPEN) checkSilence();
+      if (isOpen()) checkSilence();
       watch();
     }, settings.silenceMilliseconds / 2);
   }
@@ -289,7 +297,8 @@
   function checkSilence(): void {
     const silentFor = now() - Math.max(lastReceivedAt, oldestSentAt());
     if (silentFor >= settings.silenceMilliseconds) return compareWithNewLink();
-    if (silentFor >= settings.silenceMilliseconds / 3) socket.ping();
+    if (silentFor < settings.silenceMilliseconds / 3) return;
+    connection.socket.ping();
   }
 
   function oldestSentAt(): number {
@@ -304,13 +313,15 @@
     comparing = true;
     const suspectedAt = now();
     const other = connect(address, settings);
-    other.on("error", () => {
+    other.socket.on("error", () => {
       comparing = false;
       if (lastReceivedAt < suspectedAt) retire();
     });
-    other.once("open", () => {
+    other.socket.once("open", () => {
       comparing = false;
-      if (closed || lastReceivedAt >= suspectedAt) return other.terminate();
+      if (closed || lastReceivedAt >= suspectedAt) {
+        return other.socket.terminate();
+      }
       replaceWith(other);
     });
   }
@@ -339,14 +350,15 @@
   }
 
   function cancel(entry: PendingRequest): void {
-    if (entry.sentAt === 0 || socket.readyState !== socket.OPEN) return;
+    if (entry.sentAt === 0 || !isOpen()) return;
+    const { socket, encode } = connection;
     const hop = hopOf(entry, options);
-    socket.send(encodeMessage({ kind: "cancel", hop }), { binary: true });
+    socket.send(encode({ kind: "cancel", hop }), { binary: true });
   }
 
-  function replaceWith(other: WebSocket): void {
-    const silent = socket;
-    socket = other;
+  function replaceWith(other: Connection): void {
+    const silent = connection;
+    connection = other;
     listen(other);
     lastReceivedAt = now();
     for (const entry of pending.values()) {
@@ -354,7 +366,7 @@
       entry.copy += 1;
       transmit(entry);
     }
-    closeOnceConfirmed(silent, other);
+    closeOnceConfirmed(silent.socket, other.socket);
   }
 
   /**
@@ -382,7 +394,7 @@
           sentAt: 0,
           settle(result) {
             pending.delete(sequence);
-            if (retired && pending.size === 0) fail(socket);
+            if (retired && pending.size === 0) fail(connection);
             request.signal.removeEventListener("abort", abort);
             resolve(result);
           },
@@ -398,23 +410,32 @@
         };
         pending.set(sequence, entry);
         request.signal.addEventListener("abort", abort, { once: true });
-        if (socket.readyState === socket.OPEN) transmit(entry);
+        if (isOpen()) transmit(entry);
         watch();
       });
     },
     waiting: () => pending.size,
     close() {
       retired = true;
-      if (pending.size === 0) fail(socket);
+      if (pending.size === 0) fail(connection);
     },
   };
 }
 
-function connect(address: Address, settings: HopLinkSettings): WebSocket {
-  return new WebSocket(`ws://${address}${linkPath}`, {
+/** A connection, and the encodings of its two directions. */
+interface Connection {
+  readonly socket: WebSocket;
+  readonly encode: EncodeMessage;
+  readonly decode: DecodeMessage<ServerMessage>;
+}
+
+function connect(address: Address, settings: HopLinkSettings): Connection {
+  const socket = new WebSocket(`ws://${address}${linkPath}`, {
     handshakeTimeout: settings.connectTimeoutMilliseconds,
     perMessageDeflate: false,
   });
+  const decode = createDecoder<ServerMessage>(messageKinds);
+  return { socket, encode: createEncoder(), decode };
 }
 
 /** What the identity of a copy is made from, besides its request. */
--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -13,7 +13,7 @@
 import { testRequest } from "../../../tests/test_request.ts";
 import { linkSenderOf } from "./hop_deduplication.ts";
 import { serveHopLinks } from "./hop_link_server.ts";
-import { encodeMessage } from "./hop_messages.ts";
+import { createEncoder, type EncodeMessage } from "./hop_messages.ts";
 import { linkPath, openHopLinks } from "./hop_links.ts";
 import { startLogicalClock } from "../logs/logical_clock.ts";
 import { listen } from "../../../standins/http_server.ts";
@@ -318,12 +318,16 @@
     }
 
     /** A request with 500 ms left that departed at this time of its sender. */
-    function encodeRequest(sequence: number, at: number): Uint8Array {
+    function encodeRequest(
+      encode: EncodeMessage,
+      sequence: number,
+      at: number,
+    ): Uint8Array {
       const id = `departed-${at}`;
       const { signal } = new AbortController();
       const request = testRequest({ id, deadlineAt: 0, signal });
       const hop = { sequence, copy: 1, settledBelow: 1 };
-      return encodeMessage({
+      return encode({
         kind: "request",
         hop: { ...hop, sender: "host-3/a", receiver: testAgentId },
         clock: 1,
@@ -338,8 +342,9 @@
     // had left was counted from its arrival instead of its departure.
     it("don't start those whose deadline passed in transit", async () => {
       const socket = await openSocket();
-      socket.send(encodeRequest(1, 10_000));
-      socket.send(encodeRequest(2, 9_000));
+      const encode = createEncoder();
+      socket.send(encodeRequest(encode, 1, 10_000));
+      socket.send(encodeRequest(encode, 2, 9_000));
       await new Promise((resolve) => setTimeout(resolve, 100));
       assert.deepEqual(runs, ["departed-10000"]);
       socket.terminate();
--- a/source/adapters/hops/hop_messages.ts
+++ b/source/adapters/hops/hop_messages.ts
@@ -1,6 +1,6 @@
 /**
  * Messages on a link between two agents. A message is the length of its head in
- * four bytes, the head in JSON, and the bytes of a body.
+ * four bytes, the head in JSON (`hop_heads.ts`), and the bytes of a body.
  *
  * @module
  */
@@ -9,6 +9,8 @@
 import type { Departure } from "../../core/request/transit_delay.ts";
 import type { Headers, ProxyRequest } from "../../ports/upstream.ts";
 import type { HopCopy } from "./hop_deduplication.ts";
+import { composeHead, readHead } from "./hop_heads.ts";
+import { createStringReader, createStringWriter } from "./repeated_strings.ts";
 
 /** A request that is forwarded to another agent; its body follows the head. */
 export interface RequestMessage {
@@ -24,8 +26,8 @@
     | "longestBodyBytes"
     | "maxAttempts"
   >;
-  /** Absent in messages from agents of an earlier release. */
-  readonly departure?: Departure;
+  /** Null if the sender does not tell it. */
+  readonly departure: Departure | null;
   /** The time from its departure to its deadline. */
   readonly deadlineMilliseconds: number;
   /**
@@ -52,8 +54,7 @@
   readonly status: number;
   readonly headers: Headers;
   readonly load: number | null;
-  /** Absent in messages from agents of an earlier release. */
-  readonly slowness?: number | null;
+  readonly slowness: number | null;
 }
 
 /** Why a request has no answer of a target. */
@@ -76,39 +77,61 @@
   readonly bytes: Uint8Array;
 }
 
+/** Encodes the messages of one direction of a link, in order. */
+export type EncodeMessage = (
+  message: ClientMessage | ServerMessage,
+  bytes?: Uint8Array,
+) => Uint8Array;
+
+/** Decodes the messages of one direction of a link, in order. */
+export type DecodeMessage<Message> = (
+  data: Buffer,
+) => DecodedMessage<Message> | null;
+
 const headLengthBytes = 4;
 const emptyBody = new Uint8Array();
 
-/** Encodes a message and the bytes of its body. */
-export function encodeMessage(
-  message: ClientMessage | ServerMessage,
-  bytes: Uint8Array = emptyBody,
-): Uint8Array {
-  const head = Buffer.from(JSON.stringify(message));
-  const frame = Buffer.allocUnsafe(
-    headLengthBytes + head.length + bytes.length,
-  );
-  frame.writeUInt32BE(head.length, 0);
-  head.copy(frame, headLengthBytes);
-  frame.set(bytes, headLengthBytes + head.length);
-  return frame;
+/** Creates the encoder of one direction of a link. */
+export function createEncoder(): EncodeMessage {
+  const writer = createStringWriter();
+  return (message, bytes = emptyBody) => {
+    const head = Buffer.from(JSON.stringify(composeHead(message, writer)));
+    const frame = Buffer.allocUnsafe(
+      headLengthBytes + head.length + bytes.length,
+    );
+    frame.writeUInt32BE(head.length, 0);
+    head.copy(frame, headLengthBytes);
+    frame.set(bytes, headLengthBytes + head.length);
+    return frame;
+  };
 }
 
 /**
- * Decodes a message of one of these kinds; null for anything else. Of the
- * fields, only the kind and the numbers of the copy are checked, since agents
- * trust each other.
+ * Creates the decoder of one direction of a link. It returns null for anything
+ * but a message of one of these kinds. Of the fields, only the kind, the
+ * numbers of the copy and repeated strings are checked, since agents trust each
+ * other.
  */
-export function decodeMessage<Message extends ClientMessage | ServerMessage>(
-  data: Buffer,
+export function createDecoder<Message extends ClientMessage | ServerMessage>(
   kinds: ReadonlySet<Message["kind"]>,
-): DecodedMessage<Message> | null {
-  if (data.length < headLengthBytes) return null;
-  const end = headLengthBytes + data.readUInt32BE(0);
-  if (end > data.length) return null;
-  const message = parseJson(data.toString("utf8", headLengthBytes, end));
-  if (!isMessage(message) || !kinds.has(message.kind)) return null;
-  return { message: message as Message, bytes: data.subarray(end) };
+): DecodeMessage<Message> {
+  const reader = createStringReader();
+  return (data) => {
+    if (data.length < headLengthBytes) return null;
+    const end = headLengthBytes + data.readUInt32BE(0);
+    if (end > data.length) return null;
+    const head = parseJson(data.toString("utf8", headLengthBytes, end));
+    const message = readHead(head, reader);
+    if (message === null || !hasKind(message, kinds)) return null;
+    return { message, bytes: data.subarray(end) };
+  };
+}
+
+function hasKind<Message extends ClientMessage | ServerMessage>(
+  message: ClientMessage | ServerMessage,
+  kinds: ReadonlySet<Message["kind"]>,
+): message is Message {
+  return kinds.has(message.kind);
 }
 
 function parseJson(text: string): unknown {
@@ -118,14 +141,3 @@
     return null;
   }
 }
-
-function isMessage(
-  value: unknown,
-): value is ClientMessage | ServerMessage {
-  if (typeof value !== "object" || value === null) return false;
-  if (!("kind" in value) || !("hop" in value)) return false;
-  const { hop } = value;
-  return typeof hop === "object" && hop !== null && "sequence" in hop &&
-    "copy" in hop && Number.isSafeInteger(hop.sequence) &&
-    Number.isSafeInteger(hop.copy);
-}
