A refusal by a target names the request that it refuses

By the product's own protocol a refusal named no request. A target that repeated an earlier refusal on a kept connection had the next request reported as not run although it ran.

A refusal now has the request's id in geraniumledge-refused-request. One without the id, with another one or with several leaves the outcome unknown, closes its connection and is logged as target-answer-spoilt. The header is judged while it is parsed: a short answer may end, and its connection go to the next request, before the caller of undici sees it. The stand-ins and the raw refusals of two tests send the field. The send function of the repeated refusal test is now shared with the new tests of that file; its assertions are unchanged.

--- a/source/adapters/headers.ts
+++ b/source/adapters/headers.ts
@@ -25,6 +25,8 @@
   idempotent: "geraniumledge-idempotent",
   outcome: "geraniumledge-outcome",
   reason: "geraniumledge-reason",
+  /** In a target's refusal: the id of the request that has not run. */
+  refusedRequest: "geraniumledge-refused-request",
   service: "geraniumledge-service",
   /** The service that a request comes from, percent-encoded. */
   account: "geraniumledge-account",
--- a/source/adapters/targets/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -31,6 +31,12 @@
   readonly started?: () => void;
   /** Called for each interim (1xx) response before the answer. */
   readonly heard?: () => void;
+  /**
+   * Why an answer with these header fields does not belong to the request; null
+   * if it does. The connection of an answer that does not is closed, and the
+   * outcome of the request is unknown.
+   */
+  readonly faultOfAnswer?: (headers: Headers) => string | null;
 }
 
 /**
@@ -44,10 +50,14 @@
   const { request, signal = request.signal } = options;
   if (request.signal.aborted) return Result.err(failureOfUnsent(options));
   let started = false;
-  const intercepted = pool.compose(interceptStart(() => {
+  const interceptedStart = pool.compose(interceptStart(() => {
     started = true;
     options.started?.();
   }));
+  const { faultOfAnswer } = options;
+  const intercepted = faultOfAnswer === undefined
+    ? interceptedStart
+    : interceptedStart.compose(interceptAnswer(faultOfAnswer));
   const ended = new AbortController();
   const abortedUnsent = new Promise<Result<ProxyAnswer, Failure>>((resolve) => {
     const end = () => {
@@ -119,6 +129,28 @@
     });
 }
 
+/**
+ * Returns an undici interceptor that closes the connection of an answer with a
+ * fault. It acts while the header is parsed: once a short answer has been read
+ * to its end, its connection may already have the next request.
+ */
+function interceptAnswer(
+  faultOfAnswer: (headers: Headers) => string | null,
+): Dispatcher.DispatcherComposeInterceptor {
+  return (dispatch) => (request, handler) =>
+    dispatch(request, {
+      onRequestStart: (...event) => handler.onRequestStart?.(...event),
+      onResponseStart(controller, status, headers, message) {
+        const fault = faultOfAnswer(headers as Headers);
+        if (fault !== null) return controller.abort(new Error(fault));
+        handler.onResponseStart?.(controller, status, headers, message);
+      },
+      onResponseData: (...event) => handler.onResponseData?.(...event),
+      onResponseEnd: (...event) => handler.onResponseEnd?.(...event),
+      onResponseError: (...event) => handler.onResponseError?.(...event),
+    });
+}
+
 /**
  * Converts a body for undici. A stream is not read before the connection is
  * established, so that an unsent request can still be sent elsewhere.
--- a/source/adapters/targets/http_target.ts
+++ b/source/adapters/targets/http_target.ts
@@ -10,6 +10,7 @@
 import { formatToken } from "../../core/ownership/token.ts";
 import { type Failure, notRun } from "../../core/request/outcome.ts";
 import type {
+  Headers,
   ProxyAnswer,
   Target,
   TargetHealth,
@@ -25,6 +26,8 @@
   readonly settings: ConnectionSettings;
   readonly now: () => number;
   readonly healthTimeoutMilliseconds: number;
+  /** Called when an answer is invalid and not passed on, with the reason. */
+  readonly onInvalidAnswer?: (request: string, fault: string) => void;
 }): Target {
   const pool = openPool(options.address, options.settings);
   // Health checks must not wait for connections that long requests occupy.
@@ -47,7 +50,18 @@
         }),
       };
       const { now } = options;
-      const result = await exchange(pool, { request, headers, body, now });
+      const faultOfAnswer = (received: Headers) => {
+        const fault = faultOfRefusal(received, request.id);
+        if (fault !== null) options.onInvalidAnswer?.(request.id, fault);
+        return fault;
+      };
+      const result = await exchange(pool, {
+        request,
+        headers,
+        body,
+        now,
+        faultOfAnswer,
+      });
       if (result.isErr) return result;
       return readTargetAnswer(result.value);
     },
@@ -58,11 +72,26 @@
   };
 }
 
-/** Returns a failure if the outcome field states that the request did not run. */
+/** Whether the outcome field states that the request did not run. */
+function statesNotRun(headers: Headers): boolean {
+  return failureFromHeaders(headers)?.outcome === "not-run";
+}
+
+/**
+ * Why a refusal does not prove that the request with this id did not run; null
+ * if it does, and for other answers. A target may send an earlier refusal again
+ * on a connection that is kept open.
+ */
+function faultOfRefusal(headers: Headers, id: string): string | null {
+  if (!statesNotRun(headers)) return null;
+  const refused = headers[fields.refusedRequest];
+  if (refused === undefined) return "the refusal has no request id";
+  return refused === id ? null : "the refusal has the id of another request";
+}
+
+/** Returns a failure if the target states that the request did not run. */
 function readTargetAnswer(answer: ProxyAnswer): Result<ProxyAnswer, Failure> {
-  if (failureFromHeaders(answer.headers)?.outcome !== "not-run") {
-    return Result.ok(answer);
-  }
+  if (!statesNotRun(answer.headers)) return Result.ok(answer);
   if (answer.body.kind === "stream") drain(answer.body.stream);
   return Result.err(notRun("target-refused"));
 }
--- a/source/adapters/targets/repeated_refusal_test.ts
+++ b/source/adapters/targets/repeated_refusal_test.ts
@@ -1,13 +1,12 @@
 import assert from "node:assert/strict";
 import { createServer, type Server, type Socket } from "node:net";
-import { after, before, describe, it } from "node:test";
+import { after, before, beforeEach, describe, it } from "node:test";
 import { listen } from "../../../standins/http_server.ts";
 import { testRequest } from "../../../tests/test_request.ts";
 import type { Target } from "../../ports/upstream.ts";
 import { openTestTarget } from "../../../tests/test_target.ts";
 
-const refusal = "HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run\r\n" +
-  "Content-Length: 0\r\n\r\n";
+const refusal = refusalWith("Geraniumledge-Refused-Request: r-1\r\n");
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell";
 
 describe("a target by the product's protocol that repeats an earlier refusal", () => {
@@ -35,26 +34,93 @@
     server.close();
   });
 
-  async function send(id: string): Promise<string> {
-    const result = await target.send({
-      request: testRequest({
-        id,
-        deadlineAt: performance.now() + 2_000,
-        signal: AbortSignal.timeout(2_000),
-      }),
-      body: { kind: "kept", bytes: new Uint8Array() },
-      token: null,
-      slice: null,
-      leaseEndsAtWall: null,
-    });
-    return result.isErr ? result.error.outcome : "answered";
-  }
-
   // Guards against requests that are reported as not run but have run.
   it("does not have the next request reported as not run", async () => {
-    assert.equal(await send("r-1"), "not-run");
-    const outcome = await send("r-2");
+    assert.equal(await sendTo(target, "r-1"), "not-run");
+    const outcome = await sendTo(target, "r-2");
     assert.equal(runs, 1);
     assert.notEqual(outcome, "not-run");
   });
 });
+
+describe("a refusal by the product's protocol", () => {
+  let server: Server;
+  let target: Target;
+  let idField = "";
+  let connections = 0;
+  const faults: string[] = [];
+
+  before(async () => {
+    server = createServer((socket) => {
+      connections += 1;
+      socket.on("error", () => undefined);
+      socket.on("data", (data) => {
+        const refused = String(data).includes("x-request-id: refused");
+        socket.write(refused ? refusalWith(idField) : answer);
+      });
+    });
+    const port = await listen(server, 0);
+    target = openTestTarget(`127.0.0.1:${port}`, {
+      onInvalidAnswer: (_request, fault) => faults.push(fault),
+    });
+  });
+  after(async () => {
+    await target.close();
+    server.close();
+  });
+  beforeEach(async () => {
+    assert.equal(await sendTo(target, "before"), "answered");
+    connections = 0;
+    faults.length = 0;
+  });
+
+  describe("with the id of its request", () => {
+    // Guards against connections that are closed under overload.
+    it("proves that it did not run and keeps the connection", async () => {
+      idField = "Geraniumledge-Refused-Request: refused\r\n";
+      assert.equal(await sendTo(target, "refused"), "not-run");
+      assert.equal(await sendTo(target, "next"), "answered");
+      assert.deepEqual({ connections, faults }, { connections: 0, faults: [] });
+    });
+  });
+
+  const invalidFields: Readonly<Record<string, string>> = {
+    "without an id": "",
+    "with another id": "Geraniumledge-Refused-Request: before\r\n",
+    "with several ids": "Geraniumledge-Refused-Request: refused\r\n" +
+      "Geraniumledge-Refused-Request: before\r\n",
+  };
+  for (const [name, field] of Object.entries(invalidFields)) {
+    describe(name, () => {
+      // Guards against requests that are reported as not run but have run, and
+      // against a late answer on that connection for the next request.
+      it("leaves the outcome unknown and closes the connection", async () => {
+        idField = field;
+        assert.equal(await sendTo(target, "refused"), "unknown");
+        assert.equal(await sendTo(target, "next"), "answered");
+        assert.equal(connections, 1);
+        assert.equal(faults.length, 1);
+      });
+    });
+  }
+});
+
+function refusalWith(idField: string): string {
+  return `HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run\r\n${idField}` +
+    "Content-Length: 0\r\n\r\n";
+}
+
+async function sendTo(target: Target, id: string): Promise<string> {
+  const result = await target.send({
+    request: testRequest({
+      id,
+      deadlineAt: performance.now() + 2_000,
+      signal: AbortSignal.timeout(2_000),
+    }),
+    body: { kind: "kept", bytes: new Uint8Array() },
+    token: null,
+    slice: null,
+    leaseEndsAtWall: null,
+  });
+  return result.isErr ? result.error.outcome : "answered";
+}
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -119,6 +119,8 @@
     },
     now: monotonicNow,
     healthTimeoutMilliseconds,
+    onInvalidAnswer: (request, fault) =>
+      common.events.record("target-answer-spoilt", { request, fault }),
   });
   return { ...common, store, target };
 }
--- a/standins/target.ts
+++ b/standins/target.ts
@@ -118,7 +118,7 @@
       return sendJson(response, {
         status: 503,
         body: { refused: refusal },
-        notRun: true,
+        refusedRequest: field(message, "x-request-id"),
       });
     }
     running += 1;
@@ -286,12 +286,17 @@
   options: {
     readonly status: number;
     readonly body: unknown;
-    readonly notRun?: boolean;
+    /** The id of the request that has not run, in a refusal. */
+    readonly refusedRequest?: string;
   },
 ): void {
+  const { refusedRequest } = options;
   response.writeHead(options.status, {
     "content-type": "application/json",
-    ...(options.notRun === true ? { "geraniumledge-outcome": "not-run" } : {}),
+    ...(refusedRequest === undefined ? {} : {
+      "geraniumledge-outcome": "not-run",
+      "geraniumledge-refused-request": refusedRequest,
+    }),
   });
   response.end(JSON.stringify(options.body));
 }
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -181,6 +181,7 @@
         // The deadline no longer applies once the request is answered.
         const unending = new AbortController();
         const refusal = "HTTP/1.1 503 Full\r\nGeraniumledge-Outcome: not-run" +
+          "\r\nGeraniumledge-Refused-Request: r-1" +
           "\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (
           const then of ["1\r\nx\r\n", "400\r\n" + "x".repeat(1_024) + "\r\n"]
--- a/tests/test_target.ts
+++ b/tests/test_target.ts
@@ -8,7 +8,10 @@
 import type { Target } from "../source/ports/upstream.ts";
 
 /** Opens a client for this address that uses one connection at a time. */
-export function openTestTarget(address: Address): Target {
+export function openTestTarget(
+  address: Address,
+  overrides: Partial<Parameters<typeof openTarget>[0]> = {},
+): Target {
   return openTarget({
     address,
     settings: {
@@ -18,5 +21,6 @@
     },
     now: () => performance.now(),
     healthTimeoutMilliseconds: 250,
+    ...overrides,
   });
 }
