A request that a target has refused is retried on a connection of its own

An agent or a caller may send a refused request again with the same id. On the connection of the earlier refusal, a target that repeats that refusal would have the retry reported as not run although it runs: both refusals have its id.

A request with such an id gets a new connection, which is closed after the answer.

--- a/source/adapters/targets/http_target.ts
+++ b/source/adapters/targets/http_target.ts
@@ -18,6 +18,7 @@
 import { type ConnectionSettings, openPool } from "./connection_pool.ts";
 import { drain, exchange } from "./exchange.ts";
 import { failureFromHeaders, fields } from "../headers.ts";
+import { openTargetConnections } from "./target_connections.ts";
 import { exchangeWhole } from "./whole_exchange.ts";
 
 /** Opens a client of the target, which opens connections on demand. */
@@ -29,7 +30,7 @@
   /** Called when an answer is invalid and not passed on, with the reason. */
   readonly onInvalidAnswer?: (request: string, fault: string) => void;
 }): Target {
-  const pool = openPool(options.address, options.settings);
+  const connections = openTargetConnections(options.address, options.settings);
   // Health checks must not wait for connections that long requests occupy.
   const healthChecks = openPool(options.address, {
     ...options.settings,
@@ -55,7 +56,7 @@
         if (fault !== null) options.onInvalidAnswer?.(request.id, fault);
         return fault;
       };
-      const result = await exchange(pool, {
+      const result = await exchange(connections.select(request.id), {
         request,
         headers,
         body,
@@ -63,11 +64,14 @@
         faultOfAnswer,
       });
       if (result.isErr) return result;
+      if (statesNotRun(result.value.headers)) {
+        connections.recordRefusal(request.id);
+      }
       return readTargetAnswer(result.value);
     },
     health: () => checkHealth(healthChecks, options.healthTimeoutMilliseconds),
     async close() {
-      await Promise.all([pool.close(), healthChecks.close()]);
+      await Promise.all([connections.close(), healthChecks.close()]);
     },
   };
 }
--- a/source/adapters/targets/repeated_refusal_test.ts
+++ b/source/adapters/targets/repeated_refusal_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { createServer, type Server, type Socket } from "node:net";
-import { after, before, beforeEach, describe, it } from "node:test";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { listen } from "../../../standins/http_server.ts";
 import { testRequest } from "../../../tests/test_request.ts";
 import type { Target } from "../../ports/upstream.ts";
@@ -45,6 +45,7 @@
 
 describe("a refusal by the product's protocol", () => {
   let server: Server;
+  let port = 0;
   let target: Target;
   let idField = "";
   let connections = 0;
@@ -59,20 +60,18 @@
         socket.write(refused ? refusalWith(idField) : answer);
       });
     });
-    const port = await listen(server, 0);
+    port = await listen(server, 0);
+  });
+  after(() => server.close());
+  beforeEach(async () => {
     target = openTestTarget(`127.0.0.1:${port}`, {
       onInvalidAnswer: (_request, fault) => faults.push(fault),
     });
-  });
-  after(async () => {
-    await target.close();
-    server.close();
-  });
-  beforeEach(async () => {
     assert.equal(await sendTo(target, "before"), "answered");
     connections = 0;
     faults.length = 0;
   });
+  afterEach(() => target.close());
 
   describe("with the id of its request", () => {
     // Guards against connections that are closed under overload.
@@ -82,6 +81,18 @@
       assert.equal(await sendTo(target, "next"), "answered");
       assert.deepEqual({ connections, faults }, { connections: 0, faults: [] });
     });
+
+    // Guards against a retry that is reported as not run, but has run, when the
+    // target sends the earlier refusal again: both have the same id.
+    it("has each retry of its request sent on a connection of its own", async () => {
+      idField = "Geraniumledge-Refused-Request: refused\r\n";
+      for (const opened of [0, 1, 2]) {
+        assert.equal(await sendTo(target, "refused"), "not-run");
+        assert.equal(connections, opened);
+      }
+      assert.equal(await sendTo(target, "next"), "answered");
+      assert.equal(connections, 2);
+    });
   });
 
   const invalidFields: Readonly<Record<string, string>> = {
