Gossip task: partners, calls and loss detection are modules of their own

One file of 493 lines held the state, the calls, the choice of partners and the series of calls after which an agent counts as lost. gossip_partners.ts now has the choice as pure functions, gossip_calls.ts the calls and loss_detection.ts the series; gossip_task.ts (361 lines) keeps the records and the mailbox.

No change of behaviour: gossip_task, desired_state_spread, coordination and owner_tables tests pass unchanged (86 of 86).

--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -55,9 +55,9 @@
 } from "./holder_task.ts";
 import type { StartKeyGrants } from "./key_grants.ts";
 import { type CoordinationMethods, peerMethods } from "./peer_methods.ts";
+import type { GossipTimes } from "./gossip_calls.ts";
 import {
   type GossipTask,
-  type GossipTimes,
   longestGossipPeriod,
   startGossip,
 } from "./gossip_task.ts";
--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -9,14 +9,12 @@
   type Agent,
   type AgentId,
   departedAgent,
-  distance,
   type TargetPhase,
 } from "../core/agent.ts";
 import {
   agentKey,
   agentRecord,
   agentsOf,
-  compareVersions,
   correctionRecord,
   createReplica,
   differingVersions,
@@ -40,15 +38,19 @@
   Peers,
   Transfer,
 } from "../ports/peers.ts";
+import { gossipCalls, type GossipTimes } from "./gossip_calls.ts";
+import {
+  addressesByAge,
+  announcementPartners,
+  choosePartner,
+  maxAnnouncementPartners,
+  nearAgents,
+  pick,
+} from "./gossip_partners.ts";
+import { detectLosses, failuresBeforeLoss } from "./loss_detection.ts";
 import { openMailbox } from "./mailbox.ts";
 import { monotonicNow, pause } from "./time.ts";
 
-/** Durations of gossip, in milliseconds. */
-export interface GossipTimes {
-  readonly exchangeMilliseconds: number;
-  readonly callTimeoutMilliseconds: number;
-}
-
 /**
  * Whether all that any one other agent knows has been received; alone if none
  * is known.
@@ -105,20 +107,8 @@
   return times.exchangeMilliseconds * maxRestShare;
 }
 
-/** Maximum number of agents to which `announceNow` sends updates. */
-const maxAnnouncementPartners = 4;
-/** Failed calls after which an agent counts as lost. */
-const failuresBeforeLoss = 3;
 /** A lost agent that does not return is dropped after this time. */
 const lostRetentionMilliseconds = 600_000;
-/** One exchange in this many goes to an agent that counts as lost. */
-const roundsPerOutsider = 8;
-/** One exchange in this many may go to another data centre. */
-const roundsPerRemote = 4;
-
-/** Reconciled: both have, as of the exchange, all that either of them knows. */
-type ExchangeOutcome = "failed" | "answered" | "reconciled";
-
 type Message =
   | { readonly kind: "merge"; readonly records: readonly SharedRecord[] }
   | { readonly kind: "updatesTaken"; readonly replica: Replica }
@@ -150,8 +140,6 @@
   let replica = createReplica(options.hash);
   let agents: readonly Agent[] = [];
   let rounds = 0;
-  /** For each agent that has failed to answer, its current series of calls. */
-  const suspects = new Map<AgentId, symbol>();
   let wake = new AbortController();
   let stopped = false;
   let lostSince: ReadonlyMap<AgentId, number> = new Map();
@@ -212,151 +200,40 @@
     return taken.records;
   }
 
-  /** The living agents of this data centre but for this one. */
-  function nearAgents(): readonly Agent[] {
-    return agents.filter((agent) =>
-      agent.host !== self.host && agent.phase !== "lost" &&
-      distance(agent.place, self.place) === 0
-    );
-  }
-
   function publishTo(
     receivers: readonly Agent[],
     records: readonly SharedRecord[],
   ): void {
     mailbox.send({ kind: "merge", records });
     for (const { host, peerAddress } of receivers) {
-      if (host !== self.host) void sendRecords(peerAddress, records);
+      if (host !== self.host) void calls.sendRecords(peerAddress, records);
     }
   }
 
-  async function sendRecords(
-    address: Address,
-    records: readonly SharedRecord[],
-  ): Promise<void> {
-    const result = await peers.call(address, "exchange", {
-      message: {
-        from: self.id,
-        news: records,
-        root: rootDigest(replica),
-        revision: options.revision(),
-      },
-      timeoutMilliseconds: times.callTimeoutMilliseconds,
-    });
-    if (result.isErr) return;
-    mailbox.send({ kind: "merge", records: result.value.news });
-  }
-
-  async function exchangeWith(
-    address: Address,
-    timeoutMilliseconds: number = times.callTimeoutMilliseconds,
-  ): Promise<ExchangeOutcome> {
-    const result = await peers.call(address, "exchange", {
-      message: {
-        from: self.id,
-        news: takePendingUpdates(),
-        root: rootDigest(replica),
-        revision: options.revision(),
-      },
-      timeoutMilliseconds,
-    });
-    if (result.isErr) return "failed";
-    const reply = result.value;
-    mailbox.send({ kind: "merge", records: reply.news });
-    const reconciled = reply.root === rootDigest(replica) ||
-      await reconcile(address);
-    options.onRevision(reply.revision);
-    if (reply.fresh) options.onConfirmed();
-    return reconciled ? "reconciled" : "answered";
-  }
-
-  /** False if one of the calls has failed. */
-  async function reconcile(address: Address): Promise<boolean> {
-    const compared = await peers.call(address, "compare", {
-      message: { digests: replica.digests },
-      timeoutMilliseconds: times.callTimeoutMilliseconds,
-    });
-    if (compared.isErr) return false;
-    const difference = compareVersions(replica, compared.value);
-    if (difference.offered.length + difference.wanted.length === 0) {
-      return true;
-    }
-    const received = await peers.call(address, "transfer", {
-      message: difference,
-      timeoutMilliseconds: times.callTimeoutMilliseconds,
-    });
-    if (received.isErr) return false;
-    mailbox.send({ kind: "merge", records: received.value });
-    return true;
-  }
+  const calls = gossipCalls({
+    self: () => self,
+    replica: () => replica,
+    takePendingUpdates,
+    merge: (records) => mailbox.send({ kind: "merge", records }),
+    times,
+    peers,
+    revision: options.revision,
+    onRevision: options.onRevision,
+    onConfirmed: options.onConfirmed,
+  });
+  const losses = detectLosses({ calls, times, onLoss: declareLoss });
 
   async function exchangeRound(): Promise<void> {
     rounds += 1;
-    const partner = choosePartner();
+    const partner = choosePartner({ agents, self }, { round: rounds, random });
     if (partner === null) {
       const seeds = await options.seeds();
       const others = seeds.filter((seed) => seed !== self.peerAddress);
-      const seed = others[Math.floor(random() * others.length)];
-      if (seed !== undefined) await exchangeWith(seed);
+      const seed = pick(others, random);
+      if (seed !== null) await calls.exchangeWith(seed);
       return;
     }
-    const series = startSeries(partner);
-    const outcome = await exchangeWith(partner.peerAddress);
-    if (outcome !== "failed") return void suspects.delete(partner.id);
-    if (series !== null) void retryExchange(partner, series);
-  }
-
-  /** Null for a lost agent and for one with a current series of calls. */
-  function startSeries(partner: Agent): symbol | null {
-    if (partner.phase === "lost" || suspects.has(partner.id)) return null;
-    const series = Symbol("calls");
-    suspects.set(partner.id, series);
-    return series;
-  }
-
-  function choosePartner(): Agent | null {
-    const others = agents.filter((agent) => agent.host !== self.host);
-    const living = others.filter((agent) => agent.phase !== "lost");
-    if (rounds % roundsPerOutsider === 0 && living.length < others.length) {
-      return pick(others.filter((agent) => agent.phase === "lost"));
-    }
-    if (living.length === 0) return null;
-    const local = living.filter((agent) =>
-      distance(agent.place, self.place) === 0
-    );
-    const includeRemote = rounds % roundsPerRemote === 0 || local.length === 0;
-    return pick(includeRemote ? living : local);
-  }
-
-  function pick(agents: readonly Agent[]): Agent | null {
-    return agents[Math.floor(random() * agents.length)] ?? null;
-  }
-
-  /**
-   * Calls an agent again, doubling the timeout each time: an agent that is only
-   * slow answers one of these calls and must not be declared lost to all
-   * others.
-   */
-  async function retryExchange(partner: Agent, series: symbol): Promise<void> {
-    // The series ends when the agent calls by itself or this agent stops.
-    const isCurrent = () => suspects.get(partner.id) === series;
-    let timeoutMilliseconds = times.callTimeoutMilliseconds;
-    for (let failures = 1; failures < failuresBeforeLoss; failures += 1) {
-      timeoutMilliseconds *= 2;
-      const startedAt = monotonicNow();
-      const outcome = await exchangeWith(
-        partner.peerAddress,
-        timeoutMilliseconds,
-      );
-      if (!isCurrent()) return;
-      if (outcome !== "failed") return void suspects.delete(partner.id);
-      // A refused call ends at once, so the next one is delayed.
-      const elapsed = monotonicNow() - startedAt;
-      await pause(Math.max(0, times.exchangeMilliseconds - elapsed));
-    }
-    if (!isCurrent()) return;
-    suspects.delete(partner.id);
-    declareLoss(partner);
+    await losses.exchangeWith(partner);
   }
 
   function declareLoss(partner: Agent): void {
@@ -393,27 +270,18 @@
     wake.abort();
   }
 
-  /**
-   * Prefers serving agents: one that stops soon may not pass the updates on.
-   */
   async function announceNow(): Promise<void> {
-    const others = agents.filter((agent) =>
-      agent.host !== self.host && agent.phase !== "lost"
+    await Promise.all(
+      announcementPartners({ agents, self })
+        .map(({ peerAddress }) => calls.exchangeWith(peerAddress)),
     );
-    const serving = others.filter((agent) => agent.phase === "serving");
-    const leaving = others.filter((agent) => agent.phase !== "serving");
-    const partners = [...serving, ...leaving].slice(0, maxAnnouncementPartners);
-    await Promise.all(partners.map((agent) => exchangeWith(agent.peerAddress)));
   }
 
-  /** Agents that have run for longest know most of what was before. */
-  async function oldestAddresses(
+  /** The oldest agents, or seeds while no other agent is known. */
+  async function addressesToConsult(
     failed: ReadonlySet<Address>,
   ): Promise<readonly Address[]> {
-    const others = agents.filter((agent) =>
-      agent.host !== self.host && agent.phase !== "lost"
-    ).toSorted((left, right) => left.incarnation - right.incarnation);
-    const known = others.map(({ peerAddress }) => peerAddress);
+    const known = addressesByAge({ agents, self });
     const addresses = known.length > 0 ? known : await options.seeds();
     return addresses
       .filter((address) => address !== self.peerAddress && !failed.has(address))
@@ -424,12 +292,12 @@
     const asked = new Set<Address>();
     const failed = new Set<Address>();
     for (;;) {
-      const addresses = await oldestAddresses(failed);
+      const addresses = await addressesToConsult(failed);
       const next = addresses.filter((address) => !asked.has(address));
       if (next.length === 0) break;
       for (const address of next) asked.add(address);
       await Promise.all(next.map(async (address) => {
-        const outcome = await exchangeWith(address);
+        const outcome = await calls.exchangeWith(address);
         if (outcome !== "reconciled") failed.add(address);
       }));
     }
@@ -448,7 +316,7 @@
       mailbox.send({ kind: "merge", records });
       wake.abort();
     },
-    publishNear: (records) => publishTo(nearAgents(), records),
+    publishNear: (records) => publishTo(nearAgents({ agents, self }), records),
     publishTo,
     setPhase: (phase) => describeTarget({ phase }),
     describeTarget,
@@ -457,7 +325,7 @@
       wake.abort();
     },
     exchange(message) {
-      suspects.delete(message.from);
+      losses.handleCall(message.from);
       mailbox.send({ kind: "merge", records: message.news });
       options.onRevision(message.revision);
       return {
@@ -484,7 +352,7 @@
     },
     async stop() {
       stopped = true;
-      suspects.clear();
+      losses.stop();
       wake.abort();
       await running;
       mailbox.close();
