Coordinator: own holder, source and group settings are modules of their own

One file of 481 lines wired the tasks, decided when the holder of the own target runs, and had the types of configuration sources and the settings of grantors. own_holder.ts now has the decision, configuration_source.ts the types and group_settings.ts the settings; coordinator.ts (360 lines) keeps the wiring and exports the names that programs and tests import from it.

--- a/source/tasks/coordinator.ts
+++ b/source/tasks/coordinator.ts
@@ -15,44 +15,37 @@
   hasDeparted,
   hasEnded,
 } from "../core/agent.ts";
-import {
-  eraRecord,
-  type Replica,
-  type SharedRecord,
-  toldEra,
-} from "../core/dissemination/replica.ts";
+import { eraRecord, toldEra } from "../core/dissemination/replica.ts";
 import {
   type Configuration,
   emptyConfiguration,
-  type Service,
-  serviceNamed,
 } from "../core/document/document.ts";
 import type { RosterEntry } from "../core/ownership/delegation.ts";
 import { mayOwnKeys } from "../core/routes/allowed_regions.ts";
-import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
 import { unknownEra } from "../core/ownership/store_era.ts";
-import {
-  grantorCandidates,
-  groupOfHost,
-  mayJoin,
-} from "../core/ownership/membership.ts";
-import {
-  groupPrefix,
-  type KeyHash,
-  type OwnershipTable,
-  type PlaceKey,
+import { grantorCandidates, mayJoin } from "../core/ownership/membership.ts";
+import type {
+  KeyHash,
+  OwnershipTable,
+  PlaceKey,
 } from "../core/ownership/table.ts";
 import type { Events, TimelineEvent } from "../ports/events.ts";
 import type { CensusReply, Peers, WatchReport } from "../ports/peers.ts";
 import type { Store } from "../ports/store.ts";
 import { takeCensus } from "./census_task.ts";
+import type {
+  ConfigurationSource,
+  StartSource,
+} from "./configuration_source.ts";
 import type { GrantorTimes } from "./epoch_claim.ts";
 import { type GrantorsTask, startGrantors } from "./grantors_task.ts";
 import {
-  type HolderTask,
-  type HolderTimes,
-  startHolder,
-} from "./holder_task.ts";
+  defaultGroupSettings,
+  grantorSettings,
+  type GroupSettings,
+} from "./group_settings.ts";
+import type { HolderTask, HolderTimes } from "./holder_task.ts";
+import { prepareOwnHolder } from "./own_holder.ts";
 import type { StartKeyGrants } from "./key_grants.ts";
 import { type CoordinationMethods, peerMethods } from "./peer_methods.ts";
 import type { GossipTimes } from "./gossip_calls.ts";
@@ -64,6 +57,9 @@
 import type { StoreEraTask } from "./store_era_task.ts";
 import { monotonicNow, startTicker } from "./time.ts";
 
+export { defaultGroupSettings };
+export type { ConfigurationSource, GroupSettings, StartSource };
+
 /** Durations of the coordination tasks, in milliseconds. */
 export interface CoordinatorTimes {
   readonly holder: HolderTimes;
@@ -75,48 +71,6 @@
   readonly censusTimeoutMilliseconds: number;
 }
 
-/** What a coordinator offers to its configuration source. */
-export interface SourceContext {
-  readonly agent: Agent;
-  agents(): readonly Agent[];
-  /** Spreads records to all agents. */
-  publish(records: readonly SharedRecord[]): void;
-  /** Spreads records to all agents of this data centre at once. */
-  publishNear(records: readonly SharedRecord[]): void;
-  /** Spreads records to these agents at once. */
-  publishTo(agents: readonly Agent[], records: readonly SharedRecord[]): void;
-  /** Reports to these agents whether this one reaches the store. */
-  reportWatch(agents: readonly Agent[], report: WatchReport): void;
-  /** Replaces the list of agents that have stopped as planned. */
-  recordDepartures(departures: readonly Agent[]): void;
-  /** Puts a configuration of a newer revision into force on this agent. */
-  apply(configuration: Configuration): void;
-  /** The configuration in force on this agent. */
-  current(): Configuration;
-  /** Collects the revisions that all agents apply. */
-  census(): Promise<CensusReply>;
-}
-
-/** Source of the configuration and of the first peer addresses. */
-export interface ConfigurationSource {
-  /** Peer addresses of agents to contact first. */
-  seeds(): Promise<readonly Address[]>;
-  /** Called when the records received from other agents have changed. */
-  handleReplicaChange(replica: Replica): void;
-  /** Called with the configuration revision in force at another agent. */
-  handlePeerRevision(revision: number): void;
-  /** Called when an agent with a fresh configuration has answered. */
-  handlePeerConfirmation(): void;
-  /** Called with what another agent reports of its access to the store. */
-  handleWatchReport(report: WatchReport): void;
-  /** Whether the configuration may be considered up to date. */
-  fresh(): boolean;
-  stop(): Promise<void>;
-}
-
-/** Starts a source of configurations. */
-export type StartSource = (context: SourceContext) => ConfigurationSource;
-
 /** What a coordinator needs. */
 export interface CoordinatorOptions {
   /** This agent. Its group is derived from the configuration. */
@@ -166,31 +120,6 @@
   stop(): Promise<void>;
 }
 
-/** Settings for the distribution of a group's slices among its servers. */
-export type GroupSettings = Pick<
-  GrantorSettings,
-  | "slicesPerStripe"
-  | "maxConcurrentMoves"
-  | "imbalanceTolerance"
-  | "isolatedKeys"
-  | "isolation"
-  | "initialAssignmentDelayMilliseconds"
->;
-
-/** Default settings, for groups of many servers and keys. */
-export const defaultGroupSettings: GroupSettings = {
-  slicesPerStripe: 1,
-  maxConcurrentMoves: 8,
-  imbalanceTolerance: 0.2,
-  isolatedKeys: 32,
-  isolation: {
-    minLoadShare: 0.25,
-    minRequestsPerSecond: 50,
-    coldBelowRequestsPerSecond: 25,
-  },
-  initialAssignmentDelayMilliseconds: 0,
-};
-
 /** The list of planned stops is read again once it is older than this. */
 const maxDeparturesAgeMilliseconds = 2_000;
 
@@ -198,12 +127,6 @@
 export function startCoordinator(options: CoordinatorOptions): Coordinator {
   const { agent, times, peers, events, hash } = options;
   let configuration: Configuration = emptyConfiguration;
-  let holder: HolderTask | null = null;
-  let stopping = false;
-  /** Whether the target takes no new work. */
-  let targetLeaves = agent.phase !== "serving";
-  /** Whether the configuration lets the target own keys in its region. */
-  let ownsKeys = true;
   let departures: readonly Agent[] = [];
   let departuresReadAt = -Infinity;
 
@@ -229,30 +152,33 @@
     onConfirmed: () => source?.handlePeerConfirmation(),
   });
 
+  const ownHolder = prepareOwnHolder({
+    agent,
+    hash,
+    isAllowed: () => isOwnerAllowed(agent),
+    join: (group) => gossip.join(group),
+    candidates: (group) => ({
+      members: otherMembers(group),
+      grantors: candidatesFor(group),
+    }),
+    holder: {
+      times: times.holder,
+      peers,
+      events,
+      place: options.place,
+      weight: options.weight,
+      weightLimit: options.weightLimit ?? (() => null),
+      random: options.random,
+      startKeyGrants: options.startKeyGrants,
+    },
+  });
+
   function apply(next: Configuration): void {
     if (next.revision <= configuration.revision) return;
     configuration = next;
     events.record("revision-applied", { revision: next.revision });
     options.onConfiguration(next);
-    updateRegion();
-    const service = serviceNamed(next, agent.service);
-    if (service !== null && holder === null && ownsKeys) {
-      holder = startHolding(service);
-    }
-  }
-
-  /** A target in a region that is no longer allowed gives its keys up. */
-  function updateRegion(): void {
-    const allowed = isOwnerAllowed(agent);
-    if (allowed === ownsKeys) return;
-    ownsKeys = allowed;
-    events.record("key-region-changed", {
-      service: agent.service,
-      region: agent.place.region,
-      allowed,
-      revision: configuration.revision,
-    });
-    holder?.setLeaving(targetLeaves || !ownsKeys);
+    ownHolder.handleConfiguration(next);
   }
 
   function isOwnerAllowed({ service, place }: Agent): boolean {
@@ -260,32 +186,6 @@
     return mayOwnKeys(configuration.hostRoutes, { service, region });
   }
 
-  function startHolding(service: Service): HolderTask | null {
-    if (service.keys === null || stopping) return null;
-    const group = groupOfHost(agent.host, {
-      service: service.name,
-      groups: service.keys.groups,
-      hash,
-    });
-    gossip.join(group);
-    return startHolder({
-      agent: { ...agent, group },
-      times: times.holder,
-      peers,
-      events,
-      place: options.place,
-      weight: options.weight,
-      weightLimit: options.weightLimit ?? (() => null),
-      random: options.random,
-      startKeyGrants: options.startKeyGrants,
-      leaving: targetLeaves,
-      candidates: () => ({
-        members: otherMembers(group),
-        grantors: candidatesFor(group),
-      }),
-    });
-  }
-
   function otherMembers(group: string): readonly Address[] {
     return gossip.agents()
       .filter((other) => other.group === group && other.id !== agent.id)
@@ -318,7 +218,8 @@
   }
 
   function newestTable(group: string): OwnershipTable | null {
-    const held = gossip.self().group === group ? holder?.table() : null;
+    const own = gossip.self().group === group;
+    const held = own ? ownHolder.current()?.table() : null;
     return grantors.table(group) ?? held ?? null;
   }
 
@@ -425,29 +326,29 @@
     methods: peerMethods({
       gossip,
       grantors,
-      holder: () => holder,
+      holder: ownHolder.current,
       census,
       reportWatch: (report) => started.handleWatchReport(report),
       eventsAfter: options.eventsAfter,
     }),
     configuration: () => configuration,
     fresh: () => started.fresh(),
-    holder: () => holder,
+    holder: ownHolder.current,
     table: newestTable,
     setLeaving(leaving) {
-      targetLeaves = leaving;
-      holder?.setLeaving(leaving || !ownsKeys);
+      ownHolder.setLeaving(leaving);
       gossip.setPhase(leaving ? "leaving" : "serving");
     },
     async beginStop() {
-      stopping = true;
+      ownHolder.beginStop();
       relocation.stop();
       await started.stop();
     },
     async stop() {
-      stopping = true;
+      ownHolder.beginStop();
       relocation.stop();
       await started.stop();
+      const holder = ownHolder.current();
       await holder?.stop();
       await grantors.stop();
       const held = holder?.heldSlices() ?? 0;
@@ -457,25 +358,3 @@
     },
   };
 }
-
-function grantorSettings(
-  group: string,
-  options: {
-    readonly times: CoordinatorTimes;
-    readonly configuration: Configuration;
-    readonly sizes: GroupSettings;
-  },
-): GrantorSettings | null {
-  const { times, configuration, sizes } = options;
-  const service = configuration.services.find((service) =>
-    group.startsWith(groupPrefix(service.name))
-  );
-  if (service === undefined || service.keys === null) return null;
-  return {
-    leaseMilliseconds: times.leaseMilliseconds,
-    longestDeadlineMilliseconds: service.longestDeadlineMilliseconds,
-    hashedSlices: service.keys.slicesPerGroup,
-    ...sizes,
-    delegationMilliseconds: times.delegationMilliseconds,
-  };
-}
--- a/source/tasks/desired_state_source.ts
+++ b/source/tasks/desired_state_source.ts
@@ -36,7 +36,7 @@
   ConfigurationSource,
   SourceContext,
   StartSource,
-} from "./coordinator.ts";
+} from "./configuration_source.ts";
 import { startEntryRestore } from "./entry_restore.ts";
 import type { EvacuationsTask, WatchContext } from "./evacuations_task.ts";
 import { trackStoreAvailability } from "./store_availability.ts";
--- a/source/tasks/document_source.ts
+++ b/source/tasks/document_source.ts
@@ -22,7 +22,7 @@
   ConfigurationSource,
   SourceContext,
   StartSource,
-} from "./coordinator.ts";
+} from "./configuration_source.ts";
 import { type DocumentTimes, startDocument } from "./document_task.ts";
 import { readClocks } from "./time.ts";
 
--- a/source/tasks/holder_task.ts
+++ b/source/tasks/holder_task.ts
@@ -127,8 +127,8 @@
   }
   | { readonly kind: "releaseAll" };
 
-/** Starts the holder of one agent in its group. */
-export function startHolder(options: {
+/** What a holder needs. */
+export interface HolderOptions {
   readonly agent: Agent & { readonly group: string };
   readonly times: HolderTimes;
   readonly peers: Peers;
@@ -149,7 +149,10 @@
     readonly members: readonly Address[];
     readonly grantors: readonly Address[];
   };
-}): HolderTask {
+}
+
+/** Starts the holder of one agent in its group. */
+export function startHolder(options: HolderOptions): HolderTask {
   const { agent, times, events, place } = options;
   let state = createHolder({
     id: agent.id,
