Hop links: one link and its requests are modules of their own

A comment said that the links to the best recently used agent are closed; it is the least recently used one.

--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -3,115 +3,47 @@
  * requests at a time. Requests with large bodies go to another forwarder, so
  * that they delay no other request on the link.
  *
- * When nothing is received on a link though requests wait on it, a new
- * connection to the same agent is opened for comparison:
- * - The new connection opens, and the old one stays silent: the old one is
- *   lost. The requests that wait on it are sent again over the new one, as
- *   further copies.
- * - Something is received on the old connection: the agent was only slow, and
- *   nothing is sent twice.
- * - Neither happens: the agent does not respond. The idempotent requests that
- *   wait on the link fail; the others go on waiting.
- *
  * @module
  */
-import type { Buffer } from "node:buffer";
 import { Result } from "true-myth";
-import { WebSocket } from "ws";
-import { type Address, type AgentId, isAddress } from "../../core/agent.ts";
-import {
-  type Failure,
-  notRun,
-  unknownOutcome,
-} from "../../core/request/outcome.ts";
-import type { SilenceReport } from "../../core/request/silence.ts";
-import type {
-  Forwarder,
-  ProxyAnswer,
-  ProxyRequest,
-} from "../../ports/upstream.ts";
-import {
-  decodeMessage,
-  encodeMessage,
-  type RequestMessage,
-  type ServerMessage,
-} from "./hop_messages.ts";
+import { type Address, isAddress } from "../../core/agent.ts";
+import { notRun } from "../../core/request/outcome.ts";
+import type { Forwarder } from "../../ports/upstream.ts";
+import { createHopSequence } from "./hop_deduplication.ts";
 import {
-  createHopSequence,
-  type HopCopy,
-  type HopSequence,
-} from "./hop_deduplication.ts";
-import type { LogicalClock } from "../logs/logical_clock.ts";
-import { timeLeft } from "./time_left.ts";
-import { isAnswerStatus } from "../targets/exchange.ts";
-import type { StampDeparture } from "./transit.ts";
+  type Link,
+  type LinkOptions,
+  linkPath,
+  type LinkSettings,
+  openLink,
+} from "./hop_link.ts";
+
+export { linkPath };
 
 /** Settings of the links to all agents. */
-export interface HopLinkSettings {
+export interface HopLinkSettings extends LinkSettings {
   readonly maxLinksPerAgent: number;
   /**
    * Another link to an agent is opened when this many requests wait on each of
    * its links. Not a bound: with the maximum of links, more may wait on each.
    */
   readonly requestsPerLink: number;
-  readonly connectTimeoutMilliseconds: number;
-  /**
-   * A link is suspected lost when requests wait on it and nothing is received
-   * for this long.
-   */
-  readonly silenceMilliseconds: number;
   /** Larger bodies, and streams, go to the forwarder for large bodies. */
   readonly longestBodyBytes: number;
 }
 
 /** What a forwarder over links needs. */
-export interface HopLinksOptions {
+export interface HopLinksOptions
+  extends Omit<LinkOptions, "settings" | "numbers" | "onClose"> {
   readonly settings: HopLinkSettings;
-  readonly now: () => number;
-  readonly clock: LogicalClock;
-  /** The name of this set of links; no other sender ever has the same. */
-  readonly sender: string;
-  readonly depart: StampDeparture;
-  /**
-   * Called for each request that is sent again or fails because its link is
-   * silent.
-   */
-  readonly onSilence: (address: Address, note: SilenceReport) => void;
   readonly largeBodyForwarder: Forwarder;
 }
 
 /**
- * The path under which agents accept links. It changes with the format of the
- * messages, so that agents of incompatible releases refuse each other before
- * any request is sent.
- */
-export const linkPath = "/-/links/2";
-
-type SettleRequest = (result: Result<ProxyAnswer, Failure>) => void;
-
-/** A request that waits for its answer. */
-interface PendingRequest {
-  readonly sequence: number;
-  /** The process that is expected at the address. */
-  readonly receiver: AgentId;
-  readonly request: ProxyRequest;
-  readonly bytes: Uint8Array;
-  /** The number of the latest copy, from 1. */
-  copy: number;
-  /** When the latest copy was sent; 0 before the first. */
-  sentAt: number;
-  readonly settle: SettleRequest;
-}
-
-/**
- * Agents with open links; beyond this number the links to the best recently
+ * Agents with open links; beyond this number the links to the least recently
  * used agent are closed.
  */
 const maxAgents = 256;
-const messageKinds: ReadonlySet<ServerMessage["kind"]> = new Set([
-  "answer",
-  "failure",
-]);
 
 /**
  * Creates a forwarder over links, which are opened as requests need them.
@@ -183,287 +115,3 @@
     },
   };
 }
-
-/** One link to an agent, whose connection may be replaced. */
-interface Link {
-  send(
-    outgoing: Pick<
-      PendingRequest,
-      "sequence" | "receiver" | "request" | "bytes"
-    >,
-  ): Promise<Result<ProxyAnswer, Failure>>;
-  /** The number of requests that wait on it. */
-  waiting(): number;
-  /** Closes the link once no request waits on it. */
-  close(): void;
-}
-
-function openLink(
-  address: Address,
-  options: HopLinksOptions & {
-    readonly numbers: HopSequence;
-    readonly onClose: () => void;
-  },
-): Link {
-  const { settings, now } = options;
-  const pending = new Map<number, PendingRequest>();
-  let socket = connect(address, settings);
-  let lastReceivedAt = now();
-  let timer: ReturnType<typeof setTimeout> | null = null;
-  let closed = false;
-  let retired = false;
-  listen(socket);
-
-  function listen(opened: WebSocket): void {
-    opened.on("open", () => {
-      lastReceivedAt = now();
-      for (const entry of pending.values()) transmit(entry);
-    });
-    opened.on("message", (data: Buffer) => receive(data));
-    opened.on("pong", () => lastReceivedAt = now());
-    opened.on("error", () => fail(opened));
-    opened.on("close", () => fail(opened));
-  }
-
-  function receive(data: Buffer): void {
-    lastReceivedAt = now();
-    const received = decodeMessage<ServerMessage>(data, messageKinds);
-    if (received === null) return fail(socket);
-    const { message, bytes } = received;
-    options.clock.observe(message.clock);
-    const entry = pending.get(message.hop.sequence);
-    if (entry === undefined) return;
-    if (message.kind === "failure") {
-      // An earlier copy may have failed because the latest one replaced it.
-      if (entry.copy !== message.hop.copy) return;
-      // Agents of an earlier release leave the owner out.
-      const { owner = null } = message.failure;
-      const failure = { ...message.failure, owner };
-      return entry.settle(
-        Result.err(failureAfterCopies(entry, failure)),
-      );
-    }
-    const { status, headers, load, slowness = null } = message;
-    if (!isAnswerStatus(status)) {
-      return entry.settle(Result.err(unknownOutcome("connection-lost")));
-    }
-    const body = { kind: "whole", bytes } as const;
-    entry.settle(Result.ok({ status, headers, load, slowness, body }));
-  }
-
-  function transmit(entry: PendingRequest): void {
-    entry.sentAt = now();
-    const message = composeRequest(entry, options);
-    socket.send(encodeMessage(message, entry.bytes), { binary: true });
-  }
-
-  /**
-   * Closes the link, and fails every request that waits on it. Ignored for a
-   * connection that has been replaced.
-   */
-  function fail(failed: WebSocket): void {
-    if (failed !== socket || closed) return;
-    closed = true;
-    options.onClose();
-    if (timer !== null) clearTimeout(timer);
-    socket.terminate();
-    for (const entry of [...pending.values()]) {
-      const sent = entry.sentAt > 0;
-      entry.settle(Result.err(
-        sent ? unknownOutcome("connection-lost") : notRun("target-unreachable"),
-      ));
-    }
-  }
-
-  /** Checks for silence as long as requests wait on the link. */
-  function watch(): void {
-    if (timer !== null || closed) return;
-    timer = setTimeout(() => {
-      timer = null;
-      if (pending.size === 0 || closed) return;
-      if (socket.readyState === socket.OPEN) checkSilence();
-      watch();
-    }, settings.silenceMilliseconds / 2);
-  }
-
-  function checkSilence(): void {
-    const silentFor = now() - Math.max(lastReceivedAt, oldestSentAt());
-    if (silentFor >= settings.silenceMilliseconds) return compareWithNewLink();
-    if (silentFor >= settings.silenceMilliseconds / 3) socket.ping();
-  }
-
-  function oldestSentAt(): number {
-    const [first] = pending.values();
-    return first?.sentAt ?? now();
-  }
-
-  let comparing = false;
-
-  function compareWithNewLink(): void {
-    if (comparing || retired) return;
-    comparing = true;
-    const suspectedAt = now();
-    const other = connect(address, settings);
-    other.on("error", () => {
-      comparing = false;
-      if (lastReceivedAt < suspectedAt) retire();
-    });
-    other.once("open", () => {
-      comparing = false;
-      if (closed || lastReceivedAt >= suspectedAt) return other.terminate();
-      replaceWith(other);
-    });
-  }
-
-  /**
-   * Takes the link out of use, since the agent does not respond. Idempotent
-   * requests fail, so that they can be retried elsewhere; the others may still
-   * be answered late.
-   */
-  function retire(): void {
-    retired = true;
-    options.onClose();
-    for (const entry of [...pending.values()]) {
-      if (!entry.request.idempotent) continue;
-      reportSilence(entry, { found: "unreachable", follows: "fail" });
-      cancel(entry);
-      entry.settle(Result.err(unknownOutcome("connection-lost")));
-    }
-  }
-
-  function reportSilence(
-    { request, copy }: PendingRequest,
-    decided: Pick<SilenceReport, "found" | "follows">,
-  ): void {
-    options.onSilence(address, { request: request.id, copy, ...decided });
-  }
-
-  function cancel(entry: PendingRequest): void {
-    if (entry.sentAt === 0 || socket.readyState !== socket.OPEN) return;
-    const hop = hopOf(entry, options);
-    socket.send(encodeMessage({ kind: "cancel", hop }), { binary: true });
-  }
-
-  function replaceWith(other: WebSocket): void {
-    const silent = socket;
-    socket = other;
-    listen(other);
-    lastReceivedAt = now();
-    for (const entry of pending.values()) {
-      reportSilence(entry, { found: "overtaken", follows: "copy" });
-      entry.copy += 1;
-      transmit(entry);
-    }
-    closeOnceConfirmed(silent, other);
-  }
-
-  /**
-   * Closing a connection cancels the requests that run for it. So the former
-   * connection is closed only when the agent has answered a ping on the later
-   * one: by then it has received the copies that were sent there before.
-   */
-  function closeOnceConfirmed(former: WebSocket, later: WebSocket): void {
-    const end = () => former.terminate();
-    later.once("pong", end);
-    later.once("close", end);
-    later.ping();
-  }
-
-  return {
-    send(outgoing) {
-      const { sequence, request } = outgoing;
-      if (request.signal.aborted) {
-        return Promise.resolve(Result.err(notRun("caller-left")));
-      }
-      return new Promise((resolve) => {
-        const entry: PendingRequest = {
-          ...outgoing,
-          copy: 1,
-          sentAt: 0,
-          settle(result) {
-            pending.delete(sequence);
-            if (retired && pending.size === 0) fail(socket);
-            request.signal.removeEventListener("abort", abort);
-            resolve(result);
-          },
-        };
-        const abort = () => {
-          const late = now() >= request.deadlineAt;
-          const reason = late ? "deadline-passed" : "caller-left";
-          const sent = entry.sentAt > 0;
-          entry.settle(
-            Result.err(sent ? unknownOutcome(reason) : notRun(reason)),
-          );
-          cancel(entry);
-        };
-        pending.set(sequence, entry);
-        request.signal.addEventListener("abort", abort, { once: true });
-        if (socket.readyState === socket.OPEN) transmit(entry);
-        watch();
-      });
-    },
-    waiting: () => pending.size,
-    close() {
-      retired = true;
-      if (pending.size === 0) fail(socket);
-    },
-  };
-}
-
-function connect(address: Address, settings: HopLinkSettings): WebSocket {
-  return new WebSocket(`ws://${address}${linkPath}`, {
-    handshakeTimeout: settings.connectTimeoutMilliseconds,
-    perMessageDeflate: false,
-  });
-}
-
-/** What the identity of a copy is made from, besides its request. */
-interface HopNaming {
-  readonly sender: string;
-  readonly numbers: HopSequence;
-}
-
-function hopOf(entry: PendingRequest, options: HopNaming): HopCopy {
-  const { sequence, receiver, copy } = entry;
-  const settledBelow = options.numbers.settledBelow();
-  return { sender: options.sender, receiver, sequence, copy, settledBelow };
-}
-
-function composeRequest(
-  entry: PendingRequest,
-  options: HopNaming & {
-    readonly clock: LogicalClock;
-    readonly depart: StampDeparture;
-  },
-): RequestMessage {
-  const { request, sentAt } = entry;
-  const { method, path, authority, headers, service, key, rank } = request;
-  const { account } = request;
-  return {
-    kind: "request",
-    hop: hopOf(entry, options),
-    clock: options.clock.next(),
-    departure: options.depart(),
-    request: {
-      id: request.id,
-      method,
-      path,
-      authority,
-      headers,
-      service,
-      key,
-      rank,
-      idempotent: request.idempotent,
-      ...(account === undefined ? {} : { account }),
-    },
-    ...timeLeft(request, sentAt),
-  };
-}
-
-/** The outcome is unknown after several copies: an earlier one may have run. */
-function failureAfterCopies(
-  entry: PendingRequest,
-  failure: Failure,
-): Failure {
-  return entry.copy === 1 ? failure : unknownOutcome(failure.reason);
-}
--- a/source/adapters/hops/peer_server.ts
+++ b/source/adapters/hops/peer_server.ts
@@ -10,7 +10,7 @@
 import { z } from "zod";
 import type { PeerMethod, PeerMethods } from "../../ports/peers.ts";
 import { type HopLinkServerOptions, serveHopLinks } from "./hop_link_server.ts";
-import { linkPath } from "./hop_links.ts";
+import { linkPath } from "./hop_link.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
 import { peerSchemas } from "../schemas.ts";
 import { acceptUpgrades, closeSockets } from "./upgrades.ts";
