Grantor task: the record in the store and the wait for earlier grantors are modules of their own

One file of 455 lines held the task, the repeated writes of its delegation and the checks whether earlier grantors have ended. delegation_record.ts now has the second, earlier_grantors.ts the third; grantor_task.ts (334 lines) keeps the takeover, the mailbox and the ticker.

--- a/source/tasks/grantor_task.ts
+++ b/source/tasks/grantor_task.ts
@@ -9,9 +9,7 @@
 import { handoverOf } from "../core/ownership/handover.ts";
 import type { Handover } from "../core/ownership/handover_message.ts";
 import {
-  type Checkpoint,
   type Delegation,
-  eraOf,
   mergeRosters,
   type RosterEntry,
 } from "../core/ownership/delegation.ts";
@@ -25,6 +23,11 @@
 import { createGrantor } from "../core/ownership/takeover.ts";
 import type { OwnershipTable } from "../core/ownership/table.ts";
 import type { Versioned } from "../ports/store.ts";
+import { openDelegationRecord } from "./delegation_record.ts";
+import {
+  type EarlierGrantors,
+  startEarlierGrantorCheck,
+} from "./earlier_grantors.ts";
 import {
   announceEpoch,
   claimEpoch,
@@ -38,7 +41,7 @@
 import { recordGrantorEffect } from "./grantor_events.ts";
 import { openMailbox } from "./mailbox.ts";
 import { removeStoppedGrantor } from "./stopped_grantor.ts";
-import { monotonicNow, pause, readClocks, startTicker } from "./time.ts";
+import { monotonicNow, readClocks, startTicker } from "./time.ts";
 import { startUnresponsiveCheck } from "./unresponsive_agents.ts";
 
 /** The running grantor of one group and epoch. */
@@ -65,11 +68,6 @@
   stop(): Promise<void>;
 }
 
-/**
- * Interval at which a successor checks whether earlier grantors have stopped.
- */
-const earlierGrantorCheckMilliseconds = 1_000;
-
 /**
  * Claims the next epoch of a group and asks its servers what they hold.
  * Resolves to null when the store can't be written or another grantor has
@@ -130,15 +128,17 @@
   return runGrantor(options, {
     state,
     stored: claim.stored,
-    unended: () => findUnendedGrantors(options, claim, sealed),
-    former: former.stopped ? undefined : claim.former?.grantor,
+    earlier: {
+      unended: () => findUnendedGrantors(options, claim, sealed),
+      former: former.stopped ? undefined : claim.former?.grantor,
+      sealFormer: async () => {
+        const sealed = await sealFormerGrantor(options, claim);
+        return isFormerOutdated(claim) ? { ...sealed, handover: null } : sealed;
+      },
+    },
     stopped: sealed === undefined
       ? [options.agent.id]
       : [options.agent.id, sealed],
-    sealFormer: async () => {
-      const sealed = await sealFormerGrantor(options, claim);
-      return isFormerOutdated(claim) ? { ...sealed, handover: null } : sealed;
-    },
   });
 }
 
@@ -147,24 +147,29 @@
   takeover: {
     readonly state: ReturnType<typeof createGrantor>;
     readonly stored: Versioned<Delegation>;
-    /** Earlier grantors that may still grant, as far as is known now. */
-    readonly unended: () => readonly AgentId[];
+    readonly earlier: EarlierGrantors;
     /** Earlier grantors that had stopped before the task started. */
     readonly stopped: readonly AgentId[];
-    /** The former grantor; undefined if it has stopped. */
-    readonly former: AgentId | undefined;
-    readonly sealFormer: () => Promise<SealResult>;
   },
 ): GrantorTask {
   const { events, group } = options;
-  let { state, stored } = takeover;
-  const era = eraOf(stored.value);
+  let { state } = takeover;
   let stopped = false;
   /** Whether the task was stopped; it then no longer writes to the store. */
   let finished = false;
-  /** Earlier grantors known to have stopped. */
-  let stoppedGrantors: readonly AgentId[] = takeover.stopped;
   let writing: Promise<void> = Promise.resolve();
+  const isWriting = () => state.unconfirmed !== null;
+  const record = openDelegationRecord({
+    ...options,
+    stored: takeover.stored,
+    stoppedGrantors: takeover.stopped,
+    stopped: () => stopped,
+    ended: () => delegationEnded(state, readClocks()),
+    isWriting,
+    mayHaveUnlistedServers,
+    onFound: stopIfSuperseded,
+    onConfirmed: confirmWrite,
+  });
 
   const mailbox = openMailbox<
     { readonly event: GrantorEvent; readonly answer: AnswerCallback }
@@ -181,7 +186,7 @@
       case "refuse":
         return answer(null);
       case "writeCheckpoint":
-        writing = write(effect.checkpoint);
+        writing = record.write(effect.checkpoint);
         return;
       case "nudge":
         return nudge(effect.peerAddresses);
@@ -214,91 +219,15 @@
     return result;
   }
 
-  /** Repeats a write, with the same marker, until its result is known. */
-  async function write(checkpoint: Checkpoint): Promise<void> {
-    const value: Delegation = {
-      ...stored.value,
-      ...checkpoint,
-      earlierGrantors: stored.value.earlierGrantors.filter((id) =>
-        !stoppedGrantors.includes(id)
-      ),
-      unlistedServers: mayHaveUnlistedServers() ? true : undefined,
-      writerMark: options.newWriterMark(),
-    };
-    const firstAskedAt = readClocks();
-    while (!stopped && !delegationEnded(state, readClocks())) {
-      const askedAt = readClocks();
-      const comparison = await compareStored();
-      if (comparison === "other-era") return;
-      if (comparison === "unknown") {
-        await pause(options.times.storeRetryMilliseconds);
-        continue;
-      }
-      const result = await options.delegations.write(group, value, {
-        version: stored.version,
-        era,
-      });
-      if (result.isOk) {
-        stored = { value, version: result.value };
-        return confirmWrite(askedAt);
-      }
-      const found = await options.delegations.read(group);
-      if (found.isOk && found.value !== null) {
-        // This agent claims the group again.
-        if (isOfOtherEra(found.value)) return;
-        if (found.value.value.writerMark === value.writerMark) {
-          stored = found.value;
-          return confirmWrite(firstAskedAt);
-        }
-        if (!adoptStored(found.value)) return;
-      }
-      await pause(options.times.storeRetryMilliseconds);
-    }
-  }
-
   function mayHaveUnlistedServers(): boolean {
     return state.unlistedUntil !== null && monotonicNow() < state.unlistedUntil;
   }
 
-  function isOfOtherEra(found: Versioned<Delegation>): boolean {
-    return (found.era ?? 0) !== era;
-  }
-
-  /**
-   * Compares the record with the one that the next write is meant for. After
-   * the store has gone back, another record may have been given its version. A
-   * store without eras never goes back.
-   */
-  async function compareStored(): Promise<
-    "same-era" | "other-era" | "unknown"
-  > {
-    if (options.storeEra().era !== era) return "other-era";
-    if (era === 0) return "same-era";
-    const found = await options.delegations.read(group);
-    if (found.isErr) return "unknown";
-    if (options.storeEra().era !== era) return "other-era";
-    if (found.value === null) return "same-era";
-    return isOfOtherEra(found.value) ? "other-era" : "same-era";
-  }
-
-  /**
-   * Adopts a delegation written by others; false if this grantor is superseded.
-   */
-  function adoptStored(found: Versioned<Delegation>): boolean {
-    stopIfSuperseded(found.value.epoch);
-    if (stopped) return false;
-    const still = new Set(found.value.earlierGrantors);
-    const gone = stored.value.earlierGrantors.filter((id) => !still.has(id));
-    stoppedGrantors = [...stoppedGrantors, ...gone];
-    stored = found;
-    return true;
-  }
-
   function confirmWrite(askedAt: Clocks): void {
     events.record("checkpoint-written", {
       group,
       epoch: state.epoch,
-      roster: stored.value.roster.length,
+      roster: record.current().roster.length,
     });
     send({ kind: "confirmed", askedAt });
   }
@@ -326,69 +255,19 @@
     });
   }
 
-  function waitsForEarlierGrantors(): boolean {
-    return takeover.unended().some((id) => !stoppedGrantors.includes(id));
-  }
-
-  let waitsForEarlier = waitsForEarlierGrantors();
-  let checkedStoreAt = monotonicNow();
-
-  /**
-   * Grantors that can't reach each other learn of each other from the store.
-   */
-  async function checkStore(): Promise<void> {
-    const now = monotonicNow();
-    if (
-      now - checkedStoreAt < earlierGrantorCheckMilliseconds ||
-      state.unconfirmed !== null
-    ) return;
-    checkedStoreAt = now;
-    const found = await options.delegations.read(group);
-    // A write that has started meanwhile reads the store itself if needed.
-    if (stopped || state.unconfirmed !== null || found.isErr) return;
-    if (found.value === null || isOfOtherEra(found.value)) return;
-    adoptStored(found.value);
-  }
-
-  let askedFormerGrantorAt = -Infinity;
-
-  /**
-   * Asks again, as the former grantor may have been slow or briefly
-   * unreachable.
-   */
-  async function retrySealFormer(former: AgentId): Promise<void> {
-    const now = monotonicNow();
-    if (now - askedFormerGrantorAt < earlierGrantorCheckMilliseconds) return;
-    askedFormerGrantorAt = now;
-    const sealed = await takeover.sealFormer();
-    if (stopped || !sealed.stopped || stoppedGrantors.includes(former)) return;
-    stoppedGrantors = [...stoppedGrantors, former];
-    const { handover } = sealed;
-    events.record("earlier-grantor-sealed", {
-      group,
-      epoch: state.epoch,
-      former,
-      handedOver: handover !== null,
-    });
-    if (handover === null) return;
-    send({ kind: "handover", handover, now: readClocks() });
-  }
-
-  /**
-   * Earlier grantors may turn out to have ended only after this one has
-   * started.
-   */
-  function checkEarlierGrantors(): void {
-    if (!waitsForEarlier) return;
-    if (state.unresponsive.size > 0) {
-      void checkStore();
-      if (takeover.former !== undefined) void retrySealFormer(takeover.former);
-    }
-    if (waitsForEarlierGrantors()) return;
-    waitsForEarlier = false;
-    events.record("earlier-grantors-ended", { group, epoch: state.epoch });
-    send({ kind: "earlierEnded", now: readClocks() });
-  }
+  const checkEarlierGrantors = startEarlierGrantorCheck({
+    earlier: takeover.earlier,
+    record,
+    group,
+    epoch: state.epoch,
+    events,
+    stopped: () => stopped,
+    hasUnresponsive: () => state.unresponsive.size > 0,
+    isWriting,
+    onHandover: (handover) =>
+      void send({ kind: "handover", handover, now: readClocks() }),
+    onEnded: () => void send({ kind: "earlierEnded", now: readClocks() }),
+  });
 
   const checkUnresponsive = startUnresponsiveCheck({
     ...options,
@@ -426,7 +305,7 @@
   return {
     group,
     epoch: state.epoch,
-    era,
+    era: record.era,
     roster: () => mergeRosters(state.roster, state.unconfirmed?.roster ?? []),
     renew(renewal) {
       stopIfSuperseded(renewal.epoch);
