--- a/source/tasks/gossip_task.ts
+++ b/source/tasks/gossip_task.ts
@@ -109,6 +109,7 @@
 
 /** A lost agent that does not return is dropped after this time. */
 const lostRetentionMilliseconds = 600_000;
+
 type Message =
   | { readonly kind: "merge"; readonly records: readonly SharedRecord[] }
   | { readonly kind: "updatesTaken"; readonly replica: Replica }
