Exchange: the interceptors share how they pass events on

Two interceptors listed the same five events of undici, of which each changes one. forwardEvents now passes all of them on.

Result: the tests of adapters/targets, hops/queued_request and platform/target pass (28 of 28).

--- a/source/adapters/targets/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -118,14 +118,11 @@
 ): Dispatcher.DispatcherComposeInterceptor {
   return (dispatch) => (request, handler) =>
     dispatch(request, {
+      ...forwardEvents(handler),
       onRequestStart(controller, context) {
         onStart();
         handler.onRequestStart?.(controller, context);
       },
-      onResponseStart: (...event) => handler.onResponseStart?.(...event),
-      onResponseData: (...event) => handler.onResponseData?.(...event),
-      onResponseEnd: (...event) => handler.onResponseEnd?.(...event),
-      onResponseError: (...event) => handler.onResponseError?.(...event),
     });
 }
 
@@ -139,18 +136,28 @@
 ): Dispatcher.DispatcherComposeInterceptor {
   return (dispatch) => (request, handler) =>
     dispatch(request, {
-      onRequestStart: (...event) => handler.onRequestStart?.(...event),
+      ...forwardEvents(handler),
       onResponseStart(controller, status, headers, message) {
         const fault = faultOfAnswer(headers as Headers);
         if (fault !== null) return controller.abort(new Error(fault));
         handler.onResponseStart?.(controller, status, headers, message);
       },
-      onResponseData: (...event) => handler.onResponseData?.(...event),
-      onResponseEnd: (...event) => handler.onResponseEnd?.(...event),
-      onResponseError: (...event) => handler.onResponseError?.(...event),
     });
 }
 
+/** A handler that passes all events of a request on to another one. */
+function forwardEvents(
+  handler: Dispatcher.DispatchHandler,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (...event) => handler.onRequestStart?.(...event),
+    onResponseStart: (...event) => handler.onResponseStart?.(...event),
+    onResponseData: (...event) => handler.onResponseData?.(...event),
+    onResponseEnd: (...event) => handler.onResponseEnd?.(...event),
+    onResponseError: (...event) => handler.onResponseError?.(...event),
+  };
+}
+
 /**
  * Converts a body for undici. A stream is not read before the connection is
  * established, so that an unsent request can still be sent elsewhere.
