--- a/source/adapters/targets/http_target.ts
+++ b/source/adapters/targets/http_target.ts
@@ -10,6 +10,7 @@
 import { formatToken } from "../../core/ownership/token.ts";
 import { type Failure, notRun } from "../../core/request/outcome.ts";
 import type {
+  Headers,
   ProxyAnswer,
   Target,
   TargetHealth,
@@ -17,6 +18,7 @@
 import { type ConnectionSettings, openPool } from "./connection_pool.ts";
 import { drain, exchange } from "./exchange.ts";
 import { failureFromHeaders, fields } from "../headers.ts";
+import { openTargetConnections } from "./target_connections.ts";
 import { exchangeWhole } from "./whole_exchange.ts";
 
 /** Opens a client of the target, which opens connections on demand. */
@@ -25,8 +27,10 @@
   readonly settings: ConnectionSettings;
   readonly now: () => number;
   readonly healthTimeoutMilliseconds: number;
+  /** Called when an answer is invalid and not passed on, with the reason. */
+  readonly onInvalidAnswer?: (request: string, fault: string) => void;
 }): Target {
-  const pool = openPool(options.address, options.settings);
+  const connections = openTargetConnections(options.address, options.settings);
   // Health checks must not wait for connections that long requests occupy.
   const healthChecks = openPool(options.address, {
     ...options.settings,
@@ -47,22 +51,51 @@
         }),
       };
       const { now } = options;
-      const result = await exchange(pool, { request, headers, body, now });
+      const faultOfAnswer = (received: Headers) => {
+        const fault = faultOfRefusal(received, request.id);
+        if (fault !== null) options.onInvalidAnswer?.(request.id, fault);
+        return fault;
+      };
+      const result = await exchange(connections.select(request.id), {
+        request,
+        headers,
+        body,
+        now,
+        faultOfAnswer,
+      });
       if (result.isErr) return result;
+      if (statesNotRun(result.value.headers)) {
+        connections.recordRefusal(request.id);
+      }
       return readTargetAnswer(result.value);
     },
     health: () => checkHealth(healthChecks, options.healthTimeoutMilliseconds),
     async close() {
-      await Promise.all([pool.close(), healthChecks.close()]);
+      await Promise.all([connections.close(), healthChecks.close()]);
     },
   };
 }
 
-/** Returns a failure if the outcome field states that the request did not run. */
+/** Whether the outcome field states that the request did not run. */
+function statesNotRun(headers: Headers): boolean {
+  return failureFromHeaders(headers)?.outcome === "not-run";
+}
+
+/**
+ * Why a refusal does not prove that the request with this id did not run; null
+ * if it does, and for other answers. A target may send an earlier refusal again
+ * on a connection that is kept open.
+ */
+function faultOfRefusal(headers: Headers, id: string): string | null {
+  if (!statesNotRun(headers)) return null;
+  const refused = headers[fields.refusedRequest];
+  if (refused === undefined) return "the refusal has no request id";
+  return refused === id ? null : "the refusal has the id of another request";
+}
+
+/** Returns a failure if the target states that the request did not run. */
 function readTargetAnswer(answer: ProxyAnswer): Result<ProxyAnswer, Failure> {
-  if (failureFromHeaders(answer.headers)?.outcome !== "not-run") {
-    return Result.ok(answer);
-  }
+  if (!statesNotRun(answer.headers)) return Result.ok(answer);
   if (answer.body.kind === "stream") drain(answer.body.stream);
   return Result.err(notRun("target-refused"));
 }
