Leave failing targets out of the choice by what requests saw

An entry ejects a target after three failures in a row only. One that fails every second request, or that an entry sends a request in some seconds only, went on getting its whole share.

failing_targets.ts keeps a quality of each target by how its requests ended, and a share of traffic that follows it: down at once, up with successes only, and at most twofold in a second. A request leaves the target out for the part that is lost, while another one can be chosen. The rule is a function in the query; without it the choice is as before.

--- a/source/core/routing/failing_targets_test.ts
+++ b/source/core/routing/failing_targets_test.ts
@@ -3,7 +3,19 @@
 import { seededRandom } from "../../../standins/load.ts";
 import { testAgent } from "../../../tests/test_agent.ts";
 import {
-  chooseTarget,
+  describeHealth,
+  isTrialDue,
+  leaveOutFailing,
+  leaveOutNone,
+  type LeavesOut,
+  minShare,
+  recordEnd,
+  type RequestEnd,
+  type TargetHealth,
+  unknownHealth,
+} from "./failing_targets.ts";
+import {
+  chooseHealthyTarget,
   createRouting,
   type RoutingEvent,
   type RoutingState,
@@ -46,7 +58,11 @@
 const faultyTarget = "target-1";
 
 /** Simulates the entries, and returns the share of the faulty target. */
-function shareOf(fault: Fault, seed: number): number {
+function shareOf(
+  fault: Fault,
+  seed: number,
+  leavesOut: LeavesOut = leaveOutNone,
+): number {
   const random = seededRandom(seed);
   const states: RoutingState[] = Array.from(
     { length: entries },
@@ -62,7 +78,7 @@
     if (random() >= requestsPerSecond / 1_000) continue;
     const entry = Math.floor(random() * entries);
     const state = states[entry] ?? createRouting();
-    const target = chooseTarget(state, {
+    const { target } = chooseHealthyTarget(state, {
       from: { dataCenter: "kolkata-1", region: "kolkata" },
       targets,
       rank: 0,
@@ -70,6 +86,7 @@
       tried: new Set(),
       now,
       random,
+      leavesOut,
     });
     assert.ok(target !== null);
     const id = target.id;
@@ -109,3 +126,143 @@
     });
   }
 });
+
+/** The health after these ends, which come so far apart. */
+function healthAfter(
+  ends: readonly RequestEnd[],
+  { every, from = unknownHealth }: {
+    readonly every: number;
+    readonly from?: TargetHealth;
+  },
+): readonly TargetHealth[] {
+  let health = from;
+  return ends.map((end, index) => {
+    const now = Math.max(1_000, from.endedAt) + (index + 1) * every;
+    health = recordEnd(health, end, { now });
+    return health;
+  });
+}
+
+function times(count: number, end: RequestEnd): readonly RequestEnd[] {
+  return Array.from({ length: count }, () => end);
+}
+
+const success: RequestEnd = { kind: "answered" };
+const failure: RequestEnd = { kind: "failed" };
+
+describe("the share of a target", () => {
+  it("is whole with the few failures that healthy targets have", () => {
+    const ends = [...times(24, success), failure, ...times(24, success)];
+    const shares = healthAfter(ends, { every: 100 }).map(({ share }) => share);
+    assert.equal(shares.at(-1), 1);
+    assert.ok(Math.min(...shares) > 0.5, `${Math.min(...shares)}`);
+  });
+
+  // Guards against a target that is given its whole share as soon as it has
+  // recovered, and fails again for that.
+  it("at most doubles in a second", () => {
+    for (const every of [10, 100, 700]) {
+      const lost = healthAfter(times(60, failure), { every }).at(-1);
+      assert.ok(lost !== undefined);
+      assert.equal(lost.share, minShare);
+      const regained = healthAfter(times(1_500, success), {
+        every,
+        from: lost,
+      });
+      for (const { share, endedAt } of regained) {
+        const seconds = (endedAt - lost.endedAt) / 1_000;
+        const most = minShare * 2 ** seconds;
+        assert.ok(share <= most * 1.000001, `${share} after ${seconds} s`);
+      }
+      assert.equal(regained.at(-1)?.share, 1);
+    }
+  });
+
+  it("doesn't rise by time alone, nor with failures", () => {
+    const lost = healthAfter(times(60, failure), { every: 10 }).at(-1);
+    assert.ok(lost !== undefined);
+    const [next] = healthAfter([failure], { every: 60_000, from: lost });
+    assert.equal(next?.share, minShare);
+  });
+
+  it("is halved by answers that take twice the tolerated time", () => {
+    const slow: RequestEnd = { kind: "answered", slowdown: 3 };
+    const share = healthAfter(times(200, slow), { every: 50 }).at(-1)?.share;
+    assert.ok(share !== undefined && Math.abs(share - 0.5) < 0.01, `${share}`);
+  });
+
+  it("is reported with the counts that it follows from", () => {
+    const ends = [...times(6, success), ...times(6, failure)];
+    const health = healthAfter(ends, { every: 100 }).at(-1);
+    assert.ok(health?.avoided === true);
+    const { answered, failed, slow } = describeHealth(health);
+    assert.deepEqual({ answered, failed, slow }, {
+      answered: 6,
+      failed: 6,
+      slow: 0,
+    });
+  });
+});
+
+describe("a target without a share", () => {
+  const lost = healthAfter(times(60, failure), { every: 10 }).at(-1) ??
+    unknownHealth;
+  const consider = (inFlight: number, milliseconds: number) => ({
+    health: lost,
+    inFlight,
+    now: lost.endedAt + milliseconds,
+  });
+
+  it("is tried with one request at a time, spaced out", () => {
+    assert.equal(isTrialDue(consider(0, 7_000)), false);
+    assert.equal(isTrialDue(consider(0, 8_000)), true);
+    assert.equal(isTrialDue(consider(1, 8_000)), false);
+  });
+
+  it("is used when no other target can be", () => {
+    const [target] = targets;
+    assert.ok(target !== undefined);
+    const { id } = target;
+    const events: readonly RoutingEvent[] = times(9, failure).map((
+      _,
+      index,
+    ) => ({
+      kind: "failed",
+      id,
+      took: { rank: 0, milliseconds: 5 },
+      now: 1_000 + index,
+    }));
+    const choose = (among: readonly typeof target[]) =>
+      chooseHealthyTarget(events.reduce(stepRouting, createRouting()), {
+        from: target.place,
+        targets: among,
+        rank: 0,
+        bodyBytes: 0,
+        tried: new Set(),
+        now: 1_100,
+        random: () => 0.9,
+        leavesOut: leaveOutFailing,
+      });
+    assert.equal(choose([target]).target?.id, id);
+    const both = choose(targets.slice(0, 2));
+    assert.deepEqual([both.target?.id, [...both.leftOut]], ["target-1", [id]]);
+  });
+});
+
+// Guards against a rule that only helps where agents report failures: entries
+// that send a target several requests a second learn from these.
+describe("entries that leave out failing targets", () => {
+  const partial = [
+    "answers half of its requests with failures",
+    "resets half of its connections",
+  ];
+  for (const name of partial) {
+    it(`send fewer requests to one that ${name}`, () => {
+      const fault = faultsByName[name];
+      assert.ok(fault !== undefined);
+      const sum = (leavesOut: LeavesOut) =>
+        seeds.reduce((sum, seed) => sum + shareOf(fault, seed, leavesOut), 0);
+      assert.ok(sum(leaveOutFailing) < sum(leaveOutNone));
+    });
+  }
+});
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -6,7 +6,8 @@
  * - a target that is leaving or lost gets no new requests;
  * - a target in a region that is not allowed, or in an evacuated data centre,
  *   gets none either;
- * - at most half of the targets of one distance are ejected at one time.
+ * - at most half of the targets of one distance are ejected at one time;
+ * - failing targets are left out only while another one can be chosen.
  *
  * @module
  */
@@ -19,6 +20,7 @@
   evaluateTarget,
   reportedUtilization,
 } from "./expected_answers.ts";
+import { leaveOutNone, type LeavesOut } from "./failing_targets.ts";
 import { busyRestrictedRegions } from "./restricted_regions.ts";
 import {
   createView,
@@ -57,6 +59,8 @@
   readonly random: () => number;
   /** Draws the targets to compare; any of them when left out. */
   readonly pickPair?: PickPair;
+  /** Which failing targets it leaves out; none when left out. */
+  readonly leavesOut?: LeavesOut;
 }
 
 const maxEjectedShare = 0.5;
@@ -87,6 +91,40 @@
   return views.length === state.views.size ? state : { views: new Map(views) };
 }
 
+/** A choice, and the failing targets that were left out of it. */
+export interface RouteChoice {
+  /** Null when no target is eligible. */
+  readonly target: Agent | null;
+  readonly leftOut: ReadonlySet<AgentId>;
+}
+
+/** Chooses among the targets that don't fail, or among all if there are none. */
+export function chooseHealthyTarget(
+  state: RoutingState,
+  query: RouteQuery,
+): RouteChoice {
+  const leftOut = failingTargets(state, query);
+  if (leftOut.size > 0) {
+    const tried = new Set([...query.tried, ...leftOut]);
+    const target = chooseTarget(state, { ...query, tried });
+    if (target !== null) return { target, leftOut };
+  }
+  return { target: chooseTarget(state, query), leftOut: new Set() };
+}
+
+function failingTargets(
+  state: RoutingState,
+  { targets, now, random, leavesOut = leaveOutNone }: RouteQuery,
+): ReadonlySet<AgentId> {
+  const failing = targets.filter(({ id }) => {
+    const view = state.views.get(id);
+    if (view === undefined) return false;
+    const { health, inFlight } = view;
+    return leavesOut({ health, inFlight, now }, random);
+  });
+  return new Set(failing.map(({ id }) => id));
+}
+
 /**
  * Chooses the target with the shortest expected time to an answer; null when
  * none is eligible. Other regions are considered only when no near target has
--- a/source/core/routing/target_views.ts
+++ b/source/core/routing/target_views.ts
@@ -5,6 +5,12 @@
  * @module
  */
 import { recordSlowness, type Slowness } from "../load/target_load.ts";
+import {
+  entrySmoothingFactor,
+  recordEnd,
+  type TargetHealth,
+  unknownHealth,
+} from "./failing_targets.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -23,6 +29,8 @@
   readonly ejections: number;
   readonly ejectedUntil: number;
   readonly firstSeenAt: number;
+  /** What its requests saw of it. */
+  readonly health: TargetHealth;
 }
 
 /** What happened at a target. Times are monotonic, in milliseconds. */
@@ -41,6 +49,8 @@
   | {
     readonly kind: "failed";
     readonly took?: RequestDuration;
+    /** Whether its agent refused it because the target fails requests. */
+    readonly failing?: boolean;
     readonly now: number;
   }
   | {
@@ -62,6 +72,8 @@
 export const defaultMilliseconds = 50;
 /** Added to the time of a failed request, for what it costs its caller. */
 const failurePenaltyMilliseconds = 1_000;
+/** An abandoned request that took this multiple shows a silent target. */
+const silenceFactor = 2;
 const minSmoothingFactor = 0.1;
 /** Time constant of the moving average. */
 const smoothingMilliseconds = 2_000;
@@ -76,6 +88,7 @@
   consecutiveFailures: 0,
   ejections: 0,
   ejectedUntil: 0,
+  health: unknownHealth,
 };
 
 /** A view of a target of which nothing is known. */
@@ -106,10 +119,19 @@
         ),
         consecutiveFailures: 0,
         ejections: 0,
+        health: recordEnd(
+          view.health,
+          { kind: event.failure === true ? "failed" : "answered" },
+          { now: event.now, maxWeight: entrySmoothingFactor },
+        ),
       };
     case "failed":
       return afterFailure(
-        { ...view, ...penalizeFailure(view, event) },
+        {
+          ...view,
+          ...penalizeFailure(view, event),
+          ...failedHealth(view, event),
+        },
         event.now,
       );
   }
@@ -120,6 +142,7 @@
 
 interface EndedRequest {
   readonly took?: RequestDuration;
+  readonly failing?: boolean;
   readonly now: number;
 }
 
@@ -154,6 +177,16 @@
   return updateEstimate(view, { took: { ...took, milliseconds }, now });
 }
 
+/** Most refusals show how full a target is, not how it works. */
+function failedHealth(
+  { health }: TargetView,
+  { took, failing = false, now }: EndedRequest,
+): Pick<TargetView, "health"> {
+  if (took === undefined && !failing) return { health };
+  const options = { now, maxWeight: entrySmoothingFactor };
+  return { health: recordEnd(health, { kind: "failed" }, options) };
+}
+
 /** An abandoned request counts only if it took longer than an answer would. */
 function abandon(view: TargetView, ended: EndedRequest): TargetView {
   const { took } = ended;
@@ -161,7 +194,14 @@
   const typical = view.typicalMilliseconds.get(took?.rank ?? -1) ??
     defaultMilliseconds;
   const slow = took !== undefined && took.milliseconds > typical;
-  return { ...view, inFlight, ...(slow ? updateEstimate(view, ended) : {}) };
+  if (!slow) return { ...view, inFlight };
+  const silent = took.milliseconds > typical * silenceFactor;
+  return {
+    ...view,
+    inFlight,
+    ...updateEstimate(view, ended),
+    ...(silent ? failedHealth(view, ended) : {}),
+  };
 }
 
 function afterFailure(view: TargetView, now: number): TargetView {
