--- a/source/core/target/failing_target.ts
+++ b/source/core/target/failing_target.ts
@@ -16,6 +16,7 @@
 import {
   minShare,
   recordEnd,
+  type RequestEnd,
   type TargetHealth,
   toleratedSlowdown,
   unknownHealth,
@@ -54,10 +55,10 @@
   /** The kind of work; kinds have different usual times. */
   readonly work: string;
   /**
-   * `unknown` for an end that shows nothing of the target, such as a caller
-   * that left.
+   * `timed-out` if its deadline passed first; `unknown` for an end that shows
+   * nothing of the target, such as a caller that left.
    */
-  readonly kind: "answered" | "failed" | "unknown";
+  readonly kind: "answered" | "failed" | "timed-out" | "unknown";
   readonly milliseconds: number;
   /** The end of its objective. */
   readonly objectiveAt: number;
@@ -83,6 +84,10 @@
 const maxKinds = 64;
 /** The assumed time of a request before any has been measured. */
 const defaultMilliseconds = 100;
+/** A request takes at least this long; a clock may show no time at all. */
+const minMilliseconds = 1;
+/** Turns of the agent itself delay an answer by up to this. */
+const turnMilliseconds = 20;
 /** Other agents are not told of a change more often. */
 const minPublishIntervalMilliseconds = 2_000;
 /** Nor of a smaller one, so that single failures cause no messages. */
@@ -146,16 +151,11 @@
   end: TargetEnd,
 ): FailingTargetState {
   const ended = { ...state, running: Math.max(0, state.running - 1) };
-  if (end.kind === "unknown") return ended;
+  const seen = observedEnd(state, end);
+  if (seen === null) return ended;
   const { now } = end;
   const measured = end.kind === "answered" ? recordTime(ended, end) : ended;
-  const health = recordEnd(
-    state.health,
-    end.kind === "failed"
-      ? { kind: "failed" }
-      : { kind: "answered", ...slownessOf(state, end) },
-    { now },
-  );
+  const health = recordEnd(state.health, seen, { now });
   return publish({
     ...measured,
     health,
@@ -163,6 +163,25 @@
   }, now);
 }
 
+/** What an end shows of the target; null for nothing. */
+function observedEnd(
+  state: FailingTargetState,
+  end: TargetEnd,
+): RequestEnd | null {
+  const { slowdown, late } = slownessOf(state, end);
+  switch (end.kind) {
+    case "unknown":
+      return null;
+    case "failed":
+      return { kind: "failed" };
+    case "timed-out":
+      // A request may have been given less than the usual time.
+      return slowdown > toleratedSlowdown ? { kind: "failed" } : null;
+    case "answered":
+      return { kind: "answered", slowdown, late };
+  }
+}
+
 function startsAfter(
   { starts }: FailingTargetState,
   { share }: TargetHealth,
@@ -177,21 +196,23 @@
 /** How much slower an answer was than usual, and whether that made it late. */
 function slownessOf(
   { usual }: FailingTargetState,
-  { work, milliseconds, objectiveAt, now }: TargetEnd,
+  { work, kind, milliseconds, objectiveAt, now }: TargetEnd,
 ): { readonly slowdown: number; readonly late: boolean } {
-  const known = usual.get(work)?.milliseconds ?? 0;
-  if (known === 0) return { slowdown: 1, late: false };
-  const slowdown = milliseconds / known;
+  const known = usual.get(work)?.milliseconds ?? defaultMilliseconds;
+  const slowdown = Math.max(0, milliseconds - turnMilliseconds) / known;
   const hadTime = now - milliseconds + known <= objectiveAt;
   const late = now > objectiveAt && hadTime && slowdown > toleratedSlowdown;
-  return { slowdown, late };
+  // An answer of a kind that has not been measured may usually take so long.
+  const isMeasured = usual.has(work) || kind !== "answered";
+  return isMeasured ? { slowdown, late } : { slowdown: 1, late: false };
 }
 
 /** A slow answer counts as little more than usual in the usual time. */
 function recordTime(
   state: FailingTargetState,
-  { work, milliseconds, now }: TargetEnd,
+  { work, milliseconds: measured, now }: TargetEnd,
 ): FailingTargetState {
+  const milliseconds = Math.max(minMilliseconds, measured);
   const known = state.usual.get(work);
   const usual = new Map(state.usual);
   usual.delete(work);
