Report targets that an entry leaves out

An entry can be given the rule by which failing targets are left out, and records target-avoided and target-restored with the counts behind them. An agent refuses with the new reason target-failing what its failing target is not given: the request has not run, another target is asked without using the retry budget, and the refusal counts as a failure of the target.

--- a/source/core/request/outcome.ts
+++ b/source/core/request/outcome.ts
@@ -26,6 +26,8 @@
   | "target-leaving"
   | "agent-stopping"
   | "target-refused"
+  /** The target fails requests, and is given only a part of them. */
+  | "target-failing"
   | "target-unreachable"
   | "not-owner"
   | "moving"
@@ -107,6 +109,7 @@
   "target-leaving": 503,
   "agent-stopping": 503,
   "target-refused": 503,
+  "target-failing": 503,
   "target-unreachable": 503,
   "not-owner": 503,
   "moving": 503,
--- a/source/core/retry/retry.ts
+++ b/source/core/retry/retry.ts
@@ -105,12 +105,13 @@
 ]);
 
 /**
- * Reasons that show a target is gone, leaving or in a region that is not
- * allowed: another can run the request.
+ * Reasons that show a target is gone, leaving, failing or in a region that is
+ * not allowed: another can run the request.
  */
 const otherTargetReasons: ReadonlySet<FailureReason> = new Set([
   "target-leaving",
   "target-unreachable",
+  "target-failing",
   // The agent beside the target has a newer configuration than the entry.
   "region-not-allowed",
 ]);
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -15,6 +15,8 @@
   | "target-phase"
   | "target-cold"
   | "target-warm"
+  | "target-avoided"
+  | "target-restored"
   | "epoch-claimed"
   | "takeover-declined"
   | "epoch-accepted"
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -29,6 +29,7 @@
   type RetrySettings,
 } from "../core/retry/retry.ts";
 import type { PickPair } from "../core/routing/candidate_pairs.ts";
+import type { LeavesOut } from "../core/routing/failing_targets.ts";
 import {
   allowsRegion,
   cachedRestrictedRegions,
@@ -115,6 +116,10 @@
   readonly random: () => number;
   /** Draws the targets without keys to compare; any when left out. */
   readonly pickPair?: PickPair;
+  /** Which failing targets requests without keys leave out; none if absent. */
+  readonly leavesOut?: LeavesOut;
+  /** Called for each choice from which a failing target is left out. */
+  readonly onFailingAvoided?: () => void;
   readonly readPendingInput: ReadPendingInput;
   /** Settings of the retry budget, which all agents share. */
   readonly retries: () => RetrySettings;
@@ -148,6 +153,13 @@
     peers: options.peers,
     random,
     ...(options.pickPair === undefined ? {} : { pickPair: options.pickPair }),
+    ...(options.leavesOut === undefined
+      ? {}
+      : { leavesOut: options.leavesOut }),
+    ...(options.onFailingAvoided === undefined
+      ? {}
+      : { onFailingAvoided: options.onFailingAvoided }),
+    events,
     readPendingInput: options.readPendingInput,
     sendTo,
   });
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -15,13 +15,21 @@
 import { regionNotAllowed } from "../core/routes/allowed_regions.ts";
 import { pickAnyPair, type PickPair } from "../core/routing/candidate_pairs.ts";
 import {
-  chooseTarget,
+  describeHealth,
+  healthChange,
+  leaveOutNone,
+  type LeavesOut,
+  unknownHealth,
+} from "../core/routing/failing_targets.ts";
+import {
+  chooseHealthyTarget,
   createRouting,
   forgetTargets,
   type RoutingEvent,
+  type RoutingState,
   stepRouting,
 } from "../core/routing/routing.ts";
-import type { EventDetail } from "../ports/events.ts";
+import type { EventDetail, Events } from "../ports/events.ts";
 import type { ReadPendingInput } from "../ports/input.ts";
 import type { Peers } from "../ports/peers.ts";
 import type { Body, ProxyAnswer, ProxyRequest } from "../ports/upstream.ts";
@@ -103,6 +111,11 @@
   readonly random: () => number;
   /** Draws the targets to compare; any of them when left out. */
   readonly pickPair?: PickPair;
+  /** Which failing targets a request leaves out; none when left out. */
+  readonly leavesOut?: LeavesOut;
+  /** Called for each choice from which a failing target is left out. */
+  readonly onFailingAvoided?: () => void;
+  readonly events: Events;
   readonly readPendingInput: ReadPendingInput;
   readonly sendTo: (
     destination: Destination,
@@ -110,13 +123,29 @@
     body: Body,
   ) => Promise<Result<ProxyAnswer, Failure>>;
 }): UnkeyedAttempts {
-  const { agent, random, pickPair = pickAnyPair } = options;
+  const { agent, random, events } = options;
+  const { pickPair = pickAnyPair, leavesOut = leaveOutNone } = options;
   let routing = createRouting();
 
   const mailbox = openMailbox<RoutingEvent>((event) => {
-    routing = stepRouting(routing, event);
+    const before = routing;
+    routing = stepRouting(before, event);
+    if (leavesOut !== leaveOutNone) reportHealth(before, event.id);
   });
 
+  /** Reports a target that begins or ceases to lose requests of this entry. */
+  function reportHealth(before: RoutingState, id: AgentId): void {
+    const health = routing.views.get(id)?.health ?? unknownHealth;
+    const former = before.views.get(id)?.health ?? unknownHealth;
+    const change = healthChange(former, health);
+    if (change === null) return;
+    events.record(`target-${change}`, {
+      target: id,
+      seenBy: "entry",
+      ...describeHealth(health),
+    });
+  }
+
   async function attempt(
     request: ProxyRequest,
     { body, tried }: { readonly body: Body; readonly tried: Set<AgentId> },
@@ -195,9 +224,16 @@
       now: monotonicNow(),
       random,
       pickPair,
+      leavesOut,
     };
-    const target = chooseTarget(routing, { ...query, tried: work.tried }) ??
-      chooseTarget(routing, { ...query, tried: new Set<AgentId>() });
+    const untried = chooseHealthyTarget(routing, {
+      ...query,
+      tried: work.tried,
+    });
+    const { target, leftOut } = untried.target !== null
+      ? untried
+      : chooseHealthyTarget(routing, { ...query, tried: new Set<AgentId>() });
+    if (leftOut.size > 0) options.onFailingAvoided?.();
     const view = routing.views.get(target?.id ?? "");
     return {
       target,
@@ -206,6 +242,7 @@
         ...(allowedRegions.length === 0
           ? {}
           : { allowedRegions: allowedRegions.join() }),
+        ...(leftOut.size === 0 ? {} : { failingTargets: leftOut.size }),
         ...options.describeEvacuated?.(),
         ...describeSlowness(view?.slowness ?? null, query.now),
       },
@@ -259,7 +296,13 @@
     // The time of a refusal does not measure the target's service time.
     const refused = result.error.outcome === "not-run" &&
       reason !== "target-unreachable";
-    mailbox.send({ kind: "failed", id, ...(refused ? {} : { took }), now });
+    const failing = reason === "target-failing";
+    mailbox.send({
+      kind: "failed",
+      id,
+      ...(refused ? { failing } : { took }),
+      now,
+    });
   }
 
   return {
