Follow failing targets at their agents

Where the settings have the bounds of cold targets, the agent beside a target without keys observes its requests, has others told fewer slots, refuses what exceeds the target's share, and has entries leave out failing targets. Other deployments get neither.

--- a/source/core/target/cold_target.ts
+++ b/source/core/target/cold_target.ts
@@ -10,6 +10,7 @@
  * @module
  */
 import type { ColdStart } from "../document/document.ts";
+import { slotsByShare } from "./failing_target.ts";
 import type { RegisteredTarget } from "./registration.ts";
 
 /**
@@ -28,6 +29,8 @@
   /** Mean time of a request in the target. */
   readonly usualMilliseconds: number;
   readonly heartbeatMilliseconds: number;
+  /** The part of its slots that its requests leave it; all when left out. */
+  readonly share?: number;
 }
 
 /** The state of the local target's coldness. Times are monotonic. */
@@ -155,7 +158,7 @@
   const { now } = view;
   const { published, warmSince, requestsPerSecond } = state;
   const slots = effectiveSlots({
-    slots: view.target.slots,
+    slots: slotsByShare(view.target.slots, view.share ?? 1),
     requestsPerSecond,
     usualMilliseconds: view.usualMilliseconds,
   });
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -41,6 +41,10 @@
   type RegistrationTask,
   startRegistration,
 } from "../tasks/registration_task.ts";
+import {
+  type FailingTargetTask,
+  startFailingTarget,
+} from "../tasks/failing_target_task.ts";
 import { monotonicNow } from "../tasks/time.ts";
 import {
   openPlatformAdapters,
@@ -59,7 +63,12 @@
   servicePolicy,
   stopTimes,
 } from "./platform_policy.ts";
-import { type RequestTasks, startRequestTasks } from "./platform_requests.ts";
+import {
+  hasUnevenTargets,
+  type RequestTasks,
+  startRequestTasks,
+  workOfRequest,
+} from "./platform_requests.ts";
 import { stopServing } from "./stop.ts";
 import { connectTargetKeys } from "./target_keys.ts";
 
@@ -89,6 +98,8 @@
   readonly coordinator: Coordinator;
   readonly admission: AdmissionTask;
   readonly coldTarget: ColdTargetTask;
+  /** Null where failing targets keep their traffic. */
+  readonly failingTarget: FailingTargetTask | null;
   /** Closes the connections to the target. */
   readonly closeTarget: () => Promise<void>;
 }
@@ -143,6 +154,7 @@
     tasks.evacuations?.stop();
     tasks.departures.stop();
     tasks.coldTarget.stop();
+    tasks.failingTarget?.stop();
     tasks.admission.stop();
     tasks.bodyAdmission.stop();
     for (const listener of others) listener.close();
@@ -225,8 +237,20 @@
     tickMilliseconds: admissionTickMilliseconds,
     onColdStartDelayed: () => metrics.count("cold_starts_delayed"),
   });
+  const failingTarget = !hasUnevenTargets(settings)
+    ? null
+    : startFailingTarget({
+      target: registration.target,
+      others: () =>
+        coordinator.gossip.agents().filter(({ id, service }) =>
+          service === settings.service && id !== agent.id
+        ),
+      workOf: workOfRequest(() => configuration),
+      events,
+    });
   const coldTarget = startColdTarget({
     target: registration.target,
+    share: () => failingTarget?.share() ?? 1,
     coldStart() {
       if (settings.bounds.coldRate === null) return null;
       return serviceNamed(configuration, settings.service)?.coldStart ?? null;
@@ -325,6 +349,7 @@
     coordinator,
     admission,
     target,
+    failingTarget,
     place,
   });
   return {
@@ -336,6 +361,7 @@
     coordinator,
     admission,
     coldTarget,
+    failingTarget,
     ...requestTasks,
     closeTarget: async () => {
       await Promise.all([target.close(), targetKeys.close()]);
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -18,6 +18,10 @@
   pickAnyPair,
   pickPairBySlots,
 } from "../core/routing/candidate_pairs.ts";
+import {
+  leaveOutFailing,
+  leaveOutNone,
+} from "../core/routing/failing_targets.ts";
 import type { ProxyRequest } from "../ports/upstream.ts";
 import type { AdmissionTask } from "../tasks/admission_task.ts";
 import {
@@ -27,6 +31,7 @@
 import type { Coordinator } from "../tasks/coordinator.ts";
 import { type EntryTask, startEntry } from "../tasks/entry_task.ts";
 import type { EvacuationsTask } from "../tasks/evacuations_task.ts";
+import type { FailingTargetTask } from "../tasks/failing_target_task.ts";
 import type { RegistrationTask } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
@@ -59,6 +64,8 @@
   readonly coordinator: Coordinator;
   readonly admission: AdmissionTask;
   readonly target: ServingOptions["target"];
+  /** Null where failing targets keep their traffic. */
+  readonly failingTarget: FailingTargetTask | null;
   readonly place: EntryOptions["place"];
 }
 
@@ -68,7 +75,7 @@
   options: RequestTaskOptions,
 ): RequestTasks {
   const { agent, registration, evacuations, coordinator } = options;
-  const { admission, target, place } = options;
+  const { admission, target, place, failingTarget } = options;
   const { events, metrics, peers, forwarder, pendingInput } = options.adapters;
   const { linkBacklog } = options.adapters;
   const bodyAdmission = startBodyAdmission({
@@ -79,6 +86,7 @@
   });
   const gate = startStopGate();
   const routeOf = routeOfRequest(coordinator.configuration);
+  const unevenTargets = hasUnevenTargets(settings);
   const describeEvacuated = () => evacuations?.describe() ?? {};
   const serve = startServing({
     mayBegin: (request) =>
@@ -98,7 +106,10 @@
       ),
     accepts: registration.accepts,
     describeEvacuated,
-    target,
+    ...(failingTarget === null ? { target } : {
+      target: failingTarget.observe(target),
+      mayTry: failingTarget.mayTry,
+    }),
     readPendingInput: pendingInput.readPending,
     events,
     metrics,
@@ -119,7 +130,8 @@
     hash: hashText,
     place,
     random: Math.random,
-    pickPair: settings.bounds.coldRate === null ? pickAnyPair : pickPairBySlots,
+    pickPair: unevenTargets ? pickPairBySlots : pickAnyPair,
+    leavesOut: unevenTargets ? leaveOutFailing : leaveOutNone,
     readPendingInput: pendingInput.readPending,
     retries: () => retrySettings(settings, coordinator.gossip.agents().length),
     minTableAgeMilliseconds,
@@ -127,6 +139,19 @@
   return { bodyAdmission, serve, entry, gate };
 }
 
+/** Whether targets may differ in what they can run at a time. */
+export function hasUnevenTargets({ bounds }: PlatformSettings): boolean {
+  return bounds.coldRate !== null;
+}
+
+/** Names the kind of work of a request, by its route; null without one. */
+export function workOfRequest(
+  configuration: () => Configuration,
+): (request: ProxyRequest) => string | null {
+  const routeOf = routeOfRequest(configuration);
+  return (request) => routeOf(request)?.name ?? null;
+}
+
 /**
  * Finds the route of a request by the configuration in force here. It names the
  * kind of work: requests of one route take similar time, those of different
--- a/source/tasks/cold_target_task.ts
+++ b/source/tasks/cold_target_task.ts
@@ -11,6 +11,7 @@
   stepColdTarget,
   unknownColdness,
 } from "../core/target/cold_target.ts";
+import { slotsByShare } from "../core/target/failing_target.ts";
 import type { RegisteredTarget } from "../core/target/registration.ts";
 import type { Events } from "../ports/events.ts";
 import type { AdmissionTask } from "./admission_task.ts";
@@ -47,22 +48,26 @@
     AdmissionTask,
     "limitColdStarts" | "usualMilliseconds"
   >;
+  /** The part of its slots that others are told; all when left out. */
+  readonly share?: () => number;
   /** Tells other agents the slots of the target. */
   readonly publish: (slots: number) => void;
   readonly events: Events;
 }): ColdTargetTask {
-  const { admission, events } = options;
+  const { admission, events, share = () => 1 } = options;
   let state = unknownColdness;
 
   const mailbox = openMailbox<{ readonly now: number }>(({ now }) => {
     const coldStart = options.coldStart();
-    if (coldStart === null && state.published === null) return;
+    const changesSlots = coldStart !== null || share() < 1;
+    if (!changesSlots && state.published === null) return;
     const next = stepColdTarget(state, {
       now,
       target: options.target(),
       coldStart,
       usualMilliseconds: admission.usualMilliseconds(),
       heartbeatMilliseconds: options.heartbeatMilliseconds,
+      share: share(),
     });
     state = next.state;
     for (const effect of next.effects) perform(effect, now);
@@ -109,7 +114,7 @@
     refresh,
     slots: (target) =>
       state.published?.slots ?? effectiveSlots({
-        slots: target.slots,
+        slots: slotsByShare(target.slots, share()),
         requestsPerSecond: state.requestsPerSecond,
         usualMilliseconds: admission.usualMilliseconds(),
       }),
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -75,6 +75,11 @@
   readonly metrics: Metrics;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: (request: ProxyRequest) => boolean;
+  /**
+   * Whether the target is given this request, which it may be failing; when left
+   * out, it is given all.
+   */
+  readonly mayTry?: (request: ProxyRequest) => boolean;
   /** Whether a further answer can be held; when left out, all can. */
   readonly hasMemory?: () => boolean;
 }): ServeTask {
@@ -84,6 +89,7 @@
     allowsRegion = () => true,
     isConfigured = () => true,
     hasMemory = () => true,
+    mayTry = () => true,
   } = options;
   let running = 0;
 
@@ -100,6 +106,10 @@
       permit.value?.finish();
       return refuse(request, regionNotAllowed());
     }
+    if (!mayTry(request)) {
+      permit.value?.finish();
+      return refuse(request, notRun("target-failing"));
+    }
     running += 1;
     const release = () => {
       running -= 1;
