Start requests by the room that a target reports

Of the load that targets report, only the slowness was used. The first three figures are now compared with the agent's own count: a target that reports far more requests, or fewer slots, gets requests for the smaller of the two free capacities, at least one at a time, until the report is half a second old. Figures that differ the other way have no effect. Reported requests that don't delay eight answers in succession are not believed, since a false report would otherwise keep a target's keys from being served.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -36,6 +36,7 @@
 import { noOfferedWork, scaledOffered } from "./offered_work.ts";
 import { enqueue, resizeQueues, withoutRequest } from "./queue.ts";
 import { reasonToRefuse, refuse } from "./refusal.ts";
+import { reportedAfter } from "./reported_load.ts";
 import {
   type BookReturn,
   bookReturn,
@@ -189,6 +190,7 @@
     running,
     coldStarts: coldStartsAfter(state, ended, event.finish),
     slowness,
+    reported: reportedAfter(state, ended, event),
     limit: limitAfter(state, event.finish),
   };
   const measured = hasRun(event.finish)
--- a/source/core/admission/events.ts
+++ b/source/core/admission/events.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { TargetLoad } from "../load/target_load.ts";
 import type { Transition } from "../step.ts";
 import type { FinishKind } from "./concurrency_limit.ts";
 import type { Client } from "./fair_shares.ts";
@@ -33,6 +34,8 @@
     readonly finish: FinishKind;
     /** How slow the target reported to be; null or left out without that. */
     readonly slowness?: number | null;
+    /** The load that it reported; null or left out without that. */
+    readonly reported?: TargetLoad | null;
     readonly now: number;
   }
   | { readonly kind: "withdrawn"; readonly id: number; readonly now: number }
--- a/source/core/admission/expected_waits.ts
+++ b/source/core/admission/expected_waits.ts
@@ -17,6 +17,7 @@
 import { type Client, noUse, workAhead } from "./fair_shares.ts";
 import { isFullyUtilized, type TimedRequest } from "./objective_first.ts";
 import { countWaiting, queueOf } from "./queue.ts";
+import { startLimit } from "./reported_load.ts";
 import type { AdmissionState } from "./state.ts";
 
 /** A request that waits, or would have to. */
@@ -92,7 +93,7 @@
  * start for it.
  */
 function expectedSlotWait(state: AdmissionState, event: Arriving): number {
-  const slots = Math.max(1, Math.floor(state.limit));
+  const slots = Math.max(1, startLimit(state, event.now));
   if (state.running.size < slots) return 0;
   return aheadOrByShare(state, event, {
     inOrder: waitInOrder(state, event, slots),
@@ -209,6 +210,6 @@
 
 /** Whether requests wait for a start of a cold target, not for a slot. */
 export function waitsForColdStart(state: AdmissionState, now: number): boolean {
-  return state.running.size < Math.floor(state.limit) &&
+  return state.running.size < startLimit(state, now) &&
     countWaiting(state) > 0 && !isStartFree(state.coldStarts, now);
 }
--- a/source/core/admission/starts.ts
+++ b/source/core/admission/starts.ts
@@ -22,6 +22,7 @@
 import { nextToStart } from "./objective_first.ts";
 import { dequeue, queueOf } from "./queue.ts";
 import { refusal, refuse } from "./refusal.ts";
+import { startLimit } from "./reported_load.ts";
 import {
   type AdmissionState,
   defaultServiceMilliseconds,
@@ -55,7 +56,7 @@
 }
 
 function mayStart(state: AdmissionState, now: number): boolean {
-  return state.running.size < Math.floor(state.limit) &&
+  return state.running.size < startLimit(state, now) &&
     isStartFree(state.coldStarts, now);
 }
 
--- a/source/core/admission/state.ts
+++ b/source/core/admission/state.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { ReportedCapacity } from "../load/reported_capacity.ts";
 import type { Slowness } from "../load/target_load.ts";
 import type { ColdStarts } from "./cold_start.ts";
 import { initialLimit } from "./concurrency_limit.ts";
@@ -59,6 +60,8 @@
   readonly coldStarts: ColdStarts | null;
   /** How slow its machine is, by its own reports; null without any. */
   readonly slowness: Slowness | null;
+  /** What it has room for by its own report; null without any. */
+  readonly reported: ReportedCapacity | null;
   /** The recent offered load of each rank, whether refused or not. */
   readonly offered: readonly OfferedWork[];
   /** When refused callers return. */
@@ -91,6 +94,7 @@
     serviceTimes: new Map(),
     coldStarts: null,
     slowness: null,
+    reported: null,
     offered: settings.ranks.map(() => noOfferedWork),
     returns: noReturns,
     use: settings.ranks.map(() => noUse),
--- a/source/core/load/target_load.ts
+++ b/source/core/load/target_load.ts
@@ -1,12 +1,13 @@
 /**
- * The load that a target reports of itself, and how much longer its requests
- * take while its machine is slow.
+ * The load that a target reports of itself: how much longer its requests take
+ * while its machine is slow, and how many requests it has room for.
  *
  * A target may report false values. They are compared with what it usually
  * reports, since the measured times of its requests contain that already, and
  * they only lengthen the expected time, within a bound. So no report makes a
  * target seem faster than its requests were, and one that looks slow is tried
- * again once the report is old.
+ * again once the report is old. In the same way its counts only lower what its
+ * agent takes it to have room for.
  *
  * @module
  */
@@ -32,7 +33,7 @@
 /** Time constant of the moving average. */
 const smoothingMilliseconds = 2_000;
 /** The slowness changes many times a second: an older report says nothing. */
-const lifetimeMilliseconds = 500;
+export const reportLifetimeMilliseconds = 500;
 /** Work takes at most this much longer than usual, whatever is reported. */
 const maxFactor = 3;
 
@@ -63,8 +64,8 @@
   const { milliseconds, now } = work;
   if (slowness === null) return milliseconds;
   const age = Math.max(0, now - slowness.reportedAt);
-  const trust = Math.max(0, 1 - age / lifetimeMilliseconds);
-  const affected = Math.min(milliseconds, lifetimeMilliseconds);
+  const trust = Math.max(0, 1 - age / reportLifetimeMilliseconds);
+  const affected = Math.min(milliseconds, reportLifetimeMilliseconds);
   return milliseconds + affected * trust * (boundedFactor(slowness) - 1);
 }
 
--- a/source/ports/upstream.ts
+++ b/source/ports/upstream.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { TargetLoad } from "../core/load/target_load.ts";
 import type { Readable } from "node:stream";
 import type { Result } from "true-myth";
 import type { Address, AgentId } from "../core/agent.ts";
@@ -78,6 +79,11 @@
    * null or left out when the target doesn't report it.
    */
   readonly slowness?: number | null;
+  /**
+   * The load that the local target reported with it; null or left out without a
+   * report. Other agents are told `load` instead.
+   */
+  readonly reported?: TargetLoad | null;
 }
 
 /** A request to be sent to the local target. */
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -18,7 +18,9 @@
 import { countWaiting } from "../core/admission/queue.ts";
 import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { createAdmission } from "../core/admission/state.ts";
-import { describeSlowness } from "../core/load/target_load.ts";
+import { unreportedLoad } from "../core/admission/reported_load.ts";
+import { describeCapacity } from "../core/load/reported_capacity.ts";
+import { describeSlowness, type TargetLoad } from "../core/load/target_load.ts";
 import type { Shortage } from "../core/admission/shortage.ts";
 import type { Client } from "../core/admission/fair_shares.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
@@ -29,9 +31,13 @@
 export interface AdmissionSlot {
   /**
    * Must be called once, when the target has finished with the request, with
-   * the slowness that it has reported, if any.
+   * the slowness and the load that it has reported, if any.
    */
-  finish(kind: FinishKind, slowness?: number | null): void;
+  finish(
+    kind: FinishKind,
+    slowness?: number | null,
+    reported?: TargetLoad | null,
+  ): void;
 }
 
 /** Why a request got no slot; it has not been run. */
@@ -59,7 +65,10 @@
     readonly deadlineAt: number;
     readonly signal: AbortSignal;
   }): Promise<Result<AdmissionSlot, AdmissionRefusal>>;
-  /** The number of requests that run or wait. */
+  /**
+   * The number of requests that run or wait, and of slots that the target
+   * reports not to have.
+   */
   load(): number;
   /** Measured requests with a key that the target can run in a second. */
   throughput(): number;
@@ -122,9 +131,9 @@
 
   function slotOf(id: number): AdmissionSlot {
     return {
-      finish(finish, slowness = null) {
+      finish(finish, slowness = null, reported = null) {
         const now = monotonicNow();
-        mailbox.send({ kind: "finished", id, finish, slowness, now });
+        mailbox.send({ kind: "finished", id, finish, slowness, reported, now });
       },
     };
   }
@@ -181,7 +190,9 @@
         signal.addEventListener("abort", withdraw, { once: true });
       });
     },
-    load: () => state.running.size + countWaiting(state),
+    load: () =>
+      state.running.size + countWaiting(state) +
+      unreportedLoad(state, monotonicNow()),
     throughput: () => Math.max(1, Math.round(throughput(state))),
     coldRequestsPerSecond,
     describeLimits() {
@@ -189,6 +200,7 @@
       return {
         ...(rate === null ? {} : { coldRequestsPerSecond: rate }),
         ...describeSlowness(state.slowness, monotonicNow()),
+        ...describeCapacity(state.reported, monotonicNow()),
       };
     },
     usualMilliseconds: () => state.meanMilliseconds,
--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -40,6 +40,8 @@
   running(): number;
 }
 
+const unreported = { slowness: null, reported: null };
+
 /** After a shorter wait for a slot, pending input need not be read again. */
 const negligibleWaitMilliseconds = 1;
 
@@ -202,7 +204,8 @@
     });
     const done = (kind: FinishKind) => {
       metrics.time("target_duration", monotonicNow() - startedAt);
-      slot.finish(kind, result.isOk ? result.value.slowness : null);
+      const { slowness, reported } = result.isOk ? result.value : unreported;
+      slot.finish(kind, slowness, reported);
       release();
     };
     if (result.isErr) {
