Leave no target out where all fail alike

When a service fails everywhere, entries left out near targets by chance and sent requests to other regions, where they failed as well. The share of a target is now compared with the mean of all.

--- a/source/core/routing/failing_targets.ts
+++ b/source/core/routing/failing_targets.ts
@@ -184,6 +184,8 @@
 /** What the choice knows of a target. */
 export interface ConsideredTarget {
   readonly health: TargetHealth;
+  /** The mean share of all targets that the choice is made from. */
+  readonly meanShare: number;
   /** Requests to it that have not ended. */
   readonly inFlight: number;
   readonly now: number;
@@ -201,15 +203,20 @@
 /** Leaves out none, and draws no random number. */
 export const leaveOutNone: LeavesOut = () => false;
 
-/** Leaves out failing targets for the part of their share that they lost. */
+/**
+ * Leaves out failing targets for the part of their share that they lost. Where
+ * all fail alike, the requests are at fault or something that all depend on, and
+ * near targets are as good as far ones.
+ */
 export const leaveOutFailing: LeavesOut = (target, random) => {
-  const { health } = target;
-  return health.share < 1 && !isTrialDue(target) && random() >= health.share;
+  const { health, meanShare } = target;
+  return health.share < meanShare && !isTrialDue(target) &&
+    random() >= health.share / meanShare;
 };
 
 /** Whether a target may be tried again, which nothing else would show. */
 export function isTrialDue(
-  { health, inFlight, now }: ConsideredTarget,
+  { health, inFlight, now }: Omit<ConsideredTarget, "meanShare">,
 ): boolean {
   if (inFlight > 0) return false;
   const distance = Math.min(
--- a/source/core/routing/failing_targets_test.ts
+++ b/source/core/routing/failing_targets_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { seededRandom } from "../../../standins/load.ts";
 import { testAgent } from "../../../tests/test_agent.ts";
+import type { Agent } from "../agent.ts";
 import {
   describeHealth,
   isTrialDue,
@@ -234,22 +235,22 @@
     assert.equal(isTrialDue(consider(1, 8_000)), false);
   });
 
-  it("is used when no other target can be", () => {
-    const [target] = targets;
-    assert.ok(target !== undefined);
-    const { id } = target;
-    const events: readonly RoutingEvent[] = times(9, failure).map((
-      _,
-      index,
-    ) => ({
-      kind: "failed",
-      id,
-      took: { rank: 0, milliseconds: 5 },
-      now: 1_000 + index,
-    }));
-    const choose = (among: readonly typeof target[]) =>
-      chooseHealthyTarget(events.reduce(stepRouting, createRouting()), {
-        from: target.place,
+  // Guards against requests that leave their region because a service fails
+  // everywhere.
+  it("is used when no other target can be, or all fail", () => {
+    const [first, second] = targets;
+    assert.ok(first !== undefined && second !== undefined);
+    const choose = (among: readonly Agent[], failing: readonly Agent[]) => {
+      const events = failing.flatMap(({ id }) =>
+        times(9, failure).map((_, index): RoutingEvent => ({
+          kind: "failed",
+          id,
+          took: { rank: 0, milliseconds: 5 },
+          now: 1_000 + index,
+        }))
+      );
+      return chooseHealthyTarget(events.reduce(stepRouting, createRouting()), {
+        from: first.place,
         targets: among,
         rank: 0,
         bodyBytes: 0,
@@ -258,9 +259,13 @@
         random: () => 0.9,
         leavesOut: leaveOutFailing,
       });
-    assert.equal(choose([target]).target?.id, id);
-    const both = choose(targets.slice(0, 2));
-    assert.deepEqual([both.target?.id, [...both.leftOut]], ["target-1", [id]]);
+    };
+    assert.equal(choose([first], [first]).target?.id, first.id);
+    const oneFails = choose([first, second], [first]);
+    assert.equal(oneFails.target?.id, second.id);
+    assert.deepEqual([...oneFails.leftOut], [first.id]);
+    const allFail = choose([first, second], [first, second]);
+    assert.equal(allFail.leftOut.size, 0);
   });
 });
 
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -116,11 +116,16 @@
   state: RoutingState,
   { targets, now, random, leavesOut = leaveOutNone }: RouteQuery,
 ): ReadonlySet<AgentId> {
+  const sharesLeft = targets.reduce(
+    (sum, { id }) => sum + (state.views.get(id)?.health.share ?? 1),
+    0,
+  );
+  const meanShare = sharesLeft / targets.length;
   const failing = targets.filter(({ id }) => {
     const view = state.views.get(id);
     if (view === undefined) return false;
     const { health, inFlight } = view;
-    return leavesOut({ health, inFlight, now }, random);
+    return leavesOut({ health, meanShare, inFlight, now }, random);
   });
   return new Set(failing.map(({ id }) => id));
 }
