--- a/source/tasks/serve_task.ts
+++ b/source/tasks/serve_task.ts
@@ -40,6 +40,8 @@
   running(): number;
 }
 
+const unreported = { slowness: null, reported: null };
+
 /** After a shorter wait for a slot, pending input need not be read again. */
 const negligibleWaitMilliseconds = 1;
 
@@ -75,6 +77,11 @@
   readonly metrics: Metrics;
   /** Whether a request may still start; when left out, all may. */
   readonly mayBegin?: (request: ProxyRequest) => boolean;
+  /**
+   * Whether the target is given this request, which it may be failing; when left
+   * out, it is given all.
+   */
+  readonly mayTry?: (request: ProxyRequest) => boolean;
   /** Whether a further answer can be held; when left out, all can. */
   readonly hasMemory?: () => boolean;
 }): ServeTask {
@@ -84,6 +91,7 @@
     allowsRegion = () => true,
     isConfigured = () => true,
     hasMemory = () => true,
+    mayTry = () => true,
   } = options;
   let running = 0;
 
@@ -100,6 +108,10 @@
       permit.value?.finish();
       return refuse(request, regionNotAllowed());
     }
+    if (!mayTry(request)) {
+      permit.value?.finish();
+      return refuse(request, notRun("target-failing"));
+    }
     running += 1;
     const release = () => {
       running -= 1;
@@ -192,7 +204,8 @@
     });
     const done = (kind: FinishKind) => {
       metrics.time("target_duration", monotonicNow() - startedAt);
-      slot.finish(kind, result.isOk ? result.value.slowness : null);
+      const { slowness, reported } = result.isOk ? result.value : unreported;
+      slot.finish(kind, slowness, reported);
       release();
     };
     if (result.isErr) {
