Uncontrolled clients: tell what each process and each ordinary request did

The test now reports the status and the duration of each ordinary attempt, the peak memory and the descriptors of each process, and on failure the last lines of the logs. The clients, the bounds and the checks are unchanged.

--- a/tests/sessions/uncontrolled_clients_test.ts
+++ b/tests/sessions/uncontrolled_clients_test.ts
@@ -9,7 +9,7 @@
 import { request } from "node:http";
 import { connect, type Socket } from "node:net";
 import process from "node:process";
-import { after, before, describe, it } from "node:test";
+import { after, before, describe, it, type TestContext } from "node:test";
 import {
   launchPlatformMesh,
   type PlatformMesh,
@@ -43,6 +43,8 @@
 /** Time for what was sent to be read, and for its answers to be held. */
 const watchMilliseconds = 6_000;
 const sampleMilliseconds = 50;
+/** Lines of the agents' logs that are reported when a test fails. */
+const reportedLines = 100;
 
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
@@ -107,10 +109,19 @@
   return socket;
 }
 
-/** Sends one request as an ordinary client, which tries again after a 503. */
-async function statusOfOrdinary(agent: PlatformMeshAgent): Promise<number> {
+/**
+ * Sends one request as an ordinary client, which tries again after a 503.
+ * Reports what each attempt got, and after how long.
+ */
+async function statusOfOrdinary(
+  agent: PlatformMeshAgent,
+  report: (text: string) => void,
+): Promise<number> {
   for (let attempt = 1;; attempt += 1) {
+    const start = performance.now();
     const status = await statusOf(agent);
+    const milliseconds = Math.round(performance.now() - start);
+    report(`${agent.host}: attempt ${attempt}: ${status}, ${milliseconds} ms`);
     if (status === 200 || attempt === 20) return status;
     await sleep(200);
   }
@@ -155,16 +166,24 @@
   }
 
   /** Checks all processes for a while, and then with an ordinary request. */
-  async function assertWithinLimits(): Promise<void> {
+  async function assertWithinLimits(context: TestContext): Promise<void> {
+    const report = (text: string) => context.diagnostic(text);
     const end = performance.now() + watchMilliseconds;
-    while (performance.now() < end) {
+    try {
+      while (performance.now() < end) {
+        assertSeen(mesh.agents.map(look));
+        await sleep(sampleMilliseconds);
+      }
+      for (const agent of mesh.agents) {
+        assert.equal(await statusOfOrdinary(agent, report), 200);
+      }
       assertSeen(mesh.agents.map(look));
-      await sleep(sampleMilliseconds);
-    }
-    for (const agent of mesh.agents) {
-      assert.equal(await statusOfOrdinary(agent), 200);
+    } catch (error) {
+      for (const line of mesh.log().slice(-reportedLines)) report(line);
+      throw error;
+    } finally {
+      report(JSON.stringify(mesh.agents.map(look)));
     }
-    assertSeen(mesh.agents.map(look));
   }
 
   function assertSeen(all: readonly Seen[]): void {
@@ -198,7 +217,7 @@
 
     // Guards against a process that runs out of memory: header lines took many
     // times the bytes that they were sent in.
-    it("leave each process within its limits", async () => {
+    it("leave each process within its limits", async (context) => {
       const lines = shortLines().join("");
       for (const socket of await open(100)) {
         socket.resume();
@@ -206,7 +225,7 @@
           socket.write(requestText("/slots/1", lines));
         }
       }
-      await assertWithinLimits();
+      await assertWithinLimits(context);
     });
   });
 
@@ -215,14 +234,14 @@
 
     // Guards against a process that runs out of memory: whole answers waited
     // for clients, as many as they had sent requests.
-    it("leave each process within its limits", async () => {
+    it("leave each process within its limits", async (context) => {
       for (const socket of await open(24)) {
         socket.pause();
         for (let count = 0; count < 250; count += 1) {
           socket.write(requestText("/slots/1?bytes=2000000"));
         }
       }
-      await assertWithinLimits();
+      await assertWithinLimits(context);
     });
   });
 
@@ -231,9 +250,9 @@
 
     // Guards against a process that has no descriptors left for other agents,
     // its target and the store.
-    it("leave each process within its limits", async () => {
+    it("leave each process within its limits", async (context) => {
       for (const socket of await open(800)) socket.resume();
-      await assertWithinLimits();
+      await assertWithinLimits(context);
     });
   });
 
