Callers: requests that take much memory run only in part

Change: requests of connections that hold more than 128 KB run only while they take a quarter of the total. Others wait for 100 ms, and are refused with memory-full. Requests of other connections start as before.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -12,9 +12,9 @@
   type HeldMemoryBounds,
   type HeldMemoryEffect,
   type HeldMemoryEvent,
-  mayStartRequest,
   memoryOfRequest,
   nothingHeld,
+  reasonNotToStart,
   stepHeldMemory,
 } from "../../core/load/held_memory.ts";
 import type { Events } from "../../ports/events.ts";
@@ -40,8 +40,13 @@
 export interface CallerLoad {
   /** Counts a request that has been read; false if it is not to be run. */
   read(response: ServerResponse, maxKeptBytes: number): boolean;
-  /** Resolves when the answer can be held, or its request is given up. */
-  mayStart(response: ServerResponse, signal: AbortSignal): Promise<void>;
+  /**
+   * Resolves when the request may run or is given up; with false if it is not
+   * to be run, since requests that take much memory run already.
+   */
+  start(response: ServerResponse, signal: AbortSignal): Promise<boolean>;
+  /** Notes that a request that was started has failed. */
+  fail(response: ServerResponse): void;
   /** Counts an answer until it has been taken. */
   hold(response: ServerResponse, bytes: number): void;
 }
@@ -55,15 +60,29 @@
   /** The request that was read last. */
   latest: IncomingMessage | null;
   stopped: boolean;
-  /** Requests that wait until answers have been taken. */
-  waiting: readonly (() => void)[];
+  /** Requests that have been read and are not started yet. */
+  waiting: readonly Waiting[];
+}
+
+interface Waiting {
+  readonly response: ServerResponse;
+  /** Starts the request, or refuses it if it may not run. */
+  readonly settle: (mayRun: boolean) => void;
 }
 
 interface Held {
   readonly requestBytes: number;
   answerBytes: number;
+  /** Whether the request is running. */
+  started: boolean;
 }
 
+/**
+ * A request for which there is no memory to run waits for so long before it is
+ * refused, which is what the refusal would tell its caller to wait.
+ */
+const startCheckMilliseconds = 100;
+
 /** Bounds what the callers of a server make this process hold. */
 export function boundCallers(
   server: Server,
@@ -71,6 +90,8 @@
 ): CallerLoad {
   const entries = new Map<number, Entry>();
   const bySocket = new WeakMap<Socket, Entry>();
+  /** The connections with requests that are not started yet. */
+  const waiting = new Set<Entry>();
   let held = nothingHeld;
   let connections = 0;
 
@@ -89,7 +110,7 @@
     socket.once("close", () => {
       entries.delete(entry.connection);
       apply({ kind: "closed", connection: entry.connection });
-      startWaiting(entry);
+      startWaiting();
     });
     // Reading the body of a request resumes its connection.
     socket.on("resume", () => pauseIfStopped(entry));
@@ -169,24 +190,90 @@
     entry.socket.pause();
   }
 
-  function startWaiting(entry: Entry): void {
-    const { connection, socket } = entry;
-    while (entry.waiting.length > 0) {
-      const may = mayStartRequest(held, connection, bounds);
-      if (!may && !socket.destroyed) return;
-      const [start, ...rest] = entry.waiting;
-      entry.waiting = rest;
-      start?.();
+  /** Starts the requests of each connection that may start now, in order. */
+  function startWaiting(): void {
+    for (const entry of waiting) {
+      for (const { response, settle } of entry.waiting) {
+        const gone = entry.socket.destroyed;
+        if (!gone && reasonToWait(entry, response) !== null) break;
+        settle(true);
+      }
     }
   }
 
+  function reasonToWait(entry: Entry, response: ServerResponse) {
+    const { connection } = entry;
+    const bytes = entry.responses.get(response)?.requestBytes ?? 0;
+    return reasonNotToStart(held, { connection, bytes }, bounds);
+  }
+
+  function start(entry: Entry, response: ServerResponse): void {
+    const started = entry.responses.get(response);
+    if (started === undefined || entry.socket.destroyed) return;
+    started.started = true;
+    const { connection } = entry;
+    const { requestBytes: bytes } = started;
+    apply({ kind: "request-started", connection, bytes });
+  }
+
+  function end(entry: Entry, response: ServerResponse): void {
+    const ended = entry.responses.get(response);
+    if (ended === undefined || !ended.started) return;
+    ended.started = false;
+    const { connection } = entry;
+    const { requestBytes: bytes } = ended;
+    apply({ kind: "request-ended", connection, bytes });
+  }
+
+  /** Waits until a request may start; false when it is to be refused. */
+  function waitForStart(
+    entry: Entry,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    return new Promise((resolve) => {
+      const settle = (mayRun: boolean) => {
+        clearInterval(timer);
+        signal.removeEventListener("abort", giveUp);
+        entry.waiting = entry.waiting.filter((other) => other !== own);
+        if (entry.waiting.length === 0) waiting.delete(entry);
+        if (mayRun && !signal.aborted) start(entry, response);
+        resolve(mayRun);
+      };
+      // What has been given up is not run by the handler.
+      const giveUp = () => settle(true);
+      const timer = setInterval(() => {
+        if (reasonToWait(entry, response) === "memory-full") settle(false);
+      }, startCheckMilliseconds);
+      const own = { response, settle };
+      entry.waiting = [...entry.waiting, own];
+      waiting.add(entry);
+      signal.addEventListener("abort", giveUp, { once: true });
+    });
+  }
+
   function release(entry: Entry, response: ServerResponse): void {
+    end(entry, response);
     const released = entry.responses.get(response);
     if (released === undefined) return;
     entry.responses.delete(response);
     const { connection } = entry;
-    apply({ kind: "released", connection, ...released });
-    startWaiting(entry);
+    const { requestBytes, answerBytes } = released;
+    apply({ kind: "released", connection, requestBytes, answerBytes });
+    startWaiting();
+  }
+
+  /** Records that a request is not run for lack of memory. */
+  function recordRefused(entry: Entry, bytes: number): void {
+    metrics.count("caller_requests_refused");
+    events.record("caller-request-refused", {
+      reason: "memory-full",
+      bytes,
+      heldBytes: bytesHeldBy(held, entry.connection),
+      startedBytes: held.startedBytes,
+      totalBytes: held.totalBytes,
+      connections: entries.size,
+    });
   }
 
   return {
@@ -202,43 +289,43 @@
       entry.responses.set(response, {
         requestBytes: refused ? 0 : bytes,
         answerBytes: 0,
+        started: false,
       });
       response.once("close", () => release(entry, response));
       if (!refused) return true;
       // Its answer may wait for others, and must hold little meanwhile.
       message.rawHeaders = [];
-      metrics.count("caller_requests_refused");
-      events.record("caller-request-refused", {
-        reason: "memory-full",
-        bytes,
-        heldBytes: bytesHeldBy(held, connection),
-        totalBytes: held.totalBytes,
-        connections: entries.size,
-      });
+      recordRefused(entry, bytes);
       return false;
     },
-    mayStart(response, signal) {
+    async start(response, signal) {
       const entry = bySocket.get(response.req.socket);
-      if (entry === undefined || entry.socket.destroyed) {
-        return Promise.resolve();
-      }
+      if (entry === undefined || entry.socket.destroyed) return true;
       const first = entry.waiting.length === 0;
-      if (first && mayStartRequest(held, entry.connection, bounds)) {
-        return Promise.resolve();
+      if (first && reasonToWait(entry, response) === null) {
+        start(entry, response);
+        return true;
       }
-      return new Promise((resolve) => {
-        const start = () => resolve();
-        entry.waiting = [...entry.waiting, start];
-        signal.addEventListener("abort", start, { once: true });
-      });
+      const mayRun = await waitForStart(entry, response, signal);
+      const { requestBytes = 0 } = entry.responses.get(response) ?? {};
+      if (!mayRun) recordRefused(entry, requestBytes);
+      return mayRun;
+    },
+    fail(response) {
+      const entry = bySocket.get(response.req.socket);
+      if (entry === undefined) return;
+      end(entry, response);
+      startWaiting();
     },
     hold(response, bytes) {
       const entry = bySocket.get(response.req.socket);
       const former = entry?.responses.get(response);
       if (entry === undefined || former === undefined) return;
       countPassedBytes(bytes);
+      end(entry, response);
       former.answerBytes += bytes;
       apply({ kind: "answer-held", connection: entry.connection, bytes });
+      startWaiting();
     },
   };
 }
--- a/source/adapters/callers/caller_load_test.ts
+++ b/source/adapters/callers/caller_load_test.ts
@@ -115,3 +115,91 @@
     });
   });
 });
+
+describe("a listener whose callers send requests that take much memory", () => {
+  const totalBytes = 20_000_000;
+  /** What the estimate says of one request with the lines below, at least. */
+  const minRequestBytes = 700_000;
+  const lines = Array.from(
+    { length: 2_000 },
+    (_, index) => `z${index}:\r\n`,
+  ).join("");
+  const finish = new AbortController();
+  let begun = 0;
+  let listener: HttpListener;
+  const callers: Socket[] = [];
+
+  before(async () => {
+    listener = await openTestListener({
+      kind: "callers",
+      configuration: testConfiguration({
+        service: "media",
+        defaultDeadlineMilliseconds: 20_000,
+      }),
+      maxHeaderBytes: 20_000,
+      callerBounds: {
+        totalBytes,
+        connectionBytes: totalBytes / 10,
+        maxConnections: 100,
+        maxUnreadMilliseconds: 15_000,
+      },
+      async handle({ path }) {
+        if (path === "/media/large") {
+          begun += 1;
+          await once(finish.signal, "abort");
+        }
+        return Result.ok({
+          status: 200,
+          headers: { "content-length": "0" },
+          body: { kind: "whole" as const, bytes: Buffer.alloc(0) },
+          load: null,
+        });
+      },
+    });
+  });
+  after(() => {
+    finish.abort();
+    for (const caller of callers) caller.destroy();
+    listener.close();
+  });
+
+  /** Sends a request on a new connection; resolves with its answer's head. */
+  async function answerTo(text: string): Promise<string> {
+    const caller = connect(listener.port, "127.0.0.1");
+    callers.push(caller);
+    caller.on("error", () => undefined);
+    caller.write(text);
+    const [answer] = await once(caller, "data");
+    return String(answer);
+  }
+
+  // Guards against large requests that run as many as the memory holds: they
+  // take all slots of the targets, and ordinary clients are refused there.
+  it("runs some of them, refuses the others and runs ordinary ones", async () => {
+    const length = "Content-Length: 0\r\n";
+    const large = requestText("/media/large", length + lines);
+    const sent = 16;
+    const most = Math.floor(totalBytes / 4 / minRequestBytes);
+    const refused: string[] = [];
+    let timer: NodeJS.Timeout | undefined;
+    await new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, 15_000);
+      for (let count = 0; count < sent; count += 1) {
+        void answerTo(large).then((answer) => {
+          refused.push(answer);
+          if (refused.length >= sent - most) resolve();
+        });
+      }
+    });
+    clearTimeout(timer);
+    assert.ok(refused.length >= sent - most, `refused: ${refused.length}`);
+    const ordinary = await answerTo(requestText("/media/next", length));
+    assert.match(ordinary, /^HTTP\/1\.1 200 /);
+    for (const answer of refused) {
+      assert.match(answer, /^HTTP\/1\.1 503 /);
+      assert.match(answer, /memory-full/);
+    }
+    assert.equal(begun, sent - refused.length);
+    assert.ok(begun >= 1);
+  });
+});
--- a/source/adapters/callers/http_listener.ts
+++ b/source/adapters/callers/http_listener.ts
@@ -289,7 +289,15 @@
       maxKeptBytes,
     });
     markComplete?.();
-    await load?.mayStart(response, cancel.signal);
+    if (await load?.start(response, cancel.signal) === false) {
+      clearTimeout(timer);
+      const failure = notRun("memory-full");
+      return writeFailure(
+        response,
+        { failure, id: request.id, text: "" },
+        writeContext,
+      );
+    }
     const result = body === null
       ? Result.err<ProxyAnswer, Failure>(notRun("caller-left"))
       : await handleOnce(request, { body, arrival });
@@ -299,6 +307,7 @@
     }
     if (result.isErr) {
       clearTimeout(timer);
+      load?.fail(response);
       setClockField(response);
       const { id } = request;
       return writeFailure(
--- a/source/core/load/held_memory.ts
+++ b/source/core/load/held_memory.ts
@@ -21,6 +21,8 @@
 export interface HeldByConnection {
   readonly requestBytes: number;
   readonly answerBytes: number;
+  /** Of its requests that have been started and not answered. */
+  readonly startedBytes: number;
   /** Whether reading from it has been stopped. */
   readonly stopped: boolean;
 }
@@ -28,12 +30,15 @@
 /** What is held for the connections for which anything is held. */
 export interface HeldMemory {
   readonly totalBytes: number;
+  /** Of the requests that have been started and not answered. */
+  readonly startedBytes: number;
   readonly connections: ReadonlyMap<number, HeldByConnection>;
 }
 
 /** Nothing is held. */
 export const nothingHeld: HeldMemory = {
   totalBytes: 0,
+  startedBytes: 0,
   connections: new Map(),
 };
 
@@ -44,6 +49,17 @@
     readonly connection: number;
     readonly bytes: number;
   }
+  | {
+    readonly kind: "request-started";
+    readonly connection: number;
+    readonly bytes: number;
+  }
+  /** A request that was started has its answer, or has failed. */
+  | {
+    readonly kind: "request-ended";
+    readonly connection: number;
+    readonly bytes: number;
+  }
   | {
     readonly kind: "answer-held";
     readonly connection: number;
@@ -86,10 +102,22 @@
 const alwaysReadBytes = 131_072;
 /** Reading goes on once this share of the bounds is held. */
 const readOnShare = 1 / 2;
+/**
+ * The share of the total that requests of connections that hold much may take
+ * while they run. As many as the memory can hold would take all slots of the
+ * targets, and ordinary clients would be refused there.
+ */
+const startedShare = 1 / 4;
+/**
+ * Requests of a connection that holds no more are started, whatever the others
+ * hold.
+ */
+const alwaysStartedBytes = alwaysReadBytes;
 
 const nothingByConnection: HeldByConnection = {
   requestBytes: 0,
   answerBytes: 0,
+  startedBytes: 0,
   stopped: false,
 };
 
@@ -102,6 +130,10 @@
   switch (event.kind) {
     case "request-read":
       return readRequest(state, event, bounds);
+    case "request-started":
+      return changeStarted(state, event.connection, event.bytes);
+    case "request-ended":
+      return changeStarted(state, event.connection, -event.bytes);
     case "answer-held": {
       const held = heldBy(state, event.connection);
       const answerBytes = held.answerBytes + event.bytes;
@@ -117,16 +149,28 @@
   }
 }
 
+/** A request that has been read and not started. */
+export interface UnstartedRequest {
+  readonly connection: number;
+  readonly bytes: number;
+}
+
 /**
- * Whether a further request of a connection may start. Its answer would wait
- * behind those that have not been taken.
+ * Why a request must not be started yet: its answer would wait behind those
+ * that have not been taken, or requests that take much run already. Null if it
+ * may be started.
  */
-export function mayStartRequest(
+export function reasonNotToStart(
   state: HeldMemory,
-  connection: number,
+  { connection, bytes }: UnstartedRequest,
   bounds: HeldMemoryBounds,
-): boolean {
-  return heldBy(state, connection).answerBytes <= bounds.connectionBytes;
+): "answers-unread" | "memory-full" | null {
+  const held = heldBy(state, connection);
+  if (held.answerBytes > bounds.connectionBytes) return "answers-unread";
+  if (held.requestBytes + held.answerBytes <= alwaysStartedBytes) return null;
+  const fits = state.startedBytes === 0 ||
+    state.startedBytes + bytes <= bounds.totalBytes * startedShare;
+  return fits ? null : "memory-full";
 }
 
 /** What is held for a connection, in bytes. */
@@ -175,6 +219,19 @@
   return readOn({ state: released, effects: [] }, bounds);
 }
 
+function changeStarted(
+  state: HeldMemory,
+  connection: number,
+  bytes: number,
+): Step {
+  const held = state.connections.get(connection);
+  // A connection that was closed holds nothing any more.
+  if (held === undefined) return { state, effects: [] };
+  const startedBytes = Math.max(0, held.startedBytes + bytes);
+  const changed = replace(state, connection, { ...held, startedBytes });
+  return { state: changed, effects: [] };
+}
+
 /** Closes the connections that hold most until the total is within its bound. */
 function closeLargest(state: HeldMemory, bounds: HeldMemoryBounds): Step {
   let step: Step = { state, effects: [] };
@@ -267,11 +324,16 @@
   held: HeldByConnection,
 ): HeldMemory {
   const connections = new Map(state.connections);
+  const former = heldBy(state, connection);
   const bytes = bytesOf(held);
+  const next = bytes === 0 ? nothingByConnection : held;
   if (bytes === 0) connections.delete(connection);
-  else connections.set(connection, held);
-  const change = bytes - bytesHeldBy(state, connection);
-  return { totalBytes: state.totalBytes + change, connections };
+  else connections.set(connection, next);
+  return {
+    totalBytes: state.totalBytes + bytes - bytesOf(former),
+    startedBytes: state.startedBytes + next.startedBytes - former.startedBytes,
+    connections,
+  };
 }
 
 /** A request, as far as its memory depends on it. */
--- a/source/core/load/held_memory_test.ts
+++ b/source/core/load/held_memory_test.ts
@@ -7,6 +7,7 @@
   type HeldMemoryEvent,
   memoryOfRequest,
   nothingHeld,
+  reasonNotToStart,
   stepHeldMemory,
 } from "./held_memory.ts";
 
@@ -79,6 +80,42 @@
     });
   });
 
+  describe("of which requests that take much have been started", () => {
+    /** Reads requests of many connections, and starts those that may start. */
+    const busy = Array.from({ length: 16 }, (_, index) => index).reduce(
+      (state, connection) => {
+        const request = { connection, bytes: largeRequest };
+        const next = play([read(connection, largeRequest)], state).state;
+        return reasonNotToStart(next, request, bounds) === null
+          ? play([{ kind: "request-started", ...request }], next).state
+          : next;
+      },
+      nothingHeld,
+    );
+    const large = { connection: 15, bytes: largeRequest };
+
+    // Guards against large requests that take all slots of the targets, where
+    // ordinary clients are then refused.
+    it("has a quarter of its total started, and more later", () => {
+      assert.ok(busy.startedBytes > bounds.totalBytes / 8);
+      assert.ok(busy.startedBytes <= bounds.totalBytes / 4);
+      assert.equal(reasonNotToStart(busy, large, bounds), "memory-full");
+      const ended = play([
+        { kind: "request-ended", connection: 0, bytes: largeRequest },
+      ], busy);
+      assert.equal(reasonNotToStart(ended.state, large, bounds), null);
+      const closed = play([{ kind: "closed", connection: 0 }], busy);
+      assert.equal(reasonNotToStart(closed.state, large, bounds), null);
+    });
+
+    it("has requests of an ordinary caller started", () => {
+      const connection = 1_000;
+      const { state } = play([read(connection, ordinaryRequest)], busy);
+      const ordinary = { connection, bytes: ordinaryRequest };
+      assert.equal(reasonNotToStart(state, ordinary, bounds), null);
+    });
+  });
+
   describe("whatever callers do", () => {
     const connection = fc.integer({ min: 1, max: 8 });
     const bytes = fc.integer({ min: 1, max: 9_000_000 });
