Callers: read on from one connection in each turn of the event loop

Cause: when memory was released, all stopped connections were read on from at once. Each brought up to four large requests, so that one turn took as long as hundreds of them, and the requests of ordinary clients waited for it.

Change: connections are read on from one after the other, one in each turn.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -92,6 +92,8 @@
   const bySocket = new WeakMap<Socket, Entry>();
   /** The connections with requests that are not started yet. */
   const waiting = new Set<Entry>();
+  /** The connections to read on from, in this order. */
+  const toReadOn = new Set<Entry>();
   let held = nothingHeld;
   let connections = 0;
 
@@ -109,6 +111,7 @@
     bySocket.set(socket, entry);
     socket.once("close", () => {
       entries.delete(entry.connection);
+      toReadOn.delete(entry);
       apply({ kind: "closed", connection: entry.connection });
       startWaiting();
     });
@@ -155,7 +158,7 @@
         pauseIfStopped(entry);
       } else if (effect.kind === "read-on") {
         entry.stopped = false;
-        entry.socket.resume();
+        readOn(entry);
       }
     }
     return effects;
@@ -179,6 +182,24 @@
     entry.socket.destroy();
   }
 
+  /**
+   * Reads on from one connection in each turn of the event loop. If all were
+   * read on from at once, a turn would take as long as all their next requests,
+   * and those of ordinary clients would wait for it.
+   */
+  function readOn(entry: Entry): void {
+    if (toReadOn.size === 0) setImmediate(readOnNext);
+    toReadOn.add(entry);
+  }
+
+  function readOnNext(): void {
+    const [entry] = toReadOn;
+    if (entry === undefined) return;
+    toReadOn.delete(entry);
+    if (toReadOn.size > 0) setImmediate(readOnNext);
+    if (!entry.stopped) entry.socket.resume();
+  }
+
   /** Stops reading once the rest of the request that is read now has come. */
   function pauseIfStopped(entry: Entry): void {
     if (!entry.stopped) return;
