--- a/source/programs/settings.ts
+++ b/source/programs/settings.ts
@@ -32,6 +32,10 @@
   readonly storeTimeout: number;
   readonly drainTimeout: number;
   readonly longestHeaders: number;
+  /** Memory of the machine, in megabytes. */
+  readonly memory: number;
+  readonly descriptors: number;
+  readonly unreadTimeout: number;
   readonly logLevel: "debug" | "info" | "warn" | "error";
 }
 
@@ -219,6 +223,27 @@
     "16384",
     wholeNumber({ min: 1_024, max: 1_048_576 }),
   ],
+  [
+    "memory",
+    "megabytes",
+    "memory of the machine that this process may use",
+    "4096",
+    wholeNumber({ min: 64, max: 1_048_576 }),
+  ],
+  [
+    "descriptors",
+    "number",
+    "number of file descriptors that this process may have",
+    "65536",
+    wholeNumber({ min: 400, max: 1_048_576 }),
+  ],
+  [
+    "unreadTimeout",
+    "duration",
+    "how long a caller may read nothing of an answer that waits for it",
+    "10m",
+    duration,
+  ],
   [
     "logLevel",
     "level",
--- a/standins/target.ts
+++ b/standins/target.ts
@@ -229,11 +229,13 @@
     response: ServerResponse,
     options: { readonly message: IncomingMessage; readonly bodyBytes: number },
   ): void {
-    const body = JSON.stringify({
+    const text = JSON.stringify({
       servedBy: name,
       request: field(options.message, "x-request-id"),
       bodyBytes: options.bodyBytes,
     });
+    // Space after the end of a JSON text has no meaning.
+    const body = text.padEnd(answerBytesIn(options.message.url ?? ""));
     response.writeHead(200, {
       "content-type": "application/json",
       "content-length": body.length,
@@ -262,6 +264,11 @@
   return typeof value === "string" ? value : "";
 }
 
+/** How long an answer is to be at least, which a request may state. */
+function answerBytesIn(path: string): number {
+  return Number(/[?&]bytes=(\d+)/.exec(path)?.[1] ?? 0);
+}
+
 function keyInPath(path: string): string {
   return path.split("?")[0]?.split("/")[2] ?? "";
 }
