Uncontrolled clients: one module for what both session tests check

The limits, the header lines, the looks at processes and the ordinary client of uncontrolled_clients_test.ts are moved unchanged to the module that the test of the agent uses already.

--- a/tests/sessions/uncontrolled_clients_test.ts
+++ b/tests/sessions/uncontrolled_clients_test.ts
@@ -5,9 +5,7 @@
  */
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { readdirSync, readFileSync } from "node:fs";
-import { request } from "node:http";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import process from "node:process";
 import { after, before, describe, it, type TestContext } from "node:test";
 import {
@@ -15,40 +13,34 @@
   type PlatformMesh,
   type PlatformMeshAgent,
 } from "../../standins/platform_mesh.ts";
+import {
+  assertWithinLimits,
+  connectTo,
+  heapMegabytes,
+  limits,
+  maxHeaderBytes,
+  shortLines,
+  sleep,
+} from "./uncontrolled_clients.ts";
 
 const hosts = [
   { service: "timetable", zone: "kol-a", region: "kolkata" },
   { service: "timetable", zone: "sil-a", region: "siliguri" },
 ];
 
-/**
- * The heap is that of the deployment. The machine has 60 MB more than the
- * smallest one, since the sources take about that much more than the build.
- */
 const program = [
   process.execPath,
-  "--max-old-space-size=160",
+  `--max-old-space-size=${heapMegabytes}`,
   "--import",
   "tsx",
   "source/programs/main.ts",
   "platform-agent",
 ];
-const limits = { cpuShare: 1, cores: 1, memoryMb: 310, maxFds: 500 };
-const maxHeaderBytes = 16_384;
 const usualMilliseconds = 20;
 /** Requests that wait behind one that takes this long are held meanwhile. */
 const slowMilliseconds = 1_000;
 /** A request is given up well before the crowd is looked at. */
 const timeoutMilliseconds = 2_000;
-/** Time for what was sent to be read, and for its answers to be held. */
-const watchMilliseconds = 6_000;
-const sampleMilliseconds = 50;
-/** Lines of the agents' logs that are reported when a test fails. */
-const reportedLines = 100;
-
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
 
 let requests = 0;
 
@@ -60,98 +52,17 @@
     `shard-key: ${(requests * 97) % 65_536}\r\n${lines}\r\n`;
 }
 
-/** Names that a plain object has without being given them. */
-const oddNames = ["__proto__", "constructor", "toString", "hasOwnProperty"];
-
-/** As many short lines, each with another name, as one request may have. */
-function shortLines(): readonly string[] {
-  const odd = oddNames.map((name) => `${name}: odd\r\n`);
-  const room = maxHeaderBytes - 200 - odd.join("").length;
-  const count = Math.floor(room / "zaaa:\r\n".length);
-  const short = Array.from(
-    { length: count },
-    (_, index) => `z${index.toString(36).padStart(3, "a")}:\r\n`,
-  );
-  return [...odd, ...short];
-}
-
-/** What was seen of one process. */
-interface Seen {
-  readonly host: string;
-  readonly alive: boolean;
-  /** The most resident memory that it ever had. */
-  readonly megabytes: number;
-  readonly descriptors: number;
-}
-
-function look(agent: PlatformMeshAgent): Seen {
-  const { host } = agent;
-  const { pid, exitCode, signalCode } = agent.process();
-  try {
-    const status = readFileSync(`/proc/${pid}/status`, "utf8");
-    const kilobytes = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? NaN);
-    return {
-      host,
-      alive: exitCode === null && signalCode === null,
-      megabytes: Math.round(kilobytes / 1_024),
-      descriptors: readdirSync(`/proc/${pid}/fd`).length,
-    };
-  } catch {
-    return { host, alive: false, megabytes: NaN, descriptors: NaN };
-  }
-}
-
-async function connectTo(agent: PlatformMeshAgent): Promise<Socket> {
-  const [host = "", port = ""] = agent.callers.split(":");
-  const socket = connect(Number(port), host);
-  socket.on("error", () => undefined);
-  await Promise.race([once(socket, "connect"), once(socket, "close")]);
-  return socket;
-}
-
-/**
- * Sends one request as an ordinary client, which tries again after a 503.
- * Reports what each attempt got, and after how long.
- */
-async function statusOfOrdinary(
-  agent: PlatformMeshAgent,
-  report: (text: string) => void,
-): Promise<number> {
-  for (let attempt = 1;; attempt += 1) {
-    const start = performance.now();
-    const status = await statusOf(agent);
-    const milliseconds = Math.round(performance.now() - start);
-    report(`${agent.host}: attempt ${attempt}: ${status}, ${milliseconds} ms`);
-    if (status === 200 || attempt === 20) return status;
-    await sleep(200);
-  }
-}
-
-function statusOf(agent: PlatformMeshAgent): Promise<number> {
-  const [host = "", port = ""] = agent.callers.split(":");
+function ordinaryRequest() {
   requests += 1;
-  return new Promise((resolve) => {
-    const sent = request({
-      host,
-      port,
-      path: "/slots/1",
-      agent: false,
-      headers: {
-        host: "studio.example",
-        "request-id": `r-${requests}`,
-        "timeout-ms": "1500",
-        "shard-key": String((requests * 97) % 65_536),
-      },
-    }, (answer) => {
-      answer.resume();
-      answer.once(
-        "close",
-        () => resolve(answer.complete ? answer.statusCode ?? 0 : 0),
-      );
-    });
-    sent.once("error", () => resolve(0));
-    sent.end();
-  });
+  return {
+    path: "/slots/1",
+    headers: {
+      host: "studio.example",
+      "request-id": `r-${requests}`,
+      "timeout-ms": "1500",
+      "shard-key": String((requests * 97) % 65_536),
+    },
+  };
 }
 
 describe("clients that operators don't control", () => {
@@ -165,33 +76,12 @@
     return first;
   }
 
-  /** Checks all processes for a while, and then with an ordinary request. */
-  async function assertWithinLimits(context: TestContext): Promise<void> {
-    const report = (text: string) => context.diagnostic(text);
-    const end = performance.now() + watchMilliseconds;
-    try {
-      while (performance.now() < end) {
-        assertSeen(mesh.agents.map(look));
-        await sleep(sampleMilliseconds);
-      }
-      for (const agent of mesh.agents) {
-        assert.equal(await statusOfOrdinary(agent, report), 200);
-      }
-      assertSeen(mesh.agents.map(look));
-    } catch (error) {
-      for (const line of mesh.log().slice(-reportedLines)) report(line);
-      throw error;
-    } finally {
-      report(JSON.stringify(mesh.agents.map(look)));
-    }
-  }
-
-  function assertSeen(all: readonly Seen[]): void {
-    for (const seen of all) {
-      const within = seen.alive && seen.megabytes <= limits.memoryMb &&
-        seen.descriptors <= limits.maxFds;
-      assert.ok(within, `outside of its limits: ${JSON.stringify(seen)}`);
-    }
+  function check(context: TestContext): Promise<void> {
+    return assertWithinLimits(mesh.agents, {
+      ordinary: ordinaryRequest,
+      log: mesh.log,
+      report: (text) => context.diagnostic(text),
+    });
   }
 
   async function open(count: number): Promise<readonly Socket[]> {
@@ -225,7 +115,7 @@
           socket.write(requestText("/slots/1", lines));
         }
       }
-      await assertWithinLimits(context);
+      await check(context);
     });
   });
 
@@ -241,7 +131,7 @@
           socket.write(requestText("/slots/1?bytes=2000000"));
         }
       }
-      await assertWithinLimits(context);
+      await check(context);
     });
   });
 
@@ -252,7 +142,7 @@
     // its target and the store.
     it("leave each process within its limits", async (context) => {
       for (const socket of await open(800)) socket.resume();
-      await assertWithinLimits(context);
+      await check(context);
     });
   });
 
