Agent: bound what callers make it hold

geraniumledge agent gets the bounds of platform-agent, from its settings: memory held for callers, connections, garbage that is collected early, and callers that read nothing. caller_policy.ts has what both kinds of agent derive from the limits of their machine.

The agent streams answers, and a target may send the next part of one late. So a connection counts as unread only while bytes of the answer wait for it.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -138,7 +138,8 @@
     if (entry === undefined || first === undefined) {
       // Idle after an answer; a new connection has the time for its head.
       if (socket.timeout !== server.timeout) socket.destroy();
-    } else if (first.answerBytes > 0) {
+    } else if (first.answerBytes > 0 && socket.writableLength > 0) {
+      // A target that sends the next part of an answer late is not counted.
       close(entry.connection, "answer-unread");
     }
   });
--- a/source/programs/agent.ts
+++ b/source/programs/agent.ts
@@ -6,6 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth";
+import { openCollector } from "../adapters/garbage.ts";
 import { hashText } from "../adapters/hashing.ts";
 import {
   type HandleRequest,
@@ -42,6 +43,11 @@
 import { startTargetWatch } from "../tasks/target_watch_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
 import { monotonicNow } from "../tasks/time.ts";
+import {
+  callerBounds,
+  collectionBounds,
+  type MachineLimits,
+} from "./caller_policy.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
 import {
@@ -77,6 +83,7 @@
 /** The length of the queue while no configuration states one. */
 const defaultQueueLength = 64;
 const minTableAgeMilliseconds = 20;
+const bytesPerMegabyte = 1_000_000;
 
 const documentTimes = {
   watchMilliseconds,
@@ -120,7 +127,10 @@
     now: monotonicNow,
     healthTimeoutMilliseconds,
   });
-  return { ...common, store, target };
+  const countPassedBytes = openCollector(
+    collectionBounds(machineLimits(settings)),
+  );
+  return { ...common, store, target, countPassedBytes };
 }
 
 type AgentAdapters = ReturnType<typeof openAdapters>;
@@ -262,6 +272,10 @@
     ...common,
     ...settings.listen,
     kind: "callers",
+    callerLoad: {
+      ...adapters,
+      bounds: callerBounds(machineLimits(settings), settings.unreadTimeout),
+    },
     pages: new Map(),
     handle: observeRequests(handleEntry, { ...adapters, configuration }),
   });
@@ -426,6 +440,13 @@
     : `${host}:${listener.port}`;
 }
 
+function machineLimits(settings: AgentSettings): MachineLimits {
+  return {
+    memoryBytes: settings.memory * bytesPerMegabyte,
+    maxDescriptors: settings.descriptors,
+  };
+}
+
 function coordinatorTimes(settings: AgentSettings): CoordinatorTimes {
   const callTimeoutMilliseconds = settings.callTimeout;
   return {
--- a/source/programs/platform_adapters.ts
+++ b/source/programs/platform_adapters.ts
@@ -12,8 +12,9 @@
 import type { LogLevel } from "../adapters/logs/log.ts";
 import { startStoreEra } from "../tasks/store_era_task.ts";
 import { monotonicNow } from "../tasks/time.ts";
+import { collectionBounds } from "./caller_policy.ts";
 import { openCommonAdapters, reportSilence } from "./common_adapters.ts";
-import { collectionBounds, connections, links } from "./platform_policy.ts";
+import { connections, links } from "./platform_policy.ts";
 
 interface AdapterOptions {
   readonly id: string;
--- a/source/programs/platform_listeners.ts
+++ b/source/programs/platform_listeners.ts
@@ -25,14 +25,15 @@
 import type { Coordinator } from "../tasks/coordinator.ts";
 import type { RegistrationTask } from "../tasks/registration_task.ts";
 import { monotonicNow } from "../tasks/time.ts";
+import { callerBounds } from "./caller_policy.ts";
 import { reportAbandoned, reportArrivals } from "./common_adapters.ts";
 import { observeRequests } from "./observe.ts";
 import { operatorPages } from "./operator_pages.ts";
 import type { PlatformAdapters } from "./platform_adapters.ts";
 import {
-  callerBounds,
   maxHeaderBytes,
   maxRetainedBodyBytes,
+  maxUnreadMilliseconds,
 } from "./platform_policy.ts";
 import type { RequestTasks } from "./platform_requests.ts";
 
@@ -99,7 +100,10 @@
       ownService: options.ownService,
       random: Math.random,
     }),
-    callerLoad: { ...adapters, bounds: callerBounds(settings) },
+    callerLoad: {
+      ...adapters,
+      bounds: callerBounds(settings, maxUnreadMilliseconds),
+    },
     pages: new Map(),
     handle: observeRequests(handleEntry, {
       ...adapters,
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -6,9 +6,7 @@
  */
 import type { PlatformSettings } from "../../platform/settings.ts";
 import type { HopLinkSettings } from "../adapters/hops/hop_links.ts";
-import type { CallerBounds } from "../adapters/callers/caller_load.ts";
 import type { ConnectionSettings } from "../adapters/targets/connection_pool.ts";
-import type { CollectionBounds } from "../core/load/collection.ts";
 import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { type Configuration, serviceNamed } from "../core/document/document.ts";
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
@@ -134,55 +132,10 @@
 export const maxRetainedBodyBytes = 524_288;
 
 /**
- * The share of the machine's memory that is held for callers. The program itself
- * takes about half of the smallest machine, and what is no longer held takes
- * memory until it is collected.
+ * A connection of which nothing is read for so long while an answer waits is
+ * closed. It is the idle time-out of callers in the users' deployments.
  */
-const heldMemoryShare = 0.1;
-/** Reading stops at a connection that holds this share of it. */
-const connectionShare = 0.1;
-/** Descriptors that the platform reserves on each machine. */
-const reservedDescriptors = 200;
-/** The share of the others for callers; the rest is for agents and targets. */
-const callerDescriptorShare = 0.5;
-
-/** Bounds of what callers make this process hold. */
-export function callerBounds(settings: PlatformSettings): CallerBounds {
-  const totalBytes = settings.memoryBytes * heldMemoryShare;
-  const descriptors = Math.max(
-    reservedDescriptors,
-    settings.maxDescriptors - reservedDescriptors,
-  );
-  return {
-    totalBytes,
-    connectionBytes: totalBytes * connectionShare,
-    maxConnections: Math.floor(descriptors * callerDescriptorShare),
-    // The idle time-out of callers in the users' deployments.
-    maxUnreadMilliseconds: 15_000,
-  };
-}
-
-/**
- * Answers that may wait on the links to other agents. Beyond it, no request is
- * started for which a further answer would wait.
- */
-export function maxLinkBacklogBytes({ memoryBytes }: PlatformSettings): number {
-  return memoryBytes * heldMemoryShare / 4;
-}
-
-/** Garbage is collected when this share of the machine's memory is in use. */
-const collectionShare = 0.7;
-
-/** When garbage is collected besides the runtime's own collections. */
-export function collectionBounds(
-  { memoryBytes }: PlatformSettings,
-): CollectionBounds {
-  return {
-    residentBytes: memoryBytes * collectionShare,
-    passedBytes: memoryBytes * heldMemoryShare / 4,
-    maxTimeShare: 1 / 3,
-  };
-}
+export const maxUnreadMilliseconds = 15_000;
 
 /** Settings of the admission of a service's target with so many slots. */
 export function admissionSettings(
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -30,10 +30,10 @@
 import type { RegistrationTask } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
+import { maxLinkBacklogBytes } from "./caller_policy.ts";
 import type { PlatformAdapters } from "./platform_adapters.ts";
 import {
   bodyAdmissionTickMilliseconds,
-  maxLinkBacklogBytes,
   minTableAgeMilliseconds,
   retrySettings,
 } from "./platform_policy.ts";
