Callers: count what the system holds of answers that are not received

Cause: an answer counted until the system had accepted it for sending. A caller that reads nothing leaves up to 4 MB of it in the memory of the machine, and an ordinary close leaves it there too.

Change: while a further answer waits, those that the system accepted before it count up to 4 MB, since its buffer is full then. A connection that is closed while answers wait is reset, which frees the buffer; others are closed as before.

Measured: held_memory_test.ts.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -180,7 +180,9 @@
       totalBytes,
       connections: entries.size,
     });
-    entry.socket.destroy();
+    // After an ordinary close, the system keeps what it has to send.
+    if (holdsAnswer(entry)) entry.socket.resetAndDestroy();
+    else entry.socket.destroy();
   }
 
   /**
@@ -281,7 +283,8 @@
     entry.responses.delete(response);
     const { connection } = entry;
     const { requestBytes, answerBytes } = released;
-    apply({ kind: "released", connection, requestBytes, answerBytes });
+    const sent = response.writableFinished;
+    apply({ kind: "released", connection, requestBytes, answerBytes, sent });
     startWaiting();
   }
 
@@ -359,6 +362,10 @@
   );
 }
 
+function holdsAnswer({ responses }: Entry): boolean {
+  return [...responses.values()].some(({ answerBytes }) => answerBytes > 0);
+}
+
 function hasBody(message: IncomingMessage): boolean {
   return isChunked(message) || statedLength(message) > 0;
 }
--- a/source/core/load/held_memory.ts
+++ b/source/core/load/held_memory.ts
@@ -23,6 +23,11 @@
   readonly answerBytes: number;
   /** Of its requests that have been started and not answered. */
   readonly startedBytes: number;
+  /**
+   * Answers that the system has accepted for sending since nothing was held for
+   * the connection. The caller may not have received them.
+   */
+  readonly sentBytes: number;
   /** Whether reading from it has been stopped. */
   readonly stopped: boolean;
 }
@@ -71,6 +76,8 @@
     readonly connection: number;
     readonly requestBytes: number;
     readonly answerBytes: number;
+    /** Whether the system has accepted all of the answer for sending. */
+    readonly sent: boolean;
   }
   | { readonly kind: "closed"; readonly connection: number };
 
@@ -93,6 +100,8 @@
  * Linux begins with a receive buffer of this size.
  */
 const unreadBytes = 131_072;
+/** The most that Linux keeps of what a connection has to send. */
+const maxSendBufferBytes = 4_194_304;
 /**
  * A connection that holds this much less than the one that holds most has its
  * requests accepted, at the cost of that one.
@@ -118,6 +127,7 @@
   requestBytes: 0,
   answerBytes: 0,
   startedBytes: 0,
+  sentBytes: 0,
   stopped: false,
 };
 
@@ -215,6 +225,7 @@
     ...held,
     requestBytes: Math.max(0, held.requestBytes - event.requestBytes),
     answerBytes: Math.max(0, held.answerBytes - event.answerBytes),
+    sentBytes: held.sentBytes + (event.sent ? event.answerBytes : 0),
   });
   return readOn({ state: released, effects: [] }, bounds);
 }
@@ -284,7 +295,7 @@
   const full = step.state.totalBytes > bounds.totalBytes * readOnShare;
   return [...step.state.connections].reduce<Step>(
     (reading, [connection, held]) => {
-      const bytes = held.requestBytes + held.answerBytes;
+      const bytes = bytesWithoutUnread(held);
       const bound = full ? alwaysReadBytes : bounds.connectionBytes;
       if (!held.stopped || bytes > bound * readOnShare) return reading;
       const state = replace(reading.state, connection, {
@@ -303,8 +314,16 @@
 }
 
 function bytesOf(held: HeldByConnection): number {
-  const unread = held.stopped ? unreadBytes : 0;
-  return held.requestBytes + held.answerBytes + unread;
+  return bytesWithoutUnread(held) + (held.stopped ? unreadBytes : 0);
+}
+
+function bytesWithoutUnread(held: HeldByConnection): number {
+  // An answer waits because those before it fill the system's buffer. Without
+  // one, the process can't know what the caller has received.
+  const unreceived = held.answerBytes > 0
+    ? Math.min(held.sentBytes, maxSendBufferBytes)
+    : 0;
+  return held.requestBytes + held.answerBytes + unreceived;
 }
 
 function largest(
--- a/source/core/load/held_memory_test.ts
+++ b/source/core/load/held_memory_test.ts
@@ -72,6 +72,7 @@
         connection,
         requestBytes,
         answerBytes,
+        sent: true,
       }));
       const { state, effects } = play(released, full.state);
       const readOn = effects.filter(({ kind }) => kind === "read-on");
@@ -116,6 +117,39 @@
     });
   });
 
+  describe("for a caller that reads no answers", () => {
+    const connection = 1;
+    const bytes = 1_000_000;
+    const answer: readonly HeldMemoryEvent[] = [
+      read(connection, ordinaryRequest),
+      { kind: "answer-held", connection, bytes },
+    ];
+    const sent: HeldMemoryEvent = {
+      kind: "released",
+      connection,
+      requestBytes: ordinaryRequest,
+      answerBytes: bytes,
+      sent: true,
+    };
+    const whole = ordinaryRequest + bytes;
+
+    // Guards against send buffers of many callers that exceed the memory of
+    // the machine, since they aren't memory of the process.
+    it("has what the system has to send, up to its limit", () => {
+      const waits = play([...answer, ...answer, sent]).state;
+      assert.equal(waits.totalBytes, whole + bytes);
+      const more = Array.from({ length: 5 }, () => [...answer, sent]).flat();
+      const full = play(more, waits).state;
+      // Reading has stopped, and what is unread counts too.
+      assert.equal(full.totalBytes, whole + 4_194_304 + 131_072);
+    });
+
+    it("has nothing once no answer waits", () => {
+      const { state } = play([...answer, ...answer, sent, sent]);
+      assert.deepEqual(state, nothingHeld);
+    });
+  });
+
   describe("whatever callers do", () => {
     const connection = fc.integer({ min: 1, max: 8 });
     const bytes = fc.integer({ min: 1, max: 9_000_000 });
@@ -127,6 +161,7 @@
         connection,
         requestBytes: bytes,
         answerBytes: bytes,
+        sent: fc.boolean(),
       }),
       fc.record({ kind: fc.constant("closed"), connection }),
     );
