Platform agent: count the answers that are being read from the target

Cause: an answer is buffered until it is complete, up to 8 MiB for each slot, and none of it counted before its end.

Change: each answer that is being read counts with its stated length, or with what has been read of it if that is more. While that exceeds half of what is held for callers, requests that have got a slot are refused with memory-full; they have not run. Requests that run already may still begin to answer.

--- a/source/programs/caller_policy.ts
+++ b/source/programs/caller_policy.ts
@@ -53,6 +53,16 @@
   return memoryBytes * heldMemoryShare / 4;
 }
 
+/**
+ * Answers that may be read from the target at a time. Beyond it, no request is
+ * started; those that run already may still begin to answer.
+ */
+export function maxBytesInProgress(
+  { memoryBytes }: Pick<MachineLimits, "memoryBytes">,
+): number {
+  return memoryBytes * heldMemoryShare / 2;
+}
+
 /** Garbage is collected when this share of the machine's memory is in use. */
 const collectionShare = 0.7;
 
--- a/source/programs/platform_adapters.ts
+++ b/source/programs/platform_adapters.ts
@@ -6,6 +6,7 @@
  */
 import type { PlatformSettings } from "../../platform/settings.ts";
 import { openPlatformStore } from "../../platform/store.ts";
+import { startAnswersInProgress } from "../adapters/answers_in_progress.ts";
 import { openCollector } from "../adapters/garbage.ts";
 import { linkSenderOf } from "../adapters/hops/hop_deduplication.ts";
 import { openHopLinks } from "../adapters/hops/hop_links.ts";
@@ -50,6 +51,7 @@
     storeEra,
     countPassedBytes: openCollector(collectionBounds(settings)),
     linkBacklog: trackLinkBacklog(),
+    answersInProgress: startAnswersInProgress(),
   };
 }
 
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -215,6 +215,7 @@
       events.record("target-answer-spoilt", { request, fault }),
     onInvalidLoad: () => metrics.count("load_reports_ignored"),
     onAnswerRead: adapters.countPassedBytes,
+    answersInProgress: adapters.answersInProgress,
   });
   const targetKeys = connectTargetKeys(settings, {
     events,
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -30,7 +30,7 @@
 import type { RegistrationTask } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
-import { maxLinkBacklogBytes } from "./caller_policy.ts";
+import { maxBytesInProgress, maxLinkBacklogBytes } from "./caller_policy.ts";
 import type { PlatformAdapters } from "./platform_adapters.ts";
 import {
   bodyAdmissionTickMilliseconds,
@@ -70,7 +70,7 @@
   const { agent, registration, evacuations, coordinator } = options;
   const { admission, target, place } = options;
   const { events, metrics, peers, forwarder, pendingInput } = options.adapters;
-  const { linkBacklog } = options.adapters;
+  const { linkBacklog, answersInProgress } = options.adapters;
   const bodyAdmission = startBodyAdmission({
     service: settings.service,
     accepts: registration.accepts,
@@ -84,7 +84,9 @@
     mayBegin: (request) =>
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
-    hasMemory: () => linkBacklog.bytes() <= maxLinkBacklogBytes(settings),
+    hasMemory: () =>
+      linkBacklog.bytes() <= maxLinkBacklogBytes(settings) &&
+      answersInProgress.bytes() <= maxBytesInProgress(settings),
     service: settings.service,
     entry: agent.id,
     holder: coordinator.holder,
