--- a/source/core/load/held_memory.ts
+++ b/source/core/load/held_memory.ts
@@ -21,6 +21,13 @@
 export interface HeldByConnection {
   readonly requestBytes: number;
   readonly answerBytes: number;
+  /** Of its requests that have been started and not answered. */
+  readonly startedBytes: number;
+  /**
+   * Answers that the system has accepted for sending since nothing was held for
+   * the connection. The caller may not have received them.
+   */
+  readonly sentBytes: number;
   /** Whether reading from it has been stopped. */
   readonly stopped: boolean;
 }
@@ -28,12 +35,15 @@
 /** What is held for the connections for which anything is held. */
 export interface HeldMemory {
   readonly totalBytes: number;
+  /** Of the requests that have been started and not answered. */
+  readonly startedBytes: number;
   readonly connections: ReadonlyMap<number, HeldByConnection>;
 }
 
 /** Nothing is held. */
 export const nothingHeld: HeldMemory = {
   totalBytes: 0,
+  startedBytes: 0,
   connections: new Map(),
 };
 
@@ -44,6 +54,17 @@
     readonly connection: number;
     readonly bytes: number;
   }
+  | {
+    readonly kind: "request-started";
+    readonly connection: number;
+    readonly bytes: number;
+  }
+  /** A request that was started has its answer, or has failed. */
+  | {
+    readonly kind: "request-ended";
+    readonly connection: number;
+    readonly bytes: number;
+  }
   | {
     readonly kind: "answer-held";
     readonly connection: number;
@@ -55,6 +76,8 @@
     readonly connection: number;
     readonly requestBytes: number;
     readonly answerBytes: number;
+    /** Whether the system has accepted all of the answer for sending. */
+    readonly sent: boolean;
   }
   | { readonly kind: "closed"; readonly connection: number };
 
@@ -77,6 +100,8 @@
  * Linux begins with a receive buffer of this size.
  */
 const unreadBytes = 131_072;
+/** The most that Linux keeps of what a connection has to send. */
+const maxSendBufferBytes = 4_194_304;
 /**
  * A connection that holds this much less than the one that holds most has its
  * requests accepted, at the cost of that one.
@@ -86,10 +111,23 @@
 const alwaysReadBytes = 131_072;
 /** Reading goes on once this share of the bounds is held. */
 const readOnShare = 1 / 2;
+/**
+ * The share of the total that requests of connections that hold much may take
+ * while they run. As many as the memory can hold would take all slots of the
+ * targets, and ordinary clients would be refused there.
+ */
+const startedShare = 1 / 4;
+/**
+ * Requests of a connection that holds no more are started, whatever the others
+ * hold.
+ */
+const alwaysStartedBytes = alwaysReadBytes;
 
 const nothingByConnection: HeldByConnection = {
   requestBytes: 0,
   answerBytes: 0,
+  startedBytes: 0,
+  sentBytes: 0,
   stopped: false,
 };
 
@@ -102,6 +140,10 @@
   switch (event.kind) {
     case "request-read":
       return readRequest(state, event, bounds);
+    case "request-started":
+      return changeStarted(state, event.connection, event.bytes);
+    case "request-ended":
+      return changeStarted(state, event.connection, -event.bytes);
     case "answer-held": {
       const held = heldBy(state, event.connection);
       const answerBytes = held.answerBytes + event.bytes;
@@ -117,16 +159,28 @@
   }
 }
 
+/** A request that has been read and not started. */
+export interface UnstartedRequest {
+  readonly connection: number;
+  readonly bytes: number;
+}
+
 /**
- * Whether a further request of a connection may start. Its answer would wait
- * behind those that have not been taken.
+ * Why a request must not be started yet: its answer would wait behind those
+ * that have not been taken, or requests that take much run already. Null if it
+ * may be started.
  */
-export function mayStartRequest(
+export function reasonNotToStart(
   state: HeldMemory,
-  connection: number,
+  { connection, bytes }: UnstartedRequest,
   bounds: HeldMemoryBounds,
-): boolean {
-  return heldBy(state, connection).answerBytes <= bounds.connectionBytes;
+): "answers-unread" | "memory-full" | null {
+  const held = heldBy(state, connection);
+  if (held.answerBytes > bounds.connectionBytes) return "answers-unread";
+  if (held.requestBytes + held.answerBytes <= alwaysStartedBytes) return null;
+  const fits = state.startedBytes === 0 ||
+    state.startedBytes + bytes <= bounds.totalBytes * startedShare;
+  return fits ? null : "memory-full";
 }
 
 /** What is held for a connection, in bytes. */
@@ -171,10 +225,24 @@
     ...held,
     requestBytes: Math.max(0, held.requestBytes - event.requestBytes),
     answerBytes: Math.max(0, held.answerBytes - event.answerBytes),
+    sentBytes: held.sentBytes + (event.sent ? event.answerBytes : 0),
   });
   return readOn({ state: released, effects: [] }, bounds);
 }
 
+function changeStarted(
+  state: HeldMemory,
+  connection: number,
+  bytes: number,
+): Step {
+  const held = state.connections.get(connection);
+  // A connection that was closed holds nothing any more.
+  if (held === undefined) return { state, effects: [] };
+  const startedBytes = Math.max(0, held.startedBytes + bytes);
+  const changed = replace(state, connection, { ...held, startedBytes });
+  return { state: changed, effects: [] };
+}
+
 /** Closes the connections that hold most until the total is within its bound. */
 function closeLargest(state: HeldMemory, bounds: HeldMemoryBounds): Step {
   let step: Step = { state, effects: [] };
@@ -227,7 +295,7 @@
   const full = step.state.totalBytes > bounds.totalBytes * readOnShare;
   return [...step.state.connections].reduce<Step>(
     (reading, [connection, held]) => {
-      const bytes = held.requestBytes + held.answerBytes;
+      const bytes = bytesWithoutUnread(held);
       const bound = full ? alwaysReadBytes : bounds.connectionBytes;
       if (!held.stopped || bytes > bound * readOnShare) return reading;
       const state = replace(reading.state, connection, {
@@ -246,8 +314,16 @@
 }
 
 function bytesOf(held: HeldByConnection): number {
-  const unread = held.stopped ? unreadBytes : 0;
-  return held.requestBytes + held.answerBytes + unread;
+  return bytesWithoutUnread(held) + (held.stopped ? unreadBytes : 0);
+}
+
+function bytesWithoutUnread(held: HeldByConnection): number {
+  // An answer waits because those before it fill the system's buffer. Without
+  // one, the process can't know what the caller has received.
+  const unreceived = held.answerBytes > 0
+    ? Math.min(held.sentBytes, maxSendBufferBytes)
+    : 0;
+  return held.requestBytes + held.answerBytes + unreceived;
 }
 
 function largest(
@@ -267,11 +343,16 @@
   held: HeldByConnection,
 ): HeldMemory {
   const connections = new Map(state.connections);
+  const former = heldBy(state, connection);
   const bytes = bytesOf(held);
+  const next = bytes === 0 ? nothingByConnection : held;
   if (bytes === 0) connections.delete(connection);
-  else connections.set(connection, held);
-  const change = bytes - bytesHeldBy(state, connection);
-  return { totalBytes: state.totalBytes + change, connections };
+  else connections.set(connection, next);
+  return {
+    totalBytes: state.totalBytes + bytes - bytesOf(former),
+    startedBytes: state.startedBytes + next.startedBytes - former.startedBytes,
+    connections,
+  };
 }
 
 /** A request, as far as its memory depends on it. */
--- a/source/core/load/held_memory_test.ts
+++ b/source/core/load/held_memory_test.ts
@@ -7,6 +7,7 @@
   type HeldMemoryEvent,
   memoryOfRequest,
   nothingHeld,
+  reasonNotToStart,
   stepHeldMemory,
 } from "./held_memory.ts";
 
@@ -71,6 +72,7 @@
         connection,
         requestBytes,
         answerBytes,
+        sent: true,
       }));
       const { state, effects } = play(released, full.state);
       const readOn = effects.filter(({ kind }) => kind === "read-on");
@@ -79,6 +81,75 @@
     });
   });
 
+  describe("of which requests that take much have been started", () => {
+    /** Reads requests of many connections, and starts those that may start. */
+    const busy = Array.from({ length: 16 }, (_, index) => index).reduce(
+      (state, connection) => {
+        const request = { connection, bytes: largeRequest };
+        const next = play([read(connection, largeRequest)], state).state;
+        return reasonNotToStart(next, request, bounds) === null
+          ? play([{ kind: "request-started", ...request }], next).state
+          : next;
+      },
+      nothingHeld,
+    );
+    const large = { connection: 15, bytes: largeRequest };
+
+    // Guards against large requests that take all slots of the targets, where
+    // ordinary clients are then refused.
+    it("has a quarter of its total started, and more later", () => {
+      assert.ok(busy.startedBytes > bounds.totalBytes / 8);
+      assert.ok(busy.startedBytes <= bounds.totalBytes / 4);
+      assert.equal(reasonNotToStart(busy, large, bounds), "memory-full");
+      const ended = play([
+        { kind: "request-ended", connection: 0, bytes: largeRequest },
+      ], busy);
+      assert.equal(reasonNotToStart(ended.state, large, bounds), null);
+      const closed = play([{ kind: "closed", connection: 0 }], busy);
+      assert.equal(reasonNotToStart(closed.state, large, bounds), null);
+    });
+
+    it("has requests of an ordinary caller started", () => {
+      const connection = 1_000;
+      const { state } = play([read(connection, ordinaryRequest)], busy);
+      const ordinary = { connection, bytes: ordinaryRequest };
+      assert.equal(reasonNotToStart(state, ordinary, bounds), null);
+    });
+  });
+
+  describe("for a caller that reads no answers", () => {
+    const connection = 1;
+    const bytes = 1_000_000;
+    const answer: readonly HeldMemoryEvent[] = [
+      read(connection, ordinaryRequest),
+      { kind: "answer-held", connection, bytes },
+    ];
+    const sent: HeldMemoryEvent = {
+      kind: "released",
+      connection,
+      requestBytes: ordinaryRequest,
+      answerBytes: bytes,
+      sent: true,
+    };
+    const whole = ordinaryRequest + bytes;
+
+    // Guards against send buffers of many callers that exceed the memory of
+    // the machine, since they aren't memory of the process.
+    it("has what the system has to send, up to its limit", () => {
+      const waits = play([...answer, ...answer, sent]).state;
+      assert.equal(waits.totalBytes, whole + bytes);
+      const more = Array.from({ length: 5 }, () => [...answer, sent]).flat();
+      const full = play(more, waits).state;
+      // Reading has stopped, and what is unread counts too.
+      assert.equal(full.totalBytes, whole + 4_194_304 + 131_072);
+    });
+
+    it("has nothing once no answer waits", () => {
+      const { state } = play([...answer, ...answer, sent, sent]);
+      assert.deepEqual(state, nothingHeld);
+    });
+  });
+
   describe("whatever callers do", () => {
     const connection = fc.integer({ min: 1, max: 8 });
     const bytes = fc.integer({ min: 1, max: 9_000_000 });
@@ -90,6 +161,7 @@
         connection,
         requestBytes: bytes,
         answerBytes: bytes,
+        sent: fc.boolean(),
       }),
       fc.record({ kind: fc.constant("closed"), connection }),
     );
--- a/source/programs/platform_adapters.ts
+++ b/source/programs/platform_adapters.ts
@@ -6,14 +6,16 @@
  */
 import type { PlatformSettings } from "../../platform/settings.ts";
 import { openPlatformStore } from "../../platform/store.ts";
+import { startAnswersInProgress } from "../adapters/answers_in_progress.ts";
 import { openCollector } from "../adapters/garbage.ts";
 import { linkSenderOf } from "../adapters/hops/hop_deduplication.ts";
 import { openHopLinks } from "../adapters/hops/hop_links.ts";
 import type { LogLevel } from "../adapters/logs/log.ts";
 import { startStoreEra } from "../tasks/store_era_task.ts";
 import { monotonicNow } from "../tasks/time.ts";
+import { collectionBounds } from "./caller_policy.ts";
 import { openCommonAdapters, reportSilence } from "./common_adapters.ts";
-import { collectionBounds, connections, links } from "./platform_policy.ts";
+import { connections, links } from "./platform_policy.ts";
 
 interface AdapterOptions {
   readonly id: string;
@@ -49,6 +51,7 @@
     storeEra,
     countPassedBytes: openCollector(collectionBounds(settings)),
     linkBacklog: trackLinkBacklog(),
+    answersInProgress: startAnswersInProgress(),
   };
 }
 
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -35,10 +35,10 @@
 import type { RegistrationTask } from "../tasks/registration_task.ts";
 import { type ServeTask, startServing } from "../tasks/serve_task.ts";
 import { startStopGate, type StopGate } from "../tasks/stop_gate.ts";
+import { maxBytesInProgress, maxLinkBacklogBytes } from "./caller_policy.ts";
 import type { PlatformAdapters } from "./platform_adapters.ts";
 import {
   bodyAdmissionTickMilliseconds,
-  maxLinkBacklogBytes,
   minTableAgeMilliseconds,
   retrySettings,
 } from "./platform_policy.ts";
@@ -77,7 +77,7 @@
   const { agent, registration, evacuations, coordinator } = options;
   const { admission, target, place, failingTarget } = options;
   const { events, metrics, peers, forwarder, pendingInput } = options.adapters;
-  const { linkBacklog } = options.adapters;
+  const { linkBacklog, answersInProgress } = options.adapters;
   const bodyAdmission = startBodyAdmission({
     service: settings.service,
     accepts: registration.accepts,
@@ -92,7 +92,9 @@
     mayBegin: (request) =>
       gate.mayBegin(request) &&
       registration.acceptsWaiting({ keyed: request.key !== null }),
-    hasMemory: () => linkBacklog.bytes() <= maxLinkBacklogBytes(settings),
+    hasMemory: () =>
+      linkBacklog.bytes() <= maxLinkBacklogBytes(settings) &&
+      answersInProgress.bytes() <= maxBytesInProgress(settings),
     service: settings.service,
     entry: agent.id,
     holder: coordinator.holder,
