Place slices by load above capacity, within a budget

Change: where the settings of ownership have unevenDemand, the grantor makes moves for load above capacity first and others with what the budget leaves, and sends released slices to the server that was planned. The load of a key that has just been isolated is separated from that of its former slice; otherwise both seemed to be busy, and a server was cleared for each. The log line slices-rebalanced has cause, slices, new deferrals and the remaining budget. Without the settings, nothing differs.

--- a/source/core/ownership/checkpoint.ts
+++ b/source/core/ownership/checkpoint.ts
@@ -14,6 +14,7 @@
   type GrantorState,
   type Slice,
 } from "./grantor_state.ts";
+import { loadsAfterIsolation } from "./isolated_loads.ts";
 import { nextIsolatedKeys, slicesWithIsolatedKeys } from "./isolation.ts";
 
 /** The delegation is renewed once this share of it has passed. */
@@ -141,6 +142,7 @@
     slices,
     roster,
     isolatedKeys,
+    loads: loadsAfterIsolation(state, isolatedKeys),
     earlierMayGrant,
     unresponsive: new Set(unresponsive),
     busyKeys: state.unconfirmed === null
--- a/source/core/ownership/grantor.ts
+++ b/source/core/ownership/grantor.ts
@@ -27,10 +27,15 @@
 } from "./grantor_state.ts";
 import { smoothRates, smoothWeight } from "./load_smoothing.ts";
 import { tableOf } from "./grantor_table.ts";
+import { separateLoads } from "./isolated_loads.ts";
 import { recordBusyKeys } from "./isolation.ts";
 import { slicesFromHandover } from "./handover.ts";
 import { retainedGrants } from "./retained_grants.ts";
-import { chooseMoves, leastLoadedHolder } from "./placement.ts";
+import {
+  leastLoadedHolder,
+  planMoves,
+  plannedDestination,
+} from "./placement.ts";
 import { formerAgents, inheritSlices } from "./agent_restart.ts";
 import type { Grant, Renewal, RenewalAnswer } from "./renewal.ts";
 import { compareTokens, noToken } from "./token.ts";
@@ -214,7 +219,7 @@
     }),
   };
   const holders = new Map(state.holders).set(renewal.id, holder);
-  const loads = smoothRates(state.loads, renewal.sliceLoads);
+  const loads = smoothRates(state.loads, separateLoads(state, renewal));
   const joined = former === undefined;
   return incrementSequenceIf({ ...state, holders, loads }, joined);
 }
@@ -297,7 +302,11 @@
     if (slice.kind !== "moving" && slice.kind !== "held") return slice;
     if (slice.owner !== renewal.id) return slice;
     if (compareTokens(slice.token, grant.token) !== 0) return slice;
-    return { kind: "free", handover: grant.handover };
+    return {
+      kind: "free",
+      handover: grant.handover,
+      destination: slice.kind === "moving" ? slice.destination : undefined,
+    };
   });
   return { ...state, slices, sequence: state.sequence + 1 };
 }
@@ -310,6 +319,7 @@
   const expired = expireLeases(state, now.monotonic);
   const moved = startMoves(
     startAssignment(expired.state, { now: now.monotonic, runningServers }),
+    now.monotonic,
   );
   const assigned = assignFreeSlices(moved.state);
   const requested = requestCheckpoint(assigned.state, now);
@@ -386,14 +396,21 @@
 }
 
 function startMoves(
-  state: GrantorState,
+  known: GrantorState,
+  now: number,
 ): Transition<GrantorState, GrantorEffect> {
   // While a store write changes which keys are isolated, the slices that these
   // keys move between must keep their owner.
-  const isolationChanges = state.unconfirmed !== null &&
-    state.unconfirmed.isolatedKeys !== state.isolatedKeys;
-  const moves = isolationChanges ? [] : chooseMoves(state);
-  if (moves.length === 0) return { state, effects: [] };
+  const isolationChanges = known.unconfirmed !== null &&
+    known.unconfirmed.isolatedKeys !== known.isolatedKeys;
+  if (isolationChanges) return { state: known, effects: [] };
+  const { moves, budget, rebalancings } = planMoves(known, now);
+  const state: GrantorState = { ...known, moveBudget: budget };
+  const planned = rebalancings.map((rebalancing): GrantorEffect => ({
+    kind: "rebalanced",
+    ...rebalancing,
+  }));
+  if (moves.length === 0) return { state, effects: planned };
   const destinations = new Map(
     moves.map((move) => [move.slice, move.destination]),
   );
@@ -411,7 +428,10 @@
     kind: "nudge",
     peerAddresses: addressesOf(state, owners),
   };
-  return { state: { ...state, slices }, effects: [...started, nudge] };
+  return {
+    state: { ...state, slices },
+    effects: [...planned, ...started, nudge],
+  };
 }
 
 function addressesOf(
@@ -434,7 +454,8 @@
   const receivers = new Set<AgentId>();
   for (const [index, slice] of state.slices.entries()) {
     if (slice.kind !== "free") continue;
-    const owner = neighbourInStripe(next, index, receivers) ??
+    const owner = plannedDestination(next, slice) ??
+      neighbourInStripe(next, index, receivers) ??
       leastLoadedHolder(next, index);
     if (owner === null) break;
     const sequence = next.sequence + 1;
--- a/source/core/ownership/grantor_state.ts
+++ b/source/core/ownership/grantor_state.ts
@@ -8,6 +8,11 @@
 import { addMilliseconds, type Clocks } from "../clocks.ts";
 import type { Checkpoint, RosterEntry } from "./delegation.ts";
 import type { Handover } from "./handover_message.ts";
+import type {
+  MoveBudget,
+  MoveBudgetSettings,
+  MoveCause,
+} from "./move_budget.ts";
 import type { KeyLoad, Renewal, RenewalAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import type { FencingToken } from "./token.ts";
@@ -40,6 +45,8 @@
   readonly initialAssignmentDelayMilliseconds: number;
   /** Duration of the delegation after each successful store write. */
   readonly delegationMilliseconds: number;
+  /** Left out where load above capacity is treated like any other. */
+  readonly unevenDemand?: MoveBudgetSettings | undefined;
 }
 
 /** The grantor's record of a holder. */
@@ -87,7 +94,12 @@
 
 /** The grantor's record of one slice. */
 export type Slice =
-  | { readonly kind: "free"; readonly handover?: string | undefined }
+  | {
+    readonly kind: "free";
+    readonly handover?: string | undefined;
+    /** The server that it was released for; left out without a plan. */
+    readonly destination?: AgentId | undefined;
+  }
   | {
     readonly kind: "held";
     readonly owner: AgentId;
@@ -140,6 +152,8 @@
   readonly isolatedKeys: readonly IsolatedKey[];
   /** Requests a second by slice; slices without a report are left out. */
   readonly loads: ReadonlyMap<number, number>;
+  /** Used only where the settings have a budget. */
+  readonly moveBudget: MoveBudget<AgentId>;
   /** The delegation's `earlierMayGrant`, as it was last written. */
   readonly earlierMayGrant: boolean;
   /** Busy keys that get slices of their own with the next store write. */
@@ -199,6 +213,17 @@
     readonly askedAt: Clocks;
   };
 
+/** Moves that were planned for one cause. */
+export interface Rebalancing {
+  readonly cause: MoveCause;
+  /** The slices whose moves start. */
+  readonly slices: readonly number[];
+  /** How many further moves have begun to wait for the budget. */
+  readonly deferred: number;
+  /** The share of all keys that may still be moved for this cause. */
+  readonly remainingKeyShare: number;
+}
+
 /** An action that the grantor's task carries out. */
 export type GrantorEffect =
   | { readonly kind: "answer"; readonly answer: RenewalAnswer }
@@ -223,4 +248,5 @@
     readonly owner: AgentId;
     readonly destination: AgentId;
   }
+  | ({ readonly kind: "rebalanced" } & Rebalancing)
   | { readonly kind: "isolated"; readonly key: string; readonly slice: number };
--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -5,9 +5,24 @@
  * @module
  */
 import type { AgentId } from "../agent.ts";
-import type { GrantorState, Holder } from "./grantor_state.ts";
+import type {
+  GrantorState,
+  Holder,
+  Rebalancing,
+  Slice,
+} from "./grantor_state.ts";
+import {
+  countAllowed,
+  type MoveBudget,
+  type MoveBudgetSettings,
+  type MoveCause,
+  recordMoves,
+  remainingKeyShare,
+  staysAfterMove,
+} from "./move_budget.ts";
 import { penalizeSlowServers } from "./slow_servers.ts";
 import { compareTokens } from "./token.ts";
+import { planRelief, type ReliefPlan } from "./uneven_demand.ts";
 import { placementWeights } from "./unmeasured_weights.ts";
 
 /** A planned move of one slice. */
@@ -17,6 +32,31 @@
   readonly destination: AgentId;
 }
 
+/** The moves to start now, and what they leave of the budget. */
+export interface MovePlan {
+  readonly moves: readonly Move[];
+  readonly budget: MoveBudget<AgentId>;
+  /** Empty for moves off servers that leave, and without a budget. */
+  readonly rebalancings: readonly Rebalancing[];
+}
+
+/** Which moves may even out the load. */
+interface EvenOutRules {
+  readonly mayMove: (slice: number, owner: AgentId) => boolean;
+  readonly mayReceive: (id: AgentId) => boolean;
+  /** No move fills its destination above this utilization. */
+  readonly maxUtilization: number;
+  /** Whether others are tried when the busiest server can give nothing. */
+  readonly triesOtherOwners: boolean;
+}
+
+const withoutRules: EvenOutRules = {
+  mayMove: () => true,
+  mayReceive: () => true,
+  maxUtilization: Infinity,
+  triesOtherOwners: false,
+};
+
 /** Assumed load of a slice without measurements, in requests a second. */
 const unmeasuredLoad = 0.25;
 
@@ -95,7 +135,7 @@
   const state = withPlacementWeights(reported);
   const serving = loadsByHolder(state);
   const loads = serving.size > 0
-    ? serving
+    ? withoutLimited(state, serving)
     : loadsOf(state, stayingHolders(state));
   for (const [id, load] of loads) {
     const weight = state.holders.get(id)?.weight ?? 1;
@@ -104,6 +144,54 @@
   return withLowestLoad(loads);
 }
 
+/**
+ * Leaves out servers that are cold or whose machines are slow at this moment,
+ * unless these are most: the few others can't take all free slices.
+ */
+function withoutLimited(
+  state: GrantorState,
+  loads: Map<AgentId, number>,
+): Map<AgentId, number> {
+  if (state.settings.unevenDemand === undefined) return loads;
+  const receiving = [...loads].filter(([id]) => !isLimited(state, id));
+  return receiving.length * 2 >= loads.size ? new Map(receiving) : loads;
+}
+
+function isLimited(state: GrantorState, id: AgentId): boolean {
+  return state.holders.get(id)?.weightLimit !== undefined;
+}
+
+/**
+ * The server that a slice was released for; null if there is none, or if it may
+ * no longer receive slices.
+ */
+export function plannedDestination(
+  state: GrantorState,
+  slice: Slice & { readonly kind: "free" },
+): AgentId | null {
+  const { destination } = slice;
+  if (state.settings.unevenDemand === undefined) return null;
+  if (destination === undefined || isLimited(state, destination)) return null;
+  const holder = state.holders.get(destination);
+  if (holder === undefined || holder.leaving) return null;
+  return holder.leaseHadExpired ? null : destination;
+}
+
+/** The planned moves to start now, within the budget if the settings have one. */
+export function planMoves(state: GrantorState, now: number): MovePlan {
+  const budget = state.moveBudget;
+  const settings = state.settings.unevenDemand;
+  if (settings === undefined) {
+    return { moves: chooseMoves(state), budget, rebalancings: [] };
+  }
+  const weighed = withPlacementWeights(state);
+  const evacuations = chooseEvacuations(weighed);
+  if (evacuations.length > 0 || !loadsReported(weighed)) {
+    return { moves: evacuations, budget, rebalancings: [] };
+  }
+  return planRebalancing(weighed, { settings, now });
+}
+
 /** The planned moves to start now. Slices of leaving servers come first. */
 export function chooseMoves(reported: GrantorState): readonly Move[] {
   const state = withPlacementWeights(reported);
@@ -112,7 +200,171 @@
   if (evacuations.length > 0) return evacuations;
   if (!loadsReported(state)) return [];
   const maxMoves = state.settings.maxConcurrentMoves - moving;
-  return chooseRebalancing(state, maxMoves);
+  return chooseRebalancing(state, { maxMoves, rules: withoutRules });
+}
+
+/**
+ * Moves for load above capacity first; then those that even out the load, with
+ * what is left of the budget for them.
+ */
+function planRebalancing(
+  state: GrantorState,
+  query: { readonly settings: MoveBudgetSettings; readonly now: number },
+): MovePlan {
+  const moving = state.slices.filter((slice) => slice.kind === "moving").length;
+  const maxMoves = state.settings.maxConcurrentMoves - moving;
+  const stays = staysAfterMove(state.moveBudget, {
+    capacityOf: (id: AgentId) => state.holders.get(id)?.weight ?? 0,
+    ...query,
+  });
+  const affordable = countAllowed(
+    remainingKeyShare(state.moveBudget, { cause: "above-capacity", ...query }),
+    { count: maxMoves, keyShare: keyShareOf(state) },
+  );
+  const relief = reliefPlan(state, { maxMoves: affordable, stays });
+  // Only what the budget prevents needs a second plan.
+  const wanted = affordable < maxMoves && relief.moves.length >= affordable
+    ? reliefPlan(state, { maxMoves, stays })
+    : relief;
+  const started = new Set(relief.moves.map(({ slice }) => slice));
+  const relieved = withinBudget(state, {
+    ...query,
+    budget: state.moveBudget,
+    cause: "above-capacity",
+    moves: [
+      ...relief.moves,
+      ...wanted.moves.filter(({ slice }) => !started.has(slice)),
+    ],
+  });
+  const rest = chooseRebalancing(withDestinations(state, wanted.moves), {
+    maxMoves: maxMoves - wanted.moves.length,
+    rules: {
+      mayMove: (slice, owner) =>
+        !wanted.oversized.has(slice) && !stays(slice, owner),
+      mayReceive: (id) => !isLimited(state, id) && !wanted.reserved.has(id),
+      maxUtilization: 1,
+      triesOtherOwners: true,
+    },
+  });
+  const evened = withinBudget(state, {
+    ...query,
+    budget: relieved.budget,
+    cause: "even-out",
+    moves: rest,
+  });
+  const deferred = new Set([...relieved.deferred, ...evened.deferred]);
+  return {
+    moves: [...relieved.moves, ...evened.moves],
+    budget: { ...evened.budget, deferred },
+    rebalancings: [relieved, evened]
+      .map(({ rebalancing }) => rebalancing)
+      .filter(({ slices, deferred }) => slices.length + deferred > 0),
+  };
+}
+
+function reliefPlan(
+  state: GrantorState,
+  query: {
+    readonly maxMoves: number;
+    readonly stays: (slice: number, owner: AgentId) => boolean;
+  },
+): ReliefPlan<AgentId> {
+  const emptying = new Set(
+    state.slices.flatMap((slice) =>
+      slice.kind === "moving" ? [slice.owner] : []
+    ),
+  );
+  const serving = stayingHolders(state)
+    .filter(({ leaseHadExpired }) => !leaseHadExpired);
+  const servers = new Map(serving.map(({ id, weight }) => [id, {
+    capacity: weight,
+    mayReceive: !isLimited(state, id),
+    emptying: emptying.has(id),
+  }]));
+  const slices = state.slices.flatMap((slice, index) => {
+    const owner = futureOwner(slice);
+    if (owner === null) return [];
+    const load = sliceLoad(state, index);
+    const movable = isMovable(state, slice) && !query.stays(index, owner);
+    return [{ slice: index, owner, load, movable }];
+  });
+  return planRelief({ servers, slices, maxMoves: query.maxMoves });
+}
+
+function isMovable(state: GrantorState, slice: Slice): boolean {
+  if (slice.kind !== "held") return false;
+  const holder = state.holders.get(slice.owner);
+  return holder !== undefined && isSettled(holder, slice.token);
+}
+
+/** The state once these moves have been started. */
+function withDestinations(
+  state: GrantorState,
+  moves: readonly Move[],
+): GrantorState {
+  const destinations = new Map(
+    moves.map(({ slice, destination }) => [slice, destination]),
+  );
+  const slices = state.slices.map((slice, index): Slice => {
+    const destination = destinations.get(index);
+    if (slice.kind !== "held" || destination === undefined) return slice;
+    return { ...slice, kind: "moving", destination };
+  });
+  return { ...state, slices };
+}
+
+/**
+ * The slice of an isolated key counts like any other, so that its moves are
+ * bounded, too.
+ */
+function keyShareOf(state: GrantorState): number {
+  return 1 / state.settings.hashedSlices;
+}
+
+/** The first of these moves, as many as the budget allows. */
+function withinBudget(
+  state: GrantorState,
+  query: {
+    readonly budget: MoveBudget<AgentId>;
+    readonly cause: MoveCause;
+    readonly moves: readonly Move[];
+    readonly settings: MoveBudgetSettings;
+    readonly now: number;
+  },
+): {
+  readonly moves: readonly Move[];
+  readonly budget: MoveBudget<AgentId>;
+  readonly deferred: readonly number[];
+  readonly rebalancing: Rebalancing;
+} {
+  const { cause, settings, now } = query;
+  const keyShare = keyShareOf(state);
+  const allowed = countAllowed(
+    remainingKeyShare(query.budget, { cause, settings, now }),
+    { count: query.moves.length, keyShare },
+  );
+  const moves = query.moves.slice(0, allowed);
+  const deferred = query.moves.slice(allowed).map(({ slice }) => slice);
+  const started = moves.map(({ slice, destination }) => ({
+    slice,
+    keyShare,
+    destination,
+    capacity: state.holders.get(destination)?.weight ?? 0,
+    at: now,
+  }));
+  const budget = recordMoves(query.budget, { moves: started, settings, now });
+  return {
+    moves,
+    budget,
+    deferred,
+    rebalancing: {
+      cause,
+      slices: moves.map(({ slice }) => slice),
+      deferred: deferred
+        .filter((slice) => !query.budget.deferred.has(slice)).length,
+      remainingKeyShare: remainingKeyShare(budget, { cause, settings, now }),
+    },
+  };
 }
 
 /**
@@ -131,7 +383,7 @@
 }
 
 function chooseEvacuations(state: GrantorState): readonly Move[] {
-  const loads = loadsByHolder(state);
+  const loads = withoutLimited(state, loadsByHolder(state));
   const moves: Move[] = [];
   state.slices.forEach((slice, index) => {
     if (slice.kind !== "held") return;
@@ -150,13 +402,19 @@
 
 function chooseRebalancing(
   state: GrantorState,
-  maxMoves: number,
+  query: { readonly maxMoves: number; readonly rules: EvenOutRules },
 ): readonly Move[] {
+  const { maxMoves, rules } = query;
   const loads = loadsByHolder(state);
   const moved = new Set<number>();
   const moves: Move[] = [];
   while (moves.length < maxMoves) {
-    const move = bestMove(state, { loads, moved });
+    const move = bestMove(state, {
+      loads,
+      moved,
+      rules,
+      stuck: new Set(),
+    });
     if (move === null) break;
     moves.push(move);
     moved.add(move.slice);
@@ -182,19 +440,31 @@
   view: {
     readonly loads: ReadonlyMap<AgentId, number>;
     readonly moved: ReadonlySet<number>;
+    readonly rules: EvenOutRules;
+    /** Servers that can give nothing. */
+    readonly stuck: ReadonlySet<AgentId>;
   },
 ): Move | null {
-  const owner = withHighestLoad(view.loads);
-  const destination = withLowestLoad(view.loads);
+  const { loads, rules, stuck } = view;
+  const owner = withHighestLoad(filterIds(loads, (id) => !stuck.has(id)));
+  const destination = withLowestLoad(filterIds(loads, rules.mayReceive));
   if (owner === null || destination === null || owner === destination) {
     return null;
   }
-  const difference = (view.loads.get(owner) ?? 0) -
-    (view.loads.get(destination) ?? 0);
+  const difference = (loads.get(owner) ?? 0) - (loads.get(destination) ?? 0);
   const { imbalanceTolerance } = state.settings;
-  if (difference <= imbalanceTolerance * meanOf(view.loads)) return null;
-  const slice = bestSlice(state, { owner, difference, moved: view.moved });
-  return slice === null ? null : { slice, owner, destination };
+  if (difference <= imbalanceTolerance * meanOf(loads)) return null;
+  const slice = bestSlice(state, { ...view, owner, destination, difference });
+  if (slice !== null) return { slice, owner, destination };
+  if (!rules.triesOtherOwners) return null;
+  return bestMove(state, { ...view, stuck: new Set([...stuck, owner]) });
+}
+
+function filterIds(
+  loads: ReadonlyMap<AgentId, number>,
+  accepts: (id: AgentId) => boolean,
+): ReadonlyMap<AgentId, number> {
+  return new Map([...loads].filter(([id]) => accepts(id)));
 }
 
 function meanOf(loads: ReadonlyMap<AgentId, number>): number {
@@ -211,17 +481,25 @@
   state: GrantorState,
   view: {
     readonly owner: AgentId;
+    readonly destination: AgentId;
     readonly difference: number;
+    readonly loads: ReadonlyMap<AgentId, number>;
     readonly moved: ReadonlySet<number>;
+    readonly rules: EvenOutRules;
   },
 ): number | null {
+  const { rules, destination } = view;
   const holder = state.holders.get(view.owner);
   if (holder === undefined) return null;
+  const receiving = state.holders.get(destination)?.weight ?? 1;
+  const free = rules.maxUtilization - (view.loads.get(destination) ?? 0);
   let best: number | null = null;
   let smallestRest = view.difference;
   state.slices.forEach((slice, index) => {
     if (slice.kind !== "held" || slice.owner !== view.owner) return;
     if (view.moved.has(index) || !isSettled(holder, slice.token)) return;
+    if (!rules.mayMove(index, view.owner)) return;
+    if (sliceLoad(state, index) / receiving > free) return;
     const load = sliceLoad(state, index) / holder.weight;
     const rest = Math.abs(view.difference - 2 * load);
     if (rest < smallestRest) {
--- a/source/core/ownership/takeover.ts
+++ b/source/core/ownership/takeover.ts
@@ -23,6 +23,7 @@
   hasAllReports,
   sliceFromBase,
 } from "./unreported_slices.ts";
+import { fullBudget } from "./move_budget.ts";
 import type { Grant, TakeoverAnswer } from "./renewal.ts";
 import type { IsolatedKey } from "./table.ts";
 import { compareTokens, type FencingToken, noToken } from "./token.ts";
@@ -78,6 +79,7 @@
     isolatedKeys: takeover.isolatedKeys,
     busyKeys: [],
     loads: new Map(),
+    moveBudget: fullBudget,
     earlierMayGrant: takeover.hasEarlierGrantor,
     mayBeSuperseded: false,
     rosterChanged: false,
--- a/source/ports/events.ts
+++ b/source/ports/events.ts
@@ -38,6 +38,7 @@
   | "lease-restored"
   | "slice-granted"
   | "move-started"
+  | "slices-rebalanced"
   | "key-region-changed"
   | "key-isolated"
   | "checkpoint-written"
--- a/source/tasks/grantor_events.ts
+++ b/source/tasks/grantor_events.ts
@@ -44,6 +44,14 @@
         from: effect.owner,
         to: effect.destination,
       });
+    case "rebalanced":
+      return events.record("slices-rebalanced", {
+        ...common,
+        cause: effect.cause,
+        slices: effect.slices.join(","),
+        deferred: effect.deferred,
+        remainingKeyShare: Number(effect.remainingKeyShare.toFixed(4)),
+      });
     case "isolated":
       return events.record("key-isolated", {
         ...common,
