Tell whether a target's machine is slow at this moment

Cause: a server whose machine is slow now should not be given more keys. Change: momentarySlowness is 1 unless a report of at most half a second is 1.5 times the usual one; the admission task of a target gives it.

--- a/source/core/load/target_load.ts
+++ b/source/core/load/target_load.ts
@@ -36,6 +36,9 @@
 /** Work takes at most this much longer than usual, whatever is reported. */
 const maxFactor = 3;
 
+/** A machine counts as slow at this moment from this factor on. */
+const minSlowFactor = 1.5;
+
 /** Records a report; one without a slowness changes nothing. */
 export function recordSlowness(
   former: Slowness | null,
@@ -68,6 +71,20 @@
   return milliseconds + affected * trust * (boundedFactor(slowness) - 1);
 }
 
+/**
+ * How much longer than usual work takes at this moment: 1 unless a report that
+ * is still valid says that the machine is clearly slow.
+ */
+export function momentarySlowness(
+  slowness: Slowness | null,
+  now: number,
+): number {
+  if (slowness === null) return 1;
+  if (now - slowness.reportedAt >= lifetimeMilliseconds) return 1;
+  const factor = boundedFactor(slowness);
+  return factor >= minSlowFactor ? factor : 1;
+}
+
 /** A target's slowness as an input of a decision, for its log line. */
 export function describeSlowness(
   slowness: Slowness | null,
--- a/source/core/load/target_load_test.ts
+++ b/source/core/load/target_load_test.ts
@@ -5,6 +5,7 @@
 import { createAdmission } from "../admission/state.ts";
 import {
   expectedWithSlowness,
+  momentarySlowness,
   recordSlowness,
   type Slowness,
 } from "./target_load.ts";
@@ -55,3 +56,20 @@
     assert.deepEqual(arrive(11, 2_600), ["start"]);
   });
 });
+
+describe("the slowness of a machine at this moment", () => {
+  const reports = { current: 3, reportedAt: 1_000, mean: 1.4 };
+
+  it("is that of the last report, for half a second", () => {
+    const factors = [1_000, 1_499, 1_500]
+      .map((now) => momentarySlowness(reports, now) > 2);
+    assert.deepEqual(factors, [true, true, false]);
+  });
+
+  // Guards against servers that get no keys because they always report the same.
+  it("is 1 without a report, or with one that is as usual", () => {
+    assert.equal(momentarySlowness(null, 1_000), 1);
+    assert.equal(momentarySlowness({ ...reports, mean: 3 }, 1_000), 1);
+    assert.equal(momentarySlowness({ ...reports, current: 1.6 }, 1_000), 1);
+  });
+});
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -18,7 +18,10 @@
 import { countWaiting } from "../core/admission/queue.ts";
 import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { createAdmission } from "../core/admission/state.ts";
-import { describeSlowness } from "../core/load/target_load.ts";
+import {
+  describeSlowness,
+  momentarySlowness,
+} from "../core/load/target_load.ts";
 import type { Shortage } from "../core/admission/shortage.ts";
 import type { Client } from "../core/admission/fair_shares.ts";
 import { type Failure, notRun } from "../core/request/outcome.ts";
@@ -80,6 +83,12 @@
   stop(): void;
 }
 
+/** The admission task of a target that may report its machine's slowness. */
+export interface TargetAdmission extends AdmissionTask {
+  /** How much longer work takes on the target's machine at this moment. */
+  machineSlowness(): number;
+}
+
 /** Resolves the `enter` call of a waiting request. */
 type SlotCallback = (result: Result<AdmissionSlot, AdmissionRefusal>) => void;
 
@@ -96,7 +105,7 @@
   readonly tickMilliseconds: number;
   /** Called for each request that waits because the target is cold. */
   readonly onColdStartDelayed?: () => void;
-}): AdmissionTask {
+}): TargetAdmission {
   let state = createAdmission(options.settings);
   let nextId = 1;
   const callbacks = new Map<number, SlotCallback>();
@@ -184,6 +193,7 @@
     load: () => state.running.size + countWaiting(state),
     throughput: () => Math.max(1, Math.round(throughput(state))),
     coldRequestsPerSecond,
+    machineSlowness: () => momentarySlowness(state.slowness, monotonicNow()),
     describeLimits() {
       const rate = coldRequestsPerSecond();
       return {
