Use the budget for moves on the users' platform

Cause: the settings of ownership had the switch, but nothing turned it on. Change: agents whose settings have the bounds of cold targets use it, and report the limit of a target whose machine is slow. All others are as before. Result: platform_policy_test.ts passes; so do target_load, serve_finish and cold_target_task.

--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -54,10 +54,11 @@
   coordinatorTimes,
   departuresTimes,
   desiredStateTimes,
-  groupSettings,
+  groupSettingsFor,
   maxMissedHeartbeats,
   servicePolicy,
   stopTimes,
+  weightLimit,
 } from "./platform_policy.ts";
 import { type RequestTasks, startRequestTasks } from "./platform_requests.ts";
 import { stopServing } from "./stop.ts";
@@ -239,7 +240,7 @@
   const coordinator = startCoordinator({
     agent,
     times: coordinatorTimes,
-    group: groupSettings,
+    group: groupSettingsFor(settings),
     delegations: store.delegations,
     storeEra,
     peers,
@@ -263,7 +264,7 @@
     }),
     startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
-    weightLimit: admission.coldRequestsPerSecond,
+    weightLimit: () => weightLimit(settings, admission),
     eventsAfter: (time) => events.after(time),
     onConfiguration(next) {
       configuration = next;
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -12,7 +12,10 @@
 import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { type Configuration, serviceNamed } from "../core/document/document.ts";
 import type { ServicePolicy } from "../core/routes/desired_state.ts";
+import type { GrantorSettings } from "../core/ownership/grantor_state.ts";
+import type { MoveBudgetSettings } from "../core/ownership/move_budget.ts";
 import type { RetrySettings } from "../core/retry/retry.ts";
+import type { TargetAdmission } from "../tasks/admission_task.ts";
 import type { CoordinatorTimes, GroupSettings } from "../tasks/coordinator.ts";
 import type { DeparturesTimes } from "../tasks/departures_task.ts";
 import type { DesiredStateTimes } from "../tasks/desired_state_source.ts";
@@ -60,6 +63,53 @@
   initialAssignmentDelayMilliseconds: 1_500,
 };
 
+/** The budget for moves of slices. */
+const unevenDemand: MoveBudgetSettings = {
+  intervalMilliseconds: 10_000,
+  maxKeyShare: 0.08,
+  evenOutPart: 0.25,
+  minStayMilliseconds: 10_000,
+};
+/**
+ * Load above capacity has moves of its own, so that the others need not follow
+ * differences that may be noise.
+ */
+const unevenDemandTolerance = 0.5;
+
+/**
+ * The same by the settings of an agent: where these have the bounds of cold
+ * targets, load above capacity is moved first, within a budget.
+ */
+export function groupSettingsFor(
+  { bounds }: Pick<PlatformSettings, "bounds">,
+): GroupSettings & Pick<GrantorSettings, "unevenDemand"> {
+  if (bounds.coldRate === null) return groupSettings;
+  const imbalanceTolerance = unevenDemandTolerance;
+  return { ...groupSettings, imbalanceTolerance, unevenDemand };
+}
+
+/** The schema of renewals allows no more. */
+const maxWeightLimit = 1_000_000;
+
+/**
+ * The most that a target takes at this moment, in requests a second; null
+ * without a limit. A cold one takes its rate. One whose machine is slow takes
+ * what it runs otherwise: it keeps its keys and is given no more.
+ */
+export function weightLimit(
+  { bounds }: Pick<PlatformSettings, "bounds">,
+  target: Pick<
+    TargetAdmission,
+    "coldRequestsPerSecond" | "machineSlowness" | "throughput"
+  >,
+): number | null {
+  const cold = target.coldRequestsPerSecond();
+  if (cold !== null || bounds.coldRate === null) return cold;
+  const slowness = target.machineSlowness();
+  if (slowness === 1) return null;
+  return Math.min(maxWeightLimit, target.throughput() * slowness);
+}
+
 /** Durations for watching the desired state. */
 export const desiredStateTimes: DesiredStateTimes = {
   maxWatchMilliseconds: 20_000,
