--- a/source/core/ownership/rebalancing.ts
+++ b/source/core/ownership/rebalancing.ts
@@ -88,10 +88,18 @@
     budget: { ...evened.budget, deferred },
     rebalancings: [relieved, evened]
       .map(({ rebalancing }) => rebalancing)
-      .filter(({ slices, deferred }) => slices.length + deferred > 0),
+      .filter(isReported),
   };
 }
 
+/**
+ * Moves that even out the load often wait for the budget, so that this alone is
+ * not worth a log line.
+ */
+function isReported({ cause, slices, deferred }: Rebalancing): boolean {
+  return slices.length > 0 || (cause === "above-capacity" && deferred > 0);
+}
+
 function reliefPlan(
   state: GrantorState,
   query: {
