Count moves of slices and those that wait

Change: events of grantors are counted as slices_moved and moves_deferred where a program passes a counter.

--- /dev/null
+++ b/source/tasks/move_counts.ts
@@ -0,0 +1,27 @@
+/**
+ * Counts the moves of slices that this agent's grantors start, and those that
+ * wait for the budget.
+ *
+ * @module
+ */
+import type { Events } from "../ports/events.ts";
+
+/** Names of the counters. */
+export type MoveCounter = "slices_moved" | "moves_deferred";
+
+/** Events that are also counted as they are recorded. */
+export function withMoveCounts(
+  events: Events,
+  count: (name: MoveCounter, amount: number) => void,
+): Events {
+  return {
+    record(kind, detail) {
+      events.record(kind, detail);
+      if (kind === "move-started") count("slices_moved", 1);
+      if (kind !== "slices-rebalanced") return;
+      const deferred = detail?.["deferred"];
+      if (typeof deferred !== "number" || deferred === 0) return;
+      count("moves_deferred", deferred);
+    },
+  };
+}
