--- a/source/core/ownership/placement.ts
+++ b/source/core/ownership/placement.ts
@@ -5,83 +5,19 @@
  * @module
  */
 import type { AgentId } from "../agent.ts";
-import type { GrantorState, Holder } from "./grantor_state.ts";
-import { penalizeSlowServers } from "./slow_servers.ts";
-import { compareTokens } from "./token.ts";
-import { placementWeights } from "./unmeasured_weights.ts";
-
-/** A planned move of one slice. */
-export interface Move {
-  readonly slice: number;
-  readonly owner: AgentId;
-  readonly destination: AgentId;
-}
-
-/** Assumed load of a slice without measurements, in requests a second. */
-const unmeasuredLoad = 0.25;
-
-function sliceLoad(state: GrantorState, slice: number): number {
-  return Math.max(unmeasuredLoad, state.loads.get(slice) ?? 0);
-}
-
-function withPlacementWeights(state: GrantorState): GrantorState {
-  const weights = placementWeights(state.holders);
-  const weigh = ([id, holder]: [AgentId, Holder]): [AgentId, Holder] => [
-    id,
-    { ...holder, weight: weights.get(id) ?? holder.weight },
-  ];
-  return { ...state, holders: new Map([...state.holders].map(weigh)) };
-}
-
-/** The servers that stay, and the load of their slices relative to weight. */
-function loadsByHolder(state: GrantorState): Map<AgentId, number> {
-  // A server whose lease had expired refuses all requests and so reports no
-  // load. It may not learn of new grants either.
-  const serving = stayingHolders(state)
-    .filter(({ leaseHadExpired }) => !leaseHadExpired);
-  return loadsOf(state, serving);
-}
-
-function stayingHolders(state: GrantorState): readonly Holder[] {
-  return [...state.holders.values()].filter(({ leaving }) => !leaving);
-}
-
-function loadsOf(
-  state: GrantorState,
-  holders: readonly Holder[],
-): Map<AgentId, number> {
-  const loads = new Map(holders.map(({ id }): [AgentId, number] => [id, 0]));
-  state.slices.forEach((slice, index) => {
-    const owner = futureOwner(slice);
-    const sum = owner === null ? undefined : loads.get(owner);
-    if (owner === null || sum === undefined) return;
-    const weight = state.holders.get(owner)?.weight ?? 1;
-    loads.set(owner, sum + sliceLoad(state, index) / weight);
-  });
-  return penalizeSlowServers(loads, (id) => state.holders.get(id)?.weight ?? 1);
-}
-
-function futureOwner(slice: GrantorState["slices"][number]): AgentId | null {
-  if (slice.kind === "held") return slice.owner;
-  if (slice.kind === "moving") return slice.destination;
-  return null;
-}
-
-function withLowestLoad(loads: ReadonlyMap<AgentId, number>): AgentId | null {
-  let best: AgentId | null = null;
-  for (const [id, load] of loads) {
-    if (best === null || load < (loads.get(best) ?? 0)) best = id;
-  }
-  return best;
-}
-
-function withHighestLoad(loads: ReadonlyMap<AgentId, number>): AgentId | null {
-  let best: AgentId | null = null;
-  for (const [id, load] of loads) {
-    if (best === null || load > (loads.get(best) ?? 0)) best = id;
-  }
-  return best;
-}
+import { chooseEvenOutMoves, type Move, withoutRules } from "./even_out.ts";
+import type { GrantorState, Slice } from "./grantor_state.ts";
+import {
+  isLimited,
+  isSettled,
+  loadsByHolder,
+  loadsOf,
+  sliceLoad,
+  stayingHolders,
+  withLowestLoad,
+  withPlacementWeights,
+} from "./holder_loads.ts";
+import { type MovePlan, planRebalancing } from "./rebalancing.ts";
 
 /**
  * The server that a free slice is assigned to; null if there is none. Where the
@@ -95,7 +31,7 @@
   const state = withPlacementWeights(reported);
   const serving = loadsByHolder(state);
   const loads = serving.size > 0
-    ? serving
+    ? withoutLimited(state, serving)
     : loadsOf(state, stayingHolders(state));
   for (const [id, load] of loads) {
     const weight = state.holders.get(id)?.weight ?? 1;
@@ -104,6 +40,50 @@
   return withLowestLoad(loads);
 }
 
+/**
+ * Leaves out servers that are cold or whose machines are slow at this moment,
+ * unless these are most: the few others can't take all free slices.
+ */
+function withoutLimited(
+  state: GrantorState,
+  loads: Map<AgentId, number>,
+): Map<AgentId, number> {
+  if (state.settings.unevenDemand === undefined) return loads;
+  const receiving = [...loads].filter(([id]) => !isLimited(state, id));
+  return receiving.length * 2 >= loads.size ? new Map(receiving) : loads;
+}
+
+/**
+ * The server that a slice was released for; null if there is none, or if it may
+ * no longer receive slices.
+ */
+export function plannedDestination(
+  state: GrantorState,
+  slice: Slice & { readonly kind: "free" },
+): AgentId | null {
+  const { destination } = slice;
+  if (state.settings.unevenDemand === undefined) return null;
+  if (destination === undefined || isLimited(state, destination)) return null;
+  const holder = state.holders.get(destination);
+  if (holder === undefined || holder.leaving) return null;
+  return holder.leaseHadExpired ? null : destination;
+}
+
+/** The planned moves to start now, within the budget if the settings have one. */
+export function planMoves(state: GrantorState, now: number): MovePlan {
+  const budget = state.moveBudget;
+  const settings = state.settings.unevenDemand;
+  if (settings === undefined) {
+    return { moves: chooseMoves(state), budget, rebalancings: [] };
+  }
+  const weighed = withPlacementWeights(state);
+  const evacuations = chooseEvacuations(weighed);
+  if (evacuations.length > 0 || !loadsReported(weighed)) {
+    return { moves: evacuations, budget, rebalancings: [] };
+  }
+  return planRebalancing(weighed, { settings, now });
+}
+
 /** The planned moves to start now. Slices of leaving servers come first. */
 export function chooseMoves(reported: GrantorState): readonly Move[] {
   const state = withPlacementWeights(reported);
@@ -112,7 +92,7 @@
   if (evacuations.length > 0) return evacuations;
   if (!loadsReported(state)) return [];
   const maxMoves = state.settings.maxConcurrentMoves - moving;
-  return chooseRebalancing(state, maxMoves);
+  return chooseEvenOutMoves(state, { maxMoves, rules: withoutRules });
 }
 
 /**
@@ -131,7 +111,7 @@
 }
 
 function chooseEvacuations(state: GrantorState): readonly Move[] {
-  const loads = loadsByHolder(state);
+  const loads = withoutLimited(state, loadsByHolder(state));
   const moves: Move[] = [];
   state.slices.forEach((slice, index) => {
     if (slice.kind !== "held") return;
@@ -147,102 +127,3 @@
   });
   return moves;
 }
-
-function chooseRebalancing(
-  state: GrantorState,
-  maxMoves: number,
-): readonly Move[] {
-  const loads = loadsByHolder(state);
-  const moved = new Set<number>();
-  const moves: Move[] = [];
-  while (moves.length < maxMoves) {
-    const move = bestMove(state, { loads, moved });
-    if (move === null) break;
-    moves.push(move);
-    moved.add(move.slice);
-    applyMove(state, { loads, move });
-  }
-  return moves;
-}
-
-function applyMove(
-  state: GrantorState,
-  change: { readonly loads: Map<AgentId, number>; readonly move: Move },
-): void {
-  const { loads, move } = change;
-  const load = sliceLoad(state, move.slice);
-  const from = state.holders.get(move.owner)?.weight ?? 1;
-  const to = state.holders.get(move.destination)?.weight ?? 1;
-  loads.set(move.owner, (loads.get(move.owner) ?? 0) - load / from);
-  loads.set(move.destination, (loads.get(move.destination) ?? 0) + load / to);
-}
-
-function bestMove(
-  state: GrantorState,
-  view: {
-    readonly loads: ReadonlyMap<AgentId, number>;
-    readonly moved: ReadonlySet<number>;
-  },
-): Move | null {
-  const owner = withHighestLoad(view.loads);
-  const destination = withLowestLoad(view.loads);
-  if (owner === null || destination === null || owner === destination) {
-    return null;
-  }
-  const difference = (view.loads.get(owner) ?? 0) -
-    (view.loads.get(destination) ?? 0);
-  const { imbalanceTolerance } = state.settings;
-  if (difference <= imbalanceTolerance * meanOf(view.loads)) return null;
-  const slice = bestSlice(state, { owner, difference, moved: view.moved });
-  return slice === null ? null : { slice, owner, destination };
-}
-
-function meanOf(loads: ReadonlyMap<AgentId, number>): number {
-  const sum = [...loads.values()].reduce((sum, load) => sum + load, 0);
-  return sum / Math.max(1, loads.size);
-}
-
-/**
- * The slice whose load is nearest to half the difference between the servers;
- * null if none reduces the difference. Moving a slice that only reverses the
- * difference would cause endless moves.
- */
-function bestSlice(
-  state: GrantorState,
-  view: {
-    readonly owner: AgentId;
-    readonly difference: number;
-    readonly moved: ReadonlySet<number>;
-  },
-): number | null {
-  const holder = state.holders.get(view.owner);
-  if (holder === undefined) return null;
-  let best: number | null = null;
-  let smallestRest = view.difference;
-  state.slices.forEach((slice, index) => {
-    if (slice.kind !== "held" || slice.owner !== view.owner) return;
-    if (view.moved.has(index) || !isSettled(holder, slice.token)) return;
-    const load = sliceLoad(state, index) / holder.weight;
-    const rest = Math.abs(view.difference - 2 * load);
-    if (rest < smallestRest) {
-      best = index;
-      smallestRest = rest;
-    }
-  });
-  return best;
-}
-
-/**
- * Whether a slice may be moved. Its owner must have had the table that contains
- * its token for longer than any request runs, because requests for a key that
- * were admitted before its isolation count as running on another slice. Owners
- * whose target checks fencing tokens need not wait: the target tracks the
- * requests of each key itself.
- */
-function isSettled(
-  holder: Holder,
-  token: { readonly epoch: number; readonly sequence: number },
-): boolean {
-  return holder.checksFencing ||
-    compareTokens(holder.settledVersion, token) >= 0;
-}
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -58,10 +58,11 @@
   coordinatorTimes,
   departuresTimes,
   desiredStateTimes,
-  groupSettings,
+  groupSettingsFor,
   maxMissedHeartbeats,
   servicePolicy,
   stopTimes,
+  weightLimit,
 } from "./platform_policy.ts";
 import {
   hasUnevenTargets,
@@ -264,7 +265,7 @@
   const coordinator = startCoordinator({
     agent,
     times: coordinatorTimes,
-    group: groupSettings,
+    group: groupSettingsFor(settings),
     delegations: store.delegations,
     storeEra,
     peers,
@@ -288,7 +289,7 @@
     }),
     startKeyGrants: targetKeys.startKeyGrants,
     weight: () => admission.throughput(),
-    weightLimit: admission.coldRequestsPerSecond,
+    weightLimit: () => weightLimit(settings, admission),
     eventsAfter: (time) => events.after(time),
     onConfiguration(next) {
       configuration = next;
