Bound the share of a lower rank by starts as well as by work

A lower rank with short requests was therefore owed a start after every few starts of long ones, and went before nearly all waiting requests of the most urgent rank, which were late.

A start now earns a lower rank what it would by starts or by work, whichever is less. Long requests of a lower rank still can't take a third of the work.

Loans of retries are ruled out by reading only: an agent doesn't send keyed requests again that a full queue refused, and no request waits for a loan.

--- a/source/core/admission/competing_classes_test.ts
+++ b/source/core/admission/competing_classes_test.ts
@@ -53,6 +53,26 @@
   });
 });
 
+describe("a lower rank with many short requests", () => {
+  // Guards against a share of the work that is a third of the starts, each of
+  // them before the waiting requests of the rank above.
+  it("gets no more than its share of the starts", () => {
+    const options = { settings, milliseconds: 60_000 };
+    const valuable = { name: "valuable", rank: 0, ...longWork };
+    const short = { name: "short", rank: 1, ...shortWork };
+    const share = simulateSeeds([
+      { ...valuable, load: () => 1.2 },
+      { ...short, load: () => 0.3 },
+    ], options);
+    const starts = [
+      share("valuable", "served") * 1.2 / longWork.workMilliseconds,
+      share("short", "served") * 0.3 / shortWork.workMilliseconds,
+    ] as const;
+    const part = starts[1] / (starts[0] + starts[1]);
+    assert.ok(part <= lowerRankShare * 1.2, `${part} of the starts`);
+  });
+});
+
 describe("a rank that asks for less than its share", () => {
   // Guards against credit that is lost or earned too late: of 62 such requests
   // one was served.
--- a/source/core/admission/settings.ts
+++ b/source/core/admission/settings.ts
@@ -7,7 +7,10 @@
 /** A rank of requests; ranks are listed with the most urgent first. */
 export interface RankPolicy {
   readonly name: string;
-  /** The part of the work guaranteed to the rank under overload, 0 to 1. */
+  /**
+   * The part guaranteed to the rank under overload, 0 to 1: of the work or of
+   * the starts, whichever is less.
+   */
   readonly share: number;
 }
 
--- a/source/core/admission/starts.ts
+++ b/source/core/admission/starts.ts
@@ -130,9 +130,11 @@
 }
 
 /**
- * How many requests of a rank are as much work as this one. Shares are parts of
- * the work: a twentieth of the starts would be a third of the work if requests
- * of that rank took ten times as long.
+ * How many requests of a rank are as much work as this one, at most one. Shares
+ * are parts of the work: a twentieth of the starts would be a third of the work
+ * if requests of that rank took ten times as long. They are parts of the starts
+ * as well: short requests of a lower rank otherwise started before nearly all
+ * waiting requests of the ranks above.
  */
 function relativeWork(
   state: AdmissionState,
@@ -141,5 +143,7 @@
 ): number {
   const typical = occupiedMilliseconds(state, { rank, work: null });
   const milliseconds = occupiedMilliseconds(state, started);
-  return typical > 0 && milliseconds > 0 ? milliseconds / typical : 1;
+  return typical > 0 && milliseconds > 0
+    ? Math.min(1, milliseconds / typical)
+    : 1;
 }
