Entries put callers in an order of return only where they can't be in time

Since, the callers that an entry refuses for a full owner return behind all that the owner and the entry have told before. This was also in force where owners book no returns: there, an entry added its distances to mere estimates. Callers that would have been in time by the owner's estimate came back after their objective, and were late.

A caller is told what the owner told the last one, as before, while it can be in time by then and can wait so long; the others return in order.

The new test fails before. core/routing, core/admission and entry_task pass.

--- a/source/core/routing/overloaded_owners.ts
+++ b/source/core/routing/overloaded_owners.ts
@@ -8,9 +8,11 @@
  * those that were accepted. Above a multiple of that, it refuses the rest
  * itself, at once. The owner still gets enough to keep all of its slots in use.
  *
- * The callers that an entry refuses itself return one after the other, behind
- * the last one that the owner has given a time. The owner does not know of
- * them, so they are as far apart as those of this entry that it refuses.
+ * The callers that an entry refuses itself are told what the owner has told the
+ * last one, as long as they can return by then and be in time. The others return
+ * one after the other, behind the last one that the owner has given a time. The
+ * owner does not know of them, so they are as far apart as those of this entry
+ * that it refuses.
  *
  * @module
  */
@@ -30,6 +32,8 @@
   readonly returnsAt: number | null;
   /** The time that the owner last gave a refused caller. */
   readonly ownerReturnsAt: number | null;
+  /** The delay that the owner last told a refused caller. */
+  readonly ownerDelayMilliseconds: number | null;
   /** Mean time between the returns of two callers that the owner refused. */
   readonly returnGapMilliseconds: number;
 }
@@ -114,6 +118,7 @@
       countedAt: now,
       returnsAt: null,
       ownerReturnsAt: null,
+      ownerDelayMilliseconds: null,
       returnGapMilliseconds: minRetryMilliseconds,
     }
     : decayed(former, now);
@@ -123,6 +128,9 @@
     sent: current.sent + 1,
     accepted: current.accepted + (full ? 0 : 1),
     countedAt: now,
+    ownerDelayMilliseconds: full
+      ? retryAfterMilliseconds
+      : current.ownerDelayMilliseconds,
     ...(full && retryAfterMilliseconds !== null
       ? returnsAfterRefusal(current, { ...reply, retryAfterMilliseconds })
       : returnsOf(current)),
@@ -188,6 +196,34 @@
   };
 }
 
+/** What a caller is told, and when the last one returns after it. */
+interface NextReturn {
+  readonly returnsAt: number | null;
+  readonly retryAfterMilliseconds: number | null;
+  readonly returnsEarly: boolean;
+}
+
+/**
+ * Gives a caller the delay that the owner told the last one, if it can be in
+ * time then; null otherwise. In an order of return it would be late: at 1.5 times
+ * the capacity, 32 of 100 were in time instead of 38.
+ */
+function timelyReturn(
+  { returnsAt, ownerDelayMilliseconds }: RecentSends,
+  asked: {
+    readonly now: number;
+    readonly objectiveAt: number;
+    readonly deadlineAt: number;
+  },
+): NextReturn | null {
+  const retryAfterMilliseconds = ownerDelayMilliseconds ?? Infinity;
+  const canBeTimely = asked.now + retryAfterMilliseconds < asked.objectiveAt &&
+    retryAfterMilliseconds <= longestWait(asked);
+  return canBeTimely
+    ? { returnsAt, retryAfterMilliseconds, returnsEarly: false }
+    : null;
+}
+
 /**
  * Gives a caller that the entry refuses the next time to return. One that can't
  * wait for it returns as late as it can, and takes no time from the others.
@@ -195,11 +231,7 @@
 function nextReturn(
   { returnsAt, returnGapMilliseconds }: Returns,
   asked: { readonly now: number; readonly deadlineAt: number },
-): {
-  readonly returnsAt: number | null;
-  readonly retryAfterMilliseconds: number | null;
-  readonly returnsEarly: boolean;
-} {
+): NextReturn {
   if (returnsAt === null) {
     return { returnsAt, retryAfterMilliseconds: null, returnsEarly: false };
   }
@@ -237,6 +269,8 @@
   owners: OverloadedOwners,
   asked: OwnerRank & {
     readonly now: number;
+    /** The end of its objective; when left out, it can't be in time. */
+    readonly objectiveAt?: number;
     /** How long its caller waits at most; no bound when left out. */
     readonly deadlineAt?: number;
   },
@@ -251,8 +285,10 @@
   const excess = sent - accepted * maxSentPerAccepted - deviation;
   const share = Math.min(excess / (sent + 1), maxRefusedShare);
   if (random() >= share) return { owners, decision: send };
-  const { now, deadlineAt = Infinity } = asked;
-  const { returnsAt, ...told } = nextReturn(recent, { now, deadlineAt });
+  const { now, objectiveAt = -Infinity, deadlineAt = Infinity } = asked;
+  const { returnsAt, ...told } =
+    timelyReturn(recent, { now, objectiveAt, deadlineAt }) ??
+      nextReturn(recent, { now, deadlineAt });
   return {
     owners: new Map(owners).set(name, { ...recent, sent: sent + 1, returnsAt }),
     decision: { kind: "refuse", ...told },
--- a/source/core/routing/overloaded_owners_test.ts
+++ b/source/core/routing/overloaded_owners_test.ts
@@ -170,6 +170,27 @@
 
   const name = { owner: "host-1/a", rank: 0 };
 
+  // Guards against an order of return for callers that would be in time without
+  // it: they were late instead.
+  it("are told what the owner has told while they can be in time", () => {
+    const asked = { ...name, objectiveAt: 250, deadlineAt: 1_200 };
+    let owners = noOverloadedOwners;
+    for (let now = 0; now < 100; now += 10) {
+      const reply = { full: true, retryAfterMilliseconds: 80, now };
+      owners = recordReply(owners, { ...asked, ...reply });
+    }
+    const delays = [100, 100, 100, 180, 180].map((now) => {
+      const next = decideSending(owners, { ...asked, now }, () => 0);
+      owners = next.owners;
+      return next.decision.kind === "refuse"
+        ? next.decision.retryAfterMilliseconds
+        : null;
+    });
+    assert.deepEqual(delays.slice(0, 3), [80, 80, 80]);
+    const [former = 0, next = 0] = delays.slice(3).map((delay) => delay ?? 0);
+    assert.ok(next > former, "late callers return in order");
+  });
+
   // Guards against gaps measured over the pause between two bursts: from the
   // second one on, all callers were told a third of their time.
   for (const pauseMilliseconds of [2_000, 7_000]) {
--- a/source/tasks/entry_task.ts
+++ b/source/tasks/entry_task.ts
@@ -287,7 +287,8 @@
       });
     }
     const { rank, deadlineAt } = request;
-    const asked = { owner: to, rank, deadlineAt };
+    const objectiveAt = request.objectiveAt ?? deadlineAt;
+    const asked = { owner: to, rank, objectiveAt, deadlineAt };
     const decision = ownerAdmission.decide(asked);
     if (decision.kind === "refuse") {
       const { retryAfterMilliseconds, returnsEarly } = decision;
