Links: types of messages and their encoding are modules of their own

The encoding of heads and the types imported each other, which the check of import directions refuses. Checks and the tests of the folder pass (61).

--- a/source/adapters/hops/hop_messages_test.ts
+++ b/source/adapters/hops/hop_codec_test.ts
@@ -4,12 +4,11 @@
 import { describe, it } from "node:test";
 import { notRun } from "../../core/request/outcome.ts";
 import type { Headers } from "../../ports/upstream.ts";
-import {
-  type ClientMessage,
-  createDecoder,
-  createEncoder,
-  type RequestMessage,
-  type ServerMessage,
+import { createDecoder, createEncoder } from "./hop_codec.ts";
+import type {
+  ClientMessage,
+  RequestMessage,
+  ServerMessage,
 } from "./hop_messages.ts";
 
 const kinds: ReadonlySet<ClientMessage["kind"] | ServerMessage["kind"]> =
--- a/source/adapters/hops/hop_link.ts
+++ b/source/adapters/hops/hop_link.ts
@@ -30,8 +30,8 @@
   createEncoder,
   type DecodeMessage,
   type EncodeMessage,
-  type ServerMessage,
-} from "./hop_messages.ts";
+} from "./hop_codec.ts";
+import type { ServerMessage } from "./hop_messages.ts";
 import {
   composeRequest,
   type HopNaming,
--- a/source/adapters/hops/hop_link_server.ts
+++ b/source/adapters/hops/hop_link_server.ts
@@ -19,12 +19,11 @@
   createHopCancellations,
   type HopCancellations,
 } from "./hop_cancellations.ts";
-import {
-  type ClientMessage,
-  createDecoder,
-  createEncoder,
-  type RequestMessage,
-  type ServerMessage,
+import { createDecoder, createEncoder } from "./hop_codec.ts";
+import type {
+  ClientMessage,
+  RequestMessage,
+  ServerMessage,
 } from "./hop_messages.ts";
 import {
   type AbandonedRequest,
--- a/source/adapters/hops/hop_links_test.ts
+++ b/source/adapters/hops/hop_links_test.ts
@@ -13,7 +13,7 @@
 import { testRequest } from "../../../tests/test_request.ts";
 import { linkSenderOf } from "./hop_deduplication.ts";
 import { serveHopLinks } from "./hop_link_server.ts";
-import { createEncoder, type EncodeMessage } from "./hop_messages.ts";
+import { createEncoder, type EncodeMessage } from "./hop_codec.ts";
 import { linkPath, openHopLinks } from "./hop_links.ts";
 import { startLogicalClock } from "../logs/logical_clock.ts";
 import { listen } from "../../../standins/http_server.ts";
