--- a/source/adapters/logs/metrics.ts
+++ b/source/adapters/logs/metrics.ts
@@ -30,6 +30,7 @@
   target_requests_started: ["rank"],
   target_requests_refused: ["rank", "reason"],
   cold_starts_delayed: [],
+  requests_avoided_failing: [],
   load_reports_ignored: [],
   early_returns: ["rank"],
   caller_connections_closed: ["reason"],
--- a/source/ports/metrics.ts
+++ b/source/ports/metrics.ts
@@ -15,6 +15,7 @@
   | "target_requests_started"
   | "target_requests_refused"
   | "cold_starts_delayed"
+  | "requests_avoided_failing"
   | "load_reports_ignored"
   | "early_returns"
   | "caller_connections_closed"
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -133,6 +133,7 @@
     place,
     random: Math.random,
     pickPair: unevenTargets ? pickPairBySlots : pickAnyPair,
+    onFailingAvoided: () => metrics.count("requests_avoided_failing"),
     leavesOut: unevenTargets ? leaveOutFailing : leaveOutNone,
     readPendingInput: pendingInput.readPending,
     retries: () => retrySettings(settings, coordinator.gossip.agents().length),
