--- a/source/adapters/hops/hop_codec_test.ts
+++ b/source/adapters/hops/hop_codec_test.ts
@@ -19,7 +19,7 @@
   accept: "*/*",
   "accept-encoding": "identity",
   cookie: "lang=en; session=28e1",
-  "caller-service": "booking",
+  "x-origin": "booking",
 };
 
 function request(sequence: number, headers: Headers): RequestMessage {
@@ -84,8 +84,8 @@
         request(5, { ...usualHeaders, "x-long": "b" }),
         { ...request(6, {}), departure: null, objectiveMilliseconds: null },
         { kind: "cancel", hop: request(6, {}).hop },
-        answer({ "content-type": "text/plain", "server-load": "1,0,4,100" }),
-        answer({ "content-type": "text/plain", "server-load": "2,0,4,100" }),
+        answer({ "content-type": "text/plain", "x-load": "1,0,4,100" }),
+        answer({ "content-type": "text/plain", "x-load": "2,0,4,100" }),
         {
           kind: "failure",
           hop: { sequence: 7, copy: 1 },
