Test uneven demand under the loads of both deployments

Cause: the tests had two seeds of one deployment, and more lines than needed. Change: one seed for each of the two deployments; no bound has changed. What the policy needs of the settings is a type of its own, which shortens its test.

--- a/source/core/ownership/uneven_keys_test.ts
+++ b/source/core/ownership/uneven_keys_test.ts
@@ -8,20 +8,13 @@
 import { testGrantorSettings } from "../../../tests/test_grantor.ts";
 
 /**
- * The keyed service of deployment 1: 32 targets with speeds of 0.6, 1.0 and 1.6
- * times the usual, and two classes with 649 and 340 requests a second. The
- * usual speed is such that this is 0.75 of the capacity.
+ * The keyed services of two deployments. The usual speed is such that the load
+ * is 0.75 of the capacity.
  */
-const requestsPerSecond = 649 + 340;
-const speeds = [0.6, 1, 1.6];
-const speedOf = (index: number) => speeds[index % speeds.length] ?? 1;
-const speedSum = Array.from({ length: 32 }, (_, index) => speedOf(index))
-  .reduce((sum, speed) => sum + speed, 0);
-const servers = Array.from({ length: 32 }, (_, index) => ({
-  id: `host-${index}/1`,
-  capacity: speedOf(index) * requestsPerSecond / 0.75 / speedSum,
-}));
-const fastest = Math.max(...servers.map(({ capacity }) => capacity));
+const deployments = [
+  { count: 32, speeds: [0.6, 1, 1.6], requestsPerSecond: 649 + 340, seed: 3 },
+  { count: 26, speeds: [0.7, 0.7, 1.6], requestsPerSecond: 769, seed: 17 },
+];
 const hashedSlices = 512;
 const unevenDemand = {
   intervalMilliseconds: 10_000,
@@ -46,49 +39,11 @@
   unevenDemand,
 };
 
-const evenSlices = Array.from(
-  { length: hashedSlices },
-  () => requestsPerSecond / hashedSlices,
-);
-const even: SimulatedLoad = { slices: evenSlices };
 /** The steady state is reached within this time. */
 const startSeconds = 60;
 /** Such demand lasts at least this long. */
 const shortestSeconds = 5;
 
-function start(seed: number): KeyLoadSimulation {
-  const simulation = simulateKeyLoad({ servers, settings, seed });
-  simulation.run(startSeconds, even);
-  return simulation;
-}
-
-/** A server of this speed that holds slices, and one of its slices. */
-function serverOfSpeed(simulation: KeyLoadSimulation, speed: number) {
-  const index = servers.findIndex((_, index) => speedOf(index) === speed);
-  const server = servers[index] ?? assert.fail();
-  const base = simulation.state().slices.findIndex((slice) =>
-    slice.kind === "held" && slice.owner === server.id
-  );
-  return { server, base };
-}
-
-function ownerOfKey(simulation: KeyLoadSimulation, load: SimulatedLoad) {
-  const slice = simulation.state().slices[simulation.sliceOfKey(load)];
-  if (slice?.kind !== "held") return assert.fail(`${slice?.kind}`);
-  return servers.find(({ id }) => id === slice.owner) ?? assert.fail();
-}
-
-/** Requests a second above the capacity of their servers. */
-function excess(
-  simulation: KeyLoadSimulation,
-  load: SimulatedLoad,
-  without = "",
-): number {
-  return servers.filter(({ id }) => id !== without)
-    .map(({ id, capacity }) => simulation.demandOf(id, load) - capacity)
-    .reduce((sum, above) => sum + Math.max(0, above), 0);
-}
-
 function keyMoves(simulation: KeyLoadSimulation, load: SimulatedLoad): number {
   const slice = simulation.sliceOfKey(load);
   return simulation.moves().filter((move) => move.slice === slice).length;
@@ -100,15 +55,61 @@
   return intervals * unevenDemand.maxKeyShare * hashedSlices;
 }
 
-/** Load that isn't refused, in spite of noise in what is measured. */
-const tolerated = 0.02 * requestsPerSecond;
+deployments.forEach(defineTests);
+
+function defineTests(
+  { count, speeds, requestsPerSecond, seed }: typeof deployments[number],
+): void {
+  const all = Array.from({ length: count }, (_, index) => ({
+    id: `host-${index}/1`,
+    speed: speeds[index % speeds.length] ?? 1,
+  }));
+  const usual = requestsPerSecond / 0.75 /
+    all.reduce((sum, { speed }) => sum + speed, 0);
+  const servers = all.map(({ id, speed }) => ({ id, capacity: speed * usual }));
+  const fastest = Math.max(...servers.map(({ capacity }) => capacity));
+  const mean = requestsPerSecond / hashedSlices;
+  const even = { slices: Array.from({ length: hashedSlices }, () => mean) };
+  /** Load that isn't refused, in spite of noise in what is measured. */
+  const tolerated = 0.02 * requestsPerSecond;
+
+  function start(): KeyLoadSimulation {
+    const simulation = simulateKeyLoad({ servers, settings, seed });
+    simulation.run(startSeconds, even);
+    return simulation;
+  }
+
+  /** A key of one of the slowest servers that is busy from now on. */
+  function withBusyKey(simulation: KeyLoadSimulation, rate: number) {
+    const base = simulation.state().slices.findIndex((slice) =>
+      slice.kind === "held" && slice.owner === servers[0]?.id
+    );
+    return { ...even, busyKey: { base, rate } };
+  }
 
-for (const seed of [3, 17]) {
-  describe(`32 servers of unequal speed (seed ${seed})`, () => {
+  /** The server that holds the key. */
+  function ownerOfKey(simulation: KeyLoadSimulation, load: SimulatedLoad) {
+    const slice = simulation.state().slices[simulation.sliceOfKey(load)];
+    if (slice?.kind !== "held") return assert.fail(`${slice?.kind}`);
+    return servers.find(({ id }) => id === slice.owner) ?? assert.fail();
+  }
+
+  /** Requests a second above the capacity of their servers. */
+  function excess(
+    simulation: KeyLoadSimulation,
+    load: SimulatedLoad,
+    without = "",
+  ): number {
+    return servers.filter(({ id }) => id !== without)
+      .map(({ id, capacity }) => simulation.demandOf(id, load) - capacity)
+      .reduce((sum, above) => sum + Math.max(0, above), 0);
+  }
+
+  describe(`${count} servers with speeds of ${speeds}`, () => {
     describe("with even load", () => {
       // Guards against moves that follow noise: all keys moved 2.67 times a day.
       it("move few slices, and leave no server above its capacity", () => {
-        const simulation = start(seed);
+        const simulation = start();
         const before = simulation.moves().length;
         simulation.run(60, even);
         const moves = simulation.moves().length - before;
@@ -121,14 +122,11 @@
     describe("with a busy key that a fast server can run", () => {
       // Guards against refusals at a slow server beside idle capacity.
       it("give it to a fast server and move its other slices away", () => {
-        const simulation = start(seed);
-        const { base, server } = serverOfSpeed(simulation, 0.6);
-        const rate = 0.9 * fastest;
-        const load = { ...even, busyKey: { base, rate } };
+        const simulation = start();
+        const load = withBusyKey(simulation, 0.9 * fastest);
         const before = simulation.moves().length;
         simulation.run(shortestSeconds, load);
-        const owner = ownerOfKey(simulation, load);
-        assert.ok(server.capacity < rate && owner.capacity >= rate);
+        assert.equal(ownerOfKey(simulation, load).capacity, fastest);
         const above = excess(simulation, load);
         assert.ok(above <= tolerated, `${above} above capacity`);
         simulation.run(15, load);
@@ -140,10 +138,9 @@
 
     describe("with a key that no server can run alone", () => {
       it("serve it where most can be served, and move it once", () => {
-        const simulation = start(seed);
-        const { base } = serverOfSpeed(simulation, 1);
+        const simulation = start();
         const rate = 0.3 * requestsPerSecond;
-        const load = { ...even, busyKey: { base, rate } };
+        const load = withBusyKey(simulation, rate);
         simulation.run(20, load);
         const owner = ownerOfKey(simulation, load);
         assert.equal(owner.capacity, fastest);
@@ -157,11 +154,11 @@
 
     describe("with a run of busy neighbouring slices", () => {
       it("divide the run within the shortest time that it lasts", () => {
-        const simulation = start(seed);
-        const { base } = serverOfSpeed(simulation, 0.6);
+        const simulation = start();
+        const { base } = withBusyKey(simulation, 0).busyKey;
         // The platform's stripes have four slices: most of the run is together.
         const first = Math.min(hashedSlices - 8, base);
-        const slices = evenSlices.map((rate, slice) =>
+        const slices = even.slices.map((rate, slice) =>
           slice >= first && slice < first + 8 ? rate * 10 : rate
         );
         const before = simulation.moves().length;
@@ -176,9 +173,8 @@
     describe("whose destination is lost halfway", () => {
       // Guards against a key that waits for a server that is gone.
       it("give the busy key to another fast server, under newer tokens", () => {
-        const simulation = start(seed);
-        const { base } = serverOfSpeed(simulation, 0.6);
-        const load = { ...even, busyKey: { base, rate: 0.9 * fastest } };
+        const simulation = start();
+        const load = withBusyKey(simulation, 0.9 * fastest);
         const inMove = () => {
           const slice = simulation.state().slices[simulation.sliceOfKey(load)];
           return slice?.kind === "moving" ? slice : null;
@@ -202,13 +198,12 @@
 
     describe("of which some are limited at this moment", () => {
       it("move nothing to these", () => {
-        const simulation = start(seed);
-        const { base } = serverOfSpeed(simulation, 0.6);
+        const simulation = start();
         const limited = servers.filter((_, index) => index % 4 === 0);
         for (const { id } of limited) simulation.limit(id, 1_000);
         simulation.run(1, even);
         const before = simulation.moves().length;
-        const load = { ...even, busyKey: { base, rate: 0.9 * fastest } };
+        const load = withBusyKey(simulation, 0.9 * fastest);
         simulation.run(shortestSeconds, load);
         const moves = simulation.moves().slice(before);
         assert.ok(moves.length > 0);
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -4,7 +4,10 @@
  *
  * @module
  */
-import type { PlatformSettings } from "../../platform/settings.ts";
+import type {
+  PlatformBounds,
+  PlatformSettings,
+} from "../../platform/settings.ts";
 import type { HopLinkSettings } from "../adapters/hops/hop_links.ts";
 import type { CallerBounds } from "../adapters/callers/caller_load.ts";
 import type { ConnectionSettings } from "../adapters/targets/connection_pool.ts";
@@ -63,6 +66,11 @@
   initialAssignmentDelayMilliseconds: 1_500,
 };
 
+/** The settings of an agent, as far as they have bounds of cold targets. */
+interface ColdBounds {
+  readonly bounds: Pick<PlatformBounds, "coldRate">;
+}
+
 /** The budget for moves of slices. */
 const unevenDemand: MoveBudgetSettings = {
   intervalMilliseconds: 10_000,
@@ -81,7 +89,7 @@
  * targets, load above capacity is moved first, within a budget.
  */
 export function groupSettingsFor(
-  { bounds }: Pick<PlatformSettings, "bounds">,
+  { bounds }: ColdBounds,
 ): GroupSettings & Pick<GrantorSettings, "unevenDemand"> {
   if (bounds.coldRate === null) return groupSettings;
   const imbalanceTolerance = unevenDemandTolerance;
@@ -97,7 +105,7 @@
  * what it runs otherwise: it keeps its keys and is given no more.
  */
 export function weightLimit(
-  { bounds }: Pick<PlatformSettings, "bounds">,
+  { bounds }: ColdBounds,
   target: Pick<
     TargetAdmission,
     "coldRequestsPerSecond" | "machineSlowness" | "throughput"
--- a/source/programs/platform_policy_test.ts
+++ b/source/programs/platform_policy_test.ts
@@ -6,35 +6,24 @@
   weightLimit,
 } from "./platform_policy.ts";
 
-const withoutBound = {
-  bounds: {
-    maxHoldMilliseconds: 10_000,
-    drainMilliseconds: 5_000,
-    retryWindowMilliseconds: 10_000,
-    graceMilliseconds: 10_000,
-    retryRatio: 0.2,
-    retrySlack: 160,
-    evacuationMilliseconds: null,
-    coldRate: null,
-  },
-};
-const withBound = {
-  bounds: { ...withoutBound.bounds, coldRate: { overage: 1.5, slack: 8 } },
-};
+const withoutBound = { bounds: { coldRate: null } };
+const withBound = { bounds: { coldRate: { overage: 1.5, slack: 8 } } };
+
+/** A target that runs 30 requests a second. */
+function target(cold: number | null, slowness: number) {
+  return {
+    coldRequestsPerSecond: () => cold,
+    machineSlowness: () => slowness,
+    throughput: () => 30,
+  };
+}
 
 describe("the policy of a platform agent", () => {
   describe("without bounds of cold targets", () => {
     // Guards against other placement on deployments that didn't ask for it.
     it("divides slices as before, and limits no warm target", () => {
       assert.deepEqual(groupSettingsFor(withoutBound), groupSettings);
-      assert.equal(
-        weightLimit(withoutBound, {
-          coldRequestsPerSecond: () => null,
-          machineSlowness: () => 2,
-          throughput: () => 30,
-        }),
-        null,
-      );
+      assert.equal(weightLimit(withoutBound, target(null, 2)), null);
     });
   });
 
@@ -51,12 +40,7 @@
     ];
     for (const { name, cold, slowness, limit } of cases) {
       it(`limits ${name} to ${limit}`, () => {
-        const target = {
-          coldRequestsPerSecond: () => cold,
-          machineSlowness: () => slowness,
-          throughput: () => 30,
-        };
-        assert.equal(weightLimit(withBound, target), limit);
+        assert.equal(weightLimit(withBound, target(cold, slowness)), limit);
       });
     }
   });
--- a/tests/key_load_simulation.ts
+++ b/tests/key_load_simulation.ts
@@ -44,7 +44,6 @@
   state(): GrantorState;
   /** All moves since the start. */
   moves(): readonly StartedMove[];
-  effects(): readonly GrantorEffect[];
   /** The slice that the busy key belongs to now. */
   sliceOfKey(load: SimulatedLoad): number;
   /** Requests a second that a server gets. */
@@ -78,7 +77,7 @@
   let now = 0;
   /** The table version that first names the busy key. */
   let isolatedAt: FencingToken | null = null;
-  const effects: GrantorEffect[] = [];
+  const moves: StartedMove[] = [];
   const lost = new Set<string>();
   const limits = new Map<string, number | undefined>();
   const nudged = new Set<string>();
@@ -95,7 +94,7 @@
     const next = stepGrantor(state, event);
     state = next.state;
     for (const effect of next.effects) {
-      effects.push(effect);
+      if (effect.kind === "moveStarted") moves.push(effect);
       if (effect.kind === "answer" && event.kind === "renewal") {
         const version = effect.answer.table?.version;
         if (version !== undefined) versions.set(event.renewal.id, version);
@@ -208,11 +207,7 @@
       for (let count = 0; count < ticks; count += 1) tick(load);
     },
     state: () => state,
-    moves: () =>
-      effects.filter((effect): effect is StartedMove =>
-        effect.kind === "moveStarted"
-      ),
-    effects: () => effects,
+    moves: () => moves,
     sliceOfKey,
     demandOf: (id, load) =>
       heldBy(id).reduce((sum, slice) => sum + rateOf(slice, load), 0),
--- a/tests/rebalancing_test.ts
+++ b/tests/rebalancing_test.ts
@@ -13,18 +13,7 @@
 );
 const keys = Array.from({ length: 64 }, (_, index) => `class-${index}`);
 const settleMilliseconds = 12_000;
-const coldBounds = {
-  bounds: {
-    maxHoldMilliseconds: 10_000,
-    drainMilliseconds: 5_000,
-    graceMilliseconds: 10_000,
-    retryRatio: 0.2,
-    retrySlack: 160,
-    retryWindowMilliseconds: 10_000,
-    evacuationMilliseconds: null,
-    coldRate: { overage: 1.5, slack: 8 },
-  },
-};
+const coldBounds = { bounds: { coldRate: { overage: 1.5, slack: 8 } } };
 
 function node(service: string, index: number): NodeOptions {
   const place = { dataCenter: "kolkata-1", region: "kolkata" };
