--- a/tests/crowd_simulation.ts
+++ b/tests/crowd_simulation.ts
@@ -136,7 +136,10 @@
       feed({ kind: "finished", id: running, finish: "answered", now });
       const took = now - beganAt;
       if (took > of.deadlineMilliseconds) return;
-      count(of, { served: 1, inTime: took <= of.objectiveMilliseconds ? 1 : 0 });
+      count(of, {
+        served: 1,
+        inTime: took <= of.objectiveMilliseconds ? 1 : 0,
+      });
     });
   }
 
