Hops: links and the forwarder share the identity of a copy

The forwarder of large bodies composed the sender, receiver, sequence and copy of a request in the same way as the links do. Both now use hopOf.

--- a/source/adapters/hops/forwarder.ts
+++ b/source/adapters/hops/forwarder.ts
@@ -47,6 +47,7 @@
   type HopCopy,
 } from "./hop_deduplication.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
+import { hopOf } from "./hop_requests.ts";
 import { timeLeft } from "./time_left.ts";
 import { formatDeparture, type StampDeparture } from "./transit.ts";
 import { sendWithSilenceWatch, type SilentCopy } from "./silence_watch.ts";
@@ -139,13 +140,8 @@
     },
   ): Promise<Result<ProxyAnswer, Failure>> {
     const { body, receiver, sequence } = context;
-    const hopOfCopy = (copy: number): HopCopy => ({
-      sender: options.sender,
-      receiver,
-      sequence,
-      copy,
-      settledBelow: numbers.settledBelow(),
-    });
+    const hopOfCopy = (copy: number): HopCopy =>
+      hopOf({ sequence, receiver, copy }, { sender: options.sender, numbers });
     const sendCopy = (copy: number) =>
       sendWithSilenceWatch(poolFor(address), {
         request,
--- a/source/adapters/hops/hop_requests.ts
+++ b/source/adapters/hops/hop_requests.ts
@@ -38,9 +38,14 @@
   readonly numbers: HopSequence;
 }
 
-/** The identity of the latest copy of a request. */
-export function hopOf(entry: PendingRequest, options: HopNaming): HopCopy {
-  const { sequence, receiver, copy } = entry;
+/** The identity of a copy of a request. */
+export function hopOf(
+  { sequence, receiver, copy }: Pick<
+    PendingRequest,
+    "sequence" | "receiver" | "copy"
+  >,
+  options: HopNaming,
+): HopCopy {
   const settledBelow = options.numbers.settledBelow();
   return { sender: options.sender, receiver, sequence, copy, settledBelow };
 }
