Hops: one function bounds what is opened on demand

Pools, links, connections of calls and senders of hops were each kept by key in order of their last use, with the same steps to remove the oldest one. useEntry of recently_used.ts now does it for all four.

--- a/source/adapters/hops/forwarder.ts
+++ b/source/adapters/hops/forwarder.ts
@@ -40,6 +40,7 @@
   readWhole,
 } from "../targets/exchange.ts";
 import { failureFromHeaders, fields, firstValue } from "../headers.ts";
+import { useEntry } from "../recently_used.ts";
 import { openHopProbes } from "./hop_probes.ts";
 import {
   createHopSequence,
@@ -110,15 +111,11 @@
   const pools = new Map<Address, Pool>();
   const numbers = createHopSequence();
   function poolFor(address: Address): Pool {
-    const pool = pools.get(address) ?? openPool(address, options.settings);
-    pools.delete(address);
-    pools.set(address, pool);
-    const [oldest] = pools.entries();
-    if (pools.size > maxPools && oldest !== undefined) {
-      pools.delete(oldest[0]);
-      void oldest[1].close();
-    }
-    return pool;
+    return useEntry(pools, address, {
+      max: maxPools,
+      create: () => openPool(address, options.settings),
+      evict: (pool) => void pool.close(),
+    });
   }
   /**
    * Closes the pool of an address once its requests have ended. Its other idle
--- a/source/adapters/hops/hop_deduplication.ts
+++ b/source/adapters/hops/hop_deduplication.ts
@@ -23,6 +23,7 @@
 } from "../../core/request/outcome.ts";
 import type { ProxyAnswer } from "../../ports/upstream.ts";
 import { decodeFieldText } from "../headers.ts";
+import { useEntry } from "../recently_used.ts";
 
 /** Identifies one copy of a forwarded request. */
 export interface HopCopy {
@@ -119,14 +120,10 @@
   const senders = new Map<string, SenderState>();
 
   function stateOf(hop: HopCopy): SenderState {
-    const state = senders.get(hop.sender) ??
-      { settledBelow: 0, requests: new Map<number, KnownRequest>() };
-    senders.delete(hop.sender);
-    senders.set(hop.sender, state);
-    const [oldest] = senders.keys();
-    if (senders.size > maxSenders && oldest !== undefined) {
-      senders.delete(oldest);
-    }
+    const state = useEntry<string, SenderState>(senders, hop.sender, {
+      max: maxSenders,
+      create: () => ({ settledBelow: 0, requests: new Map() }),
+    });
     settle(state, hop.settledBelow);
     return state;
   }
--- a/source/adapters/hops/hop_links.ts
+++ b/source/adapters/hops/hop_links.ts
@@ -9,6 +9,7 @@
 import { type Address, isAddress } from "../../core/agent.ts";
 import { notRun } from "../../core/request/outcome.ts";
 import type { Forwarder } from "../../ports/upstream.ts";
+import { useEntry } from "../recently_used.ts";
 import { createHopSequence } from "./hop_deduplication.ts";
 import {
   type Link,
@@ -75,15 +76,13 @@
   }
 
   function linksOf(address: Address): Set<Link> {
-    const links = agents.get(address) ?? new Set<Link>();
-    agents.delete(address);
-    agents.set(address, links);
-    const [oldest] = agents;
-    if (agents.size > maxAgents && oldest !== undefined) {
-      agents.delete(oldest[0]);
-      for (const link of oldest[1]) link.close();
-    }
-    return links;
+    return useEntry(agents, address, {
+      max: maxAgents,
+      create: () => new Set<Link>(),
+      evict(links) {
+        for (const link of links) link.close();
+      },
+    });
   }
 
   return {
--- a/source/adapters/hops/peer_client.ts
+++ b/source/adapters/hops/peer_client.ts
@@ -25,6 +25,7 @@
 import type { Metrics } from "../../ports/metrics.ts";
 import { compression } from "./compression.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
+import { useEntry } from "../recently_used.ts";
 import { startStallTolerantTimer } from "../stall_tolerant_timer.ts";
 import type { PeerRouter } from "./peer_server.ts";
 import { peerSchemas } from "../schemas.ts";
@@ -66,19 +67,11 @@
   const connections = new Map<Address, PeerConnection>();
 
   function connectionTo(address: Address): PeerConnection {
-    const existing = connections.get(address);
-    if (existing !== undefined) {
-      connections.delete(address);
-      connections.set(address, existing);
-      return existing;
-    }
-    const opened = openConnection(address, failConnection);
-    connections.set(address, opened);
-    const [oldest] = connections.keys();
-    if (connections.size > maxConnections && oldest !== undefined) {
-      retire(oldest, connections.get(oldest) ?? opened);
-    }
-    return opened;
+    return useEntry(connections, address, {
+      max: maxConnections,
+      create: () => openConnection(address, failConnection),
+      evict: (connection) => connection.retire(),
+    });
   }
 
   /** Takes a connection out of use; the calls that wait on it go on. */
