Targets and hops: one function says why a request was aborted

Exchanges (twice) and links compared the time with the deadline to tell a passed deadline from a caller that has left. All now use reasonOfAbort.

--- a/source/adapters/hops/hop_link.ts
+++ b/source/adapters/hops/hop_link.ts
@@ -25,6 +25,7 @@
 import type { SilenceReport } from "../../core/request/silence.ts";
 import type { ProxyAnswer } from "../../ports/upstream.ts";
 import type { LogicalClock } from "../logs/logical_clock.ts";
+import { reasonOfAbort } from "../targets/exchange.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -261,8 +262,7 @@
           },
         };
         const abort = () => {
-          const late = now() >= request.deadlineAt;
-          const reason = late ? "deadline-passed" : "caller-left";
+          const reason = reasonOfAbort({ request, now });
           const sent = entry.sentAt > 0;
           entry.settle(
             Result.err(sent ? unknownOutcome(reason) : notRun(reason)),
--- a/source/adapters/targets/exchange.ts
+++ b/source/adapters/targets/exchange.ts
@@ -10,6 +10,7 @@
 import type { Dispatcher } from "undici";
 import {
   type Failure,
+  type FailureReason,
   notRun,
   unknownOutcome,
 } from "../../core/request/outcome.ts";
@@ -192,8 +193,12 @@
 }
 
 function failureOfUnsent(attempt: AttemptContext): Failure {
-  const expired = attempt.now() >= attempt.request.deadlineAt;
-  return notRun(expired ? "deadline-passed" : "caller-left");
+  return notRun(reasonOfAbort(attempt));
+}
+
+/** Why a request was aborted: by its deadline, or since its caller has left. */
+export function reasonOfAbort({ request, now }: AttemptContext): FailureReason {
+  return now() >= request.deadlineAt ? "deadline-passed" : "caller-left";
 }
 
 /** Converts an error to a failure: not run if proved by the error, or unknown. */
@@ -206,8 +211,7 @@
     return unknownOutcome("body-too-large");
   }
   if (attempt.request.signal.aborted) {
-    const expired = attempt.now() >= attempt.request.deadlineAt;
-    return unknownOutcome(expired ? "deadline-passed" : "caller-left");
+    return unknownOutcome(reasonOfAbort(attempt));
   }
   return unknownOutcome("connection-lost");
 }
