Test of the bound of the refused ids that are kept

Guards against a retry on the connection of its refusal once 1,024 requests have been refused: by then the connections must be replaced.

--- a/source/adapters/targets/repeated_refusal_test.ts
+++ b/source/adapters/targets/repeated_refusal_test.ts
@@ -7,6 +7,8 @@
 import { openTestTarget } from "../../../tests/test_target.ts";
 
 const refusal = refusalWith("Geraniumledge-Refused-Request: r-1\r\n");
+/** Refusals after which the connections to a target are replaced. */
+const refusalsUntilReplaced = 1_024;
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwell";
 
 describe("a target by the product's protocol that repeats an earlier refusal", () => {
@@ -93,6 +95,21 @@
       assert.equal(await sendTo(target, "next"), "answered");
       assert.equal(connections, 2);
     });
+
+    // Guards against a retry on the connection of its refusal, once the bound
+    // of the ids that are kept has been reached.
+    it("is not forgotten before its connection is replaced", async () => {
+      idField = "Geraniumledge-Refused-Request: refused\r\n";
+      assert.equal(await sendTo(target, "refused"), "not-run");
+      for (let index = 1; index < refusalsUntilReplaced; index += 1) {
+        const id = `refused-${index}`;
+        idField = `Geraniumledge-Refused-Request: ${id}\r\n`;
+        assert.equal(await sendTo(target, id), "not-run");
+      }
+      assert.equal(connections, 0);
+      assert.equal(await sendTo(target, "next"), "answered");
+      assert.equal(connections, 1);
+    });
   });
 
   const invalidFields: Readonly<Record<string, string>> = {
