--- a/source/adapters/garbage.ts
+++ b/source/adapters/garbage.ts
@@ -17,8 +17,7 @@
 
 /** Starts to count bytes. */
 export function openCollector(bounds: CollectionBounds): CountPassedBytes {
-  setFlagsFromString("--expose-gc");
-  const collect = runInNewContext("gc") as () => void;
+  let collect: (() => void) | null = null;
   let state = nothingCollected;
   return (bytes) => {
     state = { ...state, passedBytes: state.passedBytes + bytes };
@@ -26,8 +25,19 @@
     if (!isDue(state, bounds, now)) return;
     state = { ...state, passedBytes: 0 };
     if (process.memoryUsage.rss() <= bounds.residentBytes) return;
+    collect ??= exposeCollector();
     collect();
     const collectedAt = performance.now();
     state = { ...state, collectedAt, milliseconds: collectedAt - now };
   };
 }
+
+/**
+ * Returns the collector of the runtime. Not called before it is needed: code
+ * that the runtime has compiled in advance is not used once a flag has changed,
+ * which makes a start take longer.
+ */
+function exposeCollector(): () => void {
+  setFlagsFromString("--expose-gc");
+  return runInNewContext("gc") as () => void;
+}
