Callers: close a connection that sends on however often it is refused

Cause: beside 7 busy processes (load 30 on 7 processors) the ordinary client still needed 17 and 14 of its 20 attempts. It was refused with no-owner-known, lease-ended and moving, not for a full queue: reading and refusing 10,000 large requests left the agent too little time to renew its leases.

Change: after eight refusals for lack of memory without an answer between them, of requests that were each sent before an earlier one was answered, the connection is closed. A client that waits for its answers is never closed so.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -15,6 +15,7 @@
   memoryOfRequest,
   nothingHeld,
   reasonNotToStart,
+  sendsTooFarAhead,
   stepHeldMemory,
 } from "../../core/load/held_memory.ts";
 import type { Events } from "../../ports/events.ts";
@@ -60,6 +61,11 @@
   /** The request that was read last. */
   latest: IncomingMessage | null;
   stopped: boolean;
+  /**
+   * Requests refused since the last answer that were sent before earlier ones
+   * were answered.
+   */
+  refusedAhead: number;
   /** Requests that have been read and are not started yet. */
   waiting: readonly Waiting[];
 }
@@ -72,6 +78,8 @@
 
 interface Held {
   readonly requestBytes: number;
+  /** Whether it was read before earlier ones were answered. */
+  readonly ahead: boolean;
   answerBytes: number;
   /** Whether the request is running. */
   started: boolean;
@@ -105,6 +113,7 @@
       responses: new Map(),
       latest: null,
       stopped: false,
+      refusedAhead: 0,
       waiting: [],
     };
     entries.set(entry.connection, entry);
@@ -288,8 +297,11 @@
     startWaiting();
   }
 
-  /** Records that a request is not run for lack of memory. */
-  function recordRefused(entry: Entry, bytes: number): void {
+  /** Notes that a request is not run for lack of memory. */
+  function noteRefused(
+    entry: Entry,
+    { bytes, ahead }: { readonly bytes: number; readonly ahead: boolean },
+  ): void {
     metrics.count("caller_requests_refused");
     events.record("caller-request-refused", {
       reason: "memory-full",
@@ -299,11 +311,17 @@
       totalBytes: held.totalBytes,
       connections: entries.size,
     });
+    if (!ahead) return;
+    entry.refusedAhead += 1;
+    if (!sendsTooFarAhead(entry.refusedAhead)) return;
+    close(entry.connection, "memory-full");
   }
 
   return {
     read(response, maxKeptBytes) {
       const { req: message } = response;
+      // What was read together with the request that had it closed.
+      if (message.socket.destroyed) return false;
       const entry = bySocket.get(message.socket) ?? accept(message.socket);
       entry.latest = message;
       const bytes = memoryOfMessage(message, maxKeptBytes);
@@ -311,8 +329,10 @@
       countPassedBytes(bytes);
       const effects = apply({ kind: "request-read", connection, bytes });
       const refused = effects.some(({ kind }) => kind === "refuse");
+      const ahead = entry.responses.size > 0;
       entry.responses.set(response, {
         requestBytes: refused ? 0 : bytes,
+        ahead,
         answerBytes: 0,
         started: false,
       });
@@ -320,7 +340,7 @@
       if (!refused) return true;
       // Its answer may wait for others, and must hold little meanwhile.
       message.rawHeaders = [];
-      recordRefused(entry, bytes);
+      noteRefused(entry, { bytes, ahead });
       return false;
     },
     async start(response, signal) {
@@ -332,8 +352,11 @@
         return true;
       }
       const mayRun = await waitForStart(entry, response, signal);
-      const { requestBytes = 0 } = entry.responses.get(response) ?? {};
-      if (!mayRun) recordRefused(entry, requestBytes);
+      const refused = mayRun ? undefined : entry.responses.get(response);
+      if (refused !== undefined) {
+        const { requestBytes: bytes, ahead } = refused;
+        noteRefused(entry, { bytes, ahead });
+      }
       return mayRun;
     },
     fail(response) {
@@ -348,6 +371,7 @@
       if (entry === undefined || former === undefined) return;
       countPassedBytes(bytes);
       end(entry, response);
+      entry.refusedAhead = 0;
       former.answerBytes += bytes;
       apply({ kind: "answer-held", connection: entry.connection, bytes });
       startWaiting();
--- a/source/core/load/held_memory.ts
+++ b/source/core/load/held_memory.ts
@@ -355,6 +355,21 @@
   };
 }
 
+/**
+ * A connection whose requests were refused for lack of memory this many times
+ * in succession, each sent before the one before it was answered, is closed.
+ * Reading and refusing what it sends next would take the process's time.
+ */
+const maxRefusedAhead = 8;
+
+/**
+ * Whether a connection is closed of which so many requests were refused that
+ * were sent before earlier ones were answered.
+ */
+export function sendsTooFarAhead(refusedAhead: number): boolean {
+  return refusedAhead >= maxRefusedAhead;
+}
+
 /** A request, as far as its memory depends on it. */
 export interface RequestSize {
   readonly headerBytes: number;
