Findings of a review of targets that fail and of moves

Bodies that are too large lowered the share of their target: a caller's fault. The mean share was taken over targets that the request may not reach. Load that a target reports bounded its requests on all deployments; now only where the settings have the bounds of cold targets, as the other rules for uneven targets. moves_deferred counted moves that only even out by chance.

What requests have shown of a target is a module of its own, apart from the choice that leaves targets out. unevenDemand is a named field of the settings of groups.

--- a/source/core/admission/admission.ts
+++ b/source/core/admission/admission.ts
@@ -111,13 +111,13 @@
     book: state.settings.returnOrder ?? true ? book : keepDelay,
     now: event.now,
   });
-  const short = booked.refused.reduce(
+  const recorded = booked.refused.reduce(
     (sum, { client, rank }) =>
       recordShortage(sum, client, { rank, now: event.now }),
     state,
   );
   return {
-    state: { ...short, returns: booked.returns },
+    state: { ...recorded, returns: booked.returns },
     effects: booked.effects,
   };
 }
--- a/source/core/admission/competition.ts
+++ b/source/core/admission/competition.ts
@@ -2,11 +2,11 @@
  * Whether the clients of a rank compete, and which waiting requests then start
  * before an arriving one.
  *
- * Clients compete from when one that asks for less than its share is refused or
- * waits past its objective, while another asks for clearly more than its share
- * of what the others leave, until no client asks for so much more or none for
- * less. Even clients that together ask for too much don't compete: fair shares
- * only choose which of them is late, and cost answers in time.
+ * Clients begin to compete when one that asks for less than its share, or clearly
+ * got less, is refused or waits past its objective, while another asks for
+ * clearly more than its share of what the others leave. They compete until this
+ * has not been so for some seconds. Even clients don't compete, also when they
+ * ask for too much together: fair shares would only choose which of them is late.
  *
  * @module
  */
@@ -96,7 +96,9 @@
     },
   );
   const { now } = view;
-  return { ...competition, isCompeting, decidedAt: now, seenAt: now };
+  return isCompeting
+    ? { ...competition, isCompeting, decidedAt: now, seenAt: now }
+    : competition;
 }
 
 /**
--- a/source/core/admission/reported_load.ts
+++ b/source/core/admission/reported_load.ts
@@ -25,6 +25,7 @@
   ended: RunningRequest,
   { reported = null, now }: EventOf<"finished">,
 ): ReportedCapacity | null {
+  if (state.settings.limitsByReport === false) return null;
   return recordReport(state.reported, reported, {
     slots: state.settings.slots,
     // The request that has ended is still among those of the state.
@@ -36,10 +37,10 @@
 }
 
 /**
- * The slots that the target has less than its agent assumes, by its report. For
- * other agents they count as requests that it runs.
+ * The slots that the target lacks by its report. Other agents are told them as
+ * load.
  */
-export function unreportedLoad(state: AdmissionState, now: number): number {
+export function missingSlots(state: AdmissionState, now: number): number {
   const { slots } = state.settings;
   const limit = limitByReport(state.reported, { limit: slots, now });
   return slots - limit;
--- a/source/core/admission/settings.ts
+++ b/source/core/admission/settings.ts
@@ -35,6 +35,11 @@
    * their objectives, and not of their deadlines. True when left out.
    */
   readonly objectiveOrder?: boolean;
+  /**
+   * Whether the room that the target reports bounds what it is given. True when
+   * left out.
+   */
+  readonly limitsByReport?: boolean;
   /** Whether refused callers return in an order. True when left out. */
   readonly returnOrder?: boolean;
   /**
--- a/source/core/load/reported_capacity_test.ts
+++ b/source/core/load/reported_capacity_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { stepAdmission } from "../admission/admission.ts";
 import type { AdmissionEvent } from "../admission/events.ts";
-import { unreportedLoad } from "../admission/reported_load.ts";
+import { missingSlots } from "../admission/reported_load.ts";
 import { createAdmission } from "../admission/state.ts";
 import type { TargetLoad } from "./target_load.ts";
 
@@ -56,7 +56,7 @@
     answer,
     warmAt,
     running: () => state.running.size,
-    unreported: () => unreportedLoad(state, now),
+    unreported: () => missingSlots(state, now),
   };
 }
 
--- a/source/core/routing/expected_answers.ts
+++ b/source/core/routing/expected_answers.ts
@@ -28,8 +28,8 @@
 const measurementLifetimeMilliseconds = 3_000;
 /** A newly seen target gets its full share after this time. */
 const warmUpMilliseconds = 5_000;
-/** An older report of load is ignored. */
-const reportLifetimeMilliseconds = 1_000;
+/** The load that an older reply carried is ignored. */
+const replyLoadLifetimeMilliseconds = 1_000;
 
 /** A target and its expected time to an answer. */
 export interface Candidate {
@@ -45,7 +45,7 @@
   { slots, now }: { readonly slots: number; readonly now: number },
 ): number | null {
   if (view === undefined) return null;
-  if (now - view.reportedAt >= reportLifetimeMilliseconds) return null;
+  if (now - view.reportedAt >= replyLoadLifetimeMilliseconds) return null;
   return view.reportedLoad / slots;
 }
 
@@ -93,7 +93,7 @@
   options: { readonly slots: number; readonly now: number },
 ): number {
   const { slots, now } = options;
-  const fresh = now - view.reportedAt < reportLifetimeMilliseconds;
+  const fresh = now - view.reportedAt < replyLoadLifetimeMilliseconds;
   const load = Math.max(view.inFlight, fresh ? view.reportedLoad : 0);
   const warmUpShare = Math.min(
     1,
--- a/source/core/routing/failing_targets_test.ts
+++ b/source/core/routing/failing_targets_test.ts
@@ -4,17 +4,19 @@
 import { testAgent } from "../../../tests/test_agent.ts";
 import type { Agent } from "../agent.ts";
 import {
-  describeHealth,
   isTrialDue,
   leaveOutFailing,
   leaveOutNone,
   type LeavesOut,
+} from "./failing_targets.ts";
+import {
+  describeHealth,
   minShare,
+  type ObservedHealth,
   recordEnd,
   type RequestEnd,
-  type TargetHealth,
   unknownHealth,
-} from "./failing_targets.ts";
+} from "../target/observed_health.ts";
 import {
   chooseHealthyTarget,
   createRouting,
@@ -133,9 +135,9 @@
   ends: readonly RequestEnd[],
   { every, from = unknownHealth }: {
     readonly every: number;
-    readonly from?: TargetHealth;
+    readonly from?: ObservedHealth;
   },
-): readonly TargetHealth[] {
+): readonly ObservedHealth[] {
   let health = from;
   return ends.map((end, index) => {
     const now = Math.max(1_000, from.endedAt) + (index + 1) * every;
--- a/source/core/routing/overloaded_owners.ts
+++ b/source/core/routing/overloaded_owners.ts
@@ -205,8 +205,7 @@
 
 /**
  * Gives a caller the delay that the owner told the last one, if it can be in
- * time then; null otherwise. In an order of return it would be late: at 1.5 times
- * the capacity, 32 of 100 were in time instead of 38.
+ * time then; null otherwise. In the order of return it would be late.
  */
 function timelyReturn(
   { returnsAt, ownerDelayMilliseconds }: RecentSends,
--- a/source/core/routing/routing.ts
+++ b/source/core/routing/routing.ts
@@ -114,8 +114,10 @@
 
 function failingTargets(
   state: RoutingState,
-  { targets, now, random, leavesOut = leaveOutNone }: RouteQuery,
+  query: RouteQuery,
 ): ReadonlySet<AgentId> {
+  const { now, random, leavesOut = leaveOutNone } = query;
+  const targets = query.targets.filter((agent) => mayServe(agent, query));
   const sharesLeft = targets.reduce(
     (sum, { id }) => sum + (state.views.get(id)?.health.share ?? 1),
     0,
@@ -169,9 +171,7 @@
 ): readonly Agent[] {
   const { query, tier } = options;
   const members = query.targets.filter((agent) =>
-    agent.phase === "serving" && distance(query.from, agent.place) === tier &&
-    allowsRegion(query.allowedRegions ?? [], agent.place.region) &&
-    query.evacuated?.has(agent.place.dataCenter) !== true
+    distance(query.from, agent.place) === tier && mayServe(agent, query)
   );
   const notEjected = members.filter((agent) =>
     !isEjected(state, agent.id, query.now)
@@ -181,6 +181,15 @@
   return available.filter((agent) => !query.tried.has(agent.id));
 }
 
+/** Whether a target may get the request, whatever is known of its health. */
+function mayServe(
+  { phase, place }: Agent,
+  { allowedRegions = [], evacuated }: RouteQuery,
+): boolean {
+  return phase === "serving" && allowsRegion(allowedRegions, place.region) &&
+    evacuated?.has(place.dataCenter) !== true;
+}
+
 function isEjected(state: RoutingState, id: AgentId, now: number): boolean {
   return (state.views.get(id)?.ejectedUntil ?? 0) > now;
 }
--- a/source/core/routing/target_views.ts
+++ b/source/core/routing/target_views.ts
@@ -7,10 +7,10 @@
 import { recordSlowness, type Slowness } from "../load/target_load.ts";
 import {
   entrySmoothingFactor,
+  type ObservedHealth,
   recordEnd,
-  type TargetHealth,
   unknownHealth,
-} from "./failing_targets.ts";
+} from "../target/observed_health.ts";
 
 /** What an entry knows of one target from its own requests and replies. */
 export interface TargetView {
@@ -30,7 +30,7 @@
   readonly ejectedUntil: number;
   readonly firstSeenAt: number;
   /** What its requests saw of it. */
-  readonly health: TargetHealth;
+  readonly health: ObservedHealth;
 }
 
 /** What happened at a target. Times are monotonic, in milliseconds. */
--- a/source/core/target/failing_target.ts
+++ b/source/core/target/failing_target.ts
@@ -15,12 +15,12 @@
  */
 import {
   minShare,
+  type ObservedHealth,
   recordEnd,
   type RequestEnd,
-  type TargetHealth,
   toleratedSlowdown,
   unknownHealth,
-} from "../routing/failing_targets.ts";
+} from "./observed_health.ts";
 
 /** The usual time of one kind of work in the target. */
 interface UsualTime {
@@ -38,7 +38,7 @@
 
 /** What is known of the target. Times are monotonic, in milliseconds. */
 export interface FailingTargetState {
-  readonly health: TargetHealth;
+  readonly health: ObservedHealth;
   /** Requests that were sent to the target and have not ended. */
   readonly running: number;
   /** Null while starts are not limited. */
@@ -67,7 +67,7 @@
 
 /** Starts are limited once the target's share is below this. */
 const limitBelowShare = 0.125;
-/** And are free again from this share on. */
+/** Starts are no longer limited from this share on. */
 const freeFromShare = 0.5;
 /**
  * The slots that the others must have together, as a part of what they would
@@ -90,7 +90,10 @@
 const turnMilliseconds = 20;
 /** Other agents are not told of a change more often. */
 const minPublishIntervalMilliseconds = 2_000;
-/** Nor of a smaller one, so that single failures cause no messages. */
+/**
+ * A change by a smaller factor is not published, so that single failures cause no
+ * messages.
+ */
 const minPublishFactor = 1.5;
 
 /** A target of which nothing is known. */
@@ -184,7 +187,7 @@
 
 function startsAfter(
   { starts }: FailingTargetState,
-  { share }: TargetHealth,
+  { share }: ObservedHealth,
   now: number,
 ): LimitedStarts | null {
   if (starts === null) {
--- a/source/programs/caller_policy.ts
+++ b/source/programs/caller_policy.ts
@@ -20,7 +20,7 @@
 const heldMemoryShare = 0.1;
 /** Reading stops at a connection that holds this share of it. */
 const connectionShare = 0.1;
-/** Descriptors that the platform reserves on each machine. */
+/** Descriptors of the machine that are not for this process's connections. */
 const reservedDescriptors = 200;
 /** The share of the others for callers; the rest is for agents and targets. */
 const callerDescriptorShare = 0.5;
--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -344,7 +344,8 @@
 
   function settingsForSlots(slots: number): AdmissionSettings {
     const { service } = settings;
-    return admissionSettings(configuration, { service, slots });
+    const limitsByReport = hasUnevenTargets(settings);
+    return admissionSettings(configuration, { service, slots, limitsByReport });
   }
 
   const requestTasks = startRequestTasks(settings, {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -185,8 +185,8 @@
 /** Maximum wait for a slot of a request that has missed its objective. */
 const maxLateWaitMilliseconds = 100;
 /**
- * Late requests count as ahead of an arriving one: in three runs without them
- * 0.36 to 0.37 of a busy day's value was earned, in one with them 0.41.
+ * Late requests count as ahead of an arriving one. Admitting requests as if
+ * those would wait loses more answers than it gains (docs/design/competition.md).
  */
 const discountsLate = false;
 /** More than any desired state allows callers to send. */
@@ -203,7 +203,11 @@
 /** Settings of the admission of a service's target with so many slots. */
 export function admissionSettings(
   configuration: Configuration,
-  target: { readonly service: string; readonly slots: number },
+  target: {
+    readonly service: string;
+    readonly slots: number;
+    readonly limitsByReport: boolean;
+  },
 ): AdmissionSettings {
   const service = serviceNamed(configuration, target.service);
   const { ranks } = configuration;
@@ -214,6 +218,7 @@
     initialShare: initialSlotShare,
     maxLateWaitMilliseconds,
     discountsLate,
+    limitsByReport: target.limitsByReport,
   };
 }
 
--- a/source/programs/platform_requests.ts
+++ b/source/programs/platform_requests.ts
@@ -99,7 +99,7 @@
     entry: agent.id,
     holder: coordinator.holder,
     admission,
-    workOf: (request) => routeOf(request)?.name ?? null,
+    workOf: workOfRequest(coordinator.configuration),
     isConfigured: () => coordinator.configuration().revision > 0,
     allowsRegion: (request) =>
       allowsRegion(
@@ -142,7 +142,10 @@
   return { bodyAdmission, serve, entry, gate };
 }
 
-/** Whether targets may differ in what they can run at a time. */
+/**
+ * Whether the settings have the bounds of cold targets, which turn on the rules
+ * for targets that differ or fail.
+ */
 export function hasUnevenTargets({ bounds }: PlatformSettings): boolean {
   return bounds.coldRate !== null;
 }
--- a/source/tasks/admission_task.ts
+++ b/source/tasks/admission_task.ts
@@ -18,7 +18,7 @@
 import { countWaiting } from "../core/admission/queue.ts";
 import type { AdmissionSettings } from "../core/admission/settings.ts";
 import { createAdmission } from "../core/admission/state.ts";
-import { unreportedLoad } from "../core/admission/reported_load.ts";
+import { missingSlots } from "../core/admission/reported_load.ts";
 import { describeCapacity } from "../core/load/reported_capacity.ts";
 import {
   describeSlowness,
@@ -202,7 +202,7 @@
     },
     load: () =>
       state.running.size + countWaiting(state) +
-      unreportedLoad(state, monotonicNow()),
+      missingSlots(state, monotonicNow()),
     throughput: () => Math.max(1, Math.round(throughput(state))),
     coldRequestsPerSecond,
     machineSlowness: () => momentarySlowness(state.slowness, monotonicNow()),
--- a/source/tasks/failing_target_task.ts
+++ b/source/tasks/failing_target_task.ts
@@ -10,7 +10,7 @@
 import {
   describeHealth,
   healthChange,
-} from "../core/routing/failing_targets.ts";
+} from "../core/target/observed_health.ts";
 import {
   decideStart,
   type FailingTargetState,
@@ -43,6 +43,12 @@
 /** Lowest HTTP status that counts as a failure of the target. */
 const minFailureStatus = 500;
 
+/** Reasons that show nothing of the target. */
+const faultsOfCallers: ReadonlySet<FailureReason> = new Set([
+  "caller-left",
+  "body-too-large",
+]);
+
 type Message =
   | { readonly kind: "asked"; readonly reply: (starts: boolean) => void }
   | { readonly kind: "sent" }
@@ -56,7 +62,7 @@
   }
   const { outcome, reason } = result.error;
   if (reason === "target-unreachable") return "failed";
-  if (outcome === "not-run" || reason === "caller-left") return "unknown";
+  if (outcome === "not-run" || faultsOfCallers.has(reason)) return "unknown";
   return reason === "deadline-passed" ? "timed-out" : "failed";
 }
 
--- a/source/tasks/group_settings.ts
+++ b/source/tasks/group_settings.ts
@@ -15,6 +15,7 @@
   | "imbalanceTolerance"
   | "isolatedKeys"
   | "isolation"
+  | "unevenDemand"
   | "initialAssignmentDelayMilliseconds"
 >;
 
--- a/source/tasks/move_counts.ts
+++ b/source/tasks/move_counts.ts
@@ -1,6 +1,6 @@
 /**
- * Counts the moves of slices that this agent's grantors start, and those that
- * wait for the budget.
+ * Counts the moves of slices that this agent's grantors start, and those for
+ * load above capacity that begin to wait for the budget.
  *
  * @module
  */
@@ -23,6 +23,7 @@
       events.record(kind, detail);
       if (kind === "move-started") count("slices_moved", 1);
       if (kind !== "slices-rebalanced") return;
+      if (detail?.["cause"] !== "above-capacity") return;
       const deferred = detail?.["deferred"];
       if (typeof deferred !== "number" || deferred === 0) return;
       count("moves_deferred", deferred);
--- a/source/tasks/unkeyed_attempts.ts
+++ b/source/tasks/unkeyed_attempts.ts
@@ -15,12 +15,14 @@
 import { regionNotAllowed } from "../core/routes/allowed_regions.ts";
 import { pickAnyPair, type PickPair } from "../core/routing/candidate_pairs.ts";
 import {
-  describeHealth,
-  healthChange,
   leaveOutNone,
   type LeavesOut,
-  unknownHealth,
 } from "../core/routing/failing_targets.ts";
+import {
+  describeHealth,
+  healthChange,
+  unknownHealth,
+} from "../core/target/observed_health.ts";
 import {
   chooseHealthyTarget,
   createRouting,
@@ -56,6 +58,7 @@
 
 /** Reasons that don't show that a target has failed. */
 const reasonsWithoutFailure: ReadonlySet<FailureReason> = new Set([
+  "body-too-large",
   "caller-left",
   "deadline-passed",
   "region-not-allowed",
