--- a/source/tasks/failing_target_task.ts
+++ b/source/tasks/failing_target_task.ts
@@ -7,6 +7,7 @@
  */
 import type { Result } from "true-myth";
 import type { Agent } from "../core/agent.ts";
+import type { FailureReason } from "../core/request/outcome.ts";
 import {
   describeHealth,
   healthChange,
