Links: check the clock and the failure of a head, close the connection at fault

A malformed failure of another agent threw in a socket's handler, and a missing clock made the logical clock NaN. A malformed message on a replaced connection failed the requests of the one after it. The test of malformed heads decodes all kinds now; the two new heads fail before. Wording as a first reader asked for it.

--- a/source/adapters/hops/hop_codec_test.ts
+++ b/source/adapters/hops/hop_codec_test.ts
@@ -130,6 +130,8 @@
       '["request",[1,1,1,0,0],[1,null,null,5,null],[]]',
       '["answer",[1,1],[200,null,null,[7,0]],1]',
       '["answer",["1",1],[200,null,null,[]],1]',
+      '["answer",[1,1],[200,null,null,[]],"1"]',
+      '["failure",[1,1],null,1]',
       '["other",[1,1],[],[]]',
     ];
     for (const head of heads) {
@@ -139,7 +141,7 @@
         frame.writeUInt32BE(head.length, 0);
         frame.write(head, 4);
         assert.equal(
-          createDecoder<ClientMessage>(new Set(["request"]))(frame),
+          createDecoder<ClientMessage | ServerMessage>(kinds)(frame),
           null,
         );
       });
--- a/source/adapters/hops/hop_heads.ts
+++ b/source/adapters/hops/hop_heads.ts
@@ -1,7 +1,7 @@
 /**
- * Heads of messages on a link, as lists. Property names would be half of the
- * bytes of a head, and strings that repeat most of the rest; both count where
- * agents of different regions exchange many small requests.
+ * Heads of messages on a link, as lists without property names and with repeated
+ * strings as numbers. This saves most of their bytes, which are costly between
+ * regions.
  *
  * @module
  */
@@ -10,6 +10,7 @@
 import type {
   AnswerMessage,
   ClientMessage,
+  FailureMessage,
   RequestMessage,
   ServerMessage,
 } from "./hop_messages.ts";
@@ -79,7 +80,7 @@
 ): Head {
   switch (message.kind) {
     case "request":
-      return composeRequest(message, strings);
+      return composeRequestHead(message, strings);
     case "cancel":
       return [message.kind, composeHop(message.hop, strings)];
     case "answer": {
@@ -102,7 +103,7 @@
   return [sequence, copy, settledBelow, sender, receiver];
 }
 
-function composeRequest(
+function composeRequestHead(
   message: RequestMessage,
   strings: StringWriter,
 ): RequestHead {
@@ -156,10 +157,8 @@
     }
     case "answer":
       return readAnswer(decoded, strings);
-    case "failure": {
-      const [kind, [sequence, copy], failure, clock] = decoded;
-      return { kind, hop: { sequence, copy }, clock, failure };
-    }
+    case "failure":
+      return readFailure(decoded);
   }
 }
 
@@ -178,7 +177,13 @@
   if (lists === undefined || fields.length < lists) return false;
   if (!fields.slice(0, lists).every(Array.isArray)) return false;
   const [sequence, copy] = fields[0] as readonly unknown[];
-  return Number.isSafeInteger(sequence) && Number.isSafeInteger(copy);
+  return [sequence, copy, clockOf(kind, fields)].every(Number.isSafeInteger);
+}
+
+/** The logical time of a head with these fields; 0 where it has none. */
+function clockOf(kind: unknown, fields: readonly unknown[]): unknown {
+  if (kind === "cancel") return 0;
+  return kind === "request" ? (fields[1] as readonly unknown[])[0] : fields[2];
 }
 
 function readHop(fields: HopFields, strings: StringReader): HopCopy | null {
@@ -200,13 +205,20 @@
   return { kind, hop, clock, status, headers, load, slowness };
 }
 
+function readFailure(
+  [kind, [sequence, copy], failure, clock]: FailureHead,
+): FailureMessage | null {
+  if (typeof failure !== "object" || failure === null) return null;
+  return { kind, hop: { sequence, copy }, clock, failure };
+}
+
 function readRequest(
   [kind, hopFields, times, contentFields]: RequestHead,
   strings: StringReader,
 ): RequestMessage | null {
   const [clock, departedFrom, at, ...left] = times;
   const [deadlineMilliseconds, objectiveMilliseconds] = left;
-  // In the order of `composeRequest`, as each string may extend the table.
+  // In the order of `composeRequestHead`, as each string may extend the table.
   const hop = readHop(hopFields, strings);
   const process = departedFrom === null ? null : strings.read(departedFrom);
   const request = readContent(contentFields, strings);
--- a/source/adapters/hops/hop_link.ts
+++ b/source/adapters/hops/hop_link.ts
@@ -123,7 +123,10 @@
   function receive(from: Connection, data: Buffer): void {
     lastReceivedAt = now();
     const received = from.decode(data);
-    if (received === null) return fail(connection);
+    if (received === null) {
+      from.socket.terminate();
+      return fail(from);
+    }
     const { message } = received;
     options.clock.observe(message.clock);
     const entry = pending.get(message.hop.sequence);
--- a/source/adapters/hops/repeated_strings.ts
+++ b/source/adapters/hops/repeated_strings.ts
@@ -59,9 +59,12 @@
 
   return {
     write,
+    // A list of values stays one element: only one level is flattened.
     writeHeaders: (headers) =>
-      Object.entries(headers).flatMap(([name, value]) => // `flatMap` removes one level of arrays, and a list of values is one.
-      [write(name), writeValue(name, value)]),
+      Object.entries(headers).flatMap(([name, value]) => [
+        write(name),
+        writeValue(name, value),
+      ]),
   };
 }
 
--- a/source/adapters/recently_used.ts
+++ b/source/adapters/recently_used.ts
@@ -7,8 +7,7 @@
 
 /**
  * Returns the entry of a key, creating it if there is none. With more entries
- * than `max`, the one that was not used for longest is removed and passed to
- * `evict`. A map iterates in the order of insertion, so that one is the first.
+ * than `max`, the least recently used one is removed and passed to `evict`. A map iterates in the order of insertion, so that one is the first.
  */
 export function useEntry<Key, Value>(
   entries: Map<Key, Value>,
--- a/source/core/load/reported_capacity.ts
+++ b/source/core/load/reported_capacity.ts
@@ -1,9 +1,9 @@
 /**
  * How many requests a target has room for by its own report.
  *
- * All its requests pass the agent beside it, whose own count is newer. Only where
- * the target reports far more requests, or fewer slots, does the agent not know
- * something, such as requests that it has given up and that still run there.
+ * All its requests pass through the agent beside it, whose own count is newer. A
+ * report of far more requests, or of fewer slots, means that something runs there
+ * that the agent doesn't count, such as requests that it has given up.
  *
  * Invariants:
  * - a report never raises what the agent starts by its own count;
--- a/source/core/load/target_load.ts
+++ b/source/core/load/target_load.ts
@@ -32,7 +32,7 @@
 
 /** Time constant of the moving average. */
 const smoothingMilliseconds = 2_000;
-/** The slowness changes many times a second: an older report says nothing. */
+/** The load changes many times a second, so an older report is ignored. */
 export const reportLifetimeMilliseconds = 500;
 /** Work takes at most this much longer than usual, whatever is reported. */
 const maxFactor = 3;
