--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -12,7 +12,6 @@
   type HeldMemoryBounds,
   type HeldMemoryEffect,
   type HeldMemoryEvent,
-  memoryOfRequest,
   nothingHeld,
   reasonNotToStart,
   sendsTooFarAhead,
@@ -20,6 +19,7 @@
 } from "../../core/load/held_memory.ts";
 import type { Events } from "../../ports/events.ts";
 import type { Metrics } from "../../ports/metrics.ts";
+import { hasBody, memoryOfMessage } from "./message_memory.ts";
 
 /** Bounds of what callers make a process hold. */
 export interface CallerBounds extends HeldMemoryBounds {
@@ -389,54 +389,3 @@
 function holdsAnswer({ responses }: Entry): boolean {
   return [...responses.values()].some(({ answerBytes }) => answerBytes > 0);
 }
-
-function hasBody(message: IncomingMessage): boolean {
-  return isChunked(message) || statedLength(message) > 0;
-}
-
-/**
- * The value of a header field. Node's `headers` would keep an object of all
- * lines for as long as the message exists.
- */
-function fieldOf({ rawHeaders }: IncomingMessage, name: string): string | null {
-  const index = rawHeaders.findIndex((text, index) =>
-    index % 2 === 0 && text.length === name.length &&
-    text.toLowerCase() === name
-  );
-  return index < 0 ? null : rawHeaders[index + 1] ?? null;
-}
-
-function isChunked(message: IncomingMessage): boolean {
-  return fieldOf(message, "transfer-encoding") !== null;
-}
-
-function statedLength(message: IncomingMessage): number {
-  return Number(fieldOf(message, "content-length") ?? 0);
-}
-
-function memoryOfMessage(
-  message: IncomingMessage,
-  maxKeptBytes: number,
-): number {
-  const { rawHeaders } = message;
-  const headerBytes = rawHeaders.reduce(
-    (bytes, text) => bytes + text.length,
-    message.url?.length ?? 0,
-  );
-  return memoryOfRequest({
-    headerBytes,
-    lines: rawHeaders.length / 2,
-    bodyBytes: keptBodyBytes(message, maxKeptBytes),
-  });
-}
-
-/** The part of a body of unstated length that is assumed to be buffered. */
-const unstatedShare = 1 / 4;
-/** Buffered of a body that is streamed. */
-const streamedBytes = 65_536;
-
-function keptBodyBytes(message: IncomingMessage, maxKeptBytes: number): number {
-  if (isChunked(message)) return maxKeptBytes * unstatedShare;
-  const length = statedLength(message);
-  return length > maxKeptBytes ? streamedBytes : length;
-}
