Findings of a review of the bounds for callers

A connection that is closed since it sends on however often it is refused has a reason of its own, refused-repeatedly. An answer that arrives after its connection was closed is not counted, since nothing would release it. A request that was given up while its body was read does not wait for memory.

--- a/source/adapters/callers/caller_load.ts
+++ b/source/adapters/callers/caller_load.ts
@@ -12,9 +12,9 @@
   type HeldMemoryBounds,
   type HeldMemoryEffect,
   type HeldMemoryEvent,
+  isRefusedTooOften,
   nothingHeld,
   reasonNotToStart,
-  sendsTooFarAhead,
   stepHeldMemory,
 } from "../../core/load/held_memory.ts";
 import type { Events } from "../../ports/events.ts";
@@ -85,10 +85,7 @@
   started: boolean;
 }
 
-/**
- * A request for which there is no memory to run waits for so long before it is
- * refused, which is what the refusal would tell its caller to wait.
- */
+/** How long a request waits for memory to run before it is refused. */
 const startCheckMilliseconds = 100;
 
 /** Bounds what the callers of a server make this process hold. */
@@ -100,7 +97,7 @@
   const bySocket = new WeakMap<Socket, Entry>();
   /** The connections with requests that are not started yet. */
   const waiting = new Set<Entry>();
-  /** The connections to read on from, in this order. */
+  /** Connections on which reading is to resume, in this order. */
   const toReadOn = new Set<Entry>();
   let held = nothingHeld;
   let connections = 0;
@@ -297,11 +294,8 @@
     startWaiting();
   }
 
-  /** Notes that a request is not run for lack of memory. */
-  function noteRefused(
-    entry: Entry,
-    { bytes, ahead }: { readonly bytes: number; readonly ahead: boolean },
-  ): void {
+  /** Records that a request is not run for lack of memory. */
+  function recordRefused(entry: Entry, bytes: number): void {
     metrics.count("caller_requests_refused");
     events.record("caller-request-refused", {
       reason: "memory-full",
@@ -311,10 +305,14 @@
       totalBytes: held.totalBytes,
       connections: entries.size,
     });
+  }
+
+  /** Closes a connection that sends on however often it is refused. */
+  function closeIfRefusedOften(entry: Entry, ahead: boolean): void {
     if (!ahead) return;
     entry.refusedAhead += 1;
-    if (!sendsTooFarAhead(entry.refusedAhead)) return;
-    close(entry.connection, "memory-full");
+    if (!isRefusedTooOften(entry.refusedAhead)) return;
+    close(entry.connection, "refused-repeatedly");
   }
 
   return {
@@ -340,12 +338,15 @@
       if (!refused) return true;
       // Its answer may wait for others, and must hold little meanwhile.
       message.rawHeaders = [];
-      noteRefused(entry, { bytes, ahead });
+      recordRefused(entry, bytes);
+      closeIfRefusedOften(entry, ahead);
       return false;
     },
     async start(response, signal) {
       const entry = bySocket.get(response.req.socket);
       if (entry === undefined || entry.socket.destroyed) return true;
+      // Given up while its body was read: the handler does not run it.
+      if (signal.aborted) return true;
       const first = entry.waiting.length === 0;
       if (first && reasonToWait(entry, response) === null) {
         start(entry, response);
@@ -354,8 +355,8 @@
       const mayRun = await waitForStart(entry, response, signal);
       const refused = mayRun ? undefined : entry.responses.get(response);
       if (refused !== undefined) {
-        const { requestBytes: bytes, ahead } = refused;
-        noteRefused(entry, { bytes, ahead });
+        recordRefused(entry, refused.requestBytes);
+        closeIfRefusedOften(entry, refused.ahead);
       }
       return mayRun;
     },
@@ -369,6 +370,8 @@
       const entry = bySocket.get(response.req.socket);
       const former = entry?.responses.get(response);
       if (entry === undefined || former === undefined) return;
+      // What is held for a connection has been released with it.
+      if (entry.socket.destroyed) return;
       countPassedBytes(bytes);
       end(entry, response);
       entry.refusedAhead = 0;
--- a/source/core/load/held_memory.ts
+++ b/source/core/load/held_memory.ts
@@ -112,8 +112,8 @@
 /** Reading goes on once this share of the bounds is held. */
 const readOnShare = 1 / 2;
 /**
- * The share of the total that requests of connections that hold much may take
- * while they run. As many as the memory can hold would take all slots of the
+ * The share of the total that all requests that run may take when one of a
+ * connection that holds much is started. As many as the memory can hold would take all slots of the
  * targets, and ordinary clients would be refused there.
  */
 const startedShare = 1 / 4;
@@ -366,7 +366,7 @@
  * Whether a connection is closed of which so many requests were refused that
  * were sent before earlier ones were answered.
  */
-export function sendsTooFarAhead(refusedAhead: number): boolean {
+export function isRefusedTooOften(refusedAhead: number): boolean {
   return refusedAhead >= maxRefusedAhead;
 }
 
