--- a/source/programs/platform_agent.ts
+++ b/source/programs/platform_agent.ts
@@ -345,8 +345,8 @@
 
   function settingsForSlots(slots: number): AdmissionSettings {
     const { service } = settings;
-    const limitsByReport = hasUnevenTargets(settings);
-    return admissionSettings(configuration, { service, slots, limitsByReport });
+    const unevenTargets = hasUnevenTargets(settings);
+    return admissionSettings(configuration, { service, slots, unevenTargets });
   }
 
   const requestTasks = startRequestTasks(settings, {
--- a/source/programs/platform_policy.ts
+++ b/source/programs/platform_policy.ts
@@ -213,7 +213,8 @@
   target: {
     readonly service: string;
     readonly slots: number;
-    readonly limitsByReport: boolean;
+    /** Whether targets of the deployment may differ in what they can run. */
+    readonly unevenTargets: boolean;
   },
 ): AdmissionSettings {
   const service = serviceNamed(configuration, target.service);
@@ -225,7 +226,8 @@
     initialShare: initialSlotShare,
     maxLateWaitMilliseconds,
     discountsLate,
-    limitsByReport: target.limitsByReport,
+    limitsByReport: target.unevenTargets,
+    fairShares: target.unevenTargets,
   };
 }
 
