--- a/source/core/admission/even_clients_test.ts
+++ b/source/core/admission/even_clients_test.ts
@@ -59,7 +59,7 @@
 
 describe("a target whose clients ask for equally much", () => {
   for (const [kindName, kind] of Object.entries(kinds)) {
-    // Guards against fair shares where nobody floods: 0.08 less were in time.
+    // Guards against fair shares where nobody floods, which cost answers in time.
     // A fiftieth is what differs by chance.
     it(`doesn't lose answers to fair shares, with ${kindName}`, () => {
       const before = partInTime(kind, steady, { fairShares: false });
--- a/source/core/ownership/uneven_keys_test.ts
+++ b/source/core/ownership/uneven_keys_test.ts
@@ -107,7 +107,7 @@
 
   describe(`${count} servers with speeds of ${speeds}`, () => {
     describe("with even load", () => {
-      // Guards against moves that follow noise: all keys moved 2.67 times a day.
+      // Guards against moves that follow noise in the measured load.
       it("move few slices, and leave no server above its capacity", () => {
         const simulation = start();
         const before = simulation.moves().length;
