--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -217,8 +217,9 @@
     const answerGraceMilliseconds = 250;
 
     for (const [name, bytes] of Object.entries(endlessBodies)) {
-      it(`never look complete: ${name}`, async () => {
+      it(`never look complete: ${name}`, async (context) => {
         const target = openTestTarget(server.address);
+        context.after(() => target.close());
         const front = await openTestListener({
           kind: "callers",
           configuration,
@@ -232,6 +233,7 @@
               leaseEndsAtWall: null,
             }),
         });
+        context.after(() => front.close());
         server.send(bytes);
         const seen = await measure(() => readAsCaller(front.port));
         assert.equal(seen.value, "broken off");
@@ -239,19 +241,18 @@
           seen,
           deadlineMilliseconds + answerGraceMilliseconds,
         );
-        front.close();
-        await target.close();
       });
     }
   });
 
   describe("in answer to a call of the key server", () => {
     for (const [name, bytes] of Object.entries(endlessAnswers)) {
-      it(`to grant are no success: ${name}`, async () => {
+      it(`to grant are no success: ${name}`, async (context) => {
         const client = openKeyServer({
           address: server.address,
           onConnectionRefused: () => undefined,
         });
+        context.after(() => client.close());
         server.send(bytes);
         const range = { first: 1, last: 1, token: { epoch: 1, sequence: 1 } };
         const seen = await measure(() =>
@@ -264,57 +265,56 @@
         assert.ok(seen.value.isErr);
         assert.equal(seen.value.error.kind, "unanswered");
         await assertWithinLimits(seen, 500);
-        await client.close();
       });
     }
 
-    it("to release are no success", async () => {
+    it("to release are no success", async (context) => {
       const client = openKeyServer({
         address: server.address,
         onConnectionRefused: () => undefined,
       });
+      context.after(() => client.close());
       server.send(endlessBodies["chunks"] ?? endlessRest);
       const range = { first: 1, last: 1, token: { epoch: 1, sequence: 1 } };
       const seen = await measure(() => client.release(range));
       assert.ok(seen.value.isErr);
       await assertWithinLimits(seen, 3_000);
-      await client.close();
     });
   });
 
   describe("from the platform's store", () => {
     for (const [name, bytes] of Object.entries(endlessAnswers)) {
-      it(`leave the call uncertain: ${name}`, async () => {
+      it(`leave the call uncertain: ${name}`, async (context) => {
         const store = openPlatformStore({
           address: server.address,
           metrics: startMetrics(),
           events: { record: () => undefined },
         });
+        context.after(() => store.close());
         server.send(bytes);
         const seen = await measure(() => store.delegations.read("group"));
         assert.ok(seen.value.isErr);
         assert.equal(seen.value.error.kind, "uncertain");
         await assertWithinLimits(seen, 2_000);
-        await store.close();
       });
     }
   });
 
   describe("from a store by the product's protocol", () => {
     for (const [name, bytes] of Object.entries(endlessAnswers)) {
-      it(`leave the call uncertain: ${name}`, async () => {
+      it(`leave the call uncertain: ${name}`, async (context) => {
         const timeoutMilliseconds = deadlineMilliseconds;
         const store = openStore({
           origin: `http://${server.address}`,
           timeoutMilliseconds,
           metrics: startMetrics(),
         });
+        context.after(() => store.close());
         server.send(bytes);
         const seen = await measure(() => store.delegations.read("group"));
         assert.ok(seen.value.isErr);
         assert.equal(seen.value.error.kind, "uncertain");
         await assertWithinLimits(seen, timeoutMilliseconds);
-        await store.close();
       });
     }
   });
